--- /dev/null
+++ b/Makefile
@@ -0,0 +1,24 @@
+GO ?= go
+# Packages whose goroutines share memory are tested with the race detector as well.
+RACE_PACKAGES = ./replica ./control ./peer ./entry ./upstream ./client ./timeline ./retry ./daemon
+
+.PHONY: build demo test race check generate bench
+
+build:
+	$(GO) build -o bin/ ./cmd/...
+
+demo: build
+	./scripts/demo.sh
+
+test:
+	$(GO) test ./...
+	$(GO) test -race $(RACE_PACKAGES)
+
+check:
+	./scripts/check.sh
+
+generate:
+	buf generate
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchtime 1x ./...
--- /dev/null
+++ b/client/client.go
@@ -0,0 +1,203 @@
+package client
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	"github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1/bulrushwinchv1connect"
+	"github.com/bulrushwinch/bulrushwinch/retry"
+)
+
+// Config says where and as whom to call.
+type Config struct {
+	// Addresses are those of entries or of the balancer, as "host:port".
+	Addresses []string
+	Key       string
+	// TLS is used when it is not nil.
+	TLS *tls.Config
+}
+
+const (
+	dialTimeout    = time.Second
+	submitTimeout  = 12 * time.Second
+	backoffMin     = 100 * time.Millisecond
+	backoffMax     = 2 * time.Second
+	idleConnection = 30 * time.Second
+)
+
+// Client calls a cell. It is safe for concurrent use.
+type Client struct {
+	cfg       Config
+	transport *http.Transport
+	endpoints []endpoint
+	next      atomic.Uint32
+}
+
+type endpoint struct {
+	caller   bulrushwinchv1connect.CallerServiceClient
+	operator bulrushwinchv1connect.OperatorServiceClient
+	upstream bulrushwinchv1connect.UpstreamServiceClient
+}
+
+// New returns a client.
+func New(cfg Config) *Client {
+	c := &Client{cfg: cfg, transport: &http.Transport{
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		TLSClientConfig: cfg.TLS, IdleConnTimeout: idleConnection, MaxIdleConnsPerHost: 64}}
+	scheme := "http://"
+	if cfg.TLS != nil {
+		scheme = "https://"
+	}
+	httpClient := &http.Client{Transport: keyTransport{cfg.Key, c.transport}}
+	for _, a := range cfg.Addresses {
+		url := scheme + a
+		c.endpoints = append(c.endpoints, endpoint{
+			bulrushwinchv1connect.NewCallerServiceClient(httpClient, url),
+			bulrushwinchv1connect.NewOperatorServiceClient(httpClient, url),
+			bulrushwinchv1connect.NewUpstreamServiceClient(httpClient, url)})
+	}
+	return c
+}
+
+// keyTransport adds the key to every request.
+type keyTransport struct {
+	key  string
+	next http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t keyTransport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if t.key != "" {
+		r = r.Clone(r.Context())
+		r.Header.Set("Authorization", "Bearer "+t.key)
+	}
+	return t.next.RoundTrip(r)
+}
+
+// Close closes idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
+
+func (c *Client) pick() endpoint {
+	return c.endpoints[int(c.next.Load())%len(c.endpoints)]
+}
+
+// failed turns to the next address and drops connections that may have gone silent.
+func (c *Client) failed() {
+	c.next.Add(1)
+	c.transport.CloseIdleConnections()
+}
+
+// do sends one request to the current address and turns to the next one if it fails.
+func do[Q, P any](ctx context.Context, c *Client, method func(endpoint) func(context.Context, *connect.Request[Q]) (*connect.Response[P], error), req *Q) (*P, error) {
+	resp, err := method(c.pick())(ctx, connect.NewRequest(req))
+	if err != nil {
+		if code := connect.CodeOf(err); code == connect.CodeUnavailable || code == connect.CodeDeadlineExceeded || code == connect.CodeUnknown {
+			c.failed()
+		}
+		return nil, err
+	}
+	return resp.Msg, nil
+}
+
+// Submit hands in a job and resends it under the same identity until the outcome is
+// certain. When ctx ends first, the outcome is undetermined.
+func (c *Client) Submit(ctx context.Context, req *apiv1.SubmitRequest) (*apiv1.SubmitResponse, error) {
+	if req.FirstSentUnixMs == 0 {
+		req.FirstSentUnixMs = time.Now().UnixMilli()
+		req.FirstSend = true
+	}
+	backoff := retry.Backoff{Min: backoffMin, Max: backoffMax}
+	for {
+		resp, err := c.submitOnce(ctx, req)
+		if err == nil && !worthResending(resp.GetOutcome()) {
+			return resp, nil
+		}
+		req.FirstSend = false
+		if sleepErr := retry.Sleep(ctx, backoff.Next()); sleepErr != nil {
+			return resp, err
+		}
+	}
+}
+
+func (c *Client) submitOnce(ctx context.Context, req *apiv1.SubmitRequest) (*apiv1.SubmitResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
+	defer cancel()
+	return do(ctx, c, func(e endpoint) func(context.Context, *connect.Request[apiv1.SubmitRequest]) (*connect.Response[apiv1.SubmitResponse], error) {
+		return e.caller.Submit
+	}, req)
+}
+
+// worthResending reports whether a resend can make the outcome certain.
+func worthResending(o *apiv1.Outcome) bool {
+	return o.GetKind() == apiv1.OutcomeKind_OUTCOME_KIND_UNDETERMINED &&
+		(o.GetReason() == apiv1.Reason_REASON_NO_LEADER || o.GetReason() == apiv1.Reason_REASON_OVERLOADED)
+}
+
+// Wait waits for the end of a job, at most req.MaxWaitMs.
+func (c *Client) Wait(ctx context.Context, req *apiv1.WaitRequest) (*apiv1.WaitResponse, error) {
+	return do(ctx, c, func(e endpoint) func(context.Context, *connect.Request[apiv1.WaitRequest]) (*connect.Response[apiv1.WaitResponse], error) {
+		return e.caller.Wait
+	}, req)
+}
+
+// Get returns a job as it stands.
+func (c *Client) Get(ctx context.Context, req *apiv1.GetRequest) (*apiv1.GetResponse, error) {
+	return do(ctx, c, func(e endpoint) func(context.Context, *connect.Request[apiv1.GetRequest]) (*connect.Response[apiv1.GetResponse], error) {
+		return e.caller.Get
+	}, req)
+}
+
+// Cancel cancels requests.
+func (c *Client) Cancel(ctx context.Context, req *apiv1.CancelRequest) (*apiv1.CancelResponse, error) {
+	return do(ctx, c, func(e endpoint) func(context.Context, *connect.Request[apiv1.CancelRequest]) (*connect.Response[apiv1.CancelResponse], error) {
+		return e.caller.Cancel
+	}, req)
+}
+
+// Explain says why a job waits or runs where it does.
+func (c *Client) Explain(ctx context.Context, req *apiv1.ExplainRequest) (*apiv1.ExplainResponse, error) {
+	return do(ctx, c, func(e endpoint) func(context.Context, *connect.Request[apiv1.ExplainRequest]) (*connect.Response[apiv1.ExplainResponse], error) {
+		return e.caller.Explain
+	}, req)
+}
+
+// Change applies one change of configuration.
+func (c *Client) Change(ctx context.Context, req *apiv1.ChangeRequest) (*apiv1.ChangeResponse, error) {
+	return do(ctx, c, func(e endpoint) func(context.Context, *connect.Request[apiv1.ChangeRequest]) (*connect.Response[apiv1.ChangeResponse], error) {
+		return e.operator.Change
+	}, req)
+}
+
+// Status shows the cell.
+func (c *Client) Status(ctx context.Context, req *apiv1.StatusRequest) (*apiv1.StatusResponse, error) {
+	return do(ctx, c, func(e endpoint) func(context.Context, *connect.Request[apiv1.StatusRequest]) (*connect.Response[apiv1.StatusResponse], error) {
+		return e.operator.Status
+	}, req)
+}
+
+// Timeline returns merged events.
+func (c *Client) Timeline(ctx context.Context, req *apiv1.TimelineRequest) (*apiv1.TimelineResponse, error) {
+	return do(ctx, c, func(e endpoint) func(context.Context, *connect.Request[apiv1.TimelineRequest]) (*connect.Response[apiv1.TimelineResponse], error) {
+		return e.operator.Timeline
+	}, req)
+}
+
+// Announce implements upstream.API.
+func (c *Client) Announce(ctx context.Context, req *apiv1.AnnounceRequest) (*apiv1.AnnounceResponse, error) {
+	return do(ctx, c, func(e endpoint) func(context.Context, *connect.Request[apiv1.AnnounceRequest]) (*connect.Response[apiv1.AnnounceResponse], error) {
+		return e.upstream.Announce
+	}, req)
+}
+
+// Poll implements upstream.API.
+func (c *Client) Poll(ctx context.Context, req *apiv1.PollRequest) (*apiv1.PollResponse, error) {
+	return do(ctx, c, func(e endpoint) func(context.Context, *connect.Request[apiv1.PollRequest]) (*connect.Response[apiv1.PollResponse], error) {
+		return e.upstream.Poll
+	}, req)
+}
--- /dev/null
+++ b/control/callers.go
@@ -0,0 +1,166 @@
+package control
+
+import (
+	"crypto/sha256"
+	"time"
+
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/sched"
+	"github.com/bulrushwinch/bulrushwinch/state"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+// jobWaiter is a Wait call that is held until its job ends.
+type jobWaiter struct {
+	reply func(proto.Message, error)
+}
+
+func (c *Controller) submit(k call, req *apiv1.SubmitRequest) {
+	cmd := &peerv1.Submit{KeySha256: k.key, Request: req, Digest: SubmitDigest(req)}
+	c.propose(&peerv1.Command{Command: &peerv1.Command_Submit{Submit: cmd}}, func(r state.Result, err error) {
+		k.finish(r.Submit, err)
+	})
+}
+
+// SubmitDigest identifies the body of a request, without what may differ in a resend.
+func SubmitDigest(req *apiv1.SubmitRequest) []byte {
+	body := &apiv1.SubmitRequest{RequestId: req.GetRequestId(), Queue: req.GetQueue(), Job: req.GetJob(), StartWithinMs: req.GetStartWithinMs()}
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(body)
+	if err != nil {
+		panic("control: request can't be encoded: " + err.Error())
+	}
+	sum := sha256.Sum256(data)
+	return sum[:]
+}
+
+func (c *Controller) cancel(k call, req *apiv1.CancelRequest) {
+	c.propose(&peerv1.Command{Command: &peerv1.Command_Cancel{Cancel: &peerv1.Cancel{KeySha256: k.key, Request: req}}},
+		func(r state.Result, err error) { k.finish(r.Cancel, err) })
+}
+
+// findJob returns the job that a key may see.
+func (c *Controller) findJob(key []byte, ref *apiv1.JobRef) (*state.Job, error) {
+	operator := c.state.AuthorizeOperator(key) == nil
+	if id := state.JobID(ref.GetJobId()); id != 0 {
+		j := c.state.Job(id)
+		if j == nil {
+			return nil, errors.Errorf("job %d is not known or no longer remembered", id)
+		}
+		if operator {
+			return j, nil
+		}
+		team, refusal := c.state.Authorize(key, j.Queue)
+		if refusal != nil || team != j.Team {
+			return nil, errors.Errorf("job %d is not known or no longer remembered", id)
+		}
+		return j, nil
+	}
+	team, refusal := c.state.Authorize(key, ref.GetQueue())
+	if refusal != nil {
+		return nil, errors.New(refusal.Detail)
+	}
+	known := c.state.Request(state.RequestKey{Team: team, ID: ref.GetRequestId()})
+	if known == nil || c.state.Job(known.Job) == nil {
+		return nil, errors.Errorf("request %q is not known or no longer remembered", ref.GetRequestId())
+	}
+	return c.state.Job(known.Job), nil
+}
+
+// withJob calls f with the job once the leadership is confirmed, so that reads are current.
+func (c *Controller) withJob(k call, ref *apiv1.JobRef, f func(*state.Job)) {
+	c.confirmed(func(ok bool) {
+		if !ok {
+			k.finish(nil, errNotLeader)
+			return
+		}
+		j, err := c.findJob(k.key, ref)
+		if err != nil {
+			k.finish(nil, err)
+			return
+		}
+		f(j)
+	})
+}
+
+func (c *Controller) get(k call, req *apiv1.GetRequest) {
+	c.withJob(k, req.GetJob(), func(j *state.Job) { k.finish(&apiv1.GetResponse{Job: jobView(j)}, nil) })
+}
+
+func (c *Controller) wait(k call, req *apiv1.WaitRequest) {
+	c.withJob(k, req.GetJob(), func(j *state.Job) {
+		if j.State == lifecycle.JobEnded || req.GetMaxWaitMs() <= 0 {
+			k.finish(waitResponse(j), nil)
+			return
+		}
+		w := &jobWaiter{reply: k.finish}
+		c.waiters[j.ID] = append(c.waiters[j.ID], w)
+		time.AfterFunc(time.Duration(req.GetMaxWaitMs())*time.Millisecond, func() {
+			_ = c.node.Post(k.ctx, func() { c.endWait(j, w) })
+		})
+	})
+}
+
+// endWait answers a Wait call whose time is over.
+func (c *Controller) endWait(j *state.Job, w *jobWaiter) {
+	list := c.waiters[j.ID]
+	for i, other := range list {
+		if other == w {
+			c.waiters[j.ID] = append(list[:i:i], list[i+1:]...)
+			if len(c.waiters[j.ID]) == 0 {
+				delete(c.waiters, j.ID)
+			}
+			w.reply(waitResponse(j), nil)
+			return
+		}
+	}
+}
+
+func (c *Controller) wakeWaiters(j *state.Job) {
+	list := c.waiters[j.ID]
+	delete(c.waiters, j.ID)
+	for _, w := range list {
+		w.reply(waitResponse(j), nil)
+	}
+}
+
+func waitResponse(j *state.Job) *apiv1.WaitResponse {
+	return &apiv1.WaitResponse{Job: jobView(j), Ended: j.State == lifecycle.JobEnded}
+}
+
+func (c *Controller) explain(k call, req *apiv1.ExplainRequest) {
+	c.withJob(k, req.GetJob(), func(j *state.Job) {
+		k.finish(&apiv1.ExplainResponse{JobId: uint64(j.ID), Sentences: c.cell.Explain(sched.JobID(j.ID), time.Now())}, nil)
+	})
+}
+
+var jobStates = map[lifecycle.JobState]apiv1.JobState{
+	lifecycle.JobWaiting:    apiv1.JobState_JOB_STATE_WAITING,
+	lifecycle.JobRunning:    apiv1.JobState_JOB_STATE_RUNNING,
+	lifecycle.JobCancelling: apiv1.JobState_JOB_STATE_CANCELLING,
+	lifecycle.JobEnded:      apiv1.JobState_JOB_STATE_ENDED,
+}
+
+var taskStates = map[lifecycle.TaskState]apiv1.TaskState{
+	lifecycle.TaskWaiting:  apiv1.TaskState_TASK_STATE_WAITING,
+	lifecycle.TaskPlaced:   apiv1.TaskState_TASK_STATE_PLACED,
+	lifecycle.TaskRunning:  apiv1.TaskState_TASK_STATE_RUNNING,
+	lifecycle.TaskStopping: apiv1.TaskState_TASK_STATE_STOPPING,
+	lifecycle.TaskEnded:    apiv1.TaskState_TASK_STATE_ENDED,
+}
+
+func jobView(j *state.Job) *apiv1.JobView {
+	v := &apiv1.JobView{JobId: uint64(j.ID), Team: j.Team, RequestId: j.RequestID, Queue: j.Queue, Spec: j.Spec,
+		State: jobStates[j.State], Outcome: j.Outcome}
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		tv := &apiv1.TaskView{Index: t.Index, Attempt: t.Attempt, State: taskStates[t.State], Outcome: t.Outcome, Answer: t.Answer}
+		if t.Upstream != nil {
+			tv.Upstream = t.Upstream.Name
+		}
+		v.Tasks = append(v.Tasks, tv)
+	}
+	return v
+}
--- /dev/null
+++ b/control/cell.go
@@ -0,0 +1,159 @@
+package control
+
+import (
+	"fmt"
+	"time"
+
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
+	"github.com/bulrushwinch/bulrushwinch/sched"
+	"github.com/bulrushwinch/bulrushwinch/state"
+)
+
+// buildCell describes the whole state to a new scheduler cell.
+func buildCell(settings sched.Settings, st *state.State) *sched.Cell {
+	c := sched.NewCell(settings)
+	for _, t := range st.Teams() {
+		c.PutTeam(teamFact(t))
+	}
+	for _, d := range st.Domains() {
+		c.PutDomain(domainFact(d))
+	}
+	for _, u := range st.Upstreams() {
+		c.PutUpstream(upstreamFact(u))
+	}
+	for _, id := range liveJobs(st) {
+		j := st.Job(id)
+		c.AddJob(jobFact(j))
+		for i := range j.Tasks {
+			c.SetTask(taskFact(&j.Tasks[i]))
+		}
+	}
+	return c
+}
+
+func teamFact(t *state.Team) sched.Team {
+	return sched.Team{Name: t.Name, Share: t.Share, Limit: t.Limit}
+}
+
+func domainFact(d *state.Domain) sched.Domain {
+	return sched.Domain{Name: d.Name, Out: d.Out, Notice: d.Notice}
+}
+
+func upstreamFact(u *state.Upstream) sched.Upstream {
+	return sched.Upstream{Name: u.Name, Incarnation: u.Incarnation, Domain: u.Domain, Rack: u.Rack, Capacity: u.Capacity,
+		Active: u.State == lifecycle.UpstreamActive, Leaving: u.State == lifecycle.UpstreamLeaving}
+}
+
+func jobFact(j *state.Job) sched.Job {
+	out := sched.Job{ID: sched.JobID(j.ID), Team: j.Team, Class: j.Spec.Class, RequestID: j.RequestID,
+		Policy: policyFact(j.Spec.Policy), Urgent: j.Spec.Urgent, Repeatable: j.Spec.Repeatable,
+		Submitted: time.Unix(0, j.SubmittedNS), Expected: time.Duration(j.Spec.ExpectedMs) * time.Millisecond}
+	for i := range j.Tasks {
+		out.Needs = append(out.Needs, state.TaskNeed(j.Tasks[i].Spec))
+	}
+	return out
+}
+
+func policyFact(p apiv1.Policy) sched.Policy {
+	switch p {
+	case apiv1.Policy_POLICY_SERVICE:
+		return sched.Service
+	case apiv1.Policy_POLICY_GANG:
+		return sched.Gang
+	}
+	return sched.Batch
+}
+
+func refFact(r state.TaskRef) sched.TaskRef {
+	return sched.TaskRef{Job: sched.JobID(r.Job), Index: r.Index, Attempt: r.Attempt}
+}
+
+func refProto(r sched.TaskRef) *apiv1.TaskRef {
+	return &apiv1.TaskRef{JobId: uint64(r.Job), Task: r.Index, Attempt: r.Attempt}
+}
+
+var phases = map[lifecycle.TaskState]sched.Phase{
+	lifecycle.TaskWaiting:  sched.Waiting,
+	lifecycle.TaskPlaced:   sched.Placed,
+	lifecycle.TaskRunning:  sched.Running,
+	lifecycle.TaskStopping: sched.Stopping,
+	lifecycle.TaskEnded:    sched.Ended,
+}
+
+func taskFact(t *state.Task) sched.TaskStatus {
+	s := sched.TaskStatus{Ref: refFact(t.Ref()), Phase: phases[t.State], Reserved: t.Reserved}
+	if t.Upstream != nil {
+		s.Upstream = t.Upstream.Name
+	}
+	if t.NotBeforeNS != 0 {
+		s.NotBefore = time.Unix(0, t.NotBeforeNS)
+	}
+	return s
+}
+
+// observer keeps the cell, sessions and waiters in step with the state.
+type observer Controller
+
+// TeamChanged implements state.Observer.
+func (o *observer) TeamChanged(t *state.Team) {
+	o.cell.PutTeam(teamFact(t))
+	o.dirty = true
+}
+
+// DomainChanged implements state.Observer.
+func (o *observer) DomainChanged(d *state.Domain) {
+	o.cell.PutDomain(domainFact(d))
+	o.dirty = true
+}
+
+// UpstreamChanged implements state.Observer.
+func (o *observer) UpstreamChanged(u *state.Upstream) {
+	c := (*Controller)(o)
+	c.cell.PutUpstream(upstreamFact(u))
+	c.syncSession(u)
+	c.dirty = true
+	c.event(&apiv1.Event{Kind: "upstream-" + string(u.State), Upstream: u.Name,
+		Detail: fmt.Sprintf("incarnation %d in %s, rack %s, VM %s", u.Incarnation, u.Domain, u.Rack, u.VM)})
+}
+
+// JobAdded implements state.Observer.
+func (o *observer) JobAdded(j *state.Job) {
+	c := (*Controller)(o)
+	c.cell.AddJob(jobFact(j))
+	c.dirty = true
+	c.event(jobEvent("job-accepted", j, fmt.Sprintf("%d tasks in queue %s", len(j.Tasks), j.Queue)))
+}
+
+// JobEnded implements state.Observer.
+func (o *observer) JobEnded(j *state.Job) {
+	c := (*Controller)(o)
+	c.cell.RemoveJob(sched.JobID(j.ID))
+	delete(c.gangs, j.ID)
+	c.wakeWaiters(j)
+	c.event(jobEvent("job-ended", j, fmt.Sprintf("%s %s", j.Outcome.GetKind(), j.Outcome.GetDetail())))
+}
+
+// TaskChanged implements state.Observer.
+func (o *observer) TaskChanged(t *state.Task, from lifecycle.TaskState) {
+	c := (*Controller)(o)
+	c.cell.SetTask(taskFact(t))
+	c.taskChanged(t, from)
+	c.dirty = true
+	e := jobEvent("task-"+string(t.State), t.Job, fmt.Sprintf("task %d attempt %d, was %s", t.Index, t.Attempt, from))
+	if t.Upstream != nil {
+		e.Upstream = t.Upstream.Name
+	}
+	c.event(e)
+}
+
+// ConfigChanged implements state.Observer.
+func (o *observer) ConfigChanged(revision uint64) {
+	c := (*Controller)(o)
+	c.wakeViews()
+	c.event(&apiv1.Event{Kind: "config", Revision: revision})
+}
+
+func jobEvent(kind string, j *state.Job, detail string) *apiv1.Event {
+	return &apiv1.Event{Kind: kind, JobId: uint64(j.ID), RequestId: j.RequestID, Team: j.Team, Detail: detail}
+}
--- /dev/null
+++ b/control/controller.go
@@ -0,0 +1,250 @@
+package control
+
+import (
+	"time"
+
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	"github.com/bulrushwinch/bulrushwinch/lease"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/bulrushwinch/bulrushwinch/replica"
+	"github.com/bulrushwinch/bulrushwinch/sched"
+	"github.com/bulrushwinch/bulrushwinch/state"
+	"github.com/bulrushwinch/bulrushwinch/timeline"
+	"google.golang.org/protobuf/proto"
+)
+
+// Config holds the settings of a Controller.
+type Config struct {
+	Terms lease.Terms
+	// PollHold is how long a poll is held when there is nothing to hand out.
+	PollHold time.Duration
+	// PrepareTimeout bounds how long a gang may stay prepared in part.
+	PrepareTimeout time.Duration
+	// Voters is the number of voters that the group grows to.
+	Voters int
+	// OperatorKey is the hash of the first operator's key; empty if it is not set here.
+	OperatorKey []byte
+	Sched       sched.Settings
+}
+
+// DefaultConfig suits a cell of any size.
+var DefaultConfig = Config{
+	Terms:          lease.DefaultTerms,
+	PollHold:       time.Second,
+	PrepareTimeout: 10 * time.Second,
+	Voters:         3,
+	Sched:          sched.DefaultSettings,
+}
+
+const (
+	// maxPlacementsPerRound bounds one Place command.
+	maxPlacementsPerRound = 1024
+	// sweepInterval is the time between Sweep commands.
+	sweepInterval = time.Minute
+	// idleDecideInterval is the time between decisions when no fact has changed.
+	idleDecideInterval = 200 * time.Millisecond
+)
+
+// Controller is the leader's work on one group.
+type Controller struct {
+	cfg    Config
+	node   *replica.Node[[]state.Result]
+	state  *state.State
+	cell   *sched.Cell
+	clock  lease.Clock
+	events *timeline.Recorder
+
+	leading bool
+	term    uint64
+	leader  raft.Member
+
+	commands  []*peerv1.Command
+	completes []completion
+
+	// awaiting are answers that need a quorum's confirmation of the leadership.
+	awaiting   []func(ok bool)
+	confirming bool
+
+	sessions map[string]*session
+	gangs    map[state.JobID]*gang
+	waiters  map[state.JobID][]*jobWaiter
+	views    []*viewWaiter
+	process  map[string]processView
+
+	dirty      bool
+	placing    bool
+	nextDecide time.Duration
+	nextSweep  time.Duration
+}
+
+// completion is called with the result of one command, or with an error.
+type completion func(state.Result, error)
+
+// New returns a Controller. Attach must be called before its node runs.
+func New(cfg Config, st *state.State, clock lease.Clock, events *timeline.Recorder) *Controller {
+	return &Controller{cfg: cfg, state: st, clock: clock, events: events,
+		waiters: make(map[state.JobID][]*jobWaiter), process: make(map[string]processView)}
+}
+
+// Attach sets the node whose control goroutine the Controller belongs to.
+func (c *Controller) Attach(n *replica.Node[[]state.Result]) { c.node = n }
+
+// Lead implements replica.Owner.
+func (c *Controller) Lead(term uint64) {
+	c.reset()
+	c.leading, c.term = true, term
+	c.cell = buildCell(c.cfg.Sched, c.state)
+	c.openSessions()
+	c.state.Observe((*observer)(c))
+	c.dirty = true
+	c.nextSweep = c.clock.Now() + sweepInterval
+	c.event(&apiv1.Event{Kind: "lead", Detail: "leadership begins"})
+	if len(c.state.Keys()) == 0 && len(c.cfg.OperatorKey) > 0 {
+		c.propose(&peerv1.Command{Command: &peerv1.Command_Bootstrap{
+			Bootstrap: &peerv1.Bootstrap{KeySha256: c.cfg.OperatorKey}}}, nil)
+	}
+}
+
+// Follow implements replica.Owner.
+func (c *Controller) Follow(leader raft.Member) {
+	if c.leading {
+		c.event(&apiv1.Event{Kind: "follow", Detail: "leadership ended"})
+	}
+	c.reset()
+	c.leader = leader
+}
+
+// reset drops everything that belongs to a leadership.
+func (c *Controller) reset() {
+	c.leading = false
+	c.state.Observe(nil)
+	c.failAll()
+	c.sessions = make(map[string]*session)
+	c.gangs = make(map[state.JobID]*gang)
+	c.cell = nil
+	c.placing, c.confirming = false, false
+}
+
+// failAll answers everything that waits for this leadership.
+func (c *Controller) failAll() {
+	completes := c.completes
+	c.commands, c.completes = nil, nil
+	for _, done := range completes {
+		if done != nil {
+			done(state.Result{}, raft.ErrNotLeader)
+		}
+	}
+	awaiting := c.awaiting
+	c.awaiting = nil
+	for _, f := range awaiting {
+		f(false)
+	}
+	for _, s := range c.sessions {
+		s.drop(errNotLeader)
+	}
+	for id, list := range c.waiters {
+		delete(c.waiters, id)
+		for _, w := range list {
+			w.reply(nil, errNotLeader)
+		}
+	}
+	for _, v := range c.views {
+		v.reply(nil, errNotLeader)
+	}
+	c.views = nil
+}
+
+// Tick implements replica.Owner.
+func (c *Controller) Tick() {
+	if !c.leading {
+		return
+	}
+	now := c.clock.Now()
+	c.expireLeases(now)
+	c.answerHeldPolls(now)
+	c.answerHeldViews(now)
+	c.checkGangs(now)
+	c.promoteLearner()
+	c.refuseLate()
+	if now >= c.nextSweep {
+		c.nextSweep = now + sweepInterval
+		c.propose(&peerv1.Command{Command: &peerv1.Command_Sweep{Sweep: &peerv1.Sweep{}}}, nil)
+	}
+	if now >= c.nextDecide {
+		c.dirty = true
+	}
+}
+
+// Flush implements replica.Owner: it decides, proposes what has gathered as one log
+// entry, and asks for one confirmation of the leadership.
+func (c *Controller) Flush() {
+	if !c.leading {
+		return
+	}
+	c.decide()
+	c.proposeBatch()
+	c.confirmBatch()
+}
+
+// propose adds a command to the next log entry. done may be nil.
+func (c *Controller) propose(cmd *peerv1.Command, done completion) {
+	c.commands = append(c.commands, cmd)
+	c.completes = append(c.completes, done)
+}
+
+func (c *Controller) proposeBatch() {
+	if len(c.commands) == 0 {
+		return
+	}
+	batch := &peerv1.Batch{NowNs: max(time.Now().UnixNano(), c.state.Now().UnixNano()), Commands: c.commands}
+	completes := c.completes
+	c.commands, c.completes = nil, nil
+	data, err := proto.Marshal(batch)
+	if err != nil {
+		panic("control: batch can't be encoded: " + err.Error())
+	}
+	c.node.Propose(data, func(results []state.Result, err error) {
+		for i, done := range completes {
+			switch {
+			case done == nil:
+			case err != nil:
+				done(state.Result{}, err)
+			default:
+				done(results[i], nil)
+			}
+		}
+	})
+}
+
+// confirmed calls f once a quorum has confirmed the leadership after this call.
+func (c *Controller) confirmed(f func(ok bool)) {
+	c.awaiting = append(c.awaiting, f)
+}
+
+func (c *Controller) confirmBatch() {
+	if c.confirming || len(c.awaiting) == 0 {
+		return
+	}
+	batch := c.awaiting
+	c.awaiting, c.confirming = nil, true
+	term := c.term
+	c.node.Confirm(func(ok bool) {
+		if c.term == term {
+			c.confirming = false
+		}
+		for _, f := range batch {
+			f(ok && c.leading && c.term == term)
+		}
+	})
+}
+
+// event records an event of this process.
+func (c *Controller) event(e *apiv1.Event) {
+	if c.events != nil {
+		c.events.Add(e)
+	}
+}
+
+// Leading reports whether the Controller leads.
+func (c *Controller) Leading() bool { return c.leading }
--- /dev/null
+++ b/control/decide.go
@@ -0,0 +1,96 @@
+package control
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/sched"
+	"github.com/bulrushwinch/bulrushwinch/state"
+)
+
+// decide asks the scheduler for decisions when a fact has changed and the last
+// placements are applied.
+func (c *Controller) decide() {
+	if !c.dirty || c.placing {
+		return
+	}
+	c.dirty = false
+	c.nextDecide = c.clock.Now() + idleDecideInterval
+	d := c.cell.Decide(time.Now(), maxPlacementsPerRound)
+	c.proposePlacements(d.Placements)
+	c.proposeStops(d.Stops)
+	c.throttle(d.Throttles)
+	for _, r := range d.Refusals {
+		c.proposeRefusal(state.JobID(r.Job), apiv1.Reason_REASON_NEVER_FITS, r.Detail)
+	}
+	if len(d.Placements) >= maxPlacementsPerRound {
+		c.dirty = true
+	}
+}
+
+func (c *Controller) proposePlacements(list []sched.Placement) {
+	if len(list) == 0 {
+		return
+	}
+	cmd := &peerv1.Place{Placements: make([]*peerv1.Placement, len(list))}
+	for i, p := range list {
+		cmd.Placements[i] = &peerv1.Placement{JobId: uint64(p.Task.Job), Task: p.Task.Index, Attempt: p.Task.Attempt,
+			Upstream: p.Upstream, Incarnation: p.Incarnation, Reserved: p.Reserved.Proto()}
+	}
+	c.placing = true
+	term := c.term
+	c.propose(&peerv1.Command{Command: &peerv1.Command_Place{Place: cmd}}, func(r state.Result, err error) {
+		if c.term != term {
+			return
+		}
+		c.placing = false
+		if err == nil {
+			placementsTaken.Add(int64(len(r.Place.Taken)))
+			placementsRefused.Add(int64(len(r.Place.Refused)))
+		}
+	})
+}
+
+func (c *Controller) proposeStops(stops []sched.Stop) {
+	for _, s := range stops {
+		c.propose(&peerv1.Command{Command: &peerv1.Command_Stop{Stop: &peerv1.Stop{
+			Tasks: []*apiv1.TaskRef{refProto(s.Task)}, Checkpoint: s.Checkpoint, Why: string(s.Why)}}}, nil)
+	}
+}
+
+func (c *Controller) proposeRefusal(id state.JobID, reason apiv1.Reason, detail string) {
+	c.propose(&peerv1.Command{Command: &peerv1.Command_Refuse{Refuse: &peerv1.Refuse{JobId: uint64(id),
+		Outcome: &apiv1.Outcome{Kind: apiv1.OutcomeKind_OUTCOME_KIND_NOT_RUN, Reason: reason, Detail: detail}}}}, nil)
+}
+
+// refuseLate ends waiting jobs whose caller no longer wants them started.
+func (c *Controller) refuseLate() {
+	now := time.Now().UnixNano()
+	for _, id := range c.deadlines() {
+		j := c.state.Job(id)
+		if j != nil && j.State == lifecycle.JobWaiting && j.StartDeadlineNS != 0 && j.StartDeadlineNS < now {
+			c.proposeRefusal(id, apiv1.Reason_REASON_DEADLINE, "it did not start within the caller's bound")
+		}
+	}
+}
+
+// deadlines returns the waiting jobs that have a start deadline.
+func (c *Controller) deadlines() []state.JobID {
+	var ids []state.JobID
+	for id, j := range c.state.Jobs() {
+		if j.StartDeadlineNS != 0 && j.State == lifecycle.JobWaiting {
+			ids = append(ids, id)
+		}
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func liveJobs(st *state.State) []state.JobID {
+	ids := slices.Sorted(maps.Keys(st.Jobs()))
+	return slices.DeleteFunc(ids, func(id state.JobID) bool { return st.Job(id).State == lifecycle.JobEnded })
+}
--- /dev/null
+++ b/control/handle.go
@@ -0,0 +1,130 @@
+package control
+
+import (
+	"context"
+
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/bulrushwinch/bulrushwinch/replica"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+// Errors that end a call without an answer of its own.
+var (
+	errNotLeader     = errors.New("control: not the leader")
+	errAnnounceAgain = errors.New("control: upstream must announce itself again")
+	errStalePoll     = errors.New("control: a later poll has been seen")
+)
+
+// result is what a call hands back from the control goroutine.
+type result struct {
+	message proto.Message
+	err     error
+}
+
+// call is one request on the control goroutine; finish may be called later, once.
+type call struct {
+	ctx    context.Context
+	key    []byte
+	finish func(proto.Message, error)
+}
+
+// Handle answers a forwarded call. It is safe for concurrent use. The response says
+// truthfully whether anything may have been proposed.
+func (c *Controller) Handle(ctx context.Context, req *peerv1.ForwardRequest) *peerv1.ForwardResponse {
+	start, refusal := c.decode(req)
+	if refusal != nil {
+		return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_REFUSED, Refusal: refusal}
+	}
+	done := make(chan result, 1)
+	leader := ""
+	err := c.node.Post(ctx, func() {
+		if !c.leading {
+			leader = c.leader.Address
+			done <- result{err: raft.ErrNotLeader}
+			return
+		}
+		start(call{ctx: ctx, key: req.GetKeySha256(), finish: func(m proto.Message, err error) {
+			select {
+			case done <- result{m, err}:
+			default:
+			}
+		}})
+	})
+	if err != nil {
+		return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER}
+	}
+	select {
+	case r := <-done:
+		return c.respond(r, leader)
+	case <-ctx.Done():
+		return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
+	case <-c.node.Done():
+		return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
+	}
+}
+
+func (c *Controller) respond(r result, leader string) *peerv1.ForwardResponse {
+	switch {
+	case errors.Is(r.err, raft.ErrNotLeader), errors.Is(r.err, raft.ErrTransferring):
+		return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER, LeaderAddress: leader}
+	case errors.Is(r.err, replica.ErrLost), errors.Is(r.err, errNotLeader):
+		return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
+	case errors.Is(r.err, errStalePoll):
+		return refusedResponse(apiv1.Reason_REASON_STALE_INCARNATION, r.err.Error())
+	case r.err != nil:
+		return refusedResponse(apiv1.Reason_REASON_BAD_REQUEST, r.err.Error())
+	}
+	payload, err := proto.Marshal(r.message)
+	if err != nil {
+		return refusedResponse(apiv1.Reason_REASON_BAD_REQUEST, err.Error())
+	}
+	return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_OK, Payload: payload}
+}
+
+func refusedResponse(reason apiv1.Reason, detail string) *peerv1.ForwardResponse {
+	return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_REFUSED,
+		Refusal: &apiv1.Outcome{Kind: apiv1.OutcomeKind_OUTCOME_KIND_UNDETERMINED, Reason: reason, Detail: detail}}
+}
+
+// decode parses the payload and returns the work for the control goroutine.
+func (c *Controller) decode(req *peerv1.ForwardRequest) (func(call), *apiv1.Outcome) {
+	switch req.GetMethod() {
+	case peerv1.Method_METHOD_SUBMIT:
+		return decodeAs(req, c.submit)
+	case peerv1.Method_METHOD_WAIT:
+		return decodeAs(req, c.wait)
+	case peerv1.Method_METHOD_GET:
+		return decodeAs(req, c.get)
+	case peerv1.Method_METHOD_CANCEL:
+		return decodeAs(req, c.cancel)
+	case peerv1.Method_METHOD_EXPLAIN:
+		return decodeAs(req, c.explain)
+	case peerv1.Method_METHOD_CHANGE:
+		return decodeAs(req, c.change)
+	case peerv1.Method_METHOD_STATUS:
+		return decodeAs(req, c.status)
+	case peerv1.Method_METHOD_ANNOUNCE:
+		return decodeAs(req, c.announce)
+	case peerv1.Method_METHOD_POLL:
+		return decodeAs(req, c.poll)
+	}
+	return nil, badCall("unknown method")
+}
+
+func badCall(detail string) *apiv1.Outcome {
+	return &apiv1.Outcome{Kind: apiv1.OutcomeKind_OUTCOME_KIND_NOT_RUN, Reason: apiv1.Reason_REASON_BAD_REQUEST, Detail: detail}
+}
+
+func decodeAs[T any, M interface {
+	*T
+	proto.Message
+}](req *peerv1.ForwardRequest, work func(call, M)) (func(call), *apiv1.Outcome) {
+	m := M(new(T))
+	if err := proto.Unmarshal(req.GetPayload(), m); err != nil {
+		return nil, badCall("request can't be decoded: " + err.Error())
+	}
+	return func(k call) { work(k, m) }, nil
+}
--- /dev/null
+++ b/control/operators.go
@@ -0,0 +1,274 @@
+package control
+
+import (
+	"cmp"
+	"context"
+	"maps"
+	"slices"
+	"time"
+
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/bulrushwinch/bulrushwinch/state"
+	"github.com/pkg/errors"
+)
+
+// processView is what a process last said of itself.
+type processView struct {
+	revision uint64
+	ready    bool
+	seen     time.Duration
+}
+
+// viewWaiter is a View call that is held until the configuration changes.
+type viewWaiter struct {
+	known uint64
+	until time.Duration
+	reply func(*peerv1.ViewResponse, error)
+}
+
+func (c *Controller) change(k call, req *apiv1.ChangeRequest) {
+	if r := req.GetReplica(); r != nil {
+		c.changeReplica(k, r)
+		return
+	}
+	c.propose(&peerv1.Command{Command: &peerv1.Command_Change{Change: &peerv1.Change{KeySha256: k.key, Request: req}}},
+		func(r state.Result, err error) { k.finish(r.Change, err) })
+}
+
+// changeReplica changes the membership; it is idempotent, as the target state is named.
+func (c *Controller) changeReplica(k call, r *apiv1.ReplicaChange) {
+	if refusal := c.state.AuthorizeOperator(k.key); refusal != nil {
+		k.finish(&apiv1.ChangeResponse{Outcome: refusal}, nil)
+		return
+	}
+	if err := c.applyReplicaChange(raft.ID(r.GetReplicaId()), r.GetAction()); err != nil {
+		k.finish(&apiv1.ChangeResponse{Outcome: &apiv1.Outcome{Kind: apiv1.OutcomeKind_OUTCOME_KIND_NOT_RUN,
+			Reason: apiv1.Reason_REASON_BAD_REQUEST, Detail: err.Error()}, Revision: c.state.Revision()}, nil)
+		return
+	}
+	k.finish(&apiv1.ChangeResponse{Applied: true, Revision: c.state.Revision(),
+		Outcome: &apiv1.Outcome{Kind: apiv1.OutcomeKind_OUTCOME_KIND_ACCEPTED}}, nil)
+}
+
+func (c *Controller) applyReplicaChange(id raft.ID, action apiv1.ReplicaAction) error {
+	members := c.node.Raft().Members()
+	i := slices.IndexFunc(members, func(m raft.Member) bool { return m.ID == id })
+	switch action {
+	case apiv1.ReplicaAction_REPLICA_ACTION_REMOVE:
+		if i < 0 {
+			return nil
+		}
+		_, err := c.node.Raft().ProposeMembers(slices.Delete(members, i, i+1))
+		return err
+	case apiv1.ReplicaAction_REPLICA_ACTION_PROMOTE:
+		if i < 0 {
+			return errors.Errorf("replica %d is not a member", id)
+		}
+		if members[i].Voter {
+			return nil
+		}
+		members[i].Voter = true
+		_, err := c.node.Raft().ProposeMembers(members)
+		return err
+	case apiv1.ReplicaAction_REPLICA_ACTION_TRANSFER_LEADERSHIP:
+		return c.node.Raft().TransferLeadership(id)
+	}
+	return errors.New("action must be remove, promote or transfer leadership")
+}
+
+func (c *Controller) status(k call, _ *apiv1.StatusRequest) {
+	c.confirmed(func(ok bool) {
+		if !ok {
+			k.finish(nil, errNotLeader)
+			return
+		}
+		if refusal := c.state.AuthorizeOperator(k.key); refusal != nil {
+			k.finish(nil, errors.New(refusal.Detail))
+			return
+		}
+		k.finish(c.statusNow(), nil)
+	})
+}
+
+func (c *Controller) statusNow() *apiv1.StatusResponse {
+	out := &apiv1.StatusResponse{Revision: c.state.Revision(), Term: c.term, AppliedIndex: c.node.Applied()}
+	for _, t := range sortedValues(c.state.Teams()) {
+		out.Teams = append(out.Teams, &apiv1.TeamStatus{Team: t.Spec(), Used: t.Used.Proto(), WaitingTasks: t.Waiting, RunningTasks: t.Running})
+	}
+	out.Queues = sortedValues(c.state.Queues())
+	for _, d := range sortedValues(c.state.Domains()) {
+		out.FailureDomains = append(out.FailureDomains, d.Proto())
+	}
+	for _, u := range sortedValues(c.state.Upstreams()) {
+		out.Upstreams = append(out.Upstreams, &apiv1.UpstreamStatus{Name: u.Name, Incarnation: u.Incarnation, FailureDomain: u.Domain,
+			Rack: u.Rack, Vm: u.VM, Capacity: u.Capacity.Proto(), Used: u.Used.Proto(), State: string(u.State)})
+	}
+	for _, key := range sortedValues(c.state.Keys()) {
+		out.Keys = append(out.Keys, &apiv1.KeyStatus{KeyId: key.ID, Team: key.Team, Role: key.Role, Withdrawn: key.Withdrawn})
+	}
+	for _, r := range c.node.Raft().Status() {
+		role := "learner"
+		if r.Member.Voter {
+			role = "voter"
+		}
+		out.Replicas = append(out.Replicas, &apiv1.ReplicaStatus{ReplicaId: uint64(r.Member.ID), Address: r.Member.Address,
+			FailureDomain: r.Member.Domain, Role: role, Match: r.Match, Leader: r.Member.ID == c.node.Raft().LeaderID()})
+	}
+	for _, name := range slices.Sorted(maps.Keys(c.process)) {
+		p := c.process[name]
+		out.Processes = append(out.Processes, &apiv1.ProcessStatus{Name: name, Revision: p.revision, Ready: p.ready})
+	}
+	return out
+}
+
+func sortedValues[K cmp.Ordered, V any](m map[K]V) []V {
+	out := make([]V, 0, len(m))
+	for _, k := range slices.Sorted(maps.Keys(m)) {
+		out = append(out, m[k])
+	}
+	return out
+}
+
+// View answers with the configuration in force, confirmed by a quorum. It is safe for
+// concurrent use and held until the configuration differs from the known revision.
+func (c *Controller) View(ctx context.Context, req *peerv1.ViewRequest) *peerv1.ViewResponse {
+	done := make(chan *peerv1.ViewResponse, 1)
+	answer := func(r *peerv1.ViewResponse, err error) {
+		if err != nil {
+			r = &peerv1.ViewResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER, LeaderAddress: c.leader.Address}
+		}
+		select {
+		case done <- r:
+		default:
+		}
+	}
+	err := c.node.Post(ctx, func() {
+		if !c.leading {
+			answer(nil, errNotLeader)
+			return
+		}
+		now := c.clock.Now()
+		c.process[req.GetProcess()] = processView{req.GetKnownRevision(), req.GetReady(), now}
+		v := &viewWaiter{known: req.GetKnownRevision(), until: now + c.cfg.PollHold, reply: answer}
+		if v.known != c.state.Revision() {
+			c.answerView(v)
+			return
+		}
+		c.views = append(c.views, v)
+	})
+	if err == nil {
+		select {
+		case r := <-done:
+			return r
+		case <-ctx.Done():
+		case <-c.node.Done():
+		}
+	}
+	return &peerv1.ViewResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
+}
+
+func (c *Controller) wakeViews() {
+	views := c.views
+	c.views = nil
+	for _, v := range views {
+		c.answerView(v)
+	}
+}
+
+func (c *Controller) answerHeldViews(now time.Duration) {
+	keep := c.views[:0]
+	for _, v := range c.views {
+		if now < v.until {
+			keep = append(keep, v)
+			continue
+		}
+		c.answerView(v)
+	}
+	c.views = keep
+}
+
+func (c *Controller) answerView(v *viewWaiter) {
+	c.confirmed(func(ok bool) {
+		if !ok {
+			v.reply(nil, errNotLeader)
+			return
+		}
+		v.reply(c.viewNow(v.known), nil)
+	})
+}
+
+func (c *Controller) viewNow(known uint64) *peerv1.ViewResponse {
+	out := &peerv1.ViewResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_OK, Revision: c.state.Revision()}
+	for _, m := range c.node.Raft().Members() {
+		out.Members = append(out.Members, &peerv1.Member{Id: uint64(m.ID), Voter: m.Voter, Address: m.Address, FailureDomain: m.Domain})
+	}
+	if known == out.Revision {
+		return out
+	}
+	for _, key := range sortedValues(c.state.Keys()) {
+		out.Keys = append(out.Keys, key.Record())
+	}
+	out.Queues = sortedValues(c.state.Queues())
+	for _, t := range sortedValues(c.state.Teams()) {
+		out.Teams = append(out.Teams, t.Spec())
+	}
+	return out
+}
+
+// Join adds a data folder to the group as a learner. It is safe for concurrent use and
+// idempotent.
+func (c *Controller) Join(ctx context.Context, req *peerv1.JoinRequest, group uint64) *peerv1.JoinResponse {
+	done := make(chan *peerv1.JoinResponse, 1)
+	err := c.node.Post(ctx, func() {
+		if !c.leading {
+			done <- &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER, LeaderAddress: c.leader.Address}
+			return
+		}
+		done <- c.addLearner(req.GetMember(), group)
+	})
+	if err == nil {
+		select {
+		case r := <-done:
+			return r
+		case <-ctx.Done():
+		case <-c.node.Done():
+		}
+	}
+	return &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
+}
+
+func (c *Controller) addLearner(m *peerv1.Member, group uint64) *peerv1.JoinResponse {
+	members := c.node.Raft().Members()
+	known := slices.ContainsFunc(members, func(o raft.Member) bool { return o.ID == raft.ID(m.GetId()) })
+	if !known {
+		members = append(members, raft.Member{ID: raft.ID(m.GetId()), Address: m.GetAddress(), Domain: m.GetFailureDomain()})
+		if _, err := c.node.Raft().ProposeMembers(members); err != nil {
+			return &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
+		}
+	}
+	return &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_OK, Group: group}
+}
+
+// promoteLearner makes a caught-up learner a voter while voters are missing.
+func (c *Controller) promoteLearner() {
+	core := c.node.Raft()
+	voters := 0
+	for _, m := range core.Members() {
+		if m.Voter {
+			voters++
+		}
+	}
+	if voters >= c.cfg.Voters {
+		return
+	}
+	for _, r := range core.Status() {
+		if r.Member.Voter || r.Match < core.Committed() || r.SilentTicks > 0 && r.Match == 0 {
+			continue
+		}
+		if c.applyReplicaChange(r.Member.ID, apiv1.ReplicaAction_REPLICA_ACTION_PROMOTE) == nil {
+			return
+		}
+	}
+}
--- /dev/null
+++ b/control/upstreams.go
@@ -0,0 +1,29 @@
+package control
+
+import (
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/state"
+	"github.com/pkg/errors"
+)
+
+func (c *Controller) announce(k call, req *apiv1.AnnounceRequest) {
+	cmd := &peerv1.Announce{KeySha256: k.key, Request: req}
+	c.propose(&peerv1.Command{Command: &peerv1.Command_Announce{Announce: cmd}}, func(r state.Result, err error) {
+		k.finish(&apiv1.AnnounceResponse{Outcome: r.Announce, LeaseMs: c.cfg.Terms.Duration.Milliseconds(),
+			PollIntervalMs: c.cfg.PollHold.Milliseconds()}, err)
+	})
+}
+
+func (c *Controller) poll(k call, req *apiv1.PollRequest) {
+	if refusal := c.state.AuthorizeUpstream(k.key); refusal != nil {
+		k.finish(nil, errors.New(refusal.Detail))
+		return
+	}
+	c.handlePoll(req, func(r *apiv1.PollResponse, err error) {
+		if errors.Is(err, errAnnounceAgain) {
+			r, err = &apiv1.PollResponse{Sequence: req.GetSequence(), Term: c.term, AnnounceAgain: true}, nil
+		}
+		k.finish(r, err)
+	})
+}
--- /dev/null
+++ b/daemon/peer_service.go
@@ -0,0 +1,63 @@
+package daemon
+
+import (
+	"context"
+
+	"connectrpc.com/connect"
+	"github.com/bulrushwinch/bulrushwinch/peer"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/raft"
+)
+
+// peerService answers other processes of the cell.
+type peerService struct {
+	d *Daemon
+}
+
+// Raft implements PeerService. Messages of another group are ignored.
+func (s *peerService) Raft(_ context.Context, req *connect.Request[peerv1.RaftBatch]) (*connect.Response[peerv1.RaftAck], error) {
+	if r := s.d.currentReplica(); r != nil && r.group == req.Msg.GetGroup() {
+		r.transport.Learn(raft.ID(req.Msg.GetSenderId()), req.Msg.GetSenderAddress())
+		var messages []raft.Message
+		for _, m := range req.Msg.GetMessages() {
+			messages = append(messages, peer.MessageFromProto(m))
+		}
+		r.node.Receive(messages)
+	}
+	return connect.NewResponse(&peerv1.RaftAck{}), nil
+}
+
+// Forward implements PeerService.
+func (s *peerService) Forward(ctx context.Context, req *connect.Request[peerv1.ForwardRequest]) (*connect.Response[peerv1.ForwardResponse], error) {
+	s.d.events.Clock().Observe(req.Msg.GetWallNs())
+	resp := &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER}
+	if r := s.d.currentReplica(); r != nil {
+		resp = r.controller.Handle(ctx, req.Msg)
+	}
+	resp.WallNs = s.d.events.Clock().Now().WallNS
+	return connect.NewResponse(resp), nil
+}
+
+// View implements PeerService.
+func (s *peerService) View(ctx context.Context, req *connect.Request[peerv1.ViewRequest]) (*connect.Response[peerv1.ViewResponse], error) {
+	resp := &peerv1.ViewResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER}
+	if r := s.d.currentReplica(); r != nil {
+		resp = r.controller.View(ctx, req.Msg)
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Join implements PeerService.
+func (s *peerService) Join(ctx context.Context, req *connect.Request[peerv1.JoinRequest]) (*connect.Response[peerv1.JoinResponse], error) {
+	resp := &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER}
+	if r := s.d.currentReplica(); r != nil {
+		resp = r.controller.Join(ctx, req.Msg, r.group)
+	}
+	return connect.NewResponse(resp), nil
+}
+
+// Events implements PeerService.
+func (s *peerService) Events(_ context.Context, req *connect.Request[peerv1.EventsRequest]) (*connect.Response[peerv1.EventsResponse], error) {
+	stamp := s.d.events.Clock().Observe(req.Msg.GetWallNs())
+	return connect.NewResponse(&peerv1.EventsResponse{Events: s.d.events.Events(req.Msg.GetFilter()), WallNs: stamp.WallNS}), nil
+}
--- /dev/null
+++ b/daemon/replica.go
@@ -0,0 +1,137 @@
+package daemon
+
+import (
+	"context"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/bulrushwinch/bulrushwinch/control"
+	"github.com/bulrushwinch/bulrushwinch/lease"
+	"github.com/bulrushwinch/bulrushwinch/peer"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/bulrushwinch/bulrushwinch/replica"
+	"github.com/bulrushwinch/bulrushwinch/retry"
+	"github.com/bulrushwinch/bulrushwinch/state"
+	"github.com/bulrushwinch/bulrushwinch/wal"
+	"github.com/pkg/errors"
+)
+
+const (
+	joinTimeout    = 2 * time.Second
+	joinBackoffMin = 100 * time.Millisecond
+	joinBackoffMax = 2 * time.Second
+)
+
+// replicaRole is the replica that runs in this process.
+type replicaRole struct {
+	group      uint64
+	node       *replica.Node[[]state.Result]
+	controller *control.Controller
+	transport  *peer.Transport
+}
+
+// runReplica opens the data folder, joins or founds a group and runs until ctx ends.
+func (d *Daemon) runReplica(ctx context.Context, bootstrap bool) error {
+	dir := d.settings.DataFolder
+	id, _, err := wal.LoadIdentity(dir)
+	if err != nil {
+		return err
+	}
+	if id.Group == 0 {
+		if id, err = d.enterGroup(ctx, id, bootstrap); err != nil {
+			return err
+		}
+	}
+	storage, restored, err := wal.Open(dir)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = storage.Close() }()
+	role, err := d.buildReplica(ctx, id, storage, restored)
+	if err != nil {
+		return err
+	}
+	d.setReplica(role)
+	defer d.setReplica(nil)
+	d.log.Info().Uint64("replica", uint64(id.Replica)).Uint64("group", id.Group).Msg("replica started")
+	err = role.node.Run(ctx)
+	role.transport.Wait()
+	return err
+}
+
+func (d *Daemon) buildReplica(ctx context.Context, id wal.Identity, storage *wal.Log, restored raft.Restored) (*replicaRole, error) {
+	st := state.New(state.DefaultSettings)
+	cfg := control.DefaultConfig
+	cfg.Voters, cfg.OperatorKey = d.settings.Voters, d.settings.OperatorKey
+	controller := control.New(cfg, st, lease.BootClock{}, d.events)
+	transport := peer.NewTransport(ctx, d.pool, id.Group, raft.Member{ID: id.Replica, Address: d.settings.PeerAddress})
+	node, err := replica.New(replica.DefaultConfig(id.Replica, uint64(time.Now().UnixNano())),
+		control.Machine{State: st}, controller, storage, transport, restored)
+	if err != nil {
+		return nil, err
+	}
+	controller.Attach(node)
+	return &replicaRole{group: id.Group, node: node, controller: controller, transport: transport}, nil
+}
+
+// enterGroup founds a group in an empty folder, or joins an existing one as a learner.
+func (d *Daemon) enterGroup(ctx context.Context, id wal.Identity, bootstrap bool) (wal.Identity, error) {
+	if bootstrap {
+		id.Group = wal.RandomID()
+		if err := d.found(id); err != nil {
+			return id, err
+		}
+	} else {
+		group, err := d.join(ctx, id)
+		if err != nil {
+			return id, err
+		}
+		id.Group = group
+	}
+	return id, wal.SaveIdentity(d.settings.DataFolder, id)
+}
+
+// found writes the state of a new group with this replica as its only voter.
+func (d *Daemon) found(id wal.Identity) error {
+	storage, existing, err := wal.Open(d.settings.DataFolder)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = storage.Close() }()
+	if existing.Snapshot.Index > 0 || len(existing.Entries) > 0 {
+		return errors.New("daemon: the data folder holds a log without a group; it can't be bootstrapped")
+	}
+	first := raft.Bootstrap(raft.Member{ID: id.Replica, Address: d.settings.PeerAddress, Domain: d.settings.FailureDomain})
+	if err := storage.SaveSnapshot(first.Snapshot, true); err != nil {
+		return err
+	}
+	return storage.Append(first.HardState, nil)
+}
+
+// join asks the replicas in turn until the leader has added this one as a learner.
+func (d *Daemon) join(ctx context.Context, id wal.Identity) (group uint64, err error) {
+	member := &peerv1.Member{Id: uint64(id.Replica), Address: d.settings.PeerAddress, FailureDomain: d.settings.FailureDomain}
+	backoff := retry.Backoff{Min: joinBackoffMin, Max: joinBackoffMax}
+	for next := 0; ; next++ {
+		address := d.settings.Replicas[next%len(d.settings.Replicas)]
+		if address != d.settings.PeerAddress {
+			if group := d.tryJoin(ctx, address, member); group != 0 {
+				return group, nil
+			}
+		}
+		if err := retry.Sleep(ctx, backoff.Next()); err != nil {
+			return 0, err
+		}
+	}
+}
+
+func (d *Daemon) tryJoin(ctx context.Context, address string, member *peerv1.Member) uint64 {
+	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
+	defer cancel()
+	resp, err := d.pool.Get(address).Join(ctx, connect.NewRequest(&peerv1.JoinRequest{Member: member}))
+	if err != nil || resp.Msg.GetStatus() != peerv1.ForwardStatus_FORWARD_STATUS_OK {
+		return 0
+	}
+	return resp.Msg.GetGroup()
+}
--- /dev/null
+++ b/peer/client.go
@@ -0,0 +1,112 @@
+package peer
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"connectrpc.com/connect"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/peer/v1/peerv1connect"
+	"github.com/pkg/errors"
+)
+
+const (
+	dialTimeout  = time.Second
+	pingInterval = 5 * time.Second
+	pingTimeout  = 3 * time.Second
+	// MaxMessageBytes bounds one message of the inner protocol.
+	MaxMessageBytes = 256 << 20
+)
+
+// Pool keeps one client per address. It is safe for concurrent use.
+type Pool struct {
+	secret string
+	tls    *tls.Config
+	mu     sync.Mutex
+	conns  map[string]*Conn
+}
+
+// Conn is a client of one process.
+type Conn struct {
+	peerv1connect.PeerServiceClient
+	transport *http.Transport
+}
+
+// NewPool returns a pool; a nil tls.Config means plain TCP.
+func NewPool(secret string, tlsConfig *tls.Config) *Pool {
+	return &Pool{secret: secret, tls: tlsConfig, conns: make(map[string]*Conn)}
+}
+
+// Get returns the client of an address, given as "host:port".
+func (p *Pool) Get(address string) *Conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	c := p.conns[address]
+	if c == nil {
+		c = p.dial(address)
+		p.conns[address] = c
+	}
+	return c
+}
+
+func (p *Pool) dial(address string) *Conn {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP2(p.tls != nil)
+	protocols.SetUnencryptedHTTP2(p.tls == nil)
+	t := &http.Transport{
+		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		TLSClientConfig: p.tls,
+		Protocols:       protocols,
+		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+	}
+	scheme := "http://"
+	if p.tls != nil {
+		scheme = "https://"
+	}
+	client := peerv1connect.NewPeerServiceClient(&http.Client{Transport: t}, scheme+address,
+		connect.WithInterceptors(secretInterceptor(p.secret)), connect.WithReadMaxBytes(MaxMessageBytes))
+	return &Conn{PeerServiceClient: client, transport: t}
+}
+
+// Close closes all idle connections.
+func (p *Pool) Close() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, c := range p.conns {
+		c.transport.CloseIdleConnections()
+	}
+}
+
+// Abandon drops the client of an address after a timeout, so that the next call uses
+// a new connection.
+func (p *Pool) Abandon(address string, c *Conn) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if p.conns[address] == c {
+		delete(p.conns, address)
+	}
+	c.transport.CloseIdleConnections()
+}
+
+// IsDialError reports whether a call failed before anything was sent.
+func IsDialError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// Forward carries a call to an address; sent is false if it surely did not arrive.
+func (p *Pool) Forward(ctx context.Context, address string, req *peerv1.ForwardRequest) (resp *peerv1.ForwardResponse, sent bool, err error) {
+	c := p.Get(address)
+	r, err := c.Forward(ctx, connect.NewRequest(req))
+	if err == nil {
+		return r.Msg, true, nil
+	}
+	if ctx.Err() != nil || connect.CodeOf(err) == connect.CodeDeadlineExceeded {
+		p.Abandon(address, c)
+	}
+	return nil, !IsDialError(err), err
+}
--- /dev/null
+++ b/peer/server.go
@@ -0,0 +1,26 @@
+package peer
+
+import (
+	"net/http"
+
+	"connectrpc.com/connect"
+	"github.com/bulrushwinch/bulrushwinch/peer/v1/peerv1connect"
+)
+
+// NewHandler returns the HTTP handler of the inner protocol.
+func NewHandler(secret string, h peerv1connect.PeerServiceHandler) http.Handler {
+	mux := http.NewServeMux()
+	mux.Handle(peerv1connect.NewPeerServiceHandler(h,
+		connect.WithInterceptors(secretInterceptor(secret)), connect.WithReadMaxBytes(MaxMessageBytes)))
+	return mux
+}
+
+// NewServer returns an HTTP/2 server for the inner protocol, with or without TLS.
+func NewServer(handler http.Handler) *http.Server {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(true)
+	protocols.SetUnencryptedHTTP2(true)
+	return &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: dialTimeout,
+		HTTP2: &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout}}
+}
--- /dev/null
+++ b/raft/election.go
@@ -0,0 +1,100 @@
+package raft
+
+// campaign starts a pre-vote, or an election when pre is false.
+// A forced election is one that the leader asked for; voters take it despite a live leader.
+func (r *Raft) campaign(pre, forced bool) {
+	r.resetTimeout()
+	r.leader = None
+	r.votes = map[ID]bool{r.cfg.ID: true}
+	term, kind := r.term+1, MsgPreVote
+	if pre {
+		r.role = PreCandidate
+	} else {
+		kind = MsgVote
+		r.role = Candidate
+		r.term++
+		r.vote = r.cfg.ID
+		term = r.term
+	}
+	var context uint64
+	if forced {
+		context = 1
+	}
+	for _, m := range r.members {
+		if m.Voter && m.ID != r.cfg.ID {
+			r.send(Message{Type: kind, To: m.ID, Term: term, Context: context,
+				LogIndex: r.log.lastIndex(), LogTerm: r.log.lastTerm()})
+		}
+	}
+	r.countVotes()
+}
+
+func (r *Raft) handleVote(m Message) {
+	reply := MsgVoteReply
+	free := r.vote == None && r.leader == None || r.vote == m.From
+	if m.Type == MsgPreVote {
+		reply = MsgPreVoteReply
+		free = m.Term > r.term
+	}
+	grant := free && r.log.upToDate(m.LogIndex, m.LogTerm)
+	if grant && m.Type == MsgVote {
+		r.vote = m.From
+		r.electionElapsed = 0
+	}
+	term := r.term
+	if grant {
+		term = m.Term
+	}
+	r.send(Message{Type: reply, To: m.From, Term: term, Reject: !grant})
+}
+
+func (r *Raft) handleVoteReply(m Message) {
+	waiting := r.role == PreCandidate && m.Type == MsgPreVoteReply && m.Term == r.term+1 ||
+		r.role == PreCandidate && m.Type == MsgPreVoteReply && m.Reject ||
+		r.role == Candidate && m.Type == MsgVoteReply
+	if !waiting {
+		return
+	}
+	r.votes[m.From] = !m.Reject
+	r.countVotes()
+}
+
+func (r *Raft) countVotes() {
+	won := r.quorum(func(id ID) bool { return r.votes[id] })
+	lost := r.quorum(func(id ID) bool { granted, seen := r.votes[id]; return seen && !granted })
+	switch {
+	case won && r.role == PreCandidate:
+		r.campaign(false, false)
+	case won:
+		r.becomeLeader()
+	case lost:
+		r.becomeFollower(r.term, None)
+	}
+}
+
+// TransferLeadership asks a voter to take over once its log is complete.
+func (r *Raft) TransferLeadership(to ID) error {
+	if r.role != Leader {
+		return ErrNotLeader
+	}
+	if to == r.cfg.ID || !r.isVoter(to) {
+		return ErrBadChange
+	}
+	r.transferTo, r.transferElapsed = to, 0
+	r.sendTimeoutNow()
+	return nil
+}
+
+// sendTimeoutNow completes a transfer when its target has the whole log.
+func (r *Raft) sendTimeoutNow() {
+	p := r.progress[r.transferTo]
+	if p != nil && p.match == r.log.lastIndex() {
+		r.send(Message{Type: MsgTimeoutNow, To: r.transferTo})
+	}
+}
+
+func (r *Raft) handleTimeoutNow() {
+	if r.role == Follower && r.isVoter(r.cfg.ID) {
+		r.campaign(false, true)
+	}
+}
--- /dev/null
+++ b/raft/raft.go
@@ -0,0 +1,265 @@
+package raft
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/pkg/errors"
+)
+
+// Config holds the settings of one replica.
+type Config struct {
+	ID ID
+	// ElectionTicks is the shortest election timeout, in ticks.
+	ElectionTicks int
+	// HeartbeatTicks is the interval between heartbeats, in ticks.
+	HeartbeatTicks int
+	// MaxInflight bounds unacknowledged appends per replica.
+	MaxInflight int
+	// MaxAppendBytes bounds the entry data of one append.
+	MaxAppendBytes int
+	// Seed randomizes election timeouts.
+	Seed uint64
+}
+
+func (c Config) validate() error {
+	switch {
+	case c.ID == None:
+		return errors.New("raft: ID is zero")
+	case c.HeartbeatTicks < 1:
+		return errors.New("raft: HeartbeatTicks is below 1")
+	case c.ElectionTicks <= 2*c.HeartbeatTicks:
+		return errors.New("raft: ElectionTicks must exceed twice HeartbeatTicks")
+	case c.MaxInflight < 1 || c.MaxAppendBytes < 1:
+		return errors.New("raft: MaxInflight and MaxAppendBytes must be positive")
+	}
+	return nil
+}
+
+// Raft is one replica. It is not safe for concurrent use.
+type Raft struct {
+	cfg     Config
+	rng     *rand.Rand
+	role    Role
+	term    uint64
+	vote    ID
+	leader  ID
+	log     log
+	members []Member
+	// memberIndex and memberTerm are the log position of the membership in force.
+	memberIndex uint64
+	memberTerm  uint64
+	// history holds earlier memberships, to undo a truncated change.
+	history []membershipAt
+
+	progress map[ID]*progress
+	votes    map[ID]bool
+
+	electionElapsed  int
+	heartbeatElapsed int
+	timeout          int
+
+	transferTo      ID
+	transferElapsed int
+
+	reads       []pendingRead
+	readCounter uint64
+
+	msgs       []Message
+	readStates []ReadState
+	savedHard  HardState
+	pendSnap   *Snapshot
+	// latest is the newest local snapshot, to send to lagging replicas.
+	latest *Snapshot
+}
+
+type membershipAt struct {
+	index   uint64
+	term    uint64
+	members []Member
+}
+
+// New returns a replica that continues from its durable state.
+// Errors are those of an invalid Config.
+func New(cfg Config, from Restored) (*Raft, error) {
+	if err := cfg.validate(); err != nil {
+		return nil, err
+	}
+	r := &Raft{
+		cfg:       cfg,
+		rng:       rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.ID))),
+		term:      from.HardState.Term,
+		vote:      from.HardState.Vote,
+		savedHard: from.HardState,
+		members:   from.Snapshot.Members,
+	}
+	r.log.restore(&from.Snapshot)
+	r.memberIndex, r.memberTerm = from.Snapshot.Index, from.Snapshot.Term
+	if from.Snapshot.Index > 0 {
+		r.latest = &Snapshot{Index: from.Snapshot.Index, Term: from.Snapshot.Term, Members: from.Snapshot.Members}
+	}
+	r.log.entries = slices.Clone(from.Entries)
+	r.log.stable = r.log.lastIndex()
+	r.log.commitTo(from.HardState.Commit)
+	for _, e := range from.Entries {
+		r.adoptMembers(e)
+	}
+	r.becomeFollower(r.term, None)
+	return r, nil
+}
+
+// Role returns the replica's role.
+func (r *Raft) Role() Role { return r.role }
+
+// Term returns the current term.
+func (r *Raft) Term() uint64 { return r.term }
+
+// LeaderID returns the leader of the current term, or None.
+func (r *Raft) LeaderID() ID { return r.leader }
+
+// Committed returns the highest committed index known here.
+func (r *Raft) Committed() uint64 { return r.log.committed }
+
+// LastIndex returns the index of the last entry in the log.
+func (r *Raft) LastIndex() uint64 { return r.log.lastIndex() }
+
+// Members returns a copy of the membership in force.
+func (r *Raft) Members() []Member { return slices.Clone(r.members) }
+
+// Tick advances logical time by one tick.
+func (r *Raft) Tick() {
+	r.electionElapsed++
+	if r.role == Leader {
+		r.tickLeader()
+		return
+	}
+	if r.electionElapsed >= r.timeout && r.isVoter(r.cfg.ID) {
+		r.electionElapsed = 0
+		r.campaign(true, false)
+	}
+}
+
+func (r *Raft) tickLeader() {
+	for _, p := range r.progress {
+		p.silentTicks++
+	}
+	if r.transferTo != None {
+		r.transferElapsed++
+		if r.transferElapsed >= r.cfg.ElectionTicks {
+			r.transferTo = None
+		}
+	}
+	if r.electionElapsed >= r.cfg.ElectionTicks {
+		r.electionElapsed = 0
+		if !r.quorumActive() {
+			r.becomeFollower(r.term, None)
+			return
+		}
+	}
+	r.heartbeatElapsed++
+	if r.heartbeatElapsed >= r.cfg.HeartbeatTicks {
+		r.heartbeatElapsed = 0
+		r.broadcastHeartbeat(r.readCounter)
+	}
+}
+
+// quorumActive reports whether a majority answered since the last check, and starts a new check.
+func (r *Raft) quorumActive() bool {
+	active := func(id ID) bool {
+		return id == r.cfg.ID || r.progress[id] != nil && r.progress[id].recentActive
+	}
+	ok := r.quorum(active)
+	for _, p := range r.progress {
+		p.recentActive = false
+	}
+	return ok
+}
+
+// quorum reports whether a majority of voters satisfies f.
+func (r *Raft) quorum(f func(ID) bool) bool {
+	voters, yes := 0, 0
+	for _, m := range r.members {
+		if !m.Voter {
+			continue
+		}
+		voters++
+		if f(m.ID) {
+			yes++
+		}
+	}
+	return voters > 0 && yes > voters/2
+}
+
+func (r *Raft) isVoter(id ID) bool {
+	for _, m := range r.members {
+		if m.ID == id {
+			return m.Voter
+		}
+	}
+	return false
+}
+
+func (r *Raft) isMember(id ID) bool {
+	return slices.ContainsFunc(r.members, func(m Member) bool { return m.ID == id })
+}
+
+func (r *Raft) resetTimeout() {
+	r.electionElapsed = 0
+	r.timeout = r.cfg.ElectionTicks + r.rng.IntN(r.cfg.ElectionTicks)
+}
+
+func (r *Raft) becomeFollower(term uint64, leader ID) {
+	if term != r.term {
+		r.term = term
+		r.vote = None
+	}
+	r.role = Follower
+	r.leader = leader
+	r.progress = nil
+	r.reads = nil
+	r.transferTo = None
+	r.resetTimeout()
+}
+
+func (r *Raft) becomeLeader() {
+	r.role = Leader
+	r.leader = r.cfg.ID
+	r.progress = make(map[ID]*progress)
+	r.heartbeatElapsed, r.electionElapsed = 0, 0
+	r.reads = nil
+	r.syncProgress()
+	r.append(Entry{Type: EntryNormal})
+	r.broadcastAppend()
+}
+
+// Propose appends commands to the log of a leader and returns the index of the first.
+// All of them share the leader's current term.
+func (r *Raft) Propose(data ...[]byte) (first uint64, err error) {
+	if r.role != Leader {
+		return 0, ErrNotLeader
+	}
+	if r.transferTo != None {
+		return 0, ErrTransferring
+	}
+	first = r.log.lastIndex() + 1
+	for _, d := range data {
+		r.append(Entry{Type: EntryNormal, Data: d})
+	}
+	r.broadcastAppend()
+	return first, nil
+}
+
+func (r *Raft) append(e Entry) {
+	e.Term = r.term
+	e.Index = r.log.lastIndex() + 1
+	r.log.entries = append(r.log.entries, e)
+	r.adoptMembers(e)
+}
+
+func (r *Raft) send(m Message) {
+	m.From = r.cfg.ID
+	if m.Term == 0 {
+		m.Term = r.term
+	}
+	r.msgs = append(r.msgs, m)
+}
--- /dev/null
+++ b/raft/step.go
@@ -0,0 +1,88 @@
+package raft
+
+// Step takes one message from another replica.
+func (r *Raft) Step(m Message) {
+	if m.To != r.cfg.ID {
+		return
+	}
+	switch {
+	case m.Term > r.term:
+		if !r.stepHigherTerm(m) {
+			return
+		}
+	case m.Term < r.term:
+		r.stepLowerTerm(m)
+		return
+	}
+	switch m.Type {
+	case MsgPreVote, MsgVote:
+		r.handleVote(m)
+	case MsgPreVoteReply, MsgVoteReply:
+		r.handleVoteReply(m)
+	case MsgAppend:
+		r.followLeader(m)
+		r.handleAppend(m)
+	case MsgHeartbeat:
+		r.followLeader(m)
+		r.handleHeartbeat(m)
+	case MsgSnapshot:
+		r.followLeader(m)
+		r.handleSnapshot(m)
+	case MsgAppendReply:
+		r.handleAppendReply(m)
+	case MsgHeartbeatReply:
+		r.handleHeartbeatReply(m)
+	case MsgTimeoutNow:
+		r.handleTimeoutNow()
+	}
+}
+
+// stepHigherTerm adopts a higher term where the message warrants it.
+// It returns false when the message must be dropped.
+func (r *Raft) stepHigherTerm(m Message) bool {
+	switch m.Type {
+	case MsgPreVote, MsgVote:
+		forced := m.Context != 0
+		leaderAlive := r.leader != None && r.electionElapsed < r.cfg.ElectionTicks
+		if leaderAlive && !forced {
+			return false
+		}
+		if m.Type == MsgVote {
+			r.becomeFollower(m.Term, None)
+		}
+		return true
+	case MsgPreVoteReply:
+		if m.Reject {
+			r.becomeFollower(m.Term, None)
+			return false
+		}
+		return true
+	case MsgAppend, MsgHeartbeat, MsgSnapshot:
+		r.becomeFollower(m.Term, m.From)
+	default:
+		r.becomeFollower(m.Term, None)
+	}
+	return true
+}
+
+// stepLowerTerm answers a message of an older term so that its sender learns the newer one.
+func (r *Raft) stepLowerTerm(m Message) {
+	switch m.Type {
+	case MsgAppend, MsgHeartbeat, MsgSnapshot:
+		r.send(Message{Type: MsgAppendReply, To: m.From, Reject: true})
+	case MsgPreVote:
+		r.send(Message{Type: MsgPreVoteReply, To: m.From, Reject: true})
+	}
+}
+
+// followLeader accepts the sender as the leader of the current term.
+func (r *Raft) followLeader(m Message) {
+	if r.role == Leader {
+		panic("raft: two leaders in one term")
+	}
+	if r.role != Follower {
+		r.becomeFollower(r.term, m.From)
+	}
+	r.leader = m.From
+	r.electionElapsed = 0
+}
--- /dev/null
+++ b/state/cancel.go
@@ -0,0 +1,151 @@
+package state
+
+import (
+	"slices"
+
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+)
+
+// cancel cancels the named requests or all of the team's jobs in a queue.
+func (s *State) cancel(c *peerv1.Cancel) *apiv1.CancelResponse {
+	req := c.GetRequest()
+	response := &apiv1.CancelResponse{}
+	team, refusal := s.Authorize(c.KeySha256, req.GetQueue())
+	ids := req.GetRequestIds()
+	if refusal == nil && req.GetWholeQueue() {
+		ids = s.liveRequests(team, req.GetQueue())
+	}
+	for _, id := range ids {
+		o := refusal
+		if o == nil {
+			o = s.cancelRequest(RequestKey{team, id})
+		}
+		response.Results = append(response.Results, &apiv1.CancelResult{RequestId: id, Outcome: o})
+	}
+	return response
+}
+
+func (s *State) liveRequests(team, queue string) []string {
+	var jobs []JobID
+	for id, j := range s.jobs {
+		if j.Team == team && j.Queue == queue && j.State != lifecycle.JobEnded {
+			jobs = append(jobs, id)
+		}
+	}
+	slices.Sort(jobs)
+	ids := make([]string, len(jobs))
+	for i, id := range jobs {
+		ids[i] = s.jobs[id].RequestID
+	}
+	return ids
+}
+
+// cancelRequest cancels one request. An unknown identity is recorded as cancelled, so
+// that a delayed duplicate of its submission does not run later.
+func (s *State) cancelRequest(key RequestKey) *apiv1.Outcome {
+	if !ValidName(key.ID) {
+		return notRun(apiv1.Reason_REASON_BAD_REQUEST, "request_id must have 1 to %d printable characters", maxNameBytes)
+	}
+	known := s.requests[key]
+	if known == nil {
+		s.remember(&Request{Key: key, Refusal: cancelled("cancelled before it arrived")})
+		return undetermined(apiv1.Reason_REASON_NOT_FOUND,
+			"request %q is not known or no longer remembered; it will not be run if it arrives later", key.ID)
+	}
+	if known.Refusal != nil {
+		return known.Refusal
+	}
+	j := s.jobs[known.Job]
+	if j == nil {
+		return undetermined(apiv1.Reason_REASON_IDENTITY_TOO_OLD, "the job ended and is no longer remembered")
+	}
+	s.cancelJob(j, nil)
+	if j.State == lifecycle.JobEnded {
+		return j.Outcome
+	}
+	return &apiv1.Outcome{Kind: apiv1.OutcomeKind_OUTCOME_KIND_ACCEPTED, Reason: apiv1.Reason_REASON_CANCELLED_BY_CALLER,
+		Detail: "the job is on upstreams and is being stopped; wait for its outcome"}
+}
+
+// cancelJob ends waiting tasks and asks for the end of live ones. A non-nil cause
+// becomes the outcome of the job instead of "cancelled".
+func (s *State) cancelJob(j *Job, cause *apiv1.Outcome) {
+	if j.State == lifecycle.JobEnded || j.State == lifecycle.JobCancelling {
+		return
+	}
+	j.Outcome = cause
+	s.fireJob(j, lifecycle.JobCancel)
+	end := cause
+	if end == nil {
+		end = cancelled("cancelled before it was on any upstream")
+	}
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		switch {
+		case t.State == lifecycle.TaskWaiting:
+			s.finish(t, lifecycle.TaskWaiting, end)
+		case t.Live():
+			s.stopTask(t, false)
+		}
+	}
+}
+
+// stop asks for the end of live attempts.
+func (s *State) stop(c *peerv1.Stop) bool {
+	changed := false
+	for _, r := range c.GetTasks() {
+		if t := s.task(RefFromProto(r)); t != nil && t.Live() {
+			s.stopTask(t, c.GetCheckpoint())
+			changed = true
+		}
+	}
+	return changed
+}
+
+func (s *State) stopAll(j *Job, _ string) {
+	for i := range j.Tasks {
+		if t := &j.Tasks[i]; t.Live() && t.State != lifecycle.TaskStopping {
+			s.stopTask(t, false)
+		}
+	}
+}
+
+func (s *State) stopTask(t *Task, checkpoint bool) {
+	from := t.State
+	s.fire(t, lifecycle.TaskStop)
+	t.Checkpointing = checkpoint
+	s.observer.TaskChanged(t, from)
+}
+
+// withdraw takes back placements that their upstream surely never started.
+func (s *State) withdraw(c *peerv1.Withdraw) bool {
+	changed := false
+	for _, r := range c.GetTasks() {
+		t := s.task(RefFromProto(r))
+		if t != nil && (t.State == lifecycle.TaskPlaced || t.State == lifecycle.TaskStopping) {
+			s.release(t, lifecycle.TaskWithdraw)
+			changed = true
+		}
+	}
+	return changed
+}
+
+// refuse ends a waiting job that the scheduler found hopeless or late.
+func (s *State) refuse(c *peerv1.Refuse) bool {
+	j := s.jobs[JobID(c.GetJobId())]
+	if j == nil || j.State != lifecycle.JobWaiting {
+		return false
+	}
+	o := c.GetOutcome()
+	for i := range j.Tasks {
+		if j.Tasks[i].Attempt > 1 || j.Tasks[i].State == lifecycle.TaskEnded {
+			// It may have run; "not run" would be false.
+			o = failed(o.GetReason(), "%s", o.GetDetail())
+			break
+		}
+	}
+	s.cancelJob(j, o)
+	return true
+}
--- /dev/null
+++ b/state/change.go
@@ -0,0 +1,250 @@
+package state
+
+import (
+	"crypto/sha256"
+	"time"
+
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/resource"
+	"google.golang.org/protobuf/proto"
+)
+
+// change applies an operator's change once per operation. Of operators that race from
+// the same base revision exactly one wins; the others learn the winner.
+func (s *State) change(c *peerv1.Change) *apiv1.ChangeResponse {
+	req := c.GetRequest()
+	if refusal := s.AuthorizeOperator(c.KeySha256); refusal != nil {
+		return &apiv1.ChangeResponse{Outcome: refusal, Revision: s.revision}
+	}
+	if !ValidName(req.GetOperationId()) {
+		return s.refused(apiv1.Reason_REASON_BAD_REQUEST, "operation_id must have 1 to %d printable characters", maxNameBytes)
+	}
+	digest := changeDigest(req)
+	if known := s.operations[req.GetOperationId()]; known != nil {
+		return s.changedBefore(known, digest)
+	}
+	response := s.decideChange(req)
+	s.operations[req.GetOperationId()] = &Operation{ID: req.GetOperationId(), Digest: digest, Response: response, DecidedNS: s.nowNS}
+	s.operationOrder = append(s.operationOrder, req.GetOperationId())
+	return response
+}
+
+func changeDigest(req *apiv1.ChangeRequest) string {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(req)
+	if err != nil {
+		panic("state: change can't be encoded: " + err.Error())
+	}
+	sum := sha256.Sum256(data)
+	return string(sum[:])
+}
+
+func (s *State) changedBefore(known *Operation, digest string) *apiv1.ChangeResponse {
+	if known.Digest != digest {
+		return s.refused(apiv1.Reason_REASON_IDENTITY_REUSED, "operation %q was already used for another change", known.ID)
+	}
+	again := proto.Clone(known.Response).(*apiv1.ChangeResponse)
+	again.Resent = true
+	return again
+}
+
+func (s *State) refused(reason apiv1.Reason, format string, args ...any) *apiv1.ChangeResponse {
+	return &apiv1.ChangeResponse{Outcome: notRun(reason, format, args...), Revision: s.revision}
+}
+
+func (s *State) decideChange(req *apiv1.ChangeRequest) *apiv1.ChangeResponse {
+	if base := req.GetBaseRevision(); base != 0 && base != s.revision {
+		r := s.refused(apiv1.Reason_REASON_REVISION_CONFLICT, "revision %d is in force, made by operation %q", s.revision, s.lastOperation)
+		r.WinnerOperationId = s.lastOperation
+		return r
+	}
+	if refusal := s.applyChange(req); refusal != nil {
+		return &apiv1.ChangeResponse{Outcome: refusal, Revision: s.revision}
+	}
+	s.revision++
+	s.lastOperation = req.GetOperationId()
+	s.observer.ConfigChanged(s.revision)
+	return &apiv1.ChangeResponse{Applied: true, Outcome: accepted, Revision: s.revision}
+}
+
+// AuthorizeOperator returns why a key may not act as an operator, or nil.
+func (s *State) AuthorizeOperator(keyHash []byte) *apiv1.Outcome {
+	k := s.keyOf(keyHash)
+	switch {
+	case k == nil:
+		return notRun(apiv1.Reason_REASON_KEY_UNKNOWN, "the key is not known")
+	case k.Withdrawn:
+		return notRun(apiv1.Reason_REASON_KEY_WITHDRAWN, "key %q was withdrawn", k.ID)
+	case k.Role != apiv1.KeyRole_KEY_ROLE_OPERATOR:
+		return notRun(apiv1.Reason_REASON_NOT_PERMITTED, "key %q is not an operator's key", k.ID)
+	}
+	return nil
+}
+
+func (s *State) applyChange(req *apiv1.ChangeRequest) *apiv1.Outcome {
+	switch c := req.GetChange().(type) {
+	case *apiv1.ChangeRequest_PutTeam:
+		return s.putTeam(c.PutTeam)
+	case *apiv1.ChangeRequest_DeleteTeam:
+		return s.deleteTeam(c.DeleteTeam)
+	case *apiv1.ChangeRequest_GrantKey:
+		return s.grantKey(c.GrantKey)
+	case *apiv1.ChangeRequest_WithdrawKey:
+		return s.withdrawKey(c.WithdrawKey)
+	case *apiv1.ChangeRequest_PutQueue:
+		return s.putQueue(c.PutQueue)
+	case *apiv1.ChangeRequest_DeleteQueue:
+		return s.deleteQueue(c.DeleteQueue)
+	case *apiv1.ChangeRequest_PutFailureDomain:
+		return s.putDomain(c.PutFailureDomain)
+	}
+	return notRun(apiv1.Reason_REASON_BAD_REQUEST, "the request holds no change")
+}
+
+func (s *State) putTeam(spec *apiv1.Team) *apiv1.Outcome {
+	limit := resource.LimitFromProto(spec.GetLimit())
+	switch {
+	case !ValidName(spec.GetName()):
+		return notRun(apiv1.Reason_REASON_BAD_REQUEST, "team needs a name of 1 to %d printable characters", maxNameBytes)
+	case spec.GetShare() < 1 || spec.GetShare() > 1_000_000:
+		return notRun(apiv1.Reason_REASON_BAD_REQUEST, "share must be 1 to 1000000")
+	case spec.GetMaxWaitingTasks() < 0 || limit.Negative():
+		return notRun(apiv1.Reason_REASON_BAD_REQUEST, "limits must not be negative")
+	}
+	t := s.teams[spec.GetName()]
+	if t == nil {
+		t = &Team{Name: spec.GetName()}
+		s.teams[t.Name] = t
+	}
+	t.spec, t.Share, t.Limit, t.MaxWaiting = spec, spec.GetShare(), limit, spec.GetMaxWaitingTasks()
+	if t.MaxWaiting == 0 {
+		t.MaxWaiting = s.settings.DefaultMaxWaiting
+	}
+	s.observer.TeamChanged(t)
+	return nil
+}
+
+// Spec returns the team as the operator set it.
+func (t *Team) Spec() *apiv1.Team { return t.spec }
+
+func (s *State) deleteTeam(name string) *apiv1.Outcome {
+	t := s.teams[name]
+	if t == nil {
+		return notRun(apiv1.Reason_REASON_NOT_FOUND, "team %q does not exist", name)
+	}
+	for _, j := range s.jobs {
+		if j.Team == name {
+			return notRun(apiv1.Reason_REASON_IN_USE, "team %q still has jobs", name)
+		}
+	}
+	for _, q := range s.queues {
+		if q.Team == name {
+			return notRun(apiv1.Reason_REASON_IN_USE, "team %q still has queues", name)
+		}
+	}
+	for _, k := range s.keys {
+		if k.Team == name {
+			k.Withdrawn = true
+		}
+	}
+	delete(s.teams, name)
+	return nil
+}
+
+func (s *State) grantKey(g *apiv1.GrantKey) *apiv1.Outcome {
+	caller := g.GetRole() == apiv1.KeyRole_KEY_ROLE_CALLER
+	switch {
+	case !ValidName(g.GetKeyId()):
+		return notRun(apiv1.Reason_REASON_BAD_REQUEST, "key_id must have 1 to %d printable characters", maxNameBytes)
+	case len(g.GetKeySha256()) != sha256.Size:
+		return notRun(apiv1.Reason_REASON_BAD_REQUEST, "key_sha256 must have %d bytes", sha256.Size)
+	case g.GetRole() == apiv1.KeyRole_KEY_ROLE_UNSPECIFIED || apiv1.KeyRole_name[int32(g.GetRole())] == "":
+		return notRun(apiv1.Reason_REASON_BAD_REQUEST, "role must be caller, operator or upstream")
+	case caller && s.teams[g.GetTeam()] == nil:
+		return notRun(apiv1.Reason_REASON_TEAM_UNKNOWN, "team %q does not exist", g.GetTeam())
+	case s.keys[g.GetKeyId()] != nil || s.keyByHash[KeyHash(g.GetKeySha256())] != nil:
+		return notRun(apiv1.Reason_REASON_IN_USE, "key %q already exists", g.GetKeyId())
+	}
+	s.addKey(&Key{ID: g.GetKeyId(), Team: g.GetTeam(), Hash: KeyHash(g.GetKeySha256()), Role: g.GetRole()})
+	return nil
+}
+
+func (s *State) addKey(k *Key) {
+	s.keys[k.ID] = k
+	s.keyByHash[k.Hash] = k
+}
+
+// Withdrawn keys stay known, so that their identities can't be granted again.
+func (s *State) withdrawKey(id string) *apiv1.Outcome {
+	k := s.keys[id]
+	if k == nil {
+		return notRun(apiv1.Reason_REASON_NOT_FOUND, "key %q does not exist", id)
+	}
+	if k.Role == apiv1.KeyRole_KEY_ROLE_OPERATOR && s.countOperators() == 1 && !k.Withdrawn {
+		return notRun(apiv1.Reason_REASON_IN_USE, "key %q is the last operator's key", id)
+	}
+	k.Withdrawn = true
+	return nil
+}
+
+func (s *State) countOperators() int {
+	n := 0
+	for _, k := range s.keys {
+		if k.Role == apiv1.KeyRole_KEY_ROLE_OPERATOR && !k.Withdrawn {
+			n++
+		}
+	}
+	return n
+}
+
+func (s *State) putQueue(q *apiv1.Queue) *apiv1.Outcome {
+	switch {
+	case !ValidName(q.GetName()):
+		return notRun(apiv1.Reason_REASON_BAD_REQUEST, "queue needs a name of 1 to %d printable characters", maxNameBytes)
+	case q.GetTeam() != "" && s.teams[q.GetTeam()] == nil:
+		return notRun(apiv1.Reason_REASON_TEAM_UNKNOWN, "team %q does not exist", q.GetTeam())
+	case q.GetOpen() && q.GetTeam() == "":
+		return notRun(apiv1.Reason_REASON_BAD_REQUEST, "an open queue needs a team that its work is counted for")
+	}
+	s.queues[q.GetName()] = q
+	return nil
+}
+
+func (s *State) deleteQueue(name string) *apiv1.Outcome {
+	if s.queues[name] == nil {
+		return notRun(apiv1.Reason_REASON_NOT_FOUND, "queue %q does not exist", name)
+	}
+	delete(s.queues, name)
+	return nil
+}
+
+func (s *State) putDomain(d *apiv1.FailureDomain) *apiv1.Outcome {
+	switch {
+	case !ValidName(d.GetName()):
+		return notRun(apiv1.Reason_REASON_BAD_REQUEST, "failure domain needs a name of 1 to %d printable characters", maxNameBytes)
+	case d.GetState() != apiv1.DomainState_DOMAIN_STATE_IN && d.GetState() != apiv1.DomainState_DOMAIN_STATE_OUT:
+		return notRun(apiv1.Reason_REASON_BAD_REQUEST, "state must be in or out")
+	case d.GetNoticeMs() < 0:
+		return notRun(apiv1.Reason_REASON_BAD_REQUEST, "notice_ms must not be negative")
+	}
+	domain := s.domains[d.GetName()]
+	if domain == nil {
+		domain = &Domain{Name: d.GetName()}
+		s.domains[domain.Name] = domain
+	}
+	domain.Out = d.GetState() == apiv1.DomainState_DOMAIN_STATE_OUT
+	domain.Notice = time.Duration(d.GetNoticeMs()) * time.Millisecond
+	s.observer.DomainChanged(domain)
+	return nil
+}
+
+// bootstrap grants the first operator's key. It has no effect once any key exists.
+func (s *State) bootstrap(c *peerv1.Bootstrap) bool {
+	if len(s.keys) > 0 || len(c.GetKeySha256()) != sha256.Size {
+		return false
+	}
+	s.addKey(&Key{ID: "bootstrap", Hash: KeyHash(c.GetKeySha256()), Role: apiv1.KeyRole_KEY_ROLE_OPERATOR})
+	s.revision++
+	s.observer.ConfigChanged(s.revision)
+	return true
+}
--- /dev/null
+++ b/state/place.go
@@ -0,0 +1,155 @@
+package state
+
+import (
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/resource"
+)
+
+// place takes each placement that passes every check. The placements of a gang are
+// taken together or refused together.
+func (s *State) place(c *peerv1.Place) *PlaceResult {
+	result := &PlaceResult{}
+	for rest := c.GetPlacements(); len(rest) > 0; {
+		n := s.groupLength(rest)
+		if why := s.placeGroup(rest[:n]); why != "" {
+			for _, p := range rest[:n] {
+				result.Refused = append(result.Refused, PlaceRefusal{placementRef(p), why})
+			}
+		} else {
+			for _, p := range rest[:n] {
+				result.Taken = append(result.Taken, placementRef(p))
+			}
+		}
+		rest = rest[n:]
+	}
+	return result
+}
+
+func placementRef(p *peerv1.Placement) TaskRef {
+	return TaskRef{JobID(p.GetJobId()), p.GetTask(), p.GetAttempt()}
+}
+
+// groupLength returns how many leading placements stand or fall together.
+func (s *State) groupLength(list []*peerv1.Placement) int {
+	j := s.jobs[JobID(list[0].GetJobId())]
+	if j == nil || !j.Gang() {
+		return 1
+	}
+	n := 1
+	for n < len(list) && list[n].GetJobId() == list[0].GetJobId() {
+		n++
+	}
+	return n
+}
+
+// placeGroup takes all placements or none, and returns the first reason against one.
+func (s *State) placeGroup(group []*peerv1.Placement) PlaceReason {
+	first := s.jobs[JobID(group[0].GetJobId())]
+	if first != nil && first.Gang() && len(group) != len(first.Tasks) {
+		return PlaceGangPartial
+	}
+	for i, p := range group {
+		if why := s.placeOne(p); why != "" {
+			s.unplace(group[:i])
+			return why
+		}
+	}
+	for _, p := range group {
+		t := s.task(placementRef(p))
+		s.observer.TaskChanged(t, lifecycle.TaskWaiting)
+	}
+	return ""
+}
+
+// placeOne reserves the amounts of one placement after checking every promise.
+func (s *State) placeOne(p *peerv1.Placement) PlaceReason {
+	t := s.task(placementRef(p))
+	reserved := resource.FromProto(p.GetReserved())
+	switch {
+	case t == nil || t.State != lifecycle.TaskWaiting || t.Job.State == lifecycle.JobCancelling:
+		return PlaceTaskGone
+	case t.NotBeforeNS > s.nowNS:
+		return PlaceTooEarly
+	case reserved[resource.Slots] < 1 || reserved.Negative():
+		return PlaceBelowDeclared
+	}
+	u := s.upstreams[p.GetUpstream()]
+	if u == nil || u.Incarnation != p.GetIncarnation() || u.State != lifecycle.UpstreamActive {
+		return PlaceUpstreamGone
+	}
+	if d := s.domains[u.Domain]; d == nil || d.Out {
+		return PlaceDomainOut
+	}
+	if !u.Used.Add(reserved).Fits(u.Capacity) {
+		return PlaceOverCapacity
+	}
+	team := s.teams[t.Job.Team]
+	if team == nil {
+		return PlaceKeyWithdrawn
+	}
+	if !team.Used.Add(reserved).Fits(s.limits.Held(team)) {
+		return PlaceOverLimit
+	}
+	s.attach(t, u, reserved)
+	return ""
+}
+
+// unplace takes back placements of the batch being applied.
+func (s *State) unplace(group []*peerv1.Placement) {
+	for _, p := range group {
+		t := s.task(placementRef(p))
+		s.detach(t)
+		s.fire(t, lifecycle.TaskWithdraw)
+		s.fireJob(t.Job, lifecycle.JobIdle)
+	}
+}
+
+// attach reserves capacity for a waiting task.
+func (s *State) attach(t *Task, u *Upstream, reserved resource.Vector) {
+	s.fire(t, lifecycle.TaskPlace)
+	t.Upstream, t.Reserved = u, reserved
+	u.Used = u.Used.Add(reserved)
+	u.Tasks[t.Ref()] = t
+	team := s.teams[t.Job.Team]
+	team.Used = team.Used.Add(reserved)
+	team.Waiting--
+	team.Running++
+	t.Job.live++
+	s.fireJob(t.Job, lifecycle.JobPlaced)
+	s.checkUpstream(u)
+}
+
+// detach frees a live task's capacity; the task must then be requeued or finished.
+func (s *State) detach(t *Task) {
+	u, team := t.Upstream, s.teams[t.Job.Team]
+	u.Used = u.Used.Sub(t.Reserved)
+	delete(u.Tasks, t.Ref())
+	team.Used = team.Used.Sub(t.Reserved)
+	team.Running--
+	team.Waiting++
+	t.Job.live--
+	t.Upstream, t.Reserved = nil, resource.Vector{}
+	t.Checkpointing = false
+	s.checkUpstream(u)
+}
+
+// fire moves a task; the machine refusing it is a broken invariant.
+func (s *State) fire(t *Task, trigger lifecycle.TaskTrigger) {
+	if err := lifecycle.Task.Fire(&t.State, trigger); err != nil {
+		panic("state: task: " + err.Error())
+	}
+}
+
+func (s *State) fireJob(j *Job, trigger lifecycle.JobTrigger) {
+	if err := lifecycle.Job.Fire(&j.State, trigger); err != nil {
+		panic("state: job: " + err.Error())
+	}
+}
+
+// checkUpstream stops the process when an upstream's books do not add up.
+func (s *State) checkUpstream(u *Upstream) {
+	if u.Used.Negative() {
+		panic("state: negative use on upstream " + u.Name)
+	}
+}
--- /dev/null
+++ b/state/snapshot.go
@@ -0,0 +1,255 @@
+package state
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/resource"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/encoding/protowire"
+	"google.golang.org/protobuf/proto"
+)
+
+// Snapshot encodes the whole state as length-delimited StateRecords. Equal states give
+// equal bytes.
+func (s *State) Snapshot() []byte {
+	e := &recordEncoder{}
+	e.add(&peerv1.StateRecord{Record: &peerv1.StateRecord_Header{Header: &peerv1.StateHeader{
+		NowNs: s.nowNS, Revision: s.revision, NextJobId: uint64(s.nextJob), LastOperationId: s.lastOperation}}})
+	for _, name := range sortedKeys(s.teams) {
+		e.add(&peerv1.StateRecord{Record: &peerv1.StateRecord_Team{Team: s.teams[name].spec}})
+	}
+	for _, id := range sortedKeys(s.keys) {
+		e.add(&peerv1.StateRecord{Record: &peerv1.StateRecord_Key{Key: s.keys[id].Record()}})
+	}
+	for _, name := range sortedKeys(s.queues) {
+		e.add(&peerv1.StateRecord{Record: &peerv1.StateRecord_Queue{Queue: s.queues[name]}})
+	}
+	for _, name := range sortedKeys(s.domains) {
+		e.add(&peerv1.StateRecord{Record: &peerv1.StateRecord_FailureDomain{FailureDomain: s.domains[name].Proto()}})
+	}
+	for _, name := range sortedKeys(s.upstreams) {
+		e.add(&peerv1.StateRecord{Record: &peerv1.StateRecord_Upstream{Upstream: encodeUpstream(s.upstreams[name])}})
+	}
+	for _, id := range s.jobsInOrder() {
+		e.add(&peerv1.StateRecord{Record: &peerv1.StateRecord_Job{Job: encodeJob(s.jobs[id])}})
+	}
+	for _, key := range s.requestOrder {
+		if r := s.requests[key]; r != nil {
+			e.add(&peerv1.StateRecord{Record: &peerv1.StateRecord_Request{Request: encodeRequest(r)}})
+		}
+	}
+	for _, id := range s.operationOrder {
+		if o := s.operations[id]; o != nil {
+			e.add(&peerv1.StateRecord{Record: &peerv1.StateRecord_Operation{Operation: &peerv1.StateOperation{
+				OperationId: o.ID, Digest: []byte(o.Digest), Response: o.Response, DecidedNs: o.DecidedNS}}})
+		}
+	}
+	return e.data
+}
+
+// jobsInOrder lists ended jobs in the order of their end, then live jobs by number.
+func (s *State) jobsInOrder() []JobID {
+	ids := slices.Clone(s.endedJobs)
+	for _, id := range sortedKeys(s.jobs) {
+		if s.jobs[id].State != lifecycle.JobEnded {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
+	return slices.Sorted(maps.Keys(m))
+}
+
+type recordEncoder struct {
+	data []byte
+}
+
+func (e *recordEncoder) add(r *peerv1.StateRecord) {
+	e.data = protowire.AppendVarint(e.data, uint64(proto.Size(r)))
+	data, err := proto.MarshalOptions{Deterministic: true, UseCachedSize: true}.MarshalAppend(e.data, r)
+	if err != nil {
+		panic("state: record can't be encoded: " + err.Error())
+	}
+	e.data = data
+}
+
+// Record converts the key to the inner protocol.
+func (k *Key) Record() *peerv1.KeyRecord {
+	return &peerv1.KeyRecord{KeyId: k.ID, Team: k.Team, KeySha256: k.Hash[:], Role: k.Role, Withdrawn: k.Withdrawn}
+}
+
+// Proto converts the failure domain to the public schema.
+func (d *Domain) Proto() *apiv1.FailureDomain {
+	st := apiv1.DomainState_DOMAIN_STATE_IN
+	if d.Out {
+		st = apiv1.DomainState_DOMAIN_STATE_OUT
+	}
+	return &apiv1.FailureDomain{Name: d.Name, State: st, NoticeMs: d.Notice.Milliseconds()}
+}
+
+func encodeUpstream(u *Upstream) *peerv1.StateUpstream {
+	return &peerv1.StateUpstream{State: string(u.State), LostNs: u.LostNS, Announce: &apiv1.AnnounceRequest{
+		Upstream: u.Name, Incarnation: u.Incarnation, FailureDomain: u.Domain, Rack: u.Rack, Vm: u.VM, Capacity: u.Capacity.Proto()}}
+}
+
+func encodeRequest(r *Request) *peerv1.StateRequest {
+	return &peerv1.StateRequest{Team: r.Key.Team, RequestId: r.Key.ID, JobId: uint64(r.Job),
+		Digest: []byte(r.Digest), Refusal: r.Refusal, DecidedNs: r.DecidedNS}
+}
+
+func encodeJob(j *Job) *peerv1.StateJob {
+	out := &peerv1.StateJob{JobId: uint64(j.ID), Team: j.Team, Queue: j.Queue, RequestId: j.RequestID, Spec: j.Spec,
+		State: string(j.State), Outcome: j.Outcome, SubmittedNs: j.SubmittedNS, StartDeadlineNs: j.StartDeadlineNS, EndedNs: j.EndedNS}
+	out.Tasks = make([]*peerv1.StateTask, len(j.Tasks))
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		st := &peerv1.StateTask{State: string(t.State), Attempt: t.Attempt, Failures: t.Failures, NotBeforeNs: t.NotBeforeNS,
+			Outcome: t.Outcome, Answer: t.Answer, Checkpoint: t.Checkpoint, Checkpointing: t.Checkpointing}
+		if t.Upstream != nil {
+			st.Upstream = t.Upstream.Name
+			st.Reserved = t.Reserved.Proto()
+		}
+		out.Tasks[i] = st
+	}
+	return out
+}
+
+// Restore replaces the state by a snapshot. On an error the state is left empty.
+func (s *State) Restore(data []byte) error {
+	s.clear()
+	for len(data) > 0 {
+		size, n := protowire.ConsumeVarint(data)
+		if n < 0 || size > uint64(len(data)-n) {
+			s.clear()
+			return errors.New("state: snapshot is cut short")
+		}
+		r := &peerv1.StateRecord{}
+		err := proto.Unmarshal(data[n:n+int(size)], r)
+		if err == nil {
+			err = s.restoreRecord(r)
+		}
+		if err != nil {
+			s.clear()
+			return errors.Wrap(err, "state: snapshot record")
+		}
+		data = data[n+int(size):]
+	}
+	return nil
+}
+
+func (s *State) restoreRecord(r *peerv1.StateRecord) error {
+	switch r := r.Record.(type) {
+	case *peerv1.StateRecord_Header:
+		s.nowNS, s.revision = r.Header.NowNs, r.Header.Revision
+		s.nextJob, s.lastOperation = JobID(r.Header.NextJobId), r.Header.LastOperationId
+	case *peerv1.StateRecord_Team:
+		s.putTeam(r.Team)
+	case *peerv1.StateRecord_Key:
+		return s.restoreKey(r.Key)
+	case *peerv1.StateRecord_Queue:
+		s.queues[r.Queue.Name] = r.Queue
+	case *peerv1.StateRecord_FailureDomain:
+		d := r.FailureDomain
+		s.domains[d.Name] = &Domain{Name: d.Name, Out: d.State == apiv1.DomainState_DOMAIN_STATE_OUT,
+			Notice: time.Duration(d.NoticeMs) * time.Millisecond}
+	case *peerv1.StateRecord_Upstream:
+		s.restoreUpstream(r.Upstream)
+	case *peerv1.StateRecord_Job:
+		return s.restoreJob(r.Job)
+	case *peerv1.StateRecord_Request:
+		q := r.Request
+		key := RequestKey{q.Team, q.RequestId}
+		s.requests[key] = &Request{Key: key, Job: JobID(q.JobId), Digest: string(q.Digest), Refusal: q.Refusal, DecidedNS: q.DecidedNs}
+		s.requestOrder = append(s.requestOrder, key)
+	case *peerv1.StateRecord_Operation:
+		o := r.Operation
+		s.operations[o.OperationId] = &Operation{ID: o.OperationId, Digest: string(o.Digest), Response: o.Response, DecidedNS: o.DecidedNs}
+		s.operationOrder = append(s.operationOrder, o.OperationId)
+	default:
+		return errors.New("unknown record; a newer version must have written it")
+	}
+	return nil
+}
+
+func (s *State) restoreKey(k *peerv1.KeyRecord) error {
+	if len(k.KeySha256) != len(KeyHash{}) {
+		return errors.Errorf("key %q has a hash of a wrong size", k.KeyId)
+	}
+	s.addKey(&Key{ID: k.KeyId, Team: k.Team, Hash: KeyHash(k.KeySha256), Role: k.Role, Withdrawn: k.Withdrawn})
+	return nil
+}
+
+func (s *State) restoreUpstream(su *peerv1.StateUpstream) {
+	a := su.Announce
+	u := &Upstream{Name: a.Upstream, Incarnation: a.Incarnation, State: lifecycle.UpstreamState(su.State), Tasks: make(map[TaskRef]*Task)}
+	owner, owned := s.vmOwner[a.Vm]
+	s.describeUpstream(u, a)
+	u.LostNS = su.LostNs
+	if owned && u.State == lifecycle.UpstreamLost {
+		s.vmOwner[a.Vm] = owner
+	}
+	s.upstreams[u.Name] = u
+}
+
+func (s *State) restoreJob(sj *peerv1.StateJob) error {
+	team := s.teams[sj.Team]
+	if team == nil {
+		return errors.Errorf("job %d belongs to unknown team %q", sj.JobId, sj.Team)
+	}
+	j := &Job{ID: JobID(sj.JobId), Team: sj.Team, Queue: sj.Queue, RequestID: sj.RequestId, Spec: sj.Spec,
+		State: lifecycle.JobState(sj.State), Outcome: sj.Outcome, SubmittedNS: sj.SubmittedNs,
+		StartDeadlineNS: sj.StartDeadlineNs, EndedNS: sj.EndedNs}
+	if CountTasks(sj.Spec) != len(sj.Tasks) {
+		return errors.Errorf("job %d has %d tasks but its spec has %d", sj.JobId, len(sj.Tasks), CountTasks(sj.Spec))
+	}
+	j.Tasks = make([]Task, len(sj.Tasks))
+	i := 0
+	for _, spec := range sj.Spec.Tasks {
+		for range Copies(spec) {
+			if err := s.restoreTask(j, team, i, spec, sj.Tasks[i]); err != nil {
+				return err
+			}
+			i++
+		}
+	}
+	s.jobs[j.ID] = j
+	if j.State == lifecycle.JobEnded {
+		s.endedJobs = append(s.endedJobs, j.ID)
+	}
+	return nil
+}
+
+func (s *State) restoreTask(j *Job, team *Team, i int, spec *apiv1.TaskSpec, st *peerv1.StateTask) error {
+	t := &j.Tasks[i]
+	*t = Task{Job: j, Index: int32(i), Attempt: st.Attempt, State: lifecycle.TaskState(st.State), Spec: spec,
+		Failures: st.Failures, NotBeforeNS: st.NotBeforeNs, Outcome: st.Outcome, Answer: st.Answer,
+		Checkpoint: st.Checkpoint, Checkpointing: st.Checkpointing}
+	switch {
+	case t.State == lifecycle.TaskEnded:
+		return nil
+	case !t.Live():
+		j.unended++
+		team.Waiting++
+		return nil
+	}
+	u := s.upstreams[st.Upstream]
+	if u == nil {
+		return errors.Errorf("job %d task %d is on unknown upstream %q", j.ID, i, st.Upstream)
+	}
+	t.Upstream, t.Reserved = u, resource.FromProto(st.Reserved)
+	u.Used = u.Used.Add(t.Reserved)
+	u.Tasks[t.Ref()] = t
+	team.Used = team.Used.Add(t.Reserved)
+	team.Running++
+	j.unended++
+	j.live++
+	return nil
+}
--- /dev/null
+++ b/state/state.go
@@ -0,0 +1,216 @@
+package state
+
+import (
+	"crypto/sha256"
+	"time"
+
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/resource"
+)
+
+// State is the replicated state of one group. It is not safe for concurrent use.
+type State struct {
+	settings Settings
+	observer Observer
+	limits   Allowance
+
+	nowNS         int64
+	revision      uint64
+	nextJob       JobID
+	lastOperation string
+
+	teams      map[string]*Team
+	keys       map[string]*Key
+	keyByHash  map[KeyHash]*Key
+	queues     map[string]*apiv1.Queue
+	domains    map[string]*Domain
+	upstreams  map[string]*Upstream
+	vmOwner    map[string]string
+	jobs       map[JobID]*Job
+	requests   map[RequestKey]*Request
+	operations map[string]*Operation
+
+	// endedJobs, requestOrder and operationOrder are in order of decision, for Sweep.
+	endedJobs      []JobID
+	requestOrder   []RequestKey
+	operationOrder []string
+}
+
+// Allowance bounds what a team may use in this group. With one group it is the
+// team's upper limit; with several it is the part of the limit lent to this group.
+type Allowance interface {
+	// Held returns the amount that the group may use for the team.
+	Held(t *Team) resource.Vector
+}
+
+// wholeLimit is the Allowance of a single group.
+type wholeLimit struct{}
+
+// Held implements Allowance.
+func (wholeLimit) Held(t *Team) resource.Vector { return t.Limit }
+
+// New returns an empty state. Zero settings take their defaults.
+func New(settings Settings) *State {
+	s := &State{settings: withDefaults(settings), observer: nopObserver{}, limits: wholeLimit{}}
+	s.clear()
+	return s
+}
+
+func withDefaults(s Settings) Settings {
+	d := DefaultSettings
+	setDefault(&s.Retention, d.Retention)
+	setDefault(&s.ClockMargin, d.ClockMargin)
+	setDefault(&s.DefaultMaxWaiting, d.DefaultMaxWaiting)
+	setDefault(&s.DefaultMaxAttempts, d.DefaultMaxAttempts)
+	setDefault(&s.FailureBackoff, d.FailureBackoff)
+	setDefault(&s.MaxTasksPerJob, d.MaxTasksPerJob)
+	setDefault(&s.MaxPayloadBytes, d.MaxPayloadBytes)
+	setDefault(&s.MaxAnswerBytes, d.MaxAnswerBytes)
+	return s
+}
+
+func setDefault[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
+
+func (s *State) clear() {
+	s.nowNS, s.revision, s.nextJob, s.lastOperation = 0, 0, 1, ""
+	s.teams = make(map[string]*Team)
+	s.keys = make(map[string]*Key)
+	s.keyByHash = make(map[KeyHash]*Key)
+	s.queues = make(map[string]*apiv1.Queue)
+	s.domains = make(map[string]*Domain)
+	s.upstreams = make(map[string]*Upstream)
+	s.vmOwner = make(map[string]string)
+	s.jobs = make(map[JobID]*Job)
+	s.requests = make(map[RequestKey]*Request)
+	s.operations = make(map[string]*Operation)
+	s.endedJobs, s.requestOrder, s.operationOrder = nil, nil, nil
+}
+
+// Observe sets the observer; nil removes it.
+func (s *State) Observe(o Observer) {
+	if o == nil {
+		o = nopObserver{}
+	}
+	s.observer = o
+}
+
+// Apply applies one log entry and returns a Result per command.
+func (s *State) Apply(b *peerv1.Batch) []Result {
+	s.nowNS = max(s.nowNS, b.NowNs)
+	results := make([]Result, len(b.Commands))
+	for i, c := range b.Commands {
+		results[i] = s.applyOne(c)
+	}
+	return results
+}
+
+func (s *State) applyOne(c *peerv1.Command) Result {
+	switch c := c.Command.(type) {
+	case *peerv1.Command_Submit:
+		return Result{Submit: s.submit(c.Submit)}
+	case *peerv1.Command_Cancel:
+		return Result{Cancel: s.cancel(c.Cancel)}
+	case *peerv1.Command_Place:
+		return Result{Place: s.place(c.Place)}
+	case *peerv1.Command_Report:
+		return Result{Acknowledged: s.report(c.Report)}
+	case *peerv1.Command_Announce:
+		return Result{Announce: s.announce(c.Announce)}
+	case *peerv1.Command_UpstreamLost:
+		return Result{Applied: s.upstreamLost(c.UpstreamLost)}
+	case *peerv1.Command_Change:
+		return Result{Change: s.change(c.Change)}
+	case *peerv1.Command_Withdraw:
+		return Result{Applied: s.withdraw(c.Withdraw)}
+	case *peerv1.Command_Stop:
+		return Result{Applied: s.stop(c.Stop)}
+	case *peerv1.Command_Leaving:
+		return Result{Applied: s.leaving(c.Leaving)}
+	case *peerv1.Command_Refuse:
+		return Result{Applied: s.refuse(c.Refuse)}
+	case *peerv1.Command_Sweep:
+		return Result{Applied: s.sweep()}
+	case *peerv1.Command_Bootstrap:
+		return Result{Applied: s.bootstrap(c.Bootstrap)}
+	}
+	panic("state: log entry holds an unknown command; a newer version must have written it")
+}
+
+// Now returns the leader time of the last applied entry.
+func (s *State) Now() time.Time { return time.Unix(0, s.nowNS) }
+
+// Revision returns the number of the configuration in force.
+func (s *State) Revision() uint64 { return s.revision }
+
+// Team returns a team, or nil.
+func (s *State) Team(name string) *Team { return s.teams[name] }
+
+// Teams returns all teams by name. The caller must not change the map.
+func (s *State) Teams() map[string]*Team { return s.teams }
+
+// Keys returns all keys by their public identity. The caller must not change the map.
+func (s *State) Keys() map[string]*Key { return s.keys }
+
+// Queues returns all queues by name. The caller must not change the map.
+func (s *State) Queues() map[string]*apiv1.Queue { return s.queues }
+
+// Domains returns all failure domains by name. The caller must not change the map.
+func (s *State) Domains() map[string]*Domain { return s.domains }
+
+// Upstreams returns all upstreams by name. The caller must not change the map.
+func (s *State) Upstreams() map[string]*Upstream { return s.upstreams }
+
+// Upstream returns an upstream, or nil.
+func (s *State) Upstream(name string) *Upstream { return s.upstreams[name] }
+
+// Jobs returns all jobs by number. The caller must not change the map.
+func (s *State) Jobs() map[JobID]*Job { return s.jobs }
+
+// Job returns a job, or nil.
+func (s *State) Job(id JobID) *Job { return s.jobs[id] }
+
+// Request returns what is remembered of a request identity, or nil.
+func (s *State) Request(k RequestKey) *Request { return s.requests[k] }
+
+// KeyByHash returns a key that is not withdrawn, or nil.
+func (s *State) KeyByHash(hash []byte) *Key {
+	if len(hash) != sha256.Size {
+		return nil
+	}
+	k := s.keyByHash[KeyHash(hash)]
+	if k == nil || k.Withdrawn {
+		return nil
+	}
+	return k
+}
+
+// task returns a task whose attempt is current, or nil.
+func (s *State) task(ref TaskRef) *Task {
+	j := s.jobs[ref.Job]
+	if j == nil || ref.Index < 0 || int(ref.Index) >= len(j.Tasks) {
+		return nil
+	}
+	t := &j.Tasks[ref.Index]
+	if t.Attempt != ref.Attempt {
+		return nil
+	}
+	return t
+}
+
+// nopObserver ignores all changes.
+type nopObserver struct{}
+
+func (nopObserver) TeamChanged(*Team)                      {}
+func (nopObserver) DomainChanged(*Domain)                  {}
+func (nopObserver) UpstreamChanged(*Upstream)              {}
+func (nopObserver) JobAdded(*Job)                          {}
+func (nopObserver) JobEnded(*Job)                          {}
+func (nopObserver) TaskChanged(*Task, lifecycle.TaskState) {}
+func (nopObserver) ConfigChanged(uint64)                   {}
--- /dev/null
+++ b/state/submit.go
@@ -0,0 +1,183 @@
+package state
+
+import (
+	"time"
+
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/resource"
+)
+
+// submit decides on a request once; a resend gets the first outcome.
+func (s *State) submit(c *peerv1.Submit) *apiv1.SubmitResponse {
+	req := c.GetRequest()
+	team, refusal := s.Authorize(c.KeySha256, req.GetQueue())
+	if refusal != nil {
+		return &apiv1.SubmitResponse{Outcome: refusal}
+	}
+	key := RequestKey{team, req.GetRequestId()}
+	if known := s.requests[key]; known != nil {
+		return s.resubmitted(known, string(c.Digest))
+	}
+	if refusal := s.checkAge(req); refusal != nil {
+		return &apiv1.SubmitResponse{Outcome: refusal}
+	}
+	record := &Request{Key: key, Digest: string(c.Digest)}
+	s.remember(record)
+	if record.Refusal = s.checkSubmit(team, req); record.Refusal != nil {
+		return &apiv1.SubmitResponse{Outcome: record.Refusal}
+	}
+	job := s.addJob(team, req)
+	record.Job = job.ID
+	return &apiv1.SubmitResponse{Outcome: accepted, JobId: uint64(job.ID)}
+}
+
+// remember records a request identity at the current leader time.
+func (s *State) remember(r *Request) {
+	r.DecidedNS = s.nowNS
+	s.requests[r.Key] = r
+	s.requestOrder = append(s.requestOrder, r.Key)
+}
+
+func (s *State) resubmitted(known *Request, digest string) *apiv1.SubmitResponse {
+	cancelledUnseen := known.Digest == ""
+	if known.Digest != digest && !cancelledUnseen {
+		return &apiv1.SubmitResponse{Outcome: undetermined(apiv1.Reason_REASON_IDENTITY_REUSED,
+			"request %q was already used with another body; this body was not taken", known.Key.ID)}
+	}
+	if known.Refusal != nil {
+		return &apiv1.SubmitResponse{Outcome: known.Refusal, Resent: true}
+	}
+	return &apiv1.SubmitResponse{Outcome: accepted, JobId: uint64(known.Job), Resent: true}
+}
+
+// checkAge refuses identities that may already have been forgotten. The refusal is
+// not remembered and never says "not run".
+func (s *State) checkAge(req *apiv1.SubmitRequest) *apiv1.Outcome {
+	sent := time.UnixMilli(req.GetFirstSentUnixMs())
+	age := s.Now().Sub(sent)
+	if age > s.settings.Retention-s.settings.ClockMargin {
+		return undetermined(apiv1.Reason_REASON_IDENTITY_TOO_OLD,
+			"request was first sent %s ago; identities are remembered for %s", age.Round(time.Second), s.settings.Retention)
+	}
+	if -age > s.settings.ClockMargin {
+		return undetermined(apiv1.Reason_REASON_BAD_REQUEST,
+			"first_sent_unix_ms is %s in the future; check the caller's clock", (-age).Round(time.Second))
+	}
+	return nil
+}
+
+// Authorize returns the team that a key may submit for in a queue, or why not.
+func (s *State) Authorize(keyHash []byte, queue string) (team string, refusal *apiv1.Outcome) {
+	q := s.queues[queue]
+	if q == nil {
+		return "", notRun(apiv1.Reason_REASON_QUEUE_UNKNOWN, "queue %q does not exist", queue)
+	}
+	if q.Open {
+		return q.Team, s.checkTeam(q.Team)
+	}
+	k := s.keyOf(keyHash)
+	switch {
+	case k == nil:
+		return "", notRun(apiv1.Reason_REASON_KEY_UNKNOWN, "the key is not known")
+	case k.Withdrawn:
+		return "", notRun(apiv1.Reason_REASON_KEY_WITHDRAWN, "key %q was withdrawn", k.ID)
+	case k.Role != apiv1.KeyRole_KEY_ROLE_CALLER:
+		return "", notRun(apiv1.Reason_REASON_NOT_PERMITTED, "key %q is not a caller's key", k.ID)
+	case q.Team != "" && q.Team != k.Team:
+		return "", notRun(apiv1.Reason_REASON_KEY_OF_ANOTHER_TEAM, "queue %q belongs to team %q, the key to %q", queue, q.Team, k.Team)
+	}
+	return k.Team, s.checkTeam(k.Team)
+}
+
+func (s *State) keyOf(hash []byte) *Key {
+	if len(hash) != len(KeyHash{}) {
+		return nil
+	}
+	return s.keyByHash[KeyHash(hash)]
+}
+
+func (s *State) checkTeam(name string) *apiv1.Outcome {
+	if s.teams[name] == nil {
+		return notRun(apiv1.Reason_REASON_TEAM_UNKNOWN, "team %q does not exist", name)
+	}
+	return nil
+}
+
+func (s *State) checkSubmit(team string, req *apiv1.SubmitRequest) *apiv1.Outcome {
+	if refusal := s.CheckSpec(req); refusal != nil {
+		return refusal
+	}
+	t := s.teams[team]
+	tasks := int64(CountTasks(req.GetJob()))
+	if t.Waiting+tasks > t.MaxWaiting {
+		return notRun(apiv1.Reason_REASON_TEAM_QUEUE_FULL,
+			"team %q has %d tasks waiting; %d more would pass its bound of %d", team, t.Waiting, tasks, t.MaxWaiting)
+	}
+	return s.checkLimit(t, req.GetJob())
+}
+
+// checkLimit refuses jobs that the team's upper limit can never admit.
+func (s *State) checkLimit(t *Team, spec *apiv1.JobSpec) *apiv1.Outcome {
+	var whole resource.Vector
+	for _, ts := range spec.GetTasks() {
+		need := TaskNeed(ts)
+		if d, ok := need.FirstOver(t.Limit); !ok {
+			return notRun(apiv1.Reason_REASON_OVER_LIMIT, "a task needs %s; team %q may use at most %s",
+				resource.Format(d, need[d]), t.Name, resource.Format(d, t.Limit[d]))
+		}
+		for range Copies(ts) {
+			whole = whole.Add(need)
+		}
+	}
+	if spec.GetPolicy() != apiv1.Policy_POLICY_GANG {
+		return nil
+	}
+	if d, ok := whole.FirstOver(t.Limit); !ok {
+		return notRun(apiv1.Reason_REASON_OVER_LIMIT, "the gang needs %s at once; team %q may use at most %s",
+			resource.Format(d, whole[d]), t.Name, resource.Format(d, t.Limit[d]))
+	}
+	return nil
+}
+
+// Copies returns the number of equal tasks that a spec stands for.
+func Copies(ts *apiv1.TaskSpec) int { return int(max(1, ts.GetCopies())) }
+
+// CountTasks returns the number of tasks of a job.
+func CountTasks(spec *apiv1.JobSpec) int {
+	n := 0
+	for _, ts := range spec.GetTasks() {
+		n += Copies(ts)
+	}
+	return n
+}
+
+// TaskNeed returns what a task declares, with at least one slot and one connection.
+func TaskNeed(ts *apiv1.TaskSpec) resource.Vector {
+	v := resource.FromProto(ts.GetResources())
+	v[resource.Slots] = max(1, v[resource.Slots])
+	v[resource.Connections] = max(1, v[resource.Connections])
+	return v
+}
+
+func (s *State) addJob(team string, req *apiv1.SubmitRequest) *Job {
+	j := &Job{ID: s.nextJob, Team: team, Queue: req.GetQueue(), RequestID: req.GetRequestId(), Spec: req.GetJob(),
+		State: lifecycle.JobWaiting, SubmittedNS: s.nowNS}
+	s.nextJob++
+	if ms := req.GetStartWithinMs(); ms > 0 {
+		j.StartDeadlineNS = s.nowNS + ms*int64(time.Millisecond)
+	}
+	j.Tasks = make([]Task, 0, CountTasks(j.Spec))
+	for _, ts := range j.Spec.Tasks {
+		for range Copies(ts) {
+			j.Tasks = append(j.Tasks, Task{Job: j, Index: int32(len(j.Tasks)), Attempt: 1,
+				State: lifecycle.TaskWaiting, Spec: ts})
+		}
+	}
+	j.unended = len(j.Tasks)
+	s.jobs[j.ID] = j
+	s.teams[team].Waiting += int64(len(j.Tasks))
+	s.observer.JobAdded(j)
+	return j
+}
--- /dev/null
+++ b/state/upstream.go
@@ -0,0 +1,155 @@
+package state
+
+import (
+	"maps"
+	"slices"
+
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/resource"
+)
+
+// announce registers an incarnation of an upstream. A newer incarnation proves that the
+// tasks of the older one are gone.
+func (s *State) announce(c *peerv1.Announce) *apiv1.Outcome {
+	req := c.GetRequest()
+	if refusal := s.checkAnnounce(c); refusal != nil {
+		return refusal
+	}
+	u := s.upstreams[req.GetUpstream()]
+	if u != nil && req.GetIncarnation() < u.Incarnation {
+		return notRun(apiv1.Reason_REASON_STALE_INCARNATION, "incarnation %d is older than %d", req.GetIncarnation(), u.Incarnation)
+	}
+	if u != nil && req.GetIncarnation() == u.Incarnation && u.State == lifecycle.UpstreamLost {
+		return notRun(apiv1.Reason_REASON_STALE_INCARNATION, "incarnation %d was declared lost; announce a higher one", u.Incarnation)
+	}
+	if u == nil {
+		u = &Upstream{Name: req.GetUpstream(), State: lifecycle.UpstreamActive, Tasks: make(map[TaskRef]*Task)}
+		s.upstreams[u.Name] = u
+	}
+	if req.GetIncarnation() > u.Incarnation {
+		s.loseTasks(u, nil)
+		u.Incarnation = req.GetIncarnation()
+		u.State = lifecycle.UpstreamActive
+	}
+	s.describeUpstream(u, req)
+	s.observer.UpstreamChanged(u)
+	return accepted
+}
+
+func (s *State) describeUpstream(u *Upstream, req *apiv1.AnnounceRequest) {
+	if s.vmOwner[u.VM] == u.Name {
+		delete(s.vmOwner, u.VM)
+	}
+	u.Domain, u.Rack, u.VM = req.GetFailureDomain(), req.GetRack(), req.GetVm()
+	u.Capacity = resource.FromProto(req.GetCapacity())
+	u.LostNS = 0
+	s.vmOwner[u.VM] = u.Name
+}
+
+func (s *State) checkAnnounce(c *peerv1.Announce) *apiv1.Outcome {
+	req := c.GetRequest()
+	if refusal := s.AuthorizeUpstream(c.KeySha256); refusal != nil {
+		return refusal
+	}
+	capacity := resource.FromProto(req.GetCapacity())
+	switch {
+	case !ValidName(req.GetUpstream()) || !ValidName(req.GetVm()) || !ValidName(req.GetRack()):
+		return notRun(apiv1.Reason_REASON_BAD_REQUEST, "upstream, rack and VM need names of 1 to %d printable characters", maxNameBytes)
+	case req.GetIncarnation() == 0:
+		return notRun(apiv1.Reason_REASON_BAD_REQUEST, "incarnation must be positive")
+	case s.domains[req.GetFailureDomain()] == nil:
+		return notRun(apiv1.Reason_REASON_BAD_REQUEST, "failure domain %q does not exist", req.GetFailureDomain())
+	case capacity.Negative() || !capacity.Fits(maxCapacity):
+		return notRun(apiv1.Reason_REASON_BAD_REQUEST, "capacity is out of range")
+	}
+	owner := s.vmOwner[req.GetVm()]
+	if o := s.upstreams[owner]; owner != req.GetUpstream() && o != nil && (o.State != lifecycle.UpstreamLost) {
+		return notRun(apiv1.Reason_REASON_IN_USE, "VM %q is served by upstream %q", req.GetVm(), owner)
+	}
+	return nil
+}
+
+var maxCapacity = resource.Vector{maxAmount, maxAmount, maxAmount, maxAmount, maxAmount}
+
+// AuthorizeUpstream returns why a key may not act as an upstream, or nil.
+func (s *State) AuthorizeUpstream(keyHash []byte) *apiv1.Outcome {
+	k := s.keyOf(keyHash)
+	switch {
+	case k == nil:
+		return notRun(apiv1.Reason_REASON_KEY_UNKNOWN, "the key is not known")
+	case k.Withdrawn:
+		return notRun(apiv1.Reason_REASON_KEY_WITHDRAWN, "key %q was withdrawn", k.ID)
+	case k.Role != apiv1.KeyRole_KEY_ROLE_UPSTREAM:
+		return notRun(apiv1.Reason_REASON_NOT_PERMITTED, "key %q is not an upstream's key", k.ID)
+	}
+	return nil
+}
+
+// upstreamLost declares an incarnation lost after its lease has surely run out.
+func (s *State) upstreamLost(c *peerv1.UpstreamLost) bool {
+	u := s.upstreams[c.GetUpstream()]
+	if u == nil || u.Incarnation != c.GetIncarnation() || u.State == lifecycle.UpstreamLost {
+		return false
+	}
+	never := make(map[TaskRef]bool, len(c.GetNeverStarted()))
+	for _, r := range c.GetNeverStarted() {
+		never[RefFromProto(r)] = true
+	}
+	s.fireUpstream(u, lifecycle.UpstreamExpire)
+	u.LostNS = s.nowNS
+	s.loseTasks(u, never)
+	s.observer.UpstreamChanged(u)
+	return true
+}
+
+// loseTasks requeues the tasks of a vanished incarnation. A task that may not be repeated
+// and may have run ends undetermined.
+func (s *State) loseTasks(u *Upstream, never map[TaskRef]bool) {
+	for _, ref := range sortedRefs(u.Tasks) {
+		t := u.Tasks[ref]
+		if t == nil {
+			continue
+		}
+		switch {
+		case never[ref] && t.State != lifecycle.TaskRunning, t.Job.Spec.GetRepeatable():
+			s.release(t, lifecycle.TaskRequeue)
+		default:
+			s.finishLive(t, undetermined(apiv1.Reason_REASON_UPSTREAM_LOST,
+				"upstream %q was lost; the task may have run and may not be repeated", u.Name))
+		}
+	}
+}
+
+func sortedRefs(tasks map[TaskRef]*Task) []TaskRef {
+	return slices.SortedFunc(maps.Keys(tasks), CompareRefs)
+}
+
+// CompareRefs orders attempts by job and task.
+func CompareRefs(a, b TaskRef) int {
+	if a.Job != b.Job {
+		if a.Job < b.Job {
+			return -1
+		}
+		return 1
+	}
+	return int(a.Index) - int(b.Index)
+}
+
+// leaving marks an upstream that wants no new work.
+func (s *State) leaving(c *peerv1.Leaving) bool {
+	u := s.upstreams[c.GetUpstream()]
+	if u == nil || u.Incarnation != c.GetIncarnation() || u.State != lifecycle.UpstreamActive {
+		return false
+	}
+	s.fireUpstream(u, lifecycle.UpstreamLeave)
+	s.observer.UpstreamChanged(u)
+	return true
+}
+
+func (s *State) fireUpstream(u *Upstream, trigger lifecycle.UpstreamTrigger) {
+	if err := lifecycle.Upstream.Fire(&u.State, trigger); err != nil {
+		panic("state: upstream: " + err.Error())
+	}
+}
--- /dev/null
+++ b/upstream/poll.go
@@ -0,0 +1,216 @@
+package upstream
+
+import (
+	"context"
+	"crypto/sha256"
+	"time"
+
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+)
+
+// pollOnce sends one poll and carries out its answer. A local event replaces a poll
+// that is being held; again is set when the worker has to announce itself anew.
+func (a *Agent) pollOnce(ctx context.Context) (again bool, err error) {
+	ctx, cancel := context.WithTimeout(ctx, a.cfg.PollTimeout)
+	defer cancel()
+	req, sent := a.composePoll()
+	type answer struct {
+		resp *apiv1.PollResponse
+		err  error
+	}
+	answers := make(chan answer, 1)
+	go func() {
+		resp, err := a.api.Poll(ctx, req)
+		answers <- answer{resp, err}
+	}()
+	changed := a.changed
+	for {
+		select {
+		case got := <-answers:
+			if got.err != nil {
+				return false, got.err
+			}
+			return a.takeAnswer(req, got.resp, sent), nil
+		case <-changed:
+			changed = nil
+			age := a.clock.Now() - sent
+			time.AfterFunc(minPollAge-age, cancel)
+			got := <-answers
+			if got.err != nil {
+				return false, nil
+			}
+			return a.takeAnswer(req, got.resp, sent), nil
+		}
+	}
+}
+
+func (a *Agent) composePoll() (*apiv1.PollRequest, time.Duration) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.sequence++
+	req := &apiv1.PollRequest{Upstream: a.cfg.Name, Incarnation: a.cfg.Incarnation, Sequence: a.sequence, Leaving: a.leaving}
+	for _, r := range a.tasks {
+		req.Tasks = append(req.Tasks, r.report)
+	}
+	return req, a.clock.Now()
+}
+
+// takeAnswer carries out the answer to the latest poll; answers to older ones are dropped.
+func (a *Agent) takeAnswer(req *apiv1.PollRequest, resp *apiv1.PollResponse, sent time.Duration) (again bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if resp.GetAnnounceAgain() {
+		return true
+	}
+	if resp.GetSequence() != a.sequence || req.GetSequence() != a.sequence || resp.GetTerm() < a.term {
+		return false
+	}
+	a.term = resp.GetTerm()
+	a.leaseEnd = sent + time.Duration(resp.GetLeaseMs())*time.Millisecond
+	for _, ref := range resp.GetAcknowledged() {
+		if r := a.tasks[keyOf(ref)]; r != nil && r.cancel == nil {
+			delete(a.tasks, keyOf(ref))
+		}
+	}
+	window := time.Duration(resp.GetStartWindowMs()) * time.Millisecond
+	mayStart := a.clock.Now()-sent <= window && a.clock.Now() < a.leaseEnd
+	for _, cmd := range resp.GetCommands() {
+		a.carryOut(cmd, mayStart)
+	}
+	return false
+}
+
+func (a *Agent) carryOut(cmd *apiv1.Command, mayStart bool) {
+	key := keyOf(cmd.GetTask())
+	known := a.tasks[key]
+	switch cmd.GetKind() {
+	case apiv1.CommandKind_COMMAND_KIND_START:
+		if known == nil && mayStart {
+			a.start(a.admit(cmd))
+		}
+	case apiv1.CommandKind_COMMAND_KIND_PREPARE:
+		if known == nil && mayStart {
+			a.admit(cmd).report.State = apiv1.ReportState_REPORT_STATE_PREPARED
+			a.wake()
+		}
+	case apiv1.CommandKind_COMMAND_KIND_RELEASE:
+		if known != nil && mayStart && known.report.State == apiv1.ReportState_REPORT_STATE_PREPARED {
+			a.start(known)
+		}
+	case apiv1.CommandKind_COMMAND_KIND_STOP:
+		a.stop(known, ErrStop)
+	case apiv1.CommandKind_COMMAND_KIND_CHECKPOINT:
+		a.stop(known, ErrCheckpoint)
+	}
+}
+
+// admit registers an attempt; it is listed in every poll from now on.
+func (a *Agent) admit(cmd *apiv1.Command) *running {
+	ref := cmd.GetTask()
+	r := &running{
+		task: Task{Job: ref.GetJobId(), Index: ref.GetTask(), Attempt: ref.GetAttempt(), Payload: cmd.GetPayload(),
+			Resources: cmd.GetResources(), Checkpoint: cmd.GetCheckpoint()},
+		report: &apiv1.TaskReport{Task: ref},
+	}
+	a.tasks[keyOf(ref)] = r
+	return r
+}
+
+func (a *Agent) start(r *running) {
+	ctx, cancel := context.WithCancelCause(context.Background())
+	r.cancel = cancel
+	r.began = a.clock.Now()
+	r.report = &apiv1.TaskReport{Task: r.report.Task, State: apiv1.ReportState_REPORT_STATE_RUNNING}
+	a.wg.Add(1)
+	go func() {
+		defer a.wg.Done()
+		result := a.runner.Run(ctx, r.task)
+		a.ended(r, result)
+	}()
+	a.wake()
+}
+
+// ended replaces the attempt's report by its end, to be listed until acknowledged.
+func (a *Agent) ended(r *running, result Result) {
+	sum := sha256.Sum256(result.Body)
+	a.mu.Lock()
+	r.cancel(nil)
+	r.cancel = nil
+	r.report = &apiv1.TaskReport{Task: r.report.Task, State: result.State, Detail: result.Detail,
+		RunMs:  (a.clock.Now() - r.began).Milliseconds(),
+		Answer: &apiv1.Answer{Body: result.Body, Length: uint64(len(result.Body)), Sha256: sum[:]}}
+	a.mu.Unlock()
+	a.wake()
+}
+
+// stop ends an attempt: a running one by its context, a prepared one at once.
+func (a *Agent) stop(r *running, cause error) {
+	switch {
+	case r == nil:
+	case r.cancel != nil:
+		r.cancel(cause)
+	case r.report.State == apiv1.ReportState_REPORT_STATE_PREPARED:
+		r.report = &apiv1.TaskReport{Task: r.report.Task, State: apiv1.ReportState_REPORT_STATE_REFUSED}
+		a.wake()
+	}
+}
+
+func (a *Agent) stopAll(cause error) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	for _, r := range a.tasks {
+		a.stop(r, cause)
+	}
+}
+
+// waitTasks waits until no attempt runs any more.
+func (a *Agent) waitTasks(ctx context.Context) error {
+	for {
+		a.mu.Lock()
+		live := 0
+		for _, r := range a.tasks {
+			if r.cancel != nil {
+				live++
+			}
+		}
+		a.mu.Unlock()
+		if live == 0 {
+			return nil
+		}
+		select {
+		case <-a.changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+func (a *Agent) wake() {
+	select {
+	case a.changed <- struct{}{}:
+	default:
+	}
+}
+
+// leaseCheckInterval is how often the lease is compared with the clock.
+const leaseCheckInterval = 100 * time.Millisecond
+
+// watchLease stops all tasks when the lease ends.
+func (a *Agent) watchLease(ctx context.Context) {
+	defer a.wg.Done()
+	ticker := time.NewTicker(leaseCheckInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		a.mu.Lock()
+		ended := a.clock.Now() >= a.leaseEnd
+		a.mu.Unlock()
+		if ended {
+			a.stopAll(ErrLeaseEnded)
+		}
+	}
+}
--- /dev/null
+++ b/wal/identity.go
@@ -0,0 +1,63 @@
+package wal
+
+import (
+	"crypto/rand"
+	"encoding/binary"
+	"encoding/json"
+	"os"
+	"path/filepath"
+
+	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/pkg/errors"
+)
+
+const identityFile = "identity.json"
+
+// Identity belongs to a data folder from its creation on.
+type Identity struct {
+	// Replica is random, so that an emptied folder never returns under its old identity.
+	Replica raft.ID
+	// Group is the group that the folder belongs to; zero before it has joined one.
+	Group uint64
+}
+
+// LoadIdentity reads the folder's identity, or creates folder and identity if there is none.
+func LoadIdentity(dir string) (id Identity, created bool, err error) {
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return id, false, errors.Wrap(err, "wal: create data folder")
+	}
+	data, err := os.ReadFile(filepath.Join(dir, identityFile))
+	if os.IsNotExist(err) {
+		id = Identity{Replica: raft.ID(RandomID())}
+		return id, true, SaveIdentity(dir, id)
+	}
+	if err != nil {
+		return id, false, errors.Wrap(err, "wal: read identity")
+	}
+	if err := json.Unmarshal(data, &id); err != nil || id.Replica == raft.None {
+		return id, false, errors.Wrap(ErrCorrupt, identityFile)
+	}
+	return id, false, nil
+}
+
+// SaveIdentity makes the folder's identity durable.
+func SaveIdentity(dir string, id Identity) error {
+	data, err := json.Marshal(id)
+	if err != nil {
+		return errors.Wrap(err, "wal: encode identity")
+	}
+	return writeAtomic(filepath.Join(dir, identityFile), data)
+}
+
+// RandomID returns a random non-zero number for identities.
+func RandomID() uint64 {
+	for {
+		var b [8]byte
+		if _, err := rand.Read(b[:]); err != nil {
+			panic("wal: no randomness: " + err.Error())
+		}
+		if n := binary.LittleEndian.Uint64(b[:]) >> 1; n != 0 {
+			return n
+		}
+	}
+}
