--- /dev/null
+++ b/lifecycle/lifecycle_test.go
@@ -0,0 +1,64 @@
+package lifecycle
+
+import (
+	"context"
+	"testing"
+
+	"github.com/pkg/errors"
+	"github.com/qmuntal/stateless"
+)
+
+func TestEndedTasksStayEnded(t *testing.T) {
+	for _, trigger := range []TaskTrigger{TaskPlace, TaskStarted, TaskStop, TaskFinish, TaskRequeue, TaskWithdraw} {
+		s := TaskEnded
+		if err := Task.Fire(&s, trigger); !errors.Is(err, ErrNotPermitted) || s != TaskEnded {
+			t.Errorf("%s: state %s, error %v", trigger, s, err)
+		}
+	}
+}
+
+func TestTaskReachesEndFromEveryState(t *testing.T) {
+	for _, s := range []TaskState{TaskWaiting, TaskPlaced, TaskRunning, TaskStopping} {
+		if !Task.Permits(s, TaskFinish) {
+			t.Errorf("%s does not permit the end", s)
+		}
+	}
+	s := TaskWaiting
+	for _, trigger := range []TaskTrigger{TaskPlace, TaskStarted, TaskStop, TaskRequeue, TaskPlace, TaskWithdraw} {
+		if err := Task.Fire(&s, trigger); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if s != TaskWaiting {
+		t.Errorf("state %s", s)
+	}
+}
+
+// BenchmarkCompiled and BenchmarkStateless compare a transition by the compiled table
+// with one by the library's machine on external storage.
+func BenchmarkCompiled(b *testing.B) {
+	b.ReportAllocs()
+	for b.Loop() {
+		s := TaskWaiting
+		if err := Task.Fire(&s, TaskPlace); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
+func BenchmarkStateless(b *testing.B) {
+	current := any(TaskWaiting)
+	m := stateless.NewStateMachineWithExternalStorage(
+		func(context.Context) (any, error) { return current, nil },
+		func(_ context.Context, next any) error { current = next; return nil },
+		stateless.FiringImmediate)
+	m.Configure(TaskWaiting).Permit(TaskPlace, TaskPlaced)
+	m.Configure(TaskPlaced)
+	b.ReportAllocs()
+	for b.Loop() {
+		current = TaskWaiting
+		if err := m.Fire(TaskPlace); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
