Test the raft core under faults and mend what failed

The core had no tests.

- a replica that was just added was not reached without further traffic, so that adding a voter to a lone one could hang: probes now go out empty;
- a replica whose own removal was not committed could be the only one able to win an election, yet did not campaign: it now does, without its own vote;
- a heartbeat's reply made appends in flight count as lost, and each of the rejections that follow one loss started the probe anew.
Heartbeats carry the number of the last append sent before them; 3 entries of which the first is lost now take 4 appends instead of 6, and 3 with none lost take 3;
- a torn write could leave entries of a later term than the hard state's.

--- a/raft/doc.go
+++ b/raft/doc.go
@@ -8,9 +8,10 @@
 //	for {
 //		// Step, Tick or Propose ...
 //		rd := r.Ready()
-//		// 1. persist rd.Snapshot, rd.Entries and rd.HardState, and sync them
-//		// 2. send rd.Messages
-//		// 3. apply rd.Committed in order
+//		// 1. send rd.Early
+//		// 2. persist rd.Snapshot, rd.Entries and rd.HardState, and sync them
+//		// 3. send rd.Messages
+//		// 4. apply rd.Committed in order
 //		r.Advance(rd)
 //	}
 //
--- a/raft/election.go
+++ b/raft/election.go
@@ -1,5 +1,19 @@
 package raft
 
+// mayCampaign reports whether this replica may ask for votes. One whose own removal is not
+// committed yet still may, without counting itself: it can be the only one whose log is
+// long enough to win.
+func (r *Raft) mayCampaign() bool {
+	if r.isVoter(r.cfg.ID) {
+		return true
+	}
+	if r.memberIndex <= r.log.committed || len(r.history) == 0 {
+		return false
+	}
+	before := r.history[len(r.history)-1].members
+	return isVoterIn(before, r.cfg.ID)
+}
+
 // campaign starts a pre-vote, or an election when pre is false.
 // A forced election is one that the leader asked for; voters take it despite a live leader.
 func (r *Raft) campaign(pre, forced bool) {
@@ -94,7 +108,7 @@
 }
 
 func (r *Raft) handleTimeoutNow() {
-	if r.role == Follower && r.isVoter(r.cfg.ID) {
+	if r.role == Follower && r.mayCampaign() {
 		r.campaign(false, true)
 	}
 }
--- a/raft/log.go
+++ b/raft/log.go
@@ -1,8 +1,12 @@
 package raft
 
+// entryOverheadBytes is the memory of an entry besides its data.
+const entryOverheadBytes = 48
+
 // log holds the entries after the last snapshot, in memory.
 type log struct {
-	// snapIndex and snapTerm are the position that entries follow.
+	// snapIndex and snapTerm are the position that entries follow; the newest snapshot
+	// covers at least as much.
 	snapIndex uint64
 	snapTerm  uint64
 	entries   []Entry
@@ -90,14 +94,27 @@
 }
 
 // compact drops entries up to and including i, which a snapshot covers.
-func (l *log) compact(i uint64) error {
+func (l *log) compact(i uint64) {
 	if i <= l.snapIndex {
-		return ErrCompacted
+		return
 	}
 	t, _ := l.term(i)
 	l.entries = append([]Entry(nil), l.entries[i-l.snapIndex:]...)
 	l.snapIndex, l.snapTerm = i, t
-	return nil
+}
+
+// tailStart returns the index up to which entries may go so that those up to i keep
+// about keepBytes of data.
+func (l *log) tailStart(i uint64, keepBytes int) uint64 {
+	kept := 0
+	for i > l.snapIndex {
+		kept += len(l.entries[i-l.snapIndex-1].Data) + entryOverheadBytes
+		if kept > keepBytes {
+			return i
+		}
+		i--
+	}
+	return i
 }
 
 // restore replaces the log by a snapshot.
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -12,6 +12,9 @@
 	if r.role != Leader {
 		return 0, ErrNotLeader
 	}
+	if r.transferTo != None {
+		return 0, ErrTransferring
+	}
 	if r.memberIndex > r.log.committed {
 		return 0, ErrChangePending
 	}
@@ -19,7 +22,7 @@
 		// An earlier leader's change may still surface until this term has a commit.
 		return 0, ErrChangePending
 	}
-	if differences(r.members, members) != 1 || !hasVoter(members) {
+	if differences(r.members, members) != 1 || !hasVoter(members) || hasDuplicate(members) {
 		return 0, ErrBadChange
 	}
 	r.append(Entry{Type: EntryMembers, Data: EncodeMembers(members)})
@@ -31,6 +34,17 @@
 	return slices.ContainsFunc(members, func(m Member) bool { return m.Voter })
 }
 
+func hasDuplicate(members []Member) bool {
+	seen := make(map[ID]bool, len(members))
+	for _, m := range members {
+		if seen[m.ID] || m.ID == None {
+			return true
+		}
+		seen[m.ID] = true
+	}
+	return false
+}
+
 // differences counts replicas that were added, removed or changed.
 func differences(a, b []Member) int {
 	n := 0
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -18,6 +18,9 @@
 	MaxInflight int
 	// MaxAppendBytes bounds the entry data of one append.
 	MaxAppendBytes int
+	// SnapshotTicks is the time without headway after which a snapshot in flight counts
+	// as lost; see ReportSnapshotProgress. Zero means five times ElectionTicks.
+	SnapshotTicks int
 	// Seed randomizes election timeouts.
 	Seed uint64
 }
@@ -36,6 +39,9 @@
 	return nil
 }
 
+// snapshotElections is the default of SnapshotTicks in election timeouts.
+const snapshotElections = 5
+
 // Raft is one replica. It is not safe for concurrent use.
 type Raft struct {
 	cfg     Config
@@ -85,6 +91,9 @@
 	if err := cfg.validate(); err != nil {
 		return nil, err
 	}
+	if cfg.SnapshotTicks == 0 {
+		cfg.SnapshotTicks = snapshotElections * cfg.ElectionTicks
+	}
 	r := &Raft{
 		cfg:       cfg,
 		rng:       rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.ID))),
@@ -101,6 +110,10 @@
 	r.log.entries = slices.Clone(from.Entries)
 	r.log.stable = r.log.lastIndex()
 	r.log.commitTo(from.HardState.Commit)
+	if last := r.log.lastTerm(); last > r.term {
+		// A crash kept the entries of a write but not the hard state that followed them.
+		r.term, r.vote = last, None
+	}
 	for _, e := range from.Entries {
 		r.adoptMembers(e)
 	}
@@ -133,7 +146,7 @@
 		r.tickLeader()
 		return
 	}
-	if r.electionElapsed >= r.timeout && r.isVoter(r.cfg.ID) {
+	if r.electionElapsed >= r.timeout && r.mayCampaign() {
 		r.electionElapsed = 0
 		r.campaign(true, false)
 	}
@@ -141,7 +154,7 @@
 
 func (r *Raft) tickLeader() {
 	for _, p := range r.progress {
-		p.silentTicks++
+		p.tick(r.cfg.SnapshotTicks)
 	}
 	if r.transferTo != None {
 		r.transferElapsed++
@@ -190,13 +203,10 @@
 	return voters > 0 && yes > voters/2
 }
 
-func (r *Raft) isVoter(id ID) bool {
-	for _, m := range r.members {
-		if m.ID == id {
-			return m.Voter
-		}
-	}
-	return false
+func (r *Raft) isVoter(id ID) bool { return isVoterIn(r.members, id) }
+
+func isVoterIn(members []Member, id ID) bool {
+	return slices.ContainsFunc(members, func(m Member) bool { return m.ID == id && m.Voter })
 }
 
 func (r *Raft) isMember(id ID) bool {
--- /dev/null
+++ b/raft/raft_test.go
@@ -0,0 +1,445 @@
+package raft
+
+import (
+	"slices"
+	"testing"
+
+	"github.com/pkg/errors"
+)
+
+func entriesOfTerms(first uint64, terms ...uint64) []Entry {
+	var out []Entry
+	for i, term := range terms {
+		out = append(out, Entry{Index: first + uint64(i), Term: term, Data: []byte{byte(term)}})
+	}
+	return out
+}
+
+// follower returns replica 1 of three voters, in a term, with a log after position 1.
+func follower(t *testing.T, term uint64, terms ...uint64) *Raft {
+	t.Helper()
+	r, err := New(testConfig(1, 1), Restored{HardState: HardState{Term: term, Commit: 1},
+		Snapshot: Snapshot{Index: 1, Term: 1, Members: testMembers(3, 0)}, Entries: entriesOfTerms(2, terms...)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+// take returns the messages of a replica and marks its work as done.
+func take(r *Raft) []Message {
+	rd := r.Ready()
+	r.Advance(rd)
+	return append(rd.Early, rd.Messages...)
+}
+
+func isolate(id ID) func(Message) bool {
+	return func(m Message) bool { return m.From == id || m.To == id }
+}
+
+func TestVotes(t *testing.T) {
+	for name, c := range map[string]struct {
+		before []Message
+		m      Message
+		silent bool
+		reject bool
+	}{
+		"longer log":     {m: Message{Type: MsgVote, Term: 3, LogIndex: 4, LogTerm: 2}},
+		"equal log":      {m: Message{Type: MsgVote, Term: 3, LogIndex: 3, LogTerm: 2}},
+		"newer last":     {m: Message{Type: MsgVote, Term: 3, LogIndex: 1, LogTerm: 3}},
+		"shorter log":    {m: Message{Type: MsgVote, Term: 3, LogIndex: 2, LogTerm: 2}, reject: true},
+		"older last":     {m: Message{Type: MsgVote, Term: 3, LogIndex: 9, LogTerm: 1}, reject: true},
+		"older term":     {m: Message{Type: MsgVote, Term: 1, LogIndex: 9, LogTerm: 9}, silent: true},
+		"pre-vote":       {m: Message{Type: MsgPreVote, Term: 3, LogIndex: 3, LogTerm: 2}},
+		"stale pre-vote": {m: Message{Type: MsgPreVote, Term: 2, LogIndex: 3, LogTerm: 2}, reject: true},
+		"voted already": {before: []Message{{Type: MsgVote, From: 3, Term: 3, LogIndex: 3, LogTerm: 2}},
+			m: Message{Type: MsgVote, Term: 3, LogIndex: 3, LogTerm: 2}, reject: true},
+		"voted for it": {before: []Message{{Type: MsgVote, From: 2, Term: 3, LogIndex: 3, LogTerm: 2}},
+			m: Message{Type: MsgVote, Term: 3, LogIndex: 3, LogTerm: 2}},
+		"live leader": {before: []Message{{Type: MsgHeartbeat, From: 3, Term: 2}},
+			m: Message{Type: MsgVote, Term: 3, LogIndex: 9, LogTerm: 2}, silent: true},
+		"pre-vote with a live leader": {before: []Message{{Type: MsgHeartbeat, From: 3, Term: 2}},
+			m: Message{Type: MsgPreVote, Term: 3, LogIndex: 9, LogTerm: 2}, silent: true},
+		"transfer from a live leader": {before: []Message{{Type: MsgHeartbeat, From: 3, Term: 2}},
+			m: Message{Type: MsgVote, Term: 3, LogIndex: 3, LogTerm: 2, Context: 1}},
+	} {
+		r := follower(t, 2, 2, 2)
+		for _, m := range c.before {
+			m.To = 1
+			r.Step(m)
+		}
+		take(r)
+		c.m.From, c.m.To = 2, 1
+		r.Step(c.m)
+		replies := take(r)
+		if c.silent != (len(replies) == 0) || !c.silent && replies[0].Reject != c.reject {
+			t.Errorf("%s: replies %+v", name, replies)
+		}
+	}
+}
+
+func TestAppends(t *testing.T) {
+	for name, c := range map[string]struct {
+		m         Message
+		reject    bool
+		index     uint64
+		hint      uint64
+		lastIndex uint64
+		committed uint64
+	}{
+		"follows":            {m: Message{LogIndex: 4, LogTerm: 3, Entries: entriesOfTerms(5, 5), Commit: 4}, index: 5, lastIndex: 5, committed: 4},
+		"repeated":           {m: Message{LogIndex: 1, LogTerm: 1, Entries: entriesOfTerms(2, 2)}, index: 2, lastIndex: 4, committed: 1},
+		"replaces a suffix":  {m: Message{LogIndex: 2, LogTerm: 2, Entries: entriesOfTerms(3, 5)}, index: 3, lastIndex: 3, committed: 1},
+		"commit is bounded":  {m: Message{LogIndex: 2, LogTerm: 2, Commit: 4}, index: 2, lastIndex: 4, committed: 2},
+		"gap":                {m: Message{LogIndex: 9, LogTerm: 5}, reject: true, index: 9, hint: 4, lastIndex: 4, committed: 1},
+		"conflict skips":     {m: Message{LogIndex: 4, LogTerm: 2}, reject: true, index: 4, hint: 2, lastIndex: 4, committed: 1},
+		"before the commit":  {m: Message{LogIndex: 0, LogTerm: 0}, index: 1, lastIndex: 4, committed: 1},
+		"stale before a log": {m: Message{LogIndex: 4, LogTerm: 3, Entries: nil}, index: 4, lastIndex: 4, committed: 1},
+	} {
+		r := follower(t, 5, 2, 3, 3)
+		c.m.Type, c.m.From, c.m.To, c.m.Term = MsgAppend, 2, 1, 5
+		r.Step(c.m)
+		m := take(r)[0]
+		if m.Reject != c.reject || m.LogIndex != c.index || m.HintIndex != c.hint ||
+			r.LastIndex() != c.lastIndex || r.Committed() != c.committed {
+			t.Errorf("%s: reply %+v, last %d, committed %d", name, m, r.LastIndex(), r.Committed())
+		}
+	}
+}
+
+func TestRestoreTakesTermOfTornWrite(t *testing.T) {
+	r := follower(t, 2, 2, 3)
+	if r.Term() != 3 {
+		t.Errorf("term %d after a log that ends in term 3", r.Term())
+	}
+}
+
+func TestPartitionedFollowerDoesNotDisturb(t *testing.T) {
+	g := newSimGroup(t, 1, testMembers(3, 0))
+	leader := g.elect(1)
+	term := leader.Term()
+	g.lost = isolate(3)
+	g.tickAll(10 * testElectionTicks)
+	g.lost = nil
+	g.tickAll(testElectionTicks)
+	if leader.Role() != Leader || leader.Term() != term {
+		t.Errorf("role %s, term %d after %d", leader.Role(), leader.Term(), term)
+	}
+}
+
+func TestCutOffLeaderStepsDown(t *testing.T) {
+	g := newSimGroup(t, 2, testMembers(3, 0))
+	old := g.elect(1)
+	g.lost = isolate(1)
+	g.tick(1, 2*testElectionTicks)
+	if old.Role() == Leader {
+		t.Error("still leads without a quorum")
+	}
+	if _, err := old.Propose([]byte("x")); !errors.Is(err, ErrNotLeader) {
+		t.Errorf("proposal: %v", err)
+	}
+	g.tickAll(4 * testElectionTicks)
+	if g.nodes[2].Role() != Leader && g.nodes[3].Role() != Leader {
+		t.Error("no successor")
+	}
+}
+
+// TestPausedLeaderReadsNothing lets a leader that missed an election ask for a read.
+func TestPausedLeaderReadsNothing(t *testing.T) {
+	g := newSimGroup(t, 3, testMembers(3, 0))
+	old := g.elect(1)
+	g.lost = isolate(1)
+	for range 5 * testElectionTicks {
+		g.tick(2, 1)
+		g.tick(3, 1)
+	}
+	g.lost = nil
+	if err := old.ReadIndex(7); err != nil {
+		t.Fatal(err)
+	}
+	g.drive(1)
+	g.settle()
+	if len(old.reads) != 0 || old.Role() == Leader {
+		t.Errorf("reads %v, role %s", old.reads, old.Role())
+	}
+}
+
+func TestReadWaitsForCommitOfOwnTerm(t *testing.T) {
+	g := newSimGroup(t, 4, testMembers(3, 0))
+	g.lost = func(m Message) bool { return m.Type == MsgAppendReply }
+	leader := g.elect(1)
+	if err := leader.ReadIndex(7); err != nil {
+		t.Fatal(err)
+	}
+	g.drive(1)
+	g.settle()
+	if len(leader.reads) != 0 {
+		t.Fatalf("read answered before this term has a commit: %v", leader.reads)
+	}
+	g.lost = nil
+	g.tickAll(2 * testHeartbeatTicks)
+	if len(leader.reads) != 1 || leader.reads[0].Context != 7 || leader.reads[0].Index != leader.Committed() {
+		t.Errorf("reads %v, committed %d", leader.reads, leader.Committed())
+	}
+}
+
+// TestOldTermsCommitOnlyWithTheNew gives a quorum an entry of an older term.
+func TestOldTermsCommitOnlyWithTheNew(t *testing.T) {
+	g := newSimGroup(t, 5, testMembers(3, 0))
+	for _, id := range []ID{1, 2} {
+		g.nodes[id].disk.Entries = entriesOfTerms(2, 2)
+		g.nodes[id].disk.HardState = HardState{Term: 2, Commit: 1}
+		g.restart(id)
+	}
+	g.lost = func(m Message) bool { return m.Type == MsgAppend && len(m.Entries) > 0 }
+	leader := g.elect(1)
+	g.tick(1, testHeartbeatTicks)
+	leader.Step(Message{Type: MsgAppendReply, From: 2, To: 1, Term: leader.Term(), LogIndex: 2})
+	if leader.Committed() != 1 {
+		t.Fatal("an entry of an older term was committed by counting replicas")
+	}
+	leader.Step(Message{Type: MsgAppendReply, From: 2, To: 1, Term: leader.Term(), LogIndex: 3})
+	if leader.Committed() != 3 {
+		t.Errorf("committed %d", leader.Committed())
+	}
+}
+
+// TestLeaderCountsItselfAfterItsSync acknowledges an entry before the leader's own sync.
+func TestLeaderCountsItselfAfterItsSync(t *testing.T) {
+	g := newSimGroup(t, 6, testMembers(2, 0))
+	leader := g.elect(1)
+	before := leader.Committed()
+	index, err := leader.Propose([]byte("x"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rd := leader.Ready()
+	if len(rd.Early) != 1 || rd.Early[0].Type != MsgAppend {
+		t.Fatalf("early messages %+v", rd.Early)
+	}
+	leader.Step(Message{Type: MsgAppendReply, From: 2, To: 1, Term: leader.Term(), LogIndex: index})
+	if leader.Committed() != before {
+		t.Fatal("committed before the leader's own sync")
+	}
+	leader.Advance(rd)
+	if leader.Committed() != index {
+		t.Errorf("committed %d, want %d", leader.Committed(), index)
+	}
+}
+
+// TestNewTermIsDurableBeforeItsEntriesTravel elects a lone voter, which votes and leads in one step.
+func TestNewTermIsDurableBeforeItsEntriesTravel(t *testing.T) {
+	g := newSimGroup(t, 7, testMembers(1, 1))
+	r := g.nodes[1].Raft
+	for r.Role() != Leader {
+		r.Tick()
+	}
+	if rd := r.Ready(); len(rd.Early) != 0 || len(rd.Messages) == 0 || !rd.MustSync {
+		t.Errorf("early %+v, late %+v", rd.Early, rd.Messages)
+	}
+}
+
+func TestLearnerDoesNotCount(t *testing.T) {
+	g := newSimGroup(t, 8, testMembers(2, 1))
+	leader := g.elect(1)
+	g.lost = isolate(2)
+	g.propose(1, "x")
+	if leader.Committed() == leader.LastIndex() {
+		t.Error("committed by a learner")
+	}
+	g.tick(3, 10*testElectionTicks)
+	if g.nodes[3].Role() != Follower {
+		t.Error("a learner campaigns")
+	}
+}
+
+func TestMembershipChangesOneAtATime(t *testing.T) {
+	g := newSimGroup(t, 9, testMembers(3, 0))
+	g.add(4, Restored{})
+	leader := g.elect(1)
+	added := append(leader.Members(), Member{ID: 4})
+	promoted := slices.Clone(added)
+	promoted[3].Voter = true
+	for name, members := range map[string][]Member{
+		"same": leader.Members(), "two": append(slices.Clone(added), Member{ID: 5}),
+		"duplicate": append(slices.Clone(added), Member{ID: 4}), "no voter": {},
+	} {
+		if _, err := leader.ProposeMembers(members); !errors.Is(err, ErrBadChange) {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+	if _, err := leader.ProposeMembers(added); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := leader.ProposeMembers(promoted); !errors.Is(err, ErrChangePending) {
+		t.Errorf("second change: %v", err)
+	}
+	g.drive(1)
+	g.settle()
+	g.tickAll(testElectionTicks)
+	if got := g.nodes[4].LastIndex(); got != leader.LastIndex() {
+		t.Errorf("the new learner holds %d of %d entries without any traffic", got, leader.LastIndex())
+	}
+	if _, err := leader.ProposeMembers(promoted); err != nil {
+		t.Error(err)
+	}
+}
+
+// TestChangeWaitsForCommitOfOwnTerm asks a new leader for a change before its term has a commit.
+func TestChangeWaitsForCommitOfOwnTerm(t *testing.T) {
+	g := newSimGroup(t, 10, testMembers(3, 0))
+	g.lost = func(m Message) bool { return m.Type == MsgAppendReply }
+	leader := g.elect(1)
+	if _, err := leader.ProposeMembers(append(leader.Members(), Member{ID: 4})); !errors.Is(err, ErrChangePending) {
+		t.Error(err)
+	}
+}
+
+// TestTruncatedChangeIsUndone replaces an uncommitted change of a leader that was cut off,
+// also after a restart of that replica.
+func TestTruncatedChangeIsUndone(t *testing.T) {
+	for _, restart := range []bool{false, true} {
+		g := newSimGroup(t, 11, testMembers(3, 0))
+		old := g.elect(1)
+		g.lost = isolate(1)
+		if _, err := old.ProposeMembers(old.Members()[:2]); err != nil {
+			t.Fatal(err)
+		}
+		g.drive(1)
+		g.settle()
+		g.tickAll(4 * testElectionTicks)
+		if restart {
+			g.restart(1)
+		}
+		if n := len(old.Members()); n != 2 {
+			t.Fatalf("%d members in force before the change is undone", n)
+		}
+		g.lost = nil
+		g.tickAll(testElectionTicks)
+		if n := len(old.Members()); n != 3 {
+			t.Errorf("restart %v: %d members after the change was replaced", restart, n)
+		}
+	}
+}
+
+func TestTransfer(t *testing.T) {
+	g := newSimGroup(t, 12, testMembers(3, 0))
+	leader := g.elect(1)
+	g.lost = isolate(2)
+	g.propose(1, "x")
+	if err := leader.TransferLeadership(2); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := leader.Propose([]byte("y")); !errors.Is(err, ErrTransferring) {
+		t.Errorf("proposal during the transfer: %v", err)
+	}
+	g.lost = nil
+	g.tick(1, 2*testHeartbeatTicks)
+	if g.nodes[2].Role() != Leader || g.nodes[2].LastIndex() <= 2 {
+		t.Fatalf("target is %s", g.nodes[2].Role())
+	}
+	g.lost = isolate(3)
+	if err := g.nodes[2].TransferLeadership(3); err != nil {
+		t.Fatal(err)
+	}
+	g.tick(2, testElectionTicks)
+	if _, err := g.nodes[2].Propose([]byte("z")); err != nil {
+		t.Errorf("proposal after a transfer that failed: %v", err)
+	}
+}
+
+// TestRemovedLeaderHandsOver removes the leader and expects a successor without an election timeout.
+func TestRemovedLeaderHandsOver(t *testing.T) {
+	g := newSimGroup(t, 13, testMembers(3, 0))
+	leader := g.elect(1)
+	if _, err := leader.ProposeMembers(leader.Members()[1:]); err != nil {
+		t.Fatal(err)
+	}
+	g.drive(1)
+	g.settle()
+	if leader.Role() == Leader {
+		t.Error("the removed leader still leads")
+	}
+	if g.nodes[2].Role() != Leader && g.nodes[3].Role() != Leader {
+		t.Error("no successor")
+	}
+}
+
+// TestSnapshotToLaggingFollower loses the first snapshot on the way, and its report.
+func TestSnapshotToLaggingFollower(t *testing.T) {
+	g := newSimGroup(t, 14, testMembers(3, 0))
+	leader := g.elect(1)
+	g.lost = isolate(3)
+	for range 10 {
+		g.propose(1, "x")
+	}
+	g.snapshot(1, 0)
+	snapshots := 0
+	g.lost = func(m Message) bool {
+		if m.Type == MsgSnapshot {
+			snapshots++
+		}
+		return m.Type == MsgSnapshot && snapshots == 1
+	}
+	g.tickAll(snapshotElections*testElectionTicks + 2*testHeartbeatTicks)
+	if snapshots != 2 || g.nodes[3].Committed() != leader.Committed() {
+		t.Errorf("%d snapshots sent, follower at %d of %d", snapshots, g.nodes[3].Committed(), leader.Committed())
+	}
+}
+
+// TestCompactionKeepsATail lets a replica lag less than the kept tail.
+func TestCompactionKeepsATail(t *testing.T) {
+	g := newSimGroup(t, 15, testMembers(3, 0))
+	g.elect(1)
+	g.lost = isolate(3)
+	for range 10 {
+		g.propose(1, "x")
+	}
+	g.snapshot(1, 100*entryOverheadBytes)
+	g.lost = func(m Message) bool { return m.Type == MsgSnapshot }
+	g.tickAll(testElectionTicks)
+	if g.nodes[3].Committed() != g.nodes[1].Committed() {
+		t.Errorf("follower at %d of %d without a snapshot", g.nodes[3].Committed(), g.nodes[1].Committed())
+	}
+}
+
+// TestSnapshotOfHeldEntriesKeepsTheRest gives a follower a snapshot inside its log.
+func TestSnapshotOfHeldEntriesKeepsTheRest(t *testing.T) {
+	r := follower(t, 2, 2, 2, 2)
+	r.Step(Message{Type: MsgSnapshot, From: 2, To: 1, Term: 2, Snapshot: &Snapshot{Index: 3, Term: 2}})
+	if r.LastIndex() != 4 || r.Committed() != 3 || r.Ready().Snapshot != nil {
+		t.Errorf("log ends at %d, committed %d", r.LastIndex(), r.Committed())
+	}
+}
+
+// TestOnlyLostAppendsAreSentAgain pipelines appends around heartbeats.
+func TestOnlyLostAppendsAreSentAgain(t *testing.T) {
+	for name, c := range map[string]struct {
+		lose bool
+		sent int
+	}{"in flight": {false, 3}, "lost": {true, 4}} {
+		g := newSimGroup(t, 16, testMembers(2, 0))
+		leader := g.elect(1)
+		appends := 0
+		g.lost = func(m Message) bool {
+			full := m.Type == MsgAppend && len(m.Entries) > 0
+			if full {
+				appends++
+			}
+			return full && c.lose && appends == 1
+		}
+		for range 3 {
+			for range testHeartbeatTicks {
+				leader.Tick()
+			}
+			if _, err := leader.Propose([]byte("x")); err != nil {
+				t.Fatal(err)
+			}
+			g.drive(1)
+		}
+		g.settle()
+		if appends != c.sent || g.nodes[2].LastIndex() != leader.LastIndex() {
+			t.Errorf("%s: %d appends for 3 entries, follower at %d of %d", name, appends, g.nodes[2].LastIndex(), leader.LastIndex())
+		}
+	}
+}
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -5,7 +5,6 @@
 	rd := Ready{
 		HardState: HardState{Term: r.term, Vote: r.vote, Commit: r.log.committed},
 		Snapshot:  r.pendSnap,
-		Messages:  r.msgs,
 		Reads:     r.readStates,
 		Role:      r.role,
 		Term:      r.term,
@@ -17,11 +16,30 @@
 	if r.log.applied < r.log.committed {
 		rd.Committed = r.log.slice(r.log.applied, r.log.committed, 1<<62)
 	}
-	rd.MustSync = len(rd.Entries) > 0 || rd.Snapshot != nil ||
-		rd.HardState.Term != r.savedHard.Term || rd.HardState.Vote != r.savedHard.Vote
+	newTerm := rd.HardState.Term != r.savedHard.Term || rd.HardState.Vote != r.savedHard.Vote
+	rd.MustSync = len(rd.Entries) > 0 || rd.Snapshot != nil || newTerm
+	rd.Early, rd.Messages = r.splitMessages(newTerm)
 	return rd
 }
 
+// splitMessages parts the messages that may be sent before this Ready is durable. A leader
+// whose term and vote are durable can't lead the same term again after a crash, so that its
+// entries may travel before it holds them itself; it counts itself only after its sync.
+func (r *Raft) splitMessages(newTerm bool) (early, late []Message) {
+	if r.role != Leader || newTerm {
+		return nil, r.msgs
+	}
+	for _, m := range r.msgs {
+		switch m.Type {
+		case MsgAppend, MsgHeartbeat, MsgSnapshot:
+			early = append(early, m)
+		default:
+			late = append(late, m)
+		}
+	}
+	return early, late
+}
+
 // HasReady reports whether Ready would return any work.
 func (r *Raft) HasReady() bool {
 	hard := HardState{Term: r.term, Vote: r.vote, Commit: r.log.committed}
@@ -56,9 +74,24 @@
 
 // stepDownIfRemoved ends the leadership of a replica whose removal is committed.
 func (r *Raft) stepDownIfRemoved() {
-	if r.role == Leader && r.memberIndex <= r.log.committed && !r.isVoter(r.cfg.ID) {
-		r.becomeFollower(r.term, None)
+	if r.role != Leader || r.memberIndex > r.log.committed || r.isVoter(r.cfg.ID) {
+		return
+	}
+	if next := r.mostCurrentVoter(); next != None {
+		r.send(Message{Type: MsgTimeoutNow, To: next})
+	}
+	r.becomeFollower(r.term, None)
+}
+
+// mostCurrentVoter returns the other voter whose log is the longest, or None.
+func (r *Raft) mostCurrentVoter() ID {
+	best, match := None, uint64(0)
+	for _, m := range r.members {
+		if p := r.progress[m.ID]; m.Voter && p != nil && p.match > match {
+			best, match = m.ID, p.match
+		}
 	}
+	return best
 }
 
 // Bootstrap returns the durable state of a new group with a single voter.
--- a/raft/replication.go
+++ b/raft/replication.go
@@ -33,13 +33,14 @@
 	}
 }
 
-// sendAppends sends entries to one replica as far as flow control allows.
+// sendAppends sends entries to one replica as far as flow control allows. A probe goes out
+// even without entries, so that a replica that was just added is reached.
 func (r *Raft) sendAppends(id ID) {
 	p := r.progress[id]
 	if p == nil {
 		return
 	}
-	for p.canSend(r.cfg.MaxInflight) && p.next <= r.log.lastIndex() {
+	for p.canSend(r.cfg.MaxInflight) && (p.probing || p.next <= r.log.lastIndex()) {
 		if !r.sendAppend(id, p) {
 			return
 		}
@@ -64,18 +65,25 @@
 	if r.latest == nil {
 		return
 	}
-	p.snapshotAt = r.latest.Index
+	p.snapshotAt, p.snapshotTicks = r.latest.Index, 0
 	p.next = r.latest.Index + 1
 	p.inflight = nil
 	r.send(Message{Type: MsgSnapshot, To: id, Snapshot: r.latest})
 }
 
-// ReportSnapshotFailed tells that a snapshot did not reach a replica; it is sent again later.
+// ReportSnapshotFailed tells that a snapshot did not reach a replica; it is sent again
+// once the replica shows a sign of life.
 func (r *Raft) ReportSnapshotFailed(id ID) {
 	if p := r.progress[id]; p != nil && p.snapshotAt != 0 {
-		p.snapshotAt = 0
-		p.rejected(p.match + 1)
-		p.paused = true
+		p.snapshotLost()
+	}
+}
+
+// ReportSnapshotProgress tells that a snapshot on its way to a replica made headway.
+// Without it a snapshot counts as lost after Config.SnapshotTicks.
+func (r *Raft) ReportSnapshotProgress(id ID) {
+	if p := r.progress[id]; p != nil {
+		p.snapshotTicks = 0
 	}
 }
 
@@ -135,7 +143,8 @@
 }
 
 func (r *Raft) handleAppendReject(m Message, p *progress) {
-	if m.LogIndex <= p.match {
+	stale := m.LogIndex <= p.match || p.probing && m.LogIndex != p.next-1
+	if stale {
 		return
 	}
 	next := m.HintIndex + 1
@@ -205,14 +214,15 @@
 
 func (r *Raft) broadcastHeartbeat(context uint64) {
 	for _, id := range r.others() {
-		commit := min(r.progress[id].match, r.log.committed)
-		r.send(Message{Type: MsgHeartbeat, To: id, Commit: commit, Context: context})
+		p := r.progress[id]
+		r.send(Message{Type: MsgHeartbeat, To: id, Commit: min(p.match, r.log.committed),
+			Context: context, Number: p.sends})
 	}
 }
 
 func (r *Raft) handleHeartbeat(m Message) {
 	r.log.commitTo(m.Commit)
-	r.send(Message{Type: MsgHeartbeatReply, To: m.From, Context: m.Context, LogIndex: r.log.lastIndex()})
+	r.send(Message{Type: MsgHeartbeatReply, To: m.From, Context: m.Context, Number: m.Number})
 }
 
 func (r *Raft) handleHeartbeatReply(m Message) {
@@ -220,11 +230,7 @@
 	if p == nil {
 		return
 	}
-	p.paused = false
-	if len(p.inflight) > 0 && m.LogIndex < p.inflight[0] {
-		// The first unacknowledged append was lost on the way.
-		p.rejected(p.match + 1)
-	}
+	p.heartbeatAcked(m.Number)
 	r.confirmReads(m.From, m.Context)
 	r.sendAppends(m.From)
 }
@@ -238,6 +244,12 @@
 		r.send(Message{Type: MsgAppendReply, To: m.From, LogIndex: r.log.committed})
 		return
 	}
+	if r.log.matches(s.Index, s.Term) {
+		// The entries after the snapshot may have been acknowledged; they stay.
+		r.log.commitTo(s.Index)
+		r.send(Message{Type: MsgAppendReply, To: m.From, LogIndex: s.Index})
+		return
+	}
 	r.log.restore(s)
 	r.members = s.Members
 	r.memberIndex, r.memberTerm = s.Index, s.Term
@@ -247,16 +259,19 @@
 	r.send(Message{Type: MsgAppendReply, To: m.From, LogIndex: s.Index})
 }
 
-// Compact drops the log up to the snapshot, which the owner has made durable.
-// The snapshot's position and members come from SnapshotMeta; its data is not kept.
-func (r *Raft) Compact(s *Snapshot) error {
+// Compact tells that the owner has made a snapshot durable, and drops the log up to it
+// but for about keepBytes of entry data, which spare replicas that lag a little a whole
+// snapshot. The snapshot's position and members come from SnapshotMeta; its data is not
+// kept. ErrCompacted means that a newer snapshot has come in since.
+func (r *Raft) Compact(s *Snapshot, keepBytes int) error {
 	if s.Index > r.log.applied {
-		return ErrBadChange
+		return ErrNotApplied
 	}
-	if err := r.log.compact(s.Index); err != nil {
-		return err
+	if r.latest != nil && s.Index <= r.latest.Index {
+		return ErrCompacted
 	}
 	r.latest = &Snapshot{Index: s.Index, Term: s.Term, Members: s.Members}
+	r.log.compact(r.log.tailStart(s.Index, keepBytes))
 	return nil
 }
 
--- a/raft/types.go
+++ b/raft/types.go
@@ -18,6 +18,8 @@
 	ErrBadChange = errors.New("raft: membership change does not apply")
 	// ErrTransferring is returned for proposals while leadership is being handed over.
 	ErrTransferring = errors.New("raft: leadership transfer in progress")
+	// ErrNotApplied is returned for a snapshot of entries that are not applied yet.
+	ErrNotApplied = errors.New("raft: index is not applied")
 	// ErrCompacted is returned when a requested index precedes the log.
 	ErrCompacted = errors.New("raft: index is compacted")
 )
@@ -104,7 +106,9 @@
 	HintIndex uint64
 	HintTerm  uint64
 	// Context pairs heartbeats with read requests; in votes it is non-zero for a forced election.
-	Context  uint64
+	Context uint64
+	// Number pairs heartbeats and their replies with the last append sent before them.
+	Number   uint64
 	Entries  []Entry
 	Snapshot *Snapshot
 }
@@ -117,6 +121,9 @@
 
 // Ready is what the owner has to persist, send and apply, in this order.
 type Ready struct {
+	// Early holds messages of a leader that need not wait until this Ready is durable:
+	// they may be sent before, so that the leader's sync overlaps those of the followers.
+	Early     []Message
 	HardState HardState
 	// MustSync is set when HardState, Entries or Snapshot have to be synced.
 	MustSync  bool
--- a/replica/node.go
+++ b/replica/node.go
@@ -57,6 +57,9 @@
 	TickInterval time.Duration
 	// SnapshotEntries is the number of applied entries after which a snapshot is taken.
 	SnapshotEntries uint64
+	// KeepBytes is the amount of entry data that stays in memory after a snapshot, for
+	// replicas that lag a little.
+	KeepBytes int
 	// QueueLength bounds waiting calls and messages.
 	QueueLength int
 }
@@ -68,6 +71,7 @@
 			MaxAppendBytes: 1 << 20, Seed: seed},
 		TickInterval:    50 * time.Millisecond,
 		SnapshotEntries: 20_000,
+		KeepBytes:       8 << 20,
 		QueueLength:     4096,
 	}
 }
@@ -232,6 +236,7 @@
 func (n *Node[R]) process() {
 	for n.failure == nil && n.raft.HasReady() {
 		rd := n.raft.Ready()
+		n.sendAll(rd.Early)
 		if n.failure = n.persist(rd); n.failure != nil {
 			return
 		}
@@ -389,7 +394,7 @@
 		return
 	}
 	n.snapshotted = n.applied
-	if err := n.raft.Compact(&s); err != nil {
+	if err := n.raft.Compact(&s, n.cfg.KeepBytes); err != nil {
 		panic("replica: " + err.Error())
 	}
 }
