--- a/control/decide.go
+++ b/control/decide.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"maps"
 	"slices"
 	"time"
 
@@ -91,6 +90,11 @@
 }
 
 func liveJobs(st *state.State) []state.JobID {
-	ids := slices.Sorted(maps.Keys(st.Jobs()))
-	return slices.DeleteFunc(ids, func(id state.JobID) bool { return st.Job(id).State == lifecycle.JobEnded })
+	var ids []state.JobID
+	for id, j := range st.Jobs() {
+		if j.State != lifecycle.JobEnded {
+			ids = append(ids, id)
+		}
+	}
+	return ids
 }
--- a/control/machine.go
+++ b/control/machine.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"bytes"
+
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
 	"github.com/bulrushwinch/bulrushwinch/state"
 	"google.golang.org/protobuf/proto"
@@ -24,4 +26,4 @@
 func (m Machine) Snapshot() []byte { return m.State.Snapshot() }
 
 // Restore implements replica.Machine.
-func (m Machine) Restore(data []byte) error { return m.State.Restore(data) }
+func (m Machine) Restore(data []byte) error { return m.State.Restore(bytes.NewReader(data)) }
--- a/state/cancel.go
+++ b/state/cancel.go
@@ -1,8 +1,6 @@
 package state
 
 import (
-	"slices"
-
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
@@ -28,17 +26,12 @@
 }
 
 func (s *State) liveRequests(team, queue string) []string {
-	var jobs []JobID
-	for id, j := range s.jobs {
-		if j.Team == team && j.Queue == queue && j.State != lifecycle.JobEnded {
-			jobs = append(jobs, id)
+	var ids []string
+	for _, id := range sortedKeys(s.liveByQueue[queue]) {
+		if j := s.liveByQueue[queue][id]; j.Team == team {
+			ids = append(ids, j.RequestID)
 		}
 	}
-	slices.Sort(jobs)
-	ids := make([]string, len(jobs))
-	for i, id := range jobs {
-		ids[i] = s.jobs[id].RequestID
-	}
 	return ids
 }
 
@@ -48,7 +41,7 @@
 	if !ValidName(key.ID) {
 		return notRun(apiv1.Reason_REASON_BAD_REQUEST, "request_id must have 1 to %d printable characters", maxNameBytes)
 	}
-	known := s.requests[key]
+	known := s.Request(key)
 	if known == nil {
 		s.remember(&Request{Key: key, Refusal: cancelled("cancelled before it arrived")})
 		return undetermined(apiv1.Reason_REASON_NOT_FOUND,
@@ -57,7 +50,7 @@
 	if known.Refusal != nil {
 		return known.Refusal
 	}
-	j := s.jobs[known.Job]
+	j := s.jobs.get(known.Job)
 	if j == nil {
 		return undetermined(apiv1.Reason_REASON_IDENTITY_TOO_OLD, "the job ended and is no longer remembered")
 	}
@@ -75,8 +68,8 @@
 	if j.State == lifecycle.JobEnded || j.State == lifecycle.JobCancelling {
 		return
 	}
-	j.Outcome = cause
 	s.fireJob(j, lifecycle.JobCancel)
+	j.Outcome = cause
 	end := cause
 	if end == nil {
 		end = cancelled("cancelled before it was on any upstream")
@@ -92,19 +85,22 @@
 	}
 }
 
-// stop asks for the end of live attempts.
+// stop asks for the end of live attempts. A pending checkpoint may be turned into a plain
+// stop, not the other way.
 func (s *State) stop(c *peerv1.Stop) bool {
 	changed := false
 	for _, r := range c.GetTasks() {
-		if t := s.task(RefFromProto(r)); t != nil && t.Live() {
-			s.stopTask(t, c.GetCheckpoint())
-			changed = true
+		t := s.task(RefFromProto(r))
+		if t == nil || !t.Live() || t.State == lifecycle.TaskStopping && (c.GetCheckpoint() || !t.Checkpointing) {
+			continue
 		}
+		s.stopTask(t, c.GetCheckpoint())
+		changed = true
 	}
 	return changed
 }
 
-func (s *State) stopAll(j *Job, _ string) {
+func (s *State) stopAll(j *Job) {
 	for i := range j.Tasks {
 		if t := &j.Tasks[i]; t.Live() && t.State != lifecycle.TaskStopping {
 			s.stopTask(t, false)
@@ -134,7 +130,7 @@
 
 // refuse ends a waiting job that the scheduler found hopeless or late.
 func (s *State) refuse(c *peerv1.Refuse) bool {
-	j := s.jobs[JobID(c.GetJobId())]
+	j := s.jobs.get(JobID(c.GetJobId()))
 	if j == nil || j.State != lifecycle.JobWaiting {
 		return false
 	}
--- a/state/change.go
+++ b/state/change.go
@@ -25,11 +25,15 @@
 		return s.changedBefore(known, digest)
 	}
 	response := s.decideChange(req)
-	s.operations[req.GetOperationId()] = &Operation{ID: req.GetOperationId(), Digest: digest, Response: response, DecidedNS: s.nowNS}
-	s.operationOrder = append(s.operationOrder, req.GetOperationId())
+	s.addOperation(&Operation{ID: req.GetOperationId(), Digest: digest, Response: response, DecidedNS: s.nowNS})
 	return response
 }
 
+func (s *State) addOperation(o *Operation) {
+	s.operations[o.ID] = o
+	s.operationOrder = append(s.operationOrder, o)
+}
+
 func changeDigest(req *apiv1.ChangeRequest) string {
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(req)
 	if err != nil {
@@ -97,6 +101,8 @@
 		return s.deleteQueue(c.DeleteQueue)
 	case *apiv1.ChangeRequest_PutFailureDomain:
 		return s.putDomain(c.PutFailureDomain)
+	case *apiv1.ChangeRequest_Replica:
+		return s.acceptReplicaChange(req.GetOperationId(), c.Replica)
 	}
 	return notRun(apiv1.Reason_REASON_BAD_REQUEST, "the request holds no change")
 }
@@ -132,10 +138,8 @@
 	if t == nil {
 		return notRun(apiv1.Reason_REASON_NOT_FOUND, "team %q does not exist", name)
 	}
-	for _, j := range s.jobs {
-		if j.Team == name {
-			return notRun(apiv1.Reason_REASON_IN_USE, "team %q still has jobs", name)
-		}
+	if t.Waiting+t.Running > 0 {
+		return notRun(apiv1.Reason_REASON_IN_USE, "team %q still has %d tasks that have not ended", name, t.Waiting+t.Running)
 	}
 	for _, q := range s.queues {
 		if q.Team == name {
@@ -214,6 +218,9 @@
 	if s.queues[name] == nil {
 		return notRun(apiv1.Reason_REASON_NOT_FOUND, "queue %q does not exist", name)
 	}
+	if n := len(s.liveByQueue[name]); n > 0 {
+		return notRun(apiv1.Reason_REASON_IN_USE, "queue %q still has %d jobs that have not ended", name, n)
+	}
 	delete(s.queues, name)
 	return nil
 }
--- a/state/place.go
+++ b/state/place.go
@@ -32,7 +32,7 @@
 
 // groupLength returns how many leading placements stand or fall together.
 func (s *State) groupLength(list []*peerv1.Placement) int {
-	j := s.jobs[JobID(list[0].GetJobId())]
+	j := s.jobs.get(JobID(list[0].GetJobId()))
 	if j == nil || !j.Gang() {
 		return 1
 	}
@@ -43,10 +43,11 @@
 	return n
 }
 
-// placeGroup takes all placements or none, and returns the first reason against one.
+// placeGroup takes all placements or none, and returns the first reason against one. A
+// gang is placed as a whole: with all of its tasks that have not ended.
 func (s *State) placeGroup(group []*peerv1.Placement) PlaceReason {
-	first := s.jobs[JobID(group[0].GetJobId())]
-	if first != nil && first.Gang() && len(group) != len(first.Tasks) {
+	first := s.jobs.get(JobID(group[0].GetJobId()))
+	if first != nil && first.Gang() && len(group) != first.unended {
 		return PlaceGangPartial
 	}
 	for i, p := range group {
@@ -107,6 +108,7 @@
 
 // attach reserves capacity for a waiting task.
 func (s *State) attach(t *Task, u *Upstream, reserved resource.Vector) {
+	s.touch(t.Job)
 	s.fire(t, lifecycle.TaskPlace)
 	t.Upstream, t.Reserved = u, reserved
 	u.Used = u.Used.Add(reserved)
@@ -115,20 +117,21 @@
 	team.Used = team.Used.Add(reserved)
 	team.Waiting--
 	team.Running++
-	t.Job.live++
+	t.Job.placed++
 	s.fireJob(t.Job, lifecycle.JobPlaced)
 	s.checkUpstream(u)
 }
 
 // detach frees a live task's capacity; the task must then be requeued or finished.
 func (s *State) detach(t *Task) {
+	s.touch(t.Job)
 	u, team := t.Upstream, s.teams[t.Job.Team]
 	u.Used = u.Used.Sub(t.Reserved)
 	delete(u.Tasks, t.Ref())
 	team.Used = team.Used.Sub(t.Reserved)
 	team.Running--
 	team.Waiting++
-	t.Job.live--
+	t.Job.placed--
 	t.Upstream, t.Reserved = nil, resource.Vector{}
 	t.Checkpointing = false
 	s.checkUpstream(u)
@@ -136,12 +139,14 @@
 
 // fire moves a task; the machine refusing it is a broken invariant.
 func (s *State) fire(t *Task, trigger lifecycle.TaskTrigger) {
+	s.touch(t.Job)
 	if err := lifecycle.Task.Fire(&t.State, trigger); err != nil {
 		panic("state: task: " + err.Error())
 	}
 }
 
 func (s *State) fireJob(j *Job, trigger lifecycle.JobTrigger) {
+	s.touch(j)
 	if err := lifecycle.Job.Fire(&j.State, trigger); err != nil {
 		panic("state: job: " + err.Error())
 	}
--- /dev/null
+++ b/state/promises_test.go
@@ -0,0 +1,438 @@
+package state
+
+import (
+	"strings"
+	"testing"
+	"time"
+
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/resource"
+)
+
+const (
+	batchPolicy   = apiv1.Policy_POLICY_BATCH
+	servicePolicy = apiv1.Policy_POLICY_SERVICE
+	gangPolicy    = apiv1.Policy_POLICY_GANG
+	succeeded     = apiv1.ReportState_REPORT_STATE_SUCCEEDED
+	failedReport  = apiv1.ReportState_REPORT_STATE_FAILED
+	stoppedReport = apiv1.ReportState_REPORT_STATE_STOPPED
+	undecided     = apiv1.OutcomeKind_OUTCOME_KIND_UNDETERMINED
+	neverRun      = apiv1.OutcomeKind_OUTCOME_KIND_NOT_RUN
+)
+
+// TestPlacementChecks proposes one placement that breaks one promise.
+func TestPlacementChecks(t *testing.T) {
+	over := func(d resource.Dimension, amount int64) func(*world, *Task) *peerv1.Placement {
+		return func(_ *world, task *Task) *peerv1.Placement {
+			v := oneSlot
+			v[d] = amount
+			return placement(task, "u-d1", v)
+		}
+	}
+	after := func(f func(*world)) func(*world, *Task) *peerv1.Placement {
+		return func(w *world, task *Task) *peerv1.Placement {
+			f(w)
+			return placement(task, "u-d1", oneSlot)
+		}
+	}
+	altered := func(f func(*peerv1.Placement)) func(*world, *Task) *peerv1.Placement {
+		return func(_ *world, task *Task) *peerv1.Placement {
+			p := placement(task, "u-d1", oneSlot)
+			f(p)
+			return p
+		}
+	}
+	cases := map[string]struct {
+		make func(*world, *Task) *peerv1.Placement
+		want PlaceReason
+	}{
+		"fits":                 {over(resource.Slots, 4), ""},
+		"cores":                {over(resource.Cores, 4001), PlaceOverCapacity},
+		"memory":               {over(resource.Memory, 4<<30+1), PlaceOverCapacity},
+		"accelerators":         {over(resource.Accelerators, 2), PlaceOverCapacity},
+		"slots":                {over(resource.Slots, 5), PlaceOverCapacity},
+		"connections":          {over(resource.Connections, 9), PlaceOverCapacity},
+		"negative amount":      {over(resource.Memory, -1), PlaceBelowDeclared},
+		"no slot":              {over(resource.Slots, 0), PlaceBelowDeclared},
+		"stale incarnation":    {altered(func(p *peerv1.Placement) { p.Incarnation = 9 }), PlaceUpstreamGone},
+		"unknown upstream":     {altered(func(p *peerv1.Placement) { p.Upstream = "none" }), PlaceUpstreamGone},
+		"older attempt":        {altered(func(p *peerv1.Placement) { p.Attempt = 0 }), PlaceTaskGone},
+		"later attempt":        {altered(func(p *peerv1.Placement) { p.Attempt = 2 }), PlaceTaskGone},
+		"no such task":         {altered(func(p *peerv1.Placement) { p.Task = -1 }), PlaceTaskGone},
+		"domain out":           {after(func(w *world) { w.domain("d1", apiv1.DomainState_DOMAIN_STATE_OUT) }), PlaceDomainOut},
+		"lost upstream":        {after(func(w *world) { w.lose("u-d1") }), PlaceUpstreamGone},
+		"limit below use":      {after(func(w *world) { w.run(w.batch("x")); w.limitSlots("a", 1) }), PlaceOverLimit},
+		"cancelled":            {after(func(w *world) { w.cancel("job") }), PlaceTaskGone},
+		"leaving":              {after(leave), PlaceUpstreamGone},
+		"capacity lowered":     {after(lowerCapacity), PlaceOverCapacity},
+		"full of other tasks":  {after(fill), PlaceOverCapacity},
+		"backing off":          {after(func(w *world) { w.report(w.run(w.s.Job(1)), failedReport) }), PlaceTooEarly},
+		"placed by the rival":  {after(func(w *world) { w.run(w.s.Job(1)) }), PlaceTaskGone},
+		"already ended":        {after(func(w *world) { w.report(w.run(w.s.Job(1)), succeeded) }), PlaceTaskGone},
+		"domain back in again": {after(func(w *world) { w.domain("d1", apiv1.DomainState_DOMAIN_STATE_IN) }), ""},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			task := &w.batch("job").Tasks[0]
+			before := task.Attempt
+			p := c.make(w, task)
+			if name == "backing off" && task.Attempt != before+1 {
+				t.Fatalf("attempt %d after a failure", task.Attempt)
+			}
+			if name == "backing off" {
+				p.Attempt = task.Attempt
+			}
+			if why := w.place(p); why != c.want {
+				t.Fatalf("got %q, want %q", why, c.want)
+			}
+			w.recount()
+		})
+	}
+}
+
+func leave(w *world) {
+	w.apply(&peerv1.Command{Command: &peerv1.Command_Leaving{Leaving: &peerv1.Leaving{Upstream: "u-d1", Incarnation: 1}}})
+}
+
+func lowerCapacity(w *world) {
+	w.run(w.batch("x"))
+	w.announceAs(&apiv1.AnnounceRequest{Upstream: "u-d1", Incarnation: 1, FailureDomain: "d1", Rack: "r", Vm: "vm-u-d1",
+		Capacity: &apiv1.Resources{Slots: 1, Connections: 8}})
+}
+
+func fill(w *world) {
+	for _, id := range []string{"p", "q", "r", "s"} {
+		w.run(w.batch(id))
+	}
+}
+
+// TestOneUpstreamPerVM covers the ways in which two upstreams could share a VM, or one
+// name stand for two of them.
+func TestOneUpstreamPerVM(t *testing.T) {
+	w := newWorld(t)
+	req := func(name string, inc uint64, vm, domain string) *apiv1.AnnounceRequest {
+		return &apiv1.AnnounceRequest{Upstream: name, Incarnation: inc, FailureDomain: domain, Rack: "r", Vm: vm, Capacity: &apiv1.Resources{Slots: 1}}
+	}
+	steps := []struct {
+		name string
+		req  *apiv1.AnnounceRequest
+		want apiv1.Reason
+	}{
+		{"VM of another", req("u2", 1, "vm-u-d1", "d1"), apiv1.Reason_REASON_IN_USE},
+		{"name from another VM", req("u-d1", 2, "vm-other", "d1"), apiv1.Reason_REASON_IN_USE},
+		{"same incarnation in another domain", req("u-d1", 1, "vm-u-d1", "d2"), apiv1.Reason_REASON_BAD_REQUEST},
+		{"unknown domain", req("u3", 1, "vm-3", "nowhere"), apiv1.Reason_REASON_BAD_REQUEST},
+		{"older incarnation", req("u-d1", 0, "vm-u-d1", "d1"), apiv1.Reason_REASON_BAD_REQUEST},
+		{"newer incarnation", req("u-d1", 3, "vm-u-d1", "d1"), 0},
+		{"stale incarnation", req("u-d1", 2, "vm-u-d1", "d1"), apiv1.Reason_REASON_STALE_INCARNATION},
+	}
+	for _, s := range steps {
+		if got := w.announceAs(s.req); got.GetReason() != s.want {
+			t.Errorf("%s: %v", s.name, got)
+		}
+	}
+	w.lose("u-d2")
+	if got := w.announceAs(req("u2", 1, "vm-u-d2", "d2")); got.GetReason() != 0 {
+		t.Errorf("VM of a lost upstream: %v", got)
+	}
+	if got := w.announce("u-d2", 2, "d2"); got.GetReason() != apiv1.Reason_REASON_IN_USE {
+		t.Errorf("return to a VM taken over: %v", got)
+	}
+}
+
+// TestAdmission checks who may hand in what, and that "not run" stays true.
+func TestAdmission(t *testing.T) {
+	w := newWorld(t)
+	withdraw := &apiv1.ChangeRequest{Change: &apiv1.ChangeRequest_WithdrawKey{WithdrawKey: "caller-a"}}
+	submit := func(key, queue, id string, first bool) *apiv1.Outcome {
+		req := request(id, batchPolicy, 1, true)
+		req.Queue, req.FirstSend = queue, first
+		return w.submitAs(key, req).GetOutcome()
+	}
+	check := func(got *apiv1.Outcome, kind apiv1.OutcomeKind, reason apiv1.Reason) {
+		t.Helper()
+		if got.GetKind() != kind || got.GetReason() != reason {
+			t.Errorf("got %v, want %v %v", got, kind, reason)
+		}
+	}
+	taken := apiv1.OutcomeKind_OUTCOME_KIND_ACCEPTED
+	check(submit("caller-a", "queue-a", "1", true), taken, 0)
+	check(submit("caller-a", "shared", "2", true), taken, 0)
+	check(submit("", "open", "3", true), taken, 0)
+	check(submit("", "queue-a", "4", true), neverRun, apiv1.Reason_REASON_KEY_UNKNOWN)
+	check(submit("caller-a", "queue-b", "5", true), neverRun, apiv1.Reason_REASON_KEY_OF_ANOTHER_TEAM)
+	check(submit("operator", "queue-a", "6", true), neverRun, apiv1.Reason_REASON_NOT_PERMITTED)
+	check(submit("caller-a", "none", "7", true), neverRun, apiv1.Reason_REASON_QUEUE_UNKNOWN)
+	check(submit("caller-a", "none", "7", false), undecided, apiv1.Reason_REASON_QUEUE_UNKNOWN)
+	if w.s.Job(3).Team != "b" {
+		t.Errorf("work of the open queue counts for %q", w.s.Job(3).Team)
+	}
+	w.must(withdraw)
+	check(submit("caller-a", "queue-a", "8", true), neverRun, apiv1.Reason_REASON_KEY_WITHDRAWN)
+	check(submit("caller-a", "queue-a", "1", true), undecided, apiv1.Reason_REASON_KEY_WITHDRAWN)
+	if r := w.change(&apiv1.ChangeRequest{Change: &apiv1.ChangeRequest_GrantKey{GrantKey: &apiv1.GrantKey{KeyId: "new", Team: "a",
+		KeySha256: keyHash("caller-a"), Role: apiv1.KeyRole_KEY_ROLE_CALLER}}}); r.GetApplied() {
+		t.Error("a withdrawn key was granted again")
+	}
+}
+
+func TestRequestIdentity(t *testing.T) {
+	w := newWorld(t)
+	req := request("one", batchPolicy, 1, true)
+	first := w.submitAs("caller-a", req)
+	again := w.submitAs("caller-a", req)
+	if again.GetJobId() != first.GetJobId() || !again.GetResent() {
+		t.Errorf("a resend got %v after %v", again, first)
+	}
+	if got := w.submitAs("caller-a", request("one", batchPolicy, 2, true)).GetOutcome(); got.GetReason() != apiv1.Reason_REASON_IDENTITY_REUSED || got.GetKind() != undecided {
+		t.Errorf("another body got %v", got)
+	}
+	w.limitSlots("a", 1)
+	refused := w.submitAs("caller-a", request("big", gangPolicy, 2, true)).GetOutcome()
+	w.limitSlots("a", 8)
+	if got := w.submitAs("caller-a", request("big", gangPolicy, 2, true)).GetOutcome(); got.GetReason() != refused.GetReason() || got.GetKind() != neverRun {
+		t.Errorf("a refusal %v was followed by %v", refused, got)
+	}
+	if got := w.cancel("later"); got.GetKind() != undecided {
+		t.Errorf("cancel of an unknown identity: %v", got)
+	}
+	if got := w.submitAs("caller-a", request("later", batchPolicy, 1, true)); got.GetJobId() != 0 {
+		t.Error("a submission ran after its cancellation")
+	}
+	if got := w.submitAs("caller-a", request(strings.Repeat("x", 500), batchPolicy, 1, true)).GetOutcome(); got.GetReason() != apiv1.Reason_REASON_BAD_REQUEST {
+		t.Errorf("a long identity got %v", got)
+	}
+	w.now = w.now.Add(w.s.settings.Retention)
+	if got := w.submitAs("caller-a", request("old", batchPolicy, 1, true)).GetOutcome(); got.GetReason() != apiv1.Reason_REASON_IDENTITY_TOO_OLD || got.GetKind() != undecided {
+		t.Errorf("an old identity got %v", got)
+	}
+}
+
+// TestSweep forgets what is old, whatever runs on, and nothing that is live.
+func TestSweep(t *testing.T) {
+	w := newWorld(t)
+	live := w.run(w.submit(request("service", servicePolicy, 1, true)))
+	w.report(w.run(w.batch("done")), succeeded)
+	w.cancel("unknown")
+	w.lose("u-d2")
+	w.must(&apiv1.ChangeRequest{OperationId: "old", Change: &apiv1.ChangeRequest_PutQueue{PutQueue: &apiv1.Queue{Name: "extra"}}})
+	w.now = w.now.Add(w.s.settings.Retention + time.Second)
+	w.sweep()
+	if len(w.s.identities) != 1 || w.s.jobs.count != 1 || len(w.s.operations) != 0 || w.s.Upstream("u-d2") != nil {
+		t.Errorf("kept %d identities, %d jobs, %d operations", len(w.s.identities), w.s.jobs.count, len(w.s.operations))
+	}
+	resend := request("service", servicePolicy, 1, true)
+	if got := w.submitAs("caller-a", resend); JobID(got.GetJobId()) != live.Job.ID {
+		t.Errorf("a resend of the live service got %v", got)
+	}
+	w.recount()
+}
+
+func TestDeletedTeamKeepsItsOutcomes(t *testing.T) {
+	w := newWorld(t)
+	task := w.run(w.batch("done"))
+	w.must(&apiv1.ChangeRequest{Change: &apiv1.ChangeRequest_DeleteQueue{DeleteQueue: "queue-b"}})
+	del := &apiv1.ChangeRequest{Change: &apiv1.ChangeRequest_DeleteTeam{DeleteTeam: "a"}}
+	delQueue := &apiv1.ChangeRequest{Change: &apiv1.ChangeRequest_DeleteQueue{DeleteQueue: "queue-a"}}
+	if w.change(delQueue).GetApplied() || w.change(del).GetApplied() {
+		t.Fatal("deleted while a job was live")
+	}
+	w.report(task, succeeded)
+	delQueue.OperationId, del.OperationId = "", ""
+	w.must(delQueue)
+	w.must(del)
+	restored := New(Settings{})
+	if err := restored.Restore(strings.NewReader(string(w.s.Snapshot()))); err != nil {
+		t.Fatal(err)
+	}
+	if restored.Job(task.Job.ID).Outcome.GetKind() != apiv1.OutcomeKind_OUTCOME_KIND_ANSWERED {
+		t.Error("the outcome was lost")
+	}
+}
+
+// TestLostAttempts checks at-most-once through the loss of an upstream, by every proof.
+func TestLostAttempts(t *testing.T) {
+	never := func(w *world, task *Task) { w.lose("u-d1", task.Ref()) }
+	lose := func(w *world, _ *Task) { w.lose("u-d1") }
+	anew := func(w *world, _ *Task) { w.announce("u-d1", 2, "d1") }
+	missing := func(w *world, task *Task) {
+		w.apply(&peerv1.Command{Command: &peerv1.Command_Report{Report: &peerv1.Report{Upstream: "u-d1", Incarnation: 1,
+			Missing: []*apiv1.TaskRef{task.Ref().Proto()}}}})
+	}
+	cases := map[string]struct {
+		repeatable, running bool
+		loss                func(*world, *Task)
+		again               bool
+	}{
+		"repeatable":                {true, true, lose, true},
+		"once, running":             {false, true, lose, false},
+		"once, placed":              {false, false, lose, false},
+		"once, never handed out":    {false, false, never, true},
+		"once, running by report":   {false, true, never, false},
+		"once, new incarnation":     {false, true, anew, false},
+		"repeatable, no longer had": {true, true, missing, true},
+		"once, no longer had":       {false, true, missing, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t)
+			task := &w.submit(request("job", batchPolicy, 1, c.repeatable)).Tasks[0]
+			w.place(placement(task, "u-d1", oneSlot))
+			if c.running {
+				w.report(task, apiv1.ReportState_REPORT_STATE_RUNNING)
+			}
+			c.loss(w, task)
+			if c.again && (task.State != lifecycle.TaskWaiting || task.Attempt != 2) {
+				t.Errorf("state %s, attempt %d", task.State, task.Attempt)
+			}
+			if !c.again && task.Outcome.GetKind() != undecided {
+				t.Errorf("state %s, outcome %v", task.State, task.Outcome)
+			}
+			w.recount()
+		})
+	}
+}
+
+func TestLateReportsOfOlderAttempts(t *testing.T) {
+	w := newWorld(t)
+	task := w.run(w.batch("job"))
+	old := task.Ref()
+	w.lose("u-d1")
+	w.place(placement(task, "u-d2", oneSlot))
+	w.reportAs("u-d2", &apiv1.TaskReport{Task: old.Proto(), State: succeeded, Answer: answerOf("late")})
+	if task.State != lifecycle.TaskPlaced || task.Answer != nil {
+		t.Errorf("an older attempt's answer was taken: %s", task.State)
+	}
+}
+
+func TestGang(t *testing.T) {
+	w := newWorld(t)
+	j := w.submit(request("gang", gangPolicy, 3, true))
+	all := func(on ...string) (list []*peerv1.Placement) {
+		for i := range j.Tasks {
+			if j.Tasks[i].State == lifecycle.TaskWaiting {
+				list = append(list, placement(&j.Tasks[i], on[i%len(on)], oneSlot))
+			}
+		}
+		return list
+	}
+	if why := w.place(all("u-d1")[:2]...); why != PlaceGangPartial {
+		t.Errorf("a partial gang got %q", why)
+	}
+	two := all("u-d1")
+	two[2] = two[0]
+	if why := w.place(two...); why != PlaceTaskGone {
+		t.Errorf("a doubled member got %q", why)
+	}
+	if why := w.place(all("u-d1", "none")...); why != PlaceUpstreamGone || w.s.Team("a").Running != 0 {
+		t.Errorf("one member without an upstream: %q, %d running", why, w.s.Team("a").Running)
+	}
+	if why := w.place(all("u-d1", "u-d2")...); why != "" {
+		t.Fatalf("the whole gang got %q", why)
+	}
+	for i := range j.Tasks {
+		w.report(&j.Tasks[i], apiv1.ReportState_REPORT_STATE_RUNNING)
+	}
+	w.report(&j.Tasks[0], succeeded)
+	w.report(&j.Tasks[1], failedReport)
+	if j.Tasks[2].State != lifecycle.TaskStopping {
+		t.Errorf("the gang goes on without a member: %s", j.Tasks[2].State)
+	}
+	w.report(&j.Tasks[2], stoppedReport)
+	w.now = w.now.Add(time.Minute)
+	if why := w.place(all("u-d1", "u-d2")...); why != "" {
+		t.Errorf("the rest of the gang got %q", why)
+	}
+	w.recount()
+}
+
+func TestServiceRestartsWithoutEnd(t *testing.T) {
+	w := newWorld(t)
+	j := w.submit(request("service", servicePolicy, 1, true))
+	for i := range 20 {
+		task := w.run(j)
+		w.report(task, []apiv1.ReportState{failedReport, succeeded}[i%2])
+		delay := time.Duration(task.NotBeforeNS - w.now.UnixNano())
+		if task.State != lifecycle.TaskWaiting || delay <= 0 || delay > w.s.settings.ServiceBackoffMax {
+			t.Fatalf("after end %d: %s, restart in %s", i, task.State, delay)
+		}
+		w.now = w.now.Add(delay)
+	}
+	w.cancel("service")
+	once := w.run(w.submit(request("once", servicePolicy, 1, false)))
+	if w.report(once, succeeded); once.State != lifecycle.TaskEnded {
+		t.Errorf("a service that may not be repeated is %s", once.State)
+	}
+}
+
+// TestCheckpoint keeps a task that may not be repeated from starting anew.
+func TestCheckpoint(t *testing.T) {
+	for name, c := range map[string]struct {
+		answer *apiv1.Answer
+		want   lifecycle.TaskState
+	}{
+		"whole": {answerOf("half done"), lifecycle.TaskWaiting},
+		"torn":  {&apiv1.Answer{Body: []byte("half"), Length: 9}, lifecycle.TaskEnded},
+	} {
+		w := newWorld(t)
+		task := w.run(w.submit(request("once", batchPolicy, 1, false)))
+		w.reportAs("u-d1", &apiv1.TaskReport{Task: task.Ref().Proto(), State: apiv1.ReportState_REPORT_STATE_CHECKPOINTED, Answer: c.answer})
+		if task.State != c.want {
+			t.Errorf("%s: %s", name, task.State)
+		}
+	}
+}
+
+// TestAnswerWins lets the end of a task and its cancellation cross.
+func TestAnswerWins(t *testing.T) {
+	w := newWorld(t)
+	task := w.run(w.batch("job"))
+	w.cancel("job")
+	w.report(task, succeeded)
+	if got := w.cancel("job"); got.GetKind() != apiv1.OutcomeKind_OUTCOME_KIND_ANSWERED {
+		t.Errorf("outcome %v", got)
+	}
+	second := w.run(w.batch("second"))
+	w.report(second, succeeded)
+	if acked := w.reportAs("u-d1", &apiv1.TaskReport{Task: second.Ref().Proto(), State: succeeded}); len(acked) != 1 {
+		t.Error("a repeated end is not acknowledged")
+	}
+}
+
+func TestRevisionRace(t *testing.T) {
+	w := newWorld(t)
+	base := w.s.Revision()
+	put := func(op string, share int64) *apiv1.ChangeResponse {
+		return w.change(&apiv1.ChangeRequest{OperationId: op, BaseRevision: base,
+			Change: &apiv1.ChangeRequest_PutTeam{PutTeam: &apiv1.Team{Name: "a", Share: share}}})
+	}
+	won, lost := put("first", 2), put("second", 3)
+	if !won.GetApplied() || lost.GetApplied() || lost.GetWinnerOperationId() != "first" || lost.GetRevision() != base+1 {
+		t.Errorf("winner %v, loser %v", won, lost)
+	}
+	if again := put("first", 2); !again.GetApplied() || !again.GetResent() || again.GetRevision() != won.GetRevision() {
+		t.Errorf("resend of the winner: %v", again)
+	}
+	if again := put("second", 3); again.GetApplied() || !again.GetResent() {
+		t.Errorf("resend of the loser: %v", again)
+	}
+	if reused := put("first", 4); reused.GetOutcome().GetReason() != apiv1.Reason_REASON_IDENTITY_REUSED {
+		t.Errorf("reuse of an operation: %v", reused)
+	}
+	if w.s.Team("a").Share != 2 {
+		t.Errorf("share %d in force", w.s.Team("a").Share)
+	}
+}
+
+func TestTimeNeverGoesBack(t *testing.T) {
+	w := newWorld(t)
+	w.sweep()
+	w.now = w.now.Add(-time.Hour)
+	w.sweep()
+	if !w.s.Now().Equal(start) {
+		t.Errorf("time went back to %s", w.s.Now())
+	}
+}
--- a/state/report.go
+++ b/state/report.go
@@ -28,6 +28,11 @@
 			acknowledged = append(acknowledged, ref)
 		}
 	}
+	for _, r := range c.GetMissing() {
+		if t := u.Tasks[RefFromProto(r)]; t != nil {
+			s.loseTask(t, false)
+		}
+	}
 	return acknowledged
 }
 
@@ -43,6 +48,7 @@
 }
 
 func (s *State) reportOne(t *Task, r *apiv1.TaskReport) {
+	s.touch(t.Job)
 	switch r.GetState() {
 	case apiv1.ReportState_REPORT_STATE_RUNNING:
 		s.started(t)
@@ -53,10 +59,9 @@
 	case apiv1.ReportState_REPORT_STATE_STOPPED:
 		s.stopped(t)
 	case apiv1.ReportState_REPORT_STATE_CHECKPOINTED:
-		t.Checkpoint = r.GetAnswer().GetBody()
-		s.release(t, lifecycle.TaskRequeue)
+		s.checkpointed(t, r.GetAnswer())
 	case apiv1.ReportState_REPORT_STATE_REFUSED:
-		s.release(t, lifecycle.TaskRequeue)
+		s.refusedStart(t)
 	}
 }
 
@@ -69,21 +74,27 @@
 }
 
 func (s *State) succeeded(t *Task, r *apiv1.TaskReport) {
+	if s.restartService(t, r) {
+		return
+	}
 	a := r.GetAnswer()
-	if why := s.checkAnswer(a); why != "" {
+	if why := s.checkAnswer(t.Job, a); why != "" {
 		s.finishLive(t, failed(apiv1.Reason_REASON_TASK_FAILED, "the answer was refused: %s", why))
 		return
 	}
 	t.Answer = a
+	t.Job.answerBytes += len(a.GetBody())
 	s.finishLive(t, answered)
 }
 
 // checkAnswer returns why an answer is not whole, or "".
-func (s *State) checkAnswer(a *apiv1.Answer) string {
+func (s *State) checkAnswer(j *Job, a *apiv1.Answer) string {
 	sum := sha256.Sum256(a.GetBody())
 	switch {
 	case len(a.GetBody()) > s.settings.MaxAnswerBytes:
 		return "it is larger than allowed"
+	case j.answerBytes+len(a.GetBody()) > s.settings.MaxJobAnswerBytes:
+		return "the answers of the job together are larger than allowed"
 	case a.GetLength() != uint64(len(a.GetBody())):
 		return "its length does not match"
 	case !bytes.Equal(a.GetSha256(), sum[:]):
@@ -92,7 +103,54 @@
 	return ""
 }
 
+// checkpointed lets a task wait to continue from its checkpoint. Without a whole
+// checkpoint it would start anew, which only a repeatable job may.
+func (s *State) checkpointed(t *Task, a *apiv1.Answer) {
+	if s.checkAnswer(t.Job, a) != "" {
+		s.stopped(t)
+		return
+	}
+	t.Checkpoint = a.GetBody()
+	s.release(t, lifecycle.TaskRequeue)
+}
+
+// refusedStart takes back an attempt that its upstream did not start.
+func (s *State) refusedStart(t *Task) {
+	if t.State == lifecycle.TaskRunning {
+		s.stopped(t)
+		return
+	}
+	s.release(t, lifecycle.TaskRequeue)
+}
+
+// restartService lets a task of a service that ended by itself wait for its next
+// attempt, whatever the number of attempts. It reports false for all other tasks.
+func (s *State) restartService(t *Task, r *apiv1.TaskReport) bool {
+	spec := t.Job.Spec
+	if spec.GetPolicy() != apiv1.Policy_POLICY_SERVICE || !spec.GetRepeatable() || t.Job.State == lifecycle.JobCancelling {
+		return false
+	}
+	if time.Duration(r.GetRunMs())*time.Millisecond >= s.settings.ServiceStableRun {
+		t.Failures = 0
+	}
+	t.Failures++
+	t.NotBeforeNS = s.nowNS + int64(min(s.backoff(t.Failures), s.settings.ServiceBackoffMax))
+	s.release(t, lifecycle.TaskRequeue)
+	return true
+}
+
+// backoff doubles with each failure.
+func (s *State) backoff(failures int32) time.Duration {
+	return s.settings.FailureBackoff << min(failures-1, maxBackoffDoublings)
+}
+
+// maxBackoffDoublings bounds the delay between failed attempts.
+const maxBackoffDoublings = 10
+
 func (s *State) failedAttempt(t *Task, r *apiv1.TaskReport) {
+	if s.restartService(t, r) {
+		return
+	}
 	t.Failures++
 	limit := t.Job.Spec.GetMaxAttempts()
 	if limit == 0 {
@@ -104,8 +162,7 @@
 	case t.Failures >= limit:
 		s.finishLive(t, failed(apiv1.Reason_REASON_ATTEMPTS_EXHAUSTED, "failed %d times, last: %s", t.Failures, r.GetDetail()))
 	default:
-		backoff := s.settings.FailureBackoff << min(t.Failures-1, 10)
-		t.NotBeforeNS = s.nowNS + int64(backoff/time.Nanosecond)
+		t.NotBeforeNS = s.nowNS + int64(s.backoff(t.Failures))
 		s.release(t, lifecycle.TaskRequeue)
 	}
 }
@@ -130,12 +187,12 @@
 	}
 	s.fire(t, trigger)
 	t.Attempt++
-	if t.Job.live == 0 {
+	if t.Job.placed == 0 {
 		s.fireJob(t.Job, lifecycle.JobIdle)
 	}
 	s.observer.TaskChanged(t, from)
 	if t.Job.Gang() {
-		s.stopAll(t.Job, "another task of the gang left")
+		s.stopAll(t.Job)
 	}
 }
 
@@ -171,6 +228,7 @@
 	s.fireJob(j, lifecycle.JobFinish)
 	j.EndedNS = s.nowNS
 	s.endedJobs = append(s.endedJobs, j.ID)
+	s.dropFromQueue(j)
 	s.observer.JobEnded(j)
 }
 
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -1,7 +1,10 @@
 package state
 
 import (
+	"bufio"
 	"cmp"
+	"encoding/binary"
+	"io"
 	"maps"
 	"slices"
 	"time"
@@ -15,70 +18,35 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// Snapshot encodes the whole state as length-delimited StateRecords. Equal states give
-// equal bytes.
-func (s *State) Snapshot() []byte {
-	e := &recordEncoder{}
-	e.add(&peerv1.StateRecord{Record: &peerv1.StateRecord_Header{Header: &peerv1.StateHeader{
-		NowNs: s.nowNS, Revision: s.revision, NextJobId: uint64(s.nextJob), LastOperationId: s.lastOperation}}})
-	for _, name := range sortedKeys(s.teams) {
-		e.add(&peerv1.StateRecord{Record: &peerv1.StateRecord_Team{Team: s.teams[name].spec}})
-	}
-	for _, id := range sortedKeys(s.keys) {
-		e.add(&peerv1.StateRecord{Record: &peerv1.StateRecord_Key{Key: s.keys[id].Record()}})
-	}
-	for _, name := range sortedKeys(s.queues) {
-		e.add(&peerv1.StateRecord{Record: &peerv1.StateRecord_Queue{Queue: s.queues[name]}})
-	}
-	for _, name := range sortedKeys(s.domains) {
-		e.add(&peerv1.StateRecord{Record: &peerv1.StateRecord_FailureDomain{FailureDomain: s.domains[name].Proto()}})
-	}
-	for _, name := range sortedKeys(s.upstreams) {
-		e.add(&peerv1.StateRecord{Record: &peerv1.StateRecord_Upstream{Upstream: encodeUpstream(s.upstreams[name])}})
-	}
-	for _, id := range s.jobsInOrder() {
-		e.add(&peerv1.StateRecord{Record: &peerv1.StateRecord_Job{Job: encodeJob(s.jobs[id])}})
-	}
-	for _, key := range s.requestOrder {
-		if r := s.requests[key]; r != nil {
-			e.add(&peerv1.StateRecord{Record: &peerv1.StateRecord_Request{Request: encodeRequest(r)}})
-		}
-	}
-	for _, id := range s.operationOrder {
-		if o := s.operations[id]; o != nil {
-			e.add(&peerv1.StateRecord{Record: &peerv1.StateRecord_Operation{Operation: &peerv1.StateOperation{
-				OperationId: o.ID, Digest: []byte(o.Digest), Response: o.Response, DecidedNs: o.DecidedNS}}})
-		}
-	}
-	return e.data
-}
-
-// jobsInOrder lists ended jobs in the order of their end, then live jobs by number.
-func (s *State) jobsInOrder() []JobID {
-	ids := slices.Clone(s.endedJobs)
-	for _, id := range sortedKeys(s.jobs) {
-		if s.jobs[id].State != lifecycle.JobEnded {
-			ids = append(ids, id)
-		}
-	}
-	return ids
-}
-
 func sortedKeys[K cmp.Ordered, V any](m map[K]V) []K {
 	return slices.Sorted(maps.Keys(m))
 }
 
+// recordEncoder writes length-delimited records and keeps the first error.
 type recordEncoder struct {
-	data []byte
+	w       *bufio.Writer
+	scratch []byte
+	err     error
 }
 
 func (e *recordEncoder) add(r *peerv1.StateRecord) {
-	e.data = protowire.AppendVarint(e.data, uint64(proto.Size(r)))
-	data, err := proto.MarshalOptions{Deterministic: true, UseCachedSize: true}.MarshalAppend(e.data, r)
+	if e.err != nil {
+		return
+	}
+	e.scratch = protowire.AppendVarint(e.scratch[:0], uint64(proto.Size(r)))
+	data, err := proto.MarshalOptions{Deterministic: true, UseCachedSize: true}.MarshalAppend(e.scratch, r)
 	if err != nil {
 		panic("state: record can't be encoded: " + err.Error())
 	}
-	e.data = data
+	e.scratch = data
+	_, e.err = e.w.Write(data)
+}
+
+func (e *recordEncoder) flush() error {
+	if e.err != nil {
+		return e.err
+	}
+	return e.w.Flush()
 }
 
 // Record converts the key to the inner protocol.
@@ -95,19 +63,13 @@
 	return &apiv1.FailureDomain{Name: d.Name, State: st, NoticeMs: d.Notice.Milliseconds()}
 }
 
-func encodeUpstream(u *Upstream) *peerv1.StateUpstream {
-	return &peerv1.StateUpstream{State: string(u.State), LostNs: u.LostNS, Announce: &apiv1.AnnounceRequest{
-		Upstream: u.Name, Incarnation: u.Incarnation, FailureDomain: u.Domain, Rack: u.Rack, Vm: u.VM, Capacity: u.Capacity.Proto()}}
-}
-
 func encodeRequest(r *Request) *peerv1.StateRequest {
-	return &peerv1.StateRequest{Team: r.Key.Team, RequestId: r.Key.ID, JobId: uint64(r.Job),
-		Digest: []byte(r.Digest), Refusal: r.Refusal, DecidedNs: r.DecidedNS}
+	return &peerv1.StateRequest{Team: r.Key.Team, RequestId: r.Key.ID, Digest: []byte(r.Digest), Refusal: r.Refusal, DecidedNs: r.DecidedNS}
 }
 
 func encodeJob(j *Job) *peerv1.StateJob {
 	out := &peerv1.StateJob{JobId: uint64(j.ID), Team: j.Team, Queue: j.Queue, RequestId: j.RequestID, Spec: j.Spec,
-		State: string(j.State), Outcome: j.Outcome, SubmittedNs: j.SubmittedNS, StartDeadlineNs: j.StartDeadlineNS, EndedNs: j.EndedNS}
+		State: string(j.State), Outcome: j.Outcome, SubmittedNs: j.SubmittedNS, StartDeadlineNs: j.StartDeadlineNS, EndedNs: j.EndedNS, Digest: []byte(j.Digest)}
 	out.Tasks = make([]*peerv1.StateTask, len(j.Tasks))
 	for i := range j.Tasks {
 		t := &j.Tasks[i]
@@ -122,27 +84,41 @@
 	return out
 }
 
+// maxRecordBytes bounds one record of a snapshot.
+const maxRecordBytes = 1 << 30
+
 // Restore replaces the state by a snapshot. On an error the state is left empty.
-func (s *State) Restore(data []byte) error {
+func (s *State) Restore(r io.Reader) error {
 	s.clear()
-	for len(data) > 0 {
-		size, n := protowire.ConsumeVarint(data)
-		if n < 0 || size > uint64(len(data)-n) {
-			s.clear()
-			return errors.New("state: snapshot is cut short")
+	if err := s.restoreAll(bufio.NewReaderSize(r, captureBufferBytes)); err != nil {
+		s.clear()
+		return errors.Wrap(err, "state: snapshot")
+	}
+	return nil
+}
+
+func (s *State) restoreAll(r *bufio.Reader) error {
+	var buffer []byte
+	for {
+		size, err := binary.ReadUvarint(r)
+		if err == io.EOF {
+			return nil
 		}
-		r := &peerv1.StateRecord{}
-		err := proto.Unmarshal(data[n:n+int(size)], r)
-		if err == nil {
-			err = s.restoreRecord(r)
+		if err != nil || size > maxRecordBytes {
+			return errors.New("damaged length of a record")
 		}
-		if err != nil {
-			s.clear()
-			return errors.Wrap(err, "state: snapshot record")
+		buffer = slices.Grow(buffer[:0], int(size))[:size]
+		if _, err := io.ReadFull(r, buffer); err != nil {
+			return errors.Wrap(err, "record is cut short")
+		}
+		record := &peerv1.StateRecord{}
+		if err := proto.Unmarshal(buffer, record); err != nil {
+			return err
+		}
+		if err := s.restoreRecord(record); err != nil {
+			return err
 		}
-		data = data[n+int(size):]
 	}
-	return nil
 }
 
 func (s *State) restoreRecord(r *peerv1.StateRecord) error {
@@ -166,13 +142,14 @@
 		return s.restoreJob(r.Job)
 	case *peerv1.StateRecord_Request:
 		q := r.Request
-		key := RequestKey{q.Team, q.RequestId}
-		s.requests[key] = &Request{Key: key, Job: JobID(q.JobId), Digest: string(q.Digest), Refusal: q.Refusal, DecidedNS: q.DecidedNs}
-		s.requestOrder = append(s.requestOrder, key)
+		s.addRefused(&Request{Key: RequestKey{q.Team, q.RequestId}, Digest: string(q.Digest), Refusal: q.Refusal, DecidedNS: q.DecidedNs})
 	case *peerv1.StateRecord_Operation:
 		o := r.Operation
-		s.operations[o.OperationId] = &Operation{ID: o.OperationId, Digest: string(o.Digest), Response: o.Response, DecidedNS: o.DecidedNs}
-		s.operationOrder = append(s.operationOrder, o.OperationId)
+		s.addOperation(&Operation{ID: o.OperationId, Digest: string(o.Digest), Response: o.Response, DecidedNS: o.DecidedNs})
+	case *peerv1.StateRecord_ReplicaChange:
+		q := r.ReplicaChange
+		s.replicaChanges = append(s.replicaChanges, ReplicaIntent{OperationID: q.OperationId, Replica: q.Change.GetReplicaId(),
+			Action: q.Change.GetAction(), DecidedNS: q.DecidedNs})
 	default:
 		return errors.New("unknown record; a newer version must have written it")
 	}
@@ -196,17 +173,17 @@
 	if owned && u.State == lifecycle.UpstreamLost {
 		s.vmOwner[a.Vm] = owner
 	}
-	s.upstreams[u.Name] = u
+	s.addUpstream(u)
 }
 
 func (s *State) restoreJob(sj *peerv1.StateJob) error {
 	team := s.teams[sj.Team]
-	if team == nil {
+	if team == nil && sj.State != string(lifecycle.JobEnded) {
 		return errors.Errorf("job %d belongs to unknown team %q", sj.JobId, sj.Team)
 	}
 	j := &Job{ID: JobID(sj.JobId), Team: sj.Team, Queue: sj.Queue, RequestID: sj.RequestId, Spec: sj.Spec,
 		State: lifecycle.JobState(sj.State), Outcome: sj.Outcome, SubmittedNS: sj.SubmittedNs,
-		StartDeadlineNS: sj.StartDeadlineNs, EndedNS: sj.EndedNs}
+		StartDeadlineNS: sj.StartDeadlineNs, EndedNS: sj.EndedNs, Digest: string(sj.Digest)}
 	if CountTasks(sj.Spec) != len(sj.Tasks) {
 		return errors.Errorf("job %d has %d tasks but its spec has %d", sj.JobId, len(sj.Tasks), CountTasks(sj.Spec))
 	}
@@ -220,7 +197,7 @@
 			i++
 		}
 	}
-	s.jobs[j.ID] = j
+	s.keepJob(j)
 	if j.State == lifecycle.JobEnded {
 		s.endedJobs = append(s.endedJobs, j.ID)
 	}
@@ -232,9 +209,12 @@
 	*t = Task{Job: j, Index: int32(i), Attempt: st.Attempt, State: lifecycle.TaskState(st.State), Spec: spec,
 		Failures: st.Failures, NotBeforeNS: st.NotBeforeNs, Outcome: st.Outcome, Answer: st.Answer,
 		Checkpoint: st.Checkpoint, Checkpointing: st.Checkpointing}
+	j.answerBytes += len(st.Answer.GetBody())
 	switch {
 	case t.State == lifecycle.TaskEnded:
 		return nil
+	case j.State == lifecycle.JobEnded:
+		return errors.Errorf("job %d has ended but its task %d has not", j.ID, i)
 	case !t.Live():
 		j.unended++
 		team.Waiting++
@@ -250,6 +230,6 @@
 	team.Used = team.Used.Add(t.Reserved)
 	team.Running++
 	j.unended++
-	j.live++
+	j.placed++
 	return nil
 }
--- a/state/spec.go
+++ b/state/spec.go
@@ -9,7 +9,7 @@
 	// maxNameBytes bounds every name and identity.
 	maxNameBytes = 128
 	// maxAmount bounds one resource amount, so that sums can't overflow.
-	maxAmount = 1 << 50
+	maxAmount = 1 << 46
 )
 
 // CheckSpec refuses malformed requests. Entries call it before they forward.
--- a/state/state.go
+++ b/state/state.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"iter"
 	"time"
 
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
@@ -21,21 +22,38 @@
 	nextJob       JobID
 	lastOperation string
 
-	teams      map[string]*Team
-	keys       map[string]*Key
-	keyByHash  map[KeyHash]*Key
-	queues     map[string]*apiv1.Queue
-	domains    map[string]*Domain
-	upstreams  map[string]*Upstream
-	vmOwner    map[string]string
-	jobs       map[JobID]*Job
-	requests   map[RequestKey]*Request
-	operations map[string]*Operation
+	teams     map[string]*Team
+	keys      map[string]*Key
+	keyByHash map[KeyHash]*Key
+	queues    map[string]*apiv1.Queue
+	domains   map[string]*Domain
+	upstreams map[string]*Upstream
+	// upstreamList holds the upstreams in no order that matters.
+	upstreamList []*Upstream
+	vmOwner      map[string]string
+	jobs         jobTable
+	// liveByQueue holds the jobs that have not ended.
+	liveByQueue map[string]map[JobID]*Job
+	identities  map[RequestKey]identity
+	operations  map[string]*Operation
 
 	// endedJobs, requestOrder and operationOrder are in order of decision, for Sweep.
+	// requestOrder holds the identities that created no job.
 	endedJobs      []JobID
-	requestOrder   []RequestKey
-	operationOrder []string
+	requestOrder   []*Request
+	operationOrder []*Operation
+	// replicaChanges are operators' accepted changes that are still to be carried out.
+	replicaChanges []ReplicaIntent
+
+	// capture is the last one made, or nil; captures counts them.
+	capture  *capture
+	captures uint32
+}
+
+// identity is what a request identity led to: a job or a refusal.
+type identity struct {
+	job     JobID
+	refused *Request
 }
 
 // Allowance bounds what a team may use in this group. With one group it is the
@@ -65,9 +83,12 @@
 	setDefault(&s.DefaultMaxWaiting, d.DefaultMaxWaiting)
 	setDefault(&s.DefaultMaxAttempts, d.DefaultMaxAttempts)
 	setDefault(&s.FailureBackoff, d.FailureBackoff)
+	setDefault(&s.ServiceBackoffMax, d.ServiceBackoffMax)
+	setDefault(&s.ServiceStableRun, d.ServiceStableRun)
 	setDefault(&s.MaxTasksPerJob, d.MaxTasksPerJob)
 	setDefault(&s.MaxPayloadBytes, d.MaxPayloadBytes)
 	setDefault(&s.MaxAnswerBytes, d.MaxAnswerBytes)
+	setDefault(&s.MaxJobAnswerBytes, d.MaxJobAnswerBytes)
 	return s
 }
 
@@ -86,13 +107,20 @@
 	s.queues = make(map[string]*apiv1.Queue)
 	s.domains = make(map[string]*Domain)
 	s.upstreams = make(map[string]*Upstream)
+	s.upstreamList = nil
 	s.vmOwner = make(map[string]string)
-	s.jobs = make(map[JobID]*Job)
-	s.requests = make(map[RequestKey]*Request)
+	s.jobs = jobTable{}
+	s.liveByQueue = make(map[string]map[JobID]*Job)
+	s.identities = make(map[RequestKey]identity)
 	s.operations = make(map[string]*Operation)
-	s.endedJobs, s.requestOrder, s.operationOrder = nil, nil, nil
+	s.endedJobs, s.requestOrder, s.operationOrder, s.replicaChanges = nil, nil, nil, nil
+	s.capture = nil
 }
 
+// UseAllowance replaces the team's upper limit as the bound of this group. It must be
+// set before the first Apply, and equally on all replicas.
+func (s *State) UseAllowance(a Allowance) { s.limits = a }
+
 // Observe sets the observer; nil removes it.
 func (s *State) Observe(o Observer) {
 	if o == nil {
@@ -139,6 +167,8 @@
 		return Result{Applied: s.sweep()}
 	case *peerv1.Command_Bootstrap:
 		return Result{Applied: s.bootstrap(c.Bootstrap)}
+	case *peerv1.Command_ReplicaChangeDone:
+		return Result{Applied: s.replicaChangeDone(c.ReplicaChangeDone)}
 	}
 	panic("state: log entry holds an unknown command; a newer version must have written it")
 }
@@ -170,14 +200,21 @@
 // Upstream returns an upstream, or nil.
 func (s *State) Upstream(name string) *Upstream { return s.upstreams[name] }
 
-// Jobs returns all jobs by number. The caller must not change the map.
-func (s *State) Jobs() map[JobID]*Job { return s.jobs }
+// Jobs iterates over all jobs in the order of their numbers.
+func (s *State) Jobs() iter.Seq2[JobID, *Job] { return s.jobs.all() }
 
 // Job returns a job, or nil.
-func (s *State) Job(id JobID) *Job { return s.jobs[id] }
+func (s *State) Job(id JobID) *Job { return s.jobs.get(id) }
 
 // Request returns what is remembered of a request identity, or nil.
-func (s *State) Request(k RequestKey) *Request { return s.requests[k] }
+func (s *State) Request(k RequestKey) *Request {
+	known := s.identities[k]
+	if known.job == 0 {
+		return known.refused
+	}
+	j := s.jobs.get(known.job)
+	return &Request{Key: k, Job: j.ID, Digest: j.Digest, DecidedNS: j.SubmittedNS}
+}
 
 // KeyByHash returns a key that is not withdrawn, or nil.
 func (s *State) KeyByHash(hash []byte) *Key {
@@ -193,7 +230,7 @@
 
 // task returns a task whose attempt is current, or nil.
 func (s *State) task(ref TaskRef) *Task {
-	j := s.jobs[ref.Job]
+	j := s.jobs.get(ref.Job)
 	if j == nil || ref.Index < 0 || int(ref.Index) >= len(j.Tasks) {
 		return nil
 	}
--- a/state/submit.go
+++ b/state/submit.go
@@ -14,30 +14,49 @@
 	req := c.GetRequest()
 	team, refusal := s.Authorize(c.KeySha256, req.GetQueue())
 	if refusal != nil {
-		return &apiv1.SubmitResponse{Outcome: refusal}
+		return &apiv1.SubmitResponse{Outcome: s.refusedAtTheDoor(c, refusal)}
 	}
 	key := RequestKey{team, req.GetRequestId()}
-	if known := s.requests[key]; known != nil {
+	if known := s.Request(key); known != nil {
 		return s.resubmitted(known, string(c.Digest))
 	}
+	if !ValidName(key.ID) {
+		return &apiv1.SubmitResponse{Outcome: CheckRequest(s.settings, req)}
+	}
 	if refusal := s.checkAge(req); refusal != nil {
 		return &apiv1.SubmitResponse{Outcome: refusal}
 	}
-	record := &Request{Key: key, Digest: string(c.Digest)}
-	s.remember(record)
-	if record.Refusal = s.checkSubmit(team, req); record.Refusal != nil {
-		return &apiv1.SubmitResponse{Outcome: record.Refusal}
+	if refusal := s.checkSubmit(team, req); refusal != nil {
+		s.remember(&Request{Key: key, Digest: string(c.Digest), Refusal: refusal})
+		return &apiv1.SubmitResponse{Outcome: refusal}
 	}
-	job := s.addJob(team, req)
-	record.Job = job.ID
+	job := s.addJob(key, string(c.Digest), req)
 	return &apiv1.SubmitResponse{Outcome: accepted, JobId: uint64(job.ID)}
 }
 
-// remember records a request identity at the current leader time.
+// refusedAtTheDoor keeps a refusal of key or queue true: an earlier send may have been
+// taken while the key or queue was still good, and "not run" would then be false.
+func (s *State) refusedAtTheDoor(c *peerv1.Submit, refusal *apiv1.Outcome) *apiv1.Outcome {
+	req := c.GetRequest()
+	known := false
+	if k := s.keyOf(c.KeySha256); k != nil {
+		known = s.Request(RequestKey{k.Team, req.GetRequestId()}) != nil
+	}
+	if req.GetFirstSend() && !known {
+		return refusal
+	}
+	return undetermined(refusal.Reason, "%s; an earlier send of request %q may have been taken", refusal.Detail, req.GetRequestId())
+}
+
+// remember records an identity that created no job at the current leader time.
 func (s *State) remember(r *Request) {
 	r.DecidedNS = s.nowNS
-	s.requests[r.Key] = r
-	s.requestOrder = append(s.requestOrder, r.Key)
+	s.addRefused(r)
+}
+
+func (s *State) addRefused(r *Request) {
+	s.identities[r.Key] = identity{refused: r}
+	s.requestOrder = append(s.requestOrder, r)
 }
 
 func (s *State) resubmitted(known *Request, digest string) *apiv1.SubmitResponse {
@@ -161,8 +180,8 @@
 	return v
 }
 
-func (s *State) addJob(team string, req *apiv1.SubmitRequest) *Job {
-	j := &Job{ID: s.nextJob, Team: team, Queue: req.GetQueue(), RequestID: req.GetRequestId(), Spec: req.GetJob(),
+func (s *State) addJob(key RequestKey, digest string, req *apiv1.SubmitRequest) *Job {
+	j := &Job{ID: s.nextJob, Team: key.Team, Queue: req.GetQueue(), RequestID: key.ID, Digest: digest, Spec: req.GetJob(),
 		State: lifecycle.JobWaiting, SubmittedNS: s.nowNS}
 	s.nextJob++
 	if ms := req.GetStartWithinMs(); ms > 0 {
@@ -176,8 +195,29 @@
 		}
 	}
 	j.unended = len(j.Tasks)
-	s.jobs[j.ID] = j
-	s.teams[team].Waiting += int64(len(j.Tasks))
+	s.keepJob(j)
+	s.teams[key.Team].Waiting += int64(len(j.Tasks))
 	s.observer.JobAdded(j)
 	return j
 }
+
+// keepJob enters a job into every index.
+func (s *State) keepJob(j *Job) {
+	s.jobs.put(j)
+	s.identities[RequestKey{j.Team, j.RequestID}] = identity{job: j.ID}
+	if j.State == lifecycle.JobEnded {
+		return
+	}
+	if s.liveByQueue[j.Queue] == nil {
+		s.liveByQueue[j.Queue] = make(map[JobID]*Job)
+	}
+	s.liveByQueue[j.Queue][j.ID] = j
+}
+
+// dropFromQueue forgets an ended job among the live jobs of its queue.
+func (s *State) dropFromQueue(j *Job) {
+	delete(s.liveByQueue[j.Queue], j.ID)
+	if len(s.liveByQueue[j.Queue]) == 0 {
+		delete(s.liveByQueue, j.Queue)
+	}
+}
--- a/state/sweep.go
+++ b/state/sweep.go
@@ -1,40 +1,73 @@
 package state
 
-// sweep forgets jobs, identities and operations past their retention.
+import (
+	"slices"
+
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
+)
+
+// sweep forgets jobs, identities, operations and lost upstreams past their retention.
+// The identity of a job is remembered as long as the job.
 func (s *State) sweep() bool {
 	horizon := s.nowNS - int64(s.settings.Retention)
 	changed := s.sweepJobs(horizon)
-	for len(s.requestOrder) > 0 {
-		r := s.requests[s.requestOrder[0]]
-		if r != nil && (r.DecidedNS > horizon || s.jobs[r.Job] != nil) {
+	changed = s.sweepRequests(horizon) || changed
+	changed = s.sweepOperations(horizon) || changed
+	return s.sweepUpstreams(horizon) || changed
+}
+
+func (s *State) sweepJobs(horizon int64) bool {
+	n := 0
+	for _, id := range s.endedJobs {
+		j := s.jobs.get(id)
+		if j.EndedNS > horizon {
 			break
 		}
-		delete(s.requests, s.requestOrder[0])
-		s.requestOrder = s.requestOrder[1:]
-		changed = true
+		delete(s.identities, RequestKey{j.Team, j.RequestID})
+		s.jobs.remove(id)
+		n++
 	}
-	for len(s.operationOrder) > 0 {
-		o := s.operations[s.operationOrder[0]]
-		if o != nil && o.DecidedNS > horizon {
+	s.endedJobs = s.endedJobs[n:]
+	return n > 0
+}
+
+func (s *State) sweepRequests(horizon int64) bool {
+	n := 0
+	for _, r := range s.requestOrder {
+		if r.DecidedNS > horizon {
 			break
 		}
-		delete(s.operations, s.operationOrder[0])
-		s.operationOrder = s.operationOrder[1:]
-		changed = true
+		delete(s.identities, r.Key)
+		n++
 	}
-	return changed
+	s.requestOrder = s.requestOrder[n:]
+	return n > 0
 }
 
-func (s *State) sweepJobs(horizon int64) bool {
-	changed := false
-	for len(s.endedJobs) > 0 {
-		j := s.jobs[s.endedJobs[0]]
-		if j != nil && j.EndedNS > horizon {
+func (s *State) sweepOperations(horizon int64) bool {
+	n := 0
+	for _, o := range s.operationOrder {
+		if o.DecidedNS > horizon {
 			break
 		}
-		delete(s.jobs, s.endedJobs[0])
-		s.endedJobs = s.endedJobs[1:]
-		changed = true
+		delete(s.operations, o.ID)
+		n++
 	}
-	return changed
+	s.operationOrder = s.operationOrder[n:]
+	return n > 0
+}
+
+func (s *State) sweepUpstreams(horizon int64) bool {
+	before := len(s.upstreamList)
+	s.upstreamList = slices.DeleteFunc(s.upstreamList, func(u *Upstream) bool {
+		if u.State != lifecycle.UpstreamLost || u.LostNS > horizon {
+			return false
+		}
+		delete(s.upstreams, u.Name)
+		if s.vmOwner[u.VM] == u.Name {
+			delete(s.vmOwner, u.VM)
+		}
+		return true
+	})
+	return len(s.upstreamList) < before
 }
--- a/state/types.go
+++ b/state/types.go
@@ -80,6 +80,8 @@
 	Tasks map[TaskRef]*Task
 	// LostNS is the leader time at which the upstream was declared lost.
 	LostNS int64
+	// announced is what the upstream last said of itself; it is never changed in place.
+	announced *apiv1.AnnounceRequest
 }
 
 // Job is one request for work.
@@ -97,8 +99,15 @@
 	SubmittedNS     int64
 	StartDeadlineNS int64
 	EndedNS         int64
-	live            int
-	unended         int
+	// Digest identifies the body of the request that created the job.
+	Digest string
+	// placed counts tasks that hold capacity, unended those without an outcome.
+	placed  int
+	unended int
+	// answerBytes is the size of all answers.
+	answerBytes int
+	// captured is the last capture that has the job as it was.
+	captured uint32
 }
 
 // Gang reports whether the job's tasks must all start together.
@@ -133,7 +142,10 @@
 	return t.State == lifecycle.TaskPlaced || t.State == lifecycle.TaskRunning || t.State == lifecycle.TaskStopping
 }
 
-// Request remembers what was decided for a request identity.
+// Unended returns the number of tasks without an outcome.
+func (j *Job) Unended() int { return j.unended }
+
+// Request remembers what was decided for a request identity. Job is zero if it created none.
 type Request struct {
 	Key       RequestKey
 	Job       JobID
@@ -150,6 +162,14 @@
 	DecidedNS int64
 }
 
+// ReplicaIntent is an operator's accepted replica change that is still to be carried out.
+type ReplicaIntent struct {
+	OperationID string
+	Replica     uint64
+	Action      apiv1.ReplicaAction
+	DecidedNS   int64
+}
+
 // Settings bound what the state keeps. They must be equal on all replicas.
 type Settings struct {
 	// Retention is how long identities, answers and operations are remembered.
@@ -162,10 +182,17 @@
 	DefaultMaxAttempts int32
 	// FailureBackoff delays a task's next attempt; it doubles with each failure.
 	FailureBackoff time.Duration
+	// ServiceBackoffMax bounds the delay before a service task is restarted.
+	ServiceBackoffMax time.Duration
+	// ServiceStableRun is how long a service task must have run for its earlier
+	// failures to be forgotten.
+	ServiceStableRun time.Duration
 	// MaxTasksPerJob and MaxPayloadBytes bound one job; MaxAnswerBytes bounds one answer.
 	MaxTasksPerJob  int
 	MaxPayloadBytes int
 	MaxAnswerBytes  int
+	// MaxJobAnswerBytes bounds all answers of one job together.
+	MaxJobAnswerBytes int
 }
 
 // DefaultSettings are used where a setting is zero.
@@ -175,9 +202,12 @@
 	DefaultMaxWaiting:  50_000,
 	DefaultMaxAttempts: 3,
 	FailureBackoff:     500 * time.Millisecond,
+	ServiceBackoffMax:  time.Minute,
+	ServiceStableRun:   10 * time.Minute,
 	MaxTasksPerJob:     20_000,
 	MaxPayloadBytes:    1 << 20,
 	MaxAnswerBytes:     1 << 20,
+	MaxJobAnswerBytes:  64 << 20,
 }
 
 // Observer is told of every change while a batch is applied.
--- a/state/upstream.go
+++ b/state/upstream.go
@@ -26,10 +26,10 @@
 	}
 	if u == nil {
 		u = &Upstream{Name: req.GetUpstream(), State: lifecycle.UpstreamActive, Tasks: make(map[TaskRef]*Task)}
-		s.upstreams[u.Name] = u
+		s.addUpstream(u)
 	}
 	if req.GetIncarnation() > u.Incarnation {
-		s.loseTasks(u, nil)
+		s.loseTasks(u, c.GetNeverStarted())
 		u.Incarnation = req.GetIncarnation()
 		u.State = lifecycle.UpstreamActive
 	}
@@ -38,6 +38,11 @@
 	return accepted
 }
 
+func (s *State) addUpstream(u *Upstream) {
+	s.upstreams[u.Name] = u
+	s.upstreamList = append(s.upstreamList, u)
+}
+
 func (s *State) describeUpstream(u *Upstream, req *apiv1.AnnounceRequest) {
 	if s.vmOwner[u.VM] == u.Name {
 		delete(s.vmOwner, u.VM)
@@ -45,6 +50,7 @@
 	u.Domain, u.Rack, u.VM = req.GetFailureDomain(), req.GetRack(), req.GetVm()
 	u.Capacity = resource.FromProto(req.GetCapacity())
 	u.LostNS = 0
+	u.announced = req
 	s.vmOwner[u.VM] = u.Name
 }
 
@@ -64,6 +70,14 @@
 	case capacity.Negative() || !capacity.Fits(maxCapacity):
 		return notRun(apiv1.Reason_REASON_BAD_REQUEST, "capacity is out of range")
 	}
+	u := s.upstreams[req.GetUpstream()]
+	switch {
+	case u == nil || u.State == lifecycle.UpstreamLost:
+	case u.VM != req.GetVm():
+		return notRun(apiv1.Reason_REASON_IN_USE, "upstream %q is on VM %q until its lease ends", u.Name, u.VM)
+	case u.Incarnation == req.GetIncarnation() && u.Domain != req.GetFailureDomain():
+		return notRun(apiv1.Reason_REASON_BAD_REQUEST, "incarnation %d can't move to another failure domain", u.Incarnation)
+	}
 	owner := s.vmOwner[req.GetVm()]
 	if o := s.upstreams[owner]; owner != req.GetUpstream() && o != nil && (o.State != lifecycle.UpstreamLost) {
 		return notRun(apiv1.Reason_REASON_IN_USE, "VM %q is served by upstream %q", req.GetVm(), owner)
@@ -93,35 +107,38 @@
 	if u == nil || u.Incarnation != c.GetIncarnation() || u.State == lifecycle.UpstreamLost {
 		return false
 	}
-	never := make(map[TaskRef]bool, len(c.GetNeverStarted()))
-	for _, r := range c.GetNeverStarted() {
-		never[RefFromProto(r)] = true
-	}
 	s.fireUpstream(u, lifecycle.UpstreamExpire)
 	u.LostNS = s.nowNS
-	s.loseTasks(u, never)
+	s.loseTasks(u, c.GetNeverStarted())
 	s.observer.UpstreamChanged(u)
 	return true
 }
 
 // loseTasks requeues the tasks of a vanished incarnation. A task that may not be repeated
 // and may have run ends undetermined.
-func (s *State) loseTasks(u *Upstream, never map[TaskRef]bool) {
+func (s *State) loseTasks(u *Upstream, neverStarted []*apiv1.TaskRef) {
+	never := make(map[TaskRef]bool, len(neverStarted))
+	for _, r := range neverStarted {
+		never[RefFromProto(r)] = true
+	}
 	for _, ref := range sortedRefs(u.Tasks) {
-		t := u.Tasks[ref]
-		if t == nil {
-			continue
-		}
-		switch {
-		case never[ref] && t.State != lifecycle.TaskRunning, t.Job.Spec.GetRepeatable():
-			s.release(t, lifecycle.TaskRequeue)
-		default:
-			s.finishLive(t, undetermined(apiv1.Reason_REASON_UPSTREAM_LOST,
-				"upstream %q was lost; the task may have run and may not be repeated", u.Name))
+		if t := u.Tasks[ref]; t != nil {
+			s.loseTask(t, never[ref] && t.State != lifecycle.TaskRunning)
 		}
 	}
 }
 
+// loseTask requeues an attempt whose upstream no longer has it, or ends it if it may have
+// run and may not be repeated.
+func (s *State) loseTask(t *Task, neverStarted bool) {
+	if neverStarted || t.Job.Spec.GetRepeatable() {
+		s.release(t, lifecycle.TaskRequeue)
+		return
+	}
+	s.finishLive(t, undetermined(apiv1.Reason_REASON_UPSTREAM_LOST,
+		"upstream %q was lost; the task may have run and may not be repeated", t.Upstream.Name))
+}
+
 func sortedRefs(tasks map[TaskRef]*Task) []TaskRef {
 	return slices.SortedFunc(maps.Keys(tasks), CompareRefs)
 }
