Let an upstream tell that it leaves, and a task ask for its lease

An idle worker that was told to leave ended before any poll carried the wish, so the leader went on placing work on it until its lease ran out (up to 7 s). Run ends only after an answered poll carried the wish.

Tasks get LeaseHeld, to be asked before each effect outside the worker. A shorter check interval was ruled out: it narrows the window without closing it.

--- a/upstream/agent.go
+++ b/upstream/agent.go
@@ -32,6 +32,10 @@
 	Payload    []byte
 	Resources  *apiv1.Resources
 	Checkpoint []byte
+	// LeaseHeld reports whether the worker still holds its lease. A VM that was suspended
+	// resumes its tasks before the agent can stop them, so a task must ask before each
+	// effect that is seen outside the worker.
+	LeaseHeld func() bool
 }
 
 // Result is how an attempt ended.
@@ -100,6 +104,8 @@
 	sequence uint64
 	term     uint64
 	leaving  bool
+	// leavingTold is set once a poll that carried the wish to leave was answered.
+	leavingTold bool
 	// leaseEnd is when tasks have to begin to stop.
 	leaseEnd time.Duration
 
@@ -161,11 +167,18 @@
 	return ctx.Err()
 }
 
-// left reports whether a leaving worker has nothing more to report.
+// left reports whether a leaving worker has said so and has nothing more to report.
 func (a *Agent) left() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	return a.leaving && len(a.tasks) == 0
+	return a.leavingTold && len(a.tasks) == 0
+}
+
+// leaseHeld reports whether tasks may go on.
+func (a *Agent) leaseHeld() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	return a.clock.Now() < a.leaseEnd
 }
 
 // announce registers the current incarnation, retrying until it is taken.
@@ -200,7 +213,7 @@
 	}
 	a.mu.Lock()
 	clear(a.tasks)
-	a.sequence = 0
+	a.sequence, a.leavingTold = 0, false
 	a.cfg.Incarnation = max(a.cfg.Incarnation+1, uint64(time.Now().UnixNano()))
 	a.mu.Unlock()
 	return a.announce(ctx)
--- a/upstream/doc.go
+++ b/upstream/doc.go
@@ -6,5 +6,7 @@
 //
 // A Runner carries out the tasks. Each runs under a context that is cancelled
 // with ErrStop or ErrCheckpoint as its cause, or with ErrLeaseEnded when the
-// worker could not renew its lease.
+// worker could not renew its lease. A runner whose tasks act outside the worker
+// asks Task.LeaseHeld before each such act, as a suspended VM resumes its tasks
+// before the agent can stop them.
 package upstream
--- a/upstream/poll.go
+++ b/upstream/poll.go
@@ -66,6 +66,7 @@
 		return false
 	}
 	a.term = resp.GetTerm()
+	a.leavingTold = req.GetLeaving()
 	a.leaseEnd = sent + time.Duration(resp.GetLeaseMs())*time.Millisecond
 	for _, ref := range resp.GetAcknowledged() {
 		if r := a.tasks[keyOf(ref)]; r != nil && r.cancel == nil {
@@ -109,7 +110,7 @@
 	ref := cmd.GetTask()
 	r := &running{
 		task: Task{Job: ref.GetJobId(), Index: ref.GetTask(), Attempt: ref.GetAttempt(), Payload: cmd.GetPayload(),
-			Resources: cmd.GetResources(), Checkpoint: cmd.GetCheckpoint()},
+			Resources: cmd.GetResources(), Checkpoint: cmd.GetCheckpoint(), LeaseHeld: a.leaseHeld},
 		report: &apiv1.TaskReport{Task: ref},
 	}
 	a.tasks[keyOf(ref)] = r
@@ -206,10 +207,7 @@
 			return
 		case <-ticker.C:
 		}
-		a.mu.Lock()
-		ended := a.clock.Now() >= a.leaseEnd
-		a.mu.Unlock()
-		if ended {
+		if !a.leaseHeld() {
 			a.stopAll(ErrLeaseEnded)
 		}
 	}
