--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 # Packages whose goroutines share memory are tested with the race detector as well.
-RACE_PACKAGES = ./replica ./control ./peer ./entry ./upstream ./client ./timeline ./retry ./daemon
+RACE_PACKAGES = ./replica ./control ./peer ./entry ./view ./upstream ./client ./timeline ./retry ./daemon
 
 .PHONY: build demo test race check generate bench
 
--- a/client/client.go
+++ b/client/client.go
@@ -24,8 +24,11 @@
 }
 
 const (
-	dialTimeout    = time.Second
-	submitTimeout  = 12 * time.Second
+	dialTimeout = time.Second
+	// callTimeout bounds one attempt of a call; it is longer than an entry tries.
+	callTimeout = 10 * time.Second
+	// callAttempts bounds the attempts of calls that may be repeated.
+	callAttempts   = 3
 	backoffMin     = 100 * time.Millisecond
 	backoffMax     = 2 * time.Second
 	idleConnection = 30 * time.Second
@@ -88,16 +91,22 @@
 }
 
 // failed turns to the next address and drops connections that may have gone silent.
+// The connection of a call that timed out is closed by its transport.
 func (c *Client) failed() {
 	c.next.Add(1)
 	c.transport.CloseIdleConnections()
 }
 
-// do sends one request to the current address and turns to the next one if it fails.
-func do[Q, P any](ctx context.Context, c *Client, method func(endpoint) func(context.Context, *connect.Request[Q]) (*connect.Response[P], error), req *Q) (*P, error) {
-	resp, err := method(c.pick())(ctx, connect.NewRequest(req))
+// rpc selects one call of an endpoint.
+type rpc[Q, P any] func(endpoint) func(context.Context, *connect.Request[Q]) (*connect.Response[P], error)
+
+// once sends one request to the current address and turns to the next one if it fails.
+func once[Q, P any](ctx context.Context, c *Client, timeout time.Duration, call rpc[Q, P], req *Q) (*P, error) {
+	ctx, cancel := context.WithTimeout(ctx, timeout)
+	defer cancel()
+	resp, err := call(c.pick())(ctx, connect.NewRequest(req))
 	if err != nil {
-		if code := connect.CodeOf(err); code == connect.CodeUnavailable || code == connect.CodeDeadlineExceeded || code == connect.CodeUnknown {
+		if unreachable(err) {
 			c.failed()
 		}
 		return nil, err
@@ -105,6 +114,27 @@
 	return resp.Msg, nil
 }
 
+// unreachable reports whether another entry may answer where this one did not.
+func unreachable(err error) bool {
+	switch connect.CodeOf(err) {
+	case connect.CodeUnavailable, connect.CodeDeadlineExceeded, connect.CodeUnknown, connect.CodeResourceExhausted:
+		return true
+	}
+	return false
+}
+
+// do sends a call that may be repeated, a few times if entries can't be reached.
+func do[Q, P any](ctx context.Context, c *Client, timeout time.Duration, call rpc[Q, P], req *Q) (resp *P, err error) {
+	backoff := retry.Backoff{Min: backoffMin, Max: backoffMax}
+	for range callAttempts {
+		resp, err = once(ctx, c, timeout, call, req)
+		if err == nil || !unreachable(err) || retry.Sleep(ctx, backoff.Next()) != nil {
+			return resp, err
+		}
+	}
+	return resp, err
+}
+
 // Submit hands in a job and resends it under the same identity until the outcome is
 // certain. When ctx ends first, the outcome is undetermined.
 func (c *Client) Submit(ctx context.Context, req *apiv1.SubmitRequest) (*apiv1.SubmitResponse, error) {
@@ -115,8 +145,8 @@
 	backoff := retry.Backoff{Min: backoffMin, Max: backoffMax}
 	for {
 		resp, err := c.submitOnce(ctx, req)
-		if err == nil && !worthResending(resp.GetOutcome()) {
-			return resp, nil
+		if err == nil && !worthResending(resp.GetOutcome()) || err != nil && refusedForGood(err) {
+			return resp, err
 		}
 		req.FirstSend = false
 		if sleepErr := retry.Sleep(ctx, backoff.Next()); sleepErr != nil {
@@ -126,13 +156,20 @@
 }
 
 func (c *Client) submitOnce(ctx context.Context, req *apiv1.SubmitRequest) (*apiv1.SubmitResponse, error) {
-	ctx, cancel := context.WithTimeout(ctx, submitTimeout)
-	defer cancel()
-	return do(ctx, c, func(e endpoint) func(context.Context, *connect.Request[apiv1.SubmitRequest]) (*connect.Response[apiv1.SubmitResponse], error) {
+	return once(ctx, c, callTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.SubmitRequest]) (*connect.Response[apiv1.SubmitResponse], error) {
 		return e.caller.Submit
 	}, req)
 }
 
+// refusedForGood reports whether the same request would fail in the same way again.
+func refusedForGood(err error) bool {
+	switch connect.CodeOf(err) {
+	case connect.CodeInvalidArgument, connect.CodeUnimplemented:
+		return true
+	}
+	return false
+}
+
 // worthResending reports whether a resend can make the outcome certain.
 func worthResending(o *apiv1.Outcome) bool {
 	return o.GetKind() == apiv1.OutcomeKind_OUTCOME_KIND_UNDETERMINED &&
@@ -141,63 +178,64 @@
 
 // Wait waits for the end of a job, at most req.MaxWaitMs.
 func (c *Client) Wait(ctx context.Context, req *apiv1.WaitRequest) (*apiv1.WaitResponse, error) {
-	return do(ctx, c, func(e endpoint) func(context.Context, *connect.Request[apiv1.WaitRequest]) (*connect.Response[apiv1.WaitResponse], error) {
+	timeout := callTimeout + time.Duration(req.GetMaxWaitMs())*time.Millisecond
+	return do(ctx, c, timeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.WaitRequest]) (*connect.Response[apiv1.WaitResponse], error) {
 		return e.caller.Wait
 	}, req)
 }
 
 // Get returns a job as it stands.
 func (c *Client) Get(ctx context.Context, req *apiv1.GetRequest) (*apiv1.GetResponse, error) {
-	return do(ctx, c, func(e endpoint) func(context.Context, *connect.Request[apiv1.GetRequest]) (*connect.Response[apiv1.GetResponse], error) {
+	return do(ctx, c, callTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.GetRequest]) (*connect.Response[apiv1.GetResponse], error) {
 		return e.caller.Get
 	}, req)
 }
 
 // Cancel cancels requests.
 func (c *Client) Cancel(ctx context.Context, req *apiv1.CancelRequest) (*apiv1.CancelResponse, error) {
-	return do(ctx, c, func(e endpoint) func(context.Context, *connect.Request[apiv1.CancelRequest]) (*connect.Response[apiv1.CancelResponse], error) {
+	return do(ctx, c, callTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.CancelRequest]) (*connect.Response[apiv1.CancelResponse], error) {
 		return e.caller.Cancel
 	}, req)
 }
 
 // Explain says why a job waits or runs where it does.
 func (c *Client) Explain(ctx context.Context, req *apiv1.ExplainRequest) (*apiv1.ExplainResponse, error) {
-	return do(ctx, c, func(e endpoint) func(context.Context, *connect.Request[apiv1.ExplainRequest]) (*connect.Response[apiv1.ExplainResponse], error) {
+	return do(ctx, c, callTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.ExplainRequest]) (*connect.Response[apiv1.ExplainResponse], error) {
 		return e.caller.Explain
 	}, req)
 }
 
 // Change applies one change of configuration.
 func (c *Client) Change(ctx context.Context, req *apiv1.ChangeRequest) (*apiv1.ChangeResponse, error) {
-	return do(ctx, c, func(e endpoint) func(context.Context, *connect.Request[apiv1.ChangeRequest]) (*connect.Response[apiv1.ChangeResponse], error) {
+	return do(ctx, c, callTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.ChangeRequest]) (*connect.Response[apiv1.ChangeResponse], error) {
 		return e.operator.Change
 	}, req)
 }
 
 // Status shows the cell.
 func (c *Client) Status(ctx context.Context, req *apiv1.StatusRequest) (*apiv1.StatusResponse, error) {
-	return do(ctx, c, func(e endpoint) func(context.Context, *connect.Request[apiv1.StatusRequest]) (*connect.Response[apiv1.StatusResponse], error) {
+	return do(ctx, c, callTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.StatusRequest]) (*connect.Response[apiv1.StatusResponse], error) {
 		return e.operator.Status
 	}, req)
 }
 
 // Timeline returns merged events.
 func (c *Client) Timeline(ctx context.Context, req *apiv1.TimelineRequest) (*apiv1.TimelineResponse, error) {
-	return do(ctx, c, func(e endpoint) func(context.Context, *connect.Request[apiv1.TimelineRequest]) (*connect.Response[apiv1.TimelineResponse], error) {
+	return do(ctx, c, callTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.TimelineRequest]) (*connect.Response[apiv1.TimelineResponse], error) {
 		return e.operator.Timeline
 	}, req)
 }
 
 // Announce implements upstream.API.
 func (c *Client) Announce(ctx context.Context, req *apiv1.AnnounceRequest) (*apiv1.AnnounceResponse, error) {
-	return do(ctx, c, func(e endpoint) func(context.Context, *connect.Request[apiv1.AnnounceRequest]) (*connect.Response[apiv1.AnnounceResponse], error) {
+	return do(ctx, c, callTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.AnnounceRequest]) (*connect.Response[apiv1.AnnounceResponse], error) {
 		return e.upstream.Announce
 	}, req)
 }
 
 // Poll implements upstream.API.
 func (c *Client) Poll(ctx context.Context, req *apiv1.PollRequest) (*apiv1.PollResponse, error) {
-	return do(ctx, c, func(e endpoint) func(context.Context, *connect.Request[apiv1.PollRequest]) (*connect.Response[apiv1.PollResponse], error) {
+	return once(ctx, c, callTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.PollRequest]) (*connect.Response[apiv1.PollResponse], error) {
 		return e.upstream.Poll
 	}, req)
 }
--- a/config/config.go
+++ b/config/config.go
@@ -1,14 +1,14 @@
 package config
 
 import (
-	"encoding/hex"
+	"crypto/tls"
 	"fmt"
-	"net/netip"
+	"io/fs"
 	"os"
 	"slices"
-	"strings"
+	"time"
 
-	"github.com/bulrushwinch/bulrushwinch/state"
+	"github.com/bulrushwinch/bulrushwinch/entry"
 	"github.com/pkg/errors"
 	"gopkg.in/ini.v1"
 )
@@ -36,13 +36,44 @@
 	AdminAddress  string
 	// Replicas are the peer addresses of the VMs with a data folder.
 	Replicas []string
-	Voters   int
-	Secret   string
+	// ViewSources are the peer addresses of the processes that an entry fetches the
+	// configuration in force from, in order; empty means the replicas.
+	ViewSources []string
+	Voters      int
+	Secret      Secret
 	// OperatorKey is the SHA-256 of the first operator's key; nil if absent.
 	OperatorKey []byte
-	LogLevel    string
+	// PollHold is how long the leader holds a poll without news.
+	PollHold time.Duration
+	// DrainDelay is the time from unreadiness to the closing of the public address.
+	DrainDelay time.Duration
+	Limits     entry.Limits
+	// PublicTLS, PeerServerTLS and PeerClientTLS are nil for plain TCP.
+	PublicTLS     *tls.Config
+	PeerServerTLS *tls.Config
+	PeerClientTLS *tls.Config
+	LogLevel      string
+	// Warnings are remarks on settings that are allowed but unwise.
+	Warnings []string
 }
 
+// Secret is a text that printing, formatting and encoding hide.
+type Secret string
+
+const hidden = "[hidden]"
+
+// Reveal returns the text itself.
+func (s Secret) Reveal() string { return string(s) }
+
+// String implements fmt.Stringer.
+func (Secret) String() string { return hidden }
+
+// GoString implements fmt.GoStringer.
+func (Secret) GoString() string { return hidden }
+
+// MarshalText implements encoding.TextMarshaler.
+func (Secret) MarshalText() ([]byte, error) { return []byte(hidden), nil }
+
 // HasRole reports whether the daemon plays a role.
 func (s *Settings) HasRole(r Role) bool { return slices.Contains(s.Roles, r) }
 
@@ -58,6 +89,24 @@
 	return fmt.Sprintf("%s: [%s] %s: %s; allowed: %s", e.File, e.Section, e.Key, e.Problem, e.Allowed)
 }
 
+// files reads the files that settings name.
+type files func(path string) (data []byte, mode fs.FileMode, err error)
+
+// maxFileBytes bounds the files that settings name.
+const maxFileBytes = 1 << 20
+
+func readFile(path string) ([]byte, fs.FileMode, error) {
+	info, err := os.Stat(path)
+	if err != nil {
+		return nil, 0, err
+	}
+	if !info.Mode().IsRegular() || info.Size() > maxFileBytes {
+		return nil, 0, errors.Errorf("%s is no regular file of at most %d bytes", path, maxFileBytes)
+	}
+	data, err := os.ReadFile(path)
+	return data, info.Mode(), err
+}
+
 // Load reads and checks a file. Relative paths in it are taken as they are.
 func Load(path string) (*Settings, error) {
 	data, err := os.ReadFile(path)
@@ -68,28 +117,41 @@
 }
 
 // Parse checks the content of a file; the path is used in errors.
-func Parse(path string, data []byte) (*Settings, error) {
-	file, err := ini.LoadSources(ini.LoadOptions{}, data)
+func Parse(path string, data []byte) (*Settings, error) { return parse(path, data, readFile) }
+
+func parse(path string, data []byte, read files) (*Settings, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true, SkipUnrecognizableLines: false}, data)
 	if err != nil {
 		return nil, errors.Wrapf(err, "config: %s", path)
 	}
-	r := &reader{path: path, file: file, known: make(map[string]bool)}
+	r := &reader{path: path, file: file, read: read, known: make(map[string]bool)}
 	s := r.settings()
 	r.refuseUnknown()
 	if r.err != nil {
 		return nil, r.err
 	}
+	s.Warnings = r.warnings
 	return s, nil
 }
 
 // reader remembers the first error and the keys that were read.
 type reader struct {
-	path  string
-	file  *ini.File
-	known map[string]bool
-	err   error
+	path     string
+	file     *ini.File
+	read     files
+	known    map[string]bool
+	err      error
+	warnings []string
 }
 
+// Bounds of settings.
+const (
+	minPollHold   = 100 * time.Millisecond
+	maxPollHold   = 1500 * time.Millisecond
+	maxDrainDelay = time.Minute
+	maxBound      = 1 << 20
+)
+
 func (r *reader) settings() *Settings {
 	s := &Settings{
 		Name:          r.name("node", "name"),
@@ -100,160 +162,52 @@
 		PeerAddress:   r.address("listen", "peer"),
 		AdminAddress:  r.address("listen", "admin"),
 		Replicas:      r.addresses("cluster", "replicas"),
+		ViewSources:   r.optionalAddresses("cluster", "view_sources"),
 		Voters:        r.integer("cluster", "voters", 3, 1, 7),
+		Secret:        r.secret("cluster", "secret_file"),
 		OperatorKey:   r.sha256("operator", "key_sha256"),
+		PollHold:      r.duration("replica", "poll_hold", time.Second, minPollHold, maxPollHold),
+		DrainDelay:    r.duration("entry", "drain_delay", 5*time.Second, 0, maxDrainDelay),
+		Limits:        r.limits(),
 		LogLevel:      r.choice("log", "level", "info", "debug", "info", "warn", "error"),
 	}
-	s.Secret = r.secret("cluster", "secret_file")
-	if s.HasRole(RoleReplica) && s.DataFolder == "" {
-		r.fail("node", "data_folder", "is missing", "a folder on a disk, as the roles include replica")
-	}
-	if !s.HasRole(RoleReplica) && s.DataFolder != "" {
-		r.fail("node", "data_folder", "is set without the role replica", "no value")
-	}
-	if s.Voters%2 == 0 {
-		r.fail("cluster", "voters", "is even", "1, 3, 5 or 7")
-	}
+	r.tls(s)
+	r.checkTogether(s)
 	return s
 }
 
-func (r *reader) fail(section, key, problem, allowed string) {
-	if r.err == nil {
-		r.err = &Error{r.path, section, key, problem, allowed}
-	}
-}
-
-func (r *reader) text(section, key, fallback string) string {
-	r.known[section+"."+key] = true
-	sec, err := r.file.GetSection(section)
-	if err != nil || !sec.HasKey(key) {
-		return fallback
-	}
-	return sec.Key(key).String()
-}
-
-func (r *reader) name(section, key string) string {
-	v := r.text(section, key, "")
-	if !state.ValidName(v) {
-		r.fail(section, key, fmt.Sprintf("%q is no name", v), "1 to 128 printable characters without spaces")
-	}
-	return v
-}
-
-func (r *reader) roles(section, key string) []Role {
-	var roles []Role
-	for _, v := range splitList(r.text(section, key, "entry")) {
-		role := Role(v)
-		if role != RoleEntry && role != RoleReplica {
-			r.fail(section, key, fmt.Sprintf("%q is no role", v), "entry, replica, or both with a comma")
-		}
-		roles = append(roles, role)
-	}
-	return roles
-}
-
-func splitList(v string) []string {
-	var out []string
-	for _, part := range strings.Split(v, ",") {
-		if part = strings.TrimSpace(part); part != "" {
-			out = append(out, part)
-		}
-	}
-	return out
-}
-
-func (r *reader) address(section, key string) string {
-	v := r.text(section, key, "")
-	r.checkAddress(section, key, v)
-	return v
-}
-
-func (r *reader) checkAddress(section, key, v string) {
-	if a, err := netip.ParseAddrPort(v); err != nil || a.Port() == 0 {
-		r.fail(section, key, fmt.Sprintf("%q is no address", v), "an IP number and a port, like 10.0.0.1:7400")
+func (r *reader) limits() entry.Limits {
+	d := entry.DefaultLimits
+	return entry.Limits{
+		MaxCalls:    r.integer("entry", "max_calls", d.MaxCalls, 16, maxBound),
+		MaxHeld:     r.integer("entry", "max_held", d.MaxHeld, 16, maxBound),
+		TeamRate:    float64(r.integer("entry", "team_rate", int(d.TeamRate), 1, maxBound)),
+		TeamBurst:   r.integer("entry", "team_burst", d.TeamBurst, 1, maxBound),
+		TeamCalls:   r.integer("entry", "team_calls", d.TeamCalls, 1, maxBound),
+		TeamBytes:   int64(r.integer("entry", "team_mib", int(d.TeamBytes>>20), 1, 4096)) << 20,
+		UnknownRate: float64(r.integer("entry", "unknown_rate", int(d.UnknownRate), 1, maxBound)),
 	}
 }
 
-func (r *reader) addresses(section, key string) []string {
-	list := splitList(r.text(section, key, ""))
-	if len(list) == 0 {
-		r.fail(section, key, "is empty", "the peer addresses of all replicas, with commas")
-	}
-	for _, v := range list {
-		r.checkAddress(section, key, v)
-	}
-	return list
-}
-
-func (r *reader) integer(section, key string, fallback, low, high int) int {
-	text := r.text(section, key, "")
-	if text == "" {
-		return fallback
-	}
-	var v int
-	if n, err := fmt.Sscanf(text, "%d", &v); n != 1 || err != nil || fmt.Sprint(v) != text || v < low || v > high {
-		r.fail(section, key, fmt.Sprintf("%q is out of range", text), fmt.Sprintf("a whole number from %d to %d", low, high))
-	}
-	return v
-}
-
-func (r *reader) choice(section, key, fallback string, allowed ...string) string {
-	v := r.text(section, key, fallback)
-	if !slices.Contains(allowed, v) {
-		r.fail(section, key, fmt.Sprintf("%q is unknown", v), strings.Join(allowed, ", "))
+// checkTogether checks settings that depend on each other.
+func (r *reader) checkTogether(s *Settings) {
+	if s.HasRole(RoleReplica) && s.DataFolder == "" {
+		r.fail("node", "data_folder", "is missing", "a folder on a disk, as the roles include replica")
 	}
-	return v
-}
-
-func (r *reader) sha256(section, key string) []byte {
-	text := r.text(section, key, "")
-	if text == "" {
-		return nil
+	if !s.HasRole(RoleReplica) && s.DataFolder != "" {
+		r.fail("node", "data_folder", "is set without the role replica", "no value")
 	}
-	sum, err := hex.DecodeString(text)
-	if err != nil || len(sum) != len(state.KeyHash{}) {
-		r.fail(section, key, "is no SHA-256", "64 hexadecimal digits, as printed by: bulrushwinch key-hash")
+	if s.HasRole(RoleReplica) && !slices.Contains(s.Replicas, s.PeerAddress) {
+		r.fail("cluster", "replicas", "lacks this replica's own peer address "+s.PeerAddress, "the peer addresses of all replicas, with commas")
 	}
-	return sum
-}
-
-// minSecretBytes is the shortest cluster secret that is taken.
-const minSecretBytes = 16
-
-func (r *reader) secret(section, key string) string {
-	path := r.text(section, key, "")
-	data, err := os.ReadFile(path)
-	if err != nil {
-		r.fail(section, key, err.Error(), "a readable file that holds the cluster secret")
-		return ""
+	if s.Voters%2 == 0 {
+		r.fail("cluster", "voters", "is even", "1, 3, 5 or 7")
 	}
-	secret := strings.TrimSpace(string(data))
-	if len(secret) < minSecretBytes {
-		r.fail(section, key, "the secret is too short", fmt.Sprintf("at least %d characters", minSecretBytes))
+	if slices.Contains(s.ViewSources, s.PeerAddress) {
+		r.fail("cluster", "view_sources", "names this process itself", "peer addresses of other processes")
 	}
-	return secret
-}
-
-func (r *reader) refuseUnknown() {
-	for _, section := range r.file.Sections() {
-		for _, key := range section.Keys() {
-			if !r.known[section.Name()+"."+key.Name()] {
-				r.fail(section.Name(), key.Name(), "is unknown", r.allowedKeys(section.Name()))
-			}
-		}
+	if s.PublicAddress == s.PeerAddress || s.PeerAddress == s.AdminAddress || s.PublicAddress == s.AdminAddress {
+		r.fail("listen", "admin", "two addresses are equal", "three different addresses")
 	}
 }
 
-func (r *reader) allowedKeys(section string) string {
-	var keys []string
-	for k := range r.known {
-		if s, key, _ := strings.Cut(k, "."); s == section {
-			keys = append(keys, key)
-		}
-	}
-	if len(keys) == 0 {
-		return "sections node, listen, cluster, operator and log"
-	}
-	slices.Sort(keys)
-	return strings.Join(keys, ", ")
-}
--- a/control/operators.go
+++ b/control/operators.go
@@ -18,14 +18,38 @@
 type processView struct {
 	revision uint64
 	ready    bool
+	address  string
 	seen     time.Duration
 }
 
+// processLife is how long a process is shown after it was last heard of.
+const processLife = 30 * time.Second
+
+// noteProcesses remembers what the sender of a View call said of itself and of the
+// processes that fetch through it.
+func (c *Controller) noteProcesses(req *peerv1.ViewRequest, now time.Duration) {
+	c.process[req.GetProcess()] = processView{req.GetKnownRevision(), req.GetReady(), req.GetAddress(), now}
+	for _, p := range req.GetReports() {
+		c.process[p.GetProcess()] = processView{p.GetRevision(), p.GetReady(), p.GetAddress(), now}
+	}
+}
+
+func (c *Controller) processStatus() (out []*apiv1.ProcessStatus) {
+	now := c.clock.Now()
+	maps.DeleteFunc(c.process, func(_ string, p processView) bool { return now-p.seen > processLife })
+	for _, name := range slices.Sorted(maps.Keys(c.process)) {
+		p := c.process[name]
+		out = append(out, &apiv1.ProcessStatus{Name: name, Revision: p.revision, Ready: p.ready, Address: p.address})
+	}
+	return out
+}
+
 // viewWaiter is a View call that is held until the configuration changes.
 type viewWaiter struct {
-	known uint64
-	until time.Duration
-	reply func(*peerv1.ViewResponse, error)
+	known   uint64
+	arrived time.Duration
+	until   time.Duration
+	reply   func(*peerv1.ViewResponse, error)
 }
 
 func (c *Controller) change(k call, req *apiv1.ChangeRequest) {
@@ -116,10 +140,7 @@
 		out.Replicas = append(out.Replicas, &apiv1.ReplicaStatus{ReplicaId: uint64(r.Member.ID), Address: r.Member.Address,
 			FailureDomain: r.Member.Domain, Role: role, Match: r.Match, Leader: r.Member.ID == c.node.Raft().LeaderID()})
 	}
-	for _, name := range slices.Sorted(maps.Keys(c.process)) {
-		p := c.process[name]
-		out.Processes = append(out.Processes, &apiv1.ProcessStatus{Name: name, Revision: p.revision, Ready: p.ready})
-	}
+	out.Processes = c.processStatus()
 	return out
 }
 
@@ -150,8 +171,8 @@
 			return
 		}
 		now := c.clock.Now()
-		c.process[req.GetProcess()] = processView{req.GetKnownRevision(), req.GetReady(), now}
-		v := &viewWaiter{known: req.GetKnownRevision(), until: now + c.cfg.PollHold, reply: answer}
+		c.noteProcesses(req, now)
+		v := &viewWaiter{known: req.GetKnownRevision(), arrived: now, until: now + c.cfg.PollHold, reply: answer}
 		if v.known != c.state.Revision() {
 			c.answerView(v)
 			return
@@ -190,12 +211,15 @@
 }
 
 func (c *Controller) answerView(v *viewWaiter) {
+	held := c.clock.Now() - v.arrived
 	c.confirmed(func(ok bool) {
 		if !ok {
 			v.reply(nil, errNotLeader)
 			return
 		}
-		v.reply(c.viewNow(v.known), nil)
+		view := c.viewNow(v.known)
+		view.HeldNs = int64(held)
+		v.reply(view, nil)
 	})
 }
 
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"net"
 	"net/http"
 	"sync"
@@ -9,8 +10,10 @@
 
 	"github.com/bulrushwinch/bulrushwinch/config"
 	"github.com/bulrushwinch/bulrushwinch/entry"
+	"github.com/bulrushwinch/bulrushwinch/lease"
 	"github.com/bulrushwinch/bulrushwinch/peer"
 	"github.com/bulrushwinch/bulrushwinch/timeline"
+	"github.com/bulrushwinch/bulrushwinch/view"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
@@ -21,72 +24,139 @@
 	eventCapacity = 16384
 	// drainTimeout bounds how long open calls may take to finish.
 	drainTimeout = 30 * time.Second
+	// handOverTimeout bounds one handover of the leadership.
+	handOverTimeout = 3 * time.Second
+	// finishTimeout bounds how long calls between processes may take to finish.
+	finishTimeout = 2 * time.Second
 )
 
 // Daemon is one process of the system.
 type Daemon struct {
-	settings *config.Settings
-	log      zerolog.Logger
-	events   *timeline.Recorder
-	pool     *peer.Pool
-	router   *entry.Router
-	health   *health
+	settings  *config.Settings
+	log       zerolog.Logger
+	events    *timeline.Recorder
+	clock     lease.Clock
+	pool      *peer.Pool
+	router    *entry.Router
+	view      *view.Store
+	entry     *entry.Server
+	health    *health
+	listeners *Listeners
 
 	mu      sync.Mutex
 	replica *replicaRole
 }
 
+// Listeners are the open sockets of a daemon.
+type Listeners struct {
+	Public, Peer, Admin net.Listener
+}
+
+// Listen opens the sockets at the addresses of the settings.
+func Listen(s *config.Settings) (*Listeners, error) {
+	l := &Listeners{}
+	for _, item := range []struct {
+		name, address string
+		listener      *net.Listener
+	}{{"public", s.PublicAddress, &l.Public}, {"peer", s.PeerAddress, &l.Peer}, {"admin", s.AdminAddress, &l.Admin}} {
+		opened, err := net.Listen("tcp", item.address)
+		if err != nil {
+			l.Close()
+			return nil, errors.Wrapf(err, "daemon: %s address", item.name)
+		}
+		*item.listener = opened
+	}
+	return l, nil
+}
+
+// Close closes the sockets that are open.
+func (l *Listeners) Close() {
+	for _, opened := range []net.Listener{l.Public, l.Peer, l.Admin} {
+		if opened != nil {
+			_ = opened.Close()
+		}
+	}
+}
+
 // New returns a daemon; Run starts it.
 func New(s *config.Settings, log zerolog.Logger) *Daemon {
-	events := timeline.NewRecorder(s.Name, timeline.NewClock(time.Now), eventCapacity)
-	pool := peer.NewPool(s.Secret, nil)
-	return &Daemon{settings: s, log: log, events: events, pool: pool, router: entry.NewRouter(pool, s.Replicas), health: newHealth(s.Name)}
+	d := &Daemon{settings: s, log: log, clock: lease.BootClock{},
+		events: timeline.NewRecorder(s.Name, timeline.NewClock(time.Now), eventCapacity),
+		pool:   peer.NewPool(s.Secret.Reveal(), s.PeerClientTLS)}
+	d.view = view.New(d.clock, view.DefaultStaleAfter)
+	d.router = entry.NewRouter(d.pool, s.Replicas)
+	d.entry = entry.NewServer(s.Name, d.router, d.events, d.gatherTimeline, entry.WithView(d.view), entry.WithLimits(s.Limits))
+	d.health = newHealth(log, d.events, d.view)
+	return d
 }
 
+// Use gives the daemon sockets that are open already.
+func (d *Daemon) Use(l *Listeners) { d.listeners = l }
+
 // Run serves until ctx ends, then drains. With bootstrap set, an empty data folder
 // becomes the first replica of a new group.
 func (d *Daemon) Run(ctx context.Context, bootstrap bool) error {
-	public, err := net.Listen("tcp", d.settings.PublicAddress)
-	if err != nil {
-		return errors.Wrap(err, "daemon: public address")
+	if d.listeners == nil {
+		l, err := Listen(d.settings)
+		if err != nil {
+			return err
+		}
+		d.listeners = l
 	}
-	peers, err := net.Listen("tcp", d.settings.PeerAddress)
-	if err != nil {
-		return errors.Wrap(err, "daemon: peer address")
-	}
-	admin, err := net.Listen("tcp", d.settings.AdminAddress)
-	if err != nil {
-		return errors.Wrap(err, "daemon: admin address")
+	for _, w := range d.settings.Warnings {
+		d.log.Warn().Msg(w)
 	}
 	// Servers go on while the daemon drains; work ends them.
 	work, endWork := context.WithCancel(context.WithoutCancel(ctx))
 	defer endWork()
 	g, work := errgroup.WithContext(work)
+	g.Go(func() error { return d.servePeers(work) })
 	g.Go(func() error {
-		return serveHTTP(work, peer.NewServer(peer.NewHandler(d.settings.Secret, &peerService{d})), peers)
+		return serveHTTP(work, &http.Server{Handler: d.health.handler(), ReadHeaderTimeout: readTimeout}, d.listeners.Admin)
 	})
-	g.Go(func() error { return serveHTTP(work, &http.Server{Handler: d.health.handler()}, admin) })
 	if d.settings.HasRole(config.RoleReplica) {
 		g.Go(func() error { return d.runReplica(work, bootstrap) })
 	}
 	g.Go(func() error { return d.watchView(work) })
+	g.Go(func() error { return d.health.watch(work) })
 	g.Go(func() error {
 		defer endWork()
-		return d.servePublic(ctx, work, public)
+		return d.servePublic(ctx, work, newTrackingListener(d.listeners.Public))
 	})
-	d.log.Info().Str("public", public.Addr().String()).Str("peer", peers.Addr().String()).Msg("daemon started")
-	err = g.Wait()
+	d.log.Info().Str("public", d.listeners.Public.Addr().String()).Str("peer", d.listeners.Peer.Addr().String()).
+		Bool("public_tls", d.settings.PublicTLS != nil).Bool("peer_tls", d.settings.PeerServerTLS != nil).Msg("daemon started")
+	err := g.Wait()
 	d.pool.Close()
 	return err
 }
 
-// serveHTTP serves until ctx ends.
+func (d *Daemon) servePeers(ctx context.Context) error {
+	s := peer.NewServer(peer.NewHandler(d.settings.Secret.Reveal(), &peerService{d}))
+	l := d.listeners.Peer
+	if d.settings.PeerServerTLS != nil {
+		s.TLSConfig = d.settings.PeerServerTLS.Clone()
+		s.TLSConfig.NextProtos = []string{"h2"}
+		l = tls.NewListener(l, s.TLSConfig)
+	}
+	return serveHTTP(ctx, s, l)
+}
+
+// serveHTTP serves until ctx ends, then lets open calls finish for a short time.
 func serveHTTP(ctx context.Context, s *http.Server, l net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { _ = s.Close() })
-	defer stop()
+	done := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		defer close(done)
+		finish, cancel := context.WithTimeout(context.WithoutCancel(ctx), finishTimeout)
+		defer cancel()
+		if s.Shutdown(finish) != nil {
+			_ = s.Close()
+		}
+	})
 	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		stop()
 		return errors.Wrap(err, "daemon: serve")
 	}
+	<-done
 	return nil
 }
 
--- a/daemon/dev.go
+++ b/daemon/dev.go
@@ -10,6 +10,7 @@
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	"github.com/bulrushwinch/bulrushwinch/client"
 	"github.com/bulrushwinch/bulrushwinch/config"
+	"github.com/bulrushwinch/bulrushwinch/entry"
 	"github.com/bulrushwinch/bulrushwinch/lease"
 	"github.com/bulrushwinch/bulrushwinch/upstream"
 	"github.com/pkg/errors"
@@ -45,7 +46,7 @@
 	s := &config.Settings{Name: "dev", FailureDomain: devDomains[0], Roles: []config.Role{config.RoleEntry, config.RoleReplica},
 		DataFolder: filepath.Join(dir, "data"), PublicAddress: DevPublicAddress, PeerAddress: devPeerAddress,
 		AdminAddress: devAdminAddress, Replicas: []string{devPeerAddress}, Voters: 1,
-		Secret: "development-cluster-secret", OperatorKey: key[:], LogLevel: "info"}
+		Secret: "development-cluster-secret", OperatorKey: key[:], Limits: entry.DefaultLimits, LogLevel: "info"}
 	g, ctx := errgroup.WithContext(ctx)
 	g.Go(func() error { return New(s, log).Run(ctx, true) })
 	g.Go(func() error { return ignoreCancel(ctx, runDevUpstreams(ctx)) })
--- a/daemon/health.go
+++ b/daemon/health.go
@@ -1,84 +1,122 @@
 package daemon
 
 import (
+	"context"
 	"expvar"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	"github.com/bulrushwinch/bulrushwinch/lifecycle"
+	"github.com/bulrushwinch/bulrushwinch/timeline"
+	"github.com/bulrushwinch/bulrushwinch/view"
+	"github.com/rs/zerolog"
 )
 
-// staleView is how long an entry works without hearing of a quorum-backed leader.
-const staleView = 3 * time.Second
+// healthInterval is the time between looks at the age of the view.
+const healthInterval = 200 * time.Millisecond
 
+// Metrics of the daemon that was started last in the process.
 var (
-	revisionInForce = expvar.NewInt("revision_in_force")
-	readyGauge      = expvar.NewInt("ready")
+	readyGauge  = expvar.NewInt("ready")
+	currentView atomic.Pointer[view.Store]
 )
 
+func init() {
+	expvar.Publish("revision_in_force", expvar.Func(func() any {
+		if v := currentView.Load(); v != nil {
+			return v.Revision()
+		}
+		return 0
+	}))
+	expvar.Publish("view_age_ms", expvar.Func(func() any {
+		if v := currentView.Load(); v != nil {
+			if age, ok := v.Age(); ok {
+				return age.Milliseconds()
+			}
+		}
+		return -1
+	}))
+}
+
 // health follows the daemon's lifecycle and serves it to the balancer.
 type health struct {
-	mu       sync.Mutex
-	name     string
-	state    lifecycle.DaemonState
-	viewSeen time.Time
-	revision uint64
+	log    zerolog.Logger
+	events *timeline.Recorder
+	view   *view.Store
+
+	mu    sync.Mutex
+	state lifecycle.DaemonState
 }
 
-func newHealth(name string) *health {
-	return &health{name: name, state: lifecycle.DaemonStarting}
+func newHealth(log zerolog.Logger, events *timeline.Recorder, store *view.Store) *health {
+	currentView.Store(store)
+	return &health{log: log, events: events, view: store, state: lifecycle.DaemonStarting}
 }
 
 func (h *health) fire(t lifecycle.DaemonTrigger) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
+	before := h.state
 	_ = lifecycle.Daemon.Fire(&h.state, t)
-	readyGauge.Set(0)
+	if h.state == before {
+		return
+	}
+	ready := int64(0)
 	if h.state == lifecycle.DaemonReady {
-		readyGauge.Set(1)
+		ready = 1
 	}
+	readyGauge.Set(ready)
+	h.log.Info().Str("from", string(before)).Str("to", string(h.state)).Msg("process state changed")
+	h.events.Add(&apiv1.Event{Kind: "process-" + string(h.state), Detail: "was " + string(before)})
 }
 
-// viewFresh records that a quorum-backed leader confirmed a revision.
-func (h *health) viewFresh(revision uint64, at time.Time) {
-	h.mu.Lock()
-	h.viewSeen, h.revision = at, revision
-	h.mu.Unlock()
-	revisionInForce.Set(int64(revision))
-	h.fire(lifecycle.DaemonViewFresh)
+// checkView turns the daemon ready or unready by the age of its view.
+func (h *health) checkView() {
+	if h.view.Fresh() {
+		h.fire(lifecycle.DaemonViewFresh)
+		return
+	}
+	h.fire(lifecycle.DaemonViewStale)
 }
 
-// checkView turns the daemon unready when its view has grown stale.
-func (h *health) checkView(now time.Time) {
-	h.mu.Lock()
-	stale := now.Sub(h.viewSeen) > staleView
-	h.mu.Unlock()
-	if stale {
-		h.fire(lifecycle.DaemonViewStale)
+// watch checks the view until ctx ends.
+func (h *health) watch(ctx context.Context) error {
+	ticker := time.NewTicker(healthInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			h.fire(lifecycle.DaemonStop)
+			return nil
+		case <-ticker.C:
+			h.checkView()
+		}
 	}
 }
 
 func (h *health) drain() { h.fire(lifecycle.DaemonDrain) }
 
-func (h *health) ready() bool {
+func (h *health) current() lifecycle.DaemonState {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	return h.state == lifecycle.DaemonReady
+	return h.state
 }
 
+// ready looks at the view itself, as the last check may have been before a pause.
+func (h *health) ready() bool { return h.current() == lifecycle.DaemonReady && h.view.Fresh() }
+
 // handler serves /healthz, /readyz and /debug/vars.
 func (h *health) handler() http.Handler {
 	mux := http.NewServeMux()
 	mux.HandleFunc("/healthz", func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write([]byte("alive\n")) })
 	mux.HandleFunc("/readyz", func(w http.ResponseWriter, _ *http.Request) {
-		h.mu.Lock()
-		state := h.state
-		h.mu.Unlock()
-		if state != lifecycle.DaemonReady {
+		if !h.ready() {
 			w.WriteHeader(http.StatusServiceUnavailable)
 		}
-		_, _ = w.Write([]byte(state + "\n"))
+		_, _ = w.Write([]byte(h.current() + "\n"))
 	})
 	mux.Handle("/debug/vars", expvar.Handler())
 	return mux
--- /dev/null
+++ b/daemon/listener.go
@@ -0,0 +1,102 @@
+package daemon
+
+import (
+	"net"
+	"sync"
+	"time"
+)
+
+// settleTime is how long a connection must have been quiet after its last answer
+// before it counts as idle.
+const settleTime = 250 * time.Millisecond
+
+// trackingListener remembers its open connections, so that idle ones can be closed.
+type trackingListener struct {
+	net.Listener
+	mu    sync.Mutex
+	conns map[*trackedConn]bool
+}
+
+func newTrackingListener(l net.Listener) *trackingListener {
+	return &trackingListener{Listener: l, conns: make(map[*trackedConn]bool)}
+}
+
+// Accept implements net.Listener.
+func (l *trackingListener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	t := &trackedConn{Conn: c, listener: l, since: time.Now()}
+	l.mu.Lock()
+	l.conns[t] = true
+	l.mu.Unlock()
+	return t, nil
+}
+
+// closeIdle closes the connections on which no request is open.
+func (l *trackingListener) closeIdle() {
+	l.mu.Lock()
+	var idle []*trackedConn
+	for c := range l.conns {
+		if c.idle() {
+			idle = append(idle, c)
+		}
+	}
+	l.mu.Unlock()
+	for _, c := range idle {
+		_ = c.Close()
+	}
+}
+
+// open returns the number of open connections.
+func (l *trackingListener) open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+// trackedConn knows whether the last thing that happened on it was an answer.
+type trackedConn struct {
+	net.Conn
+	listener *trackingListener
+	mu       sync.Mutex
+	asked    bool
+	since    time.Time
+}
+
+func (c *trackedConn) note(asked bool) {
+	c.mu.Lock()
+	c.asked, c.since = asked, time.Now()
+	c.mu.Unlock()
+}
+
+func (c *trackedConn) idle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return !c.asked && time.Since(c.since) > settleTime
+}
+
+// Read implements net.Conn.
+func (c *trackedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	if n > 0 {
+		c.note(true)
+	}
+	return n, err
+}
+
+// Write implements net.Conn.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	n, err := c.Conn.Write(p)
+	c.note(false)
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *trackedConn) Close() error {
+	c.listener.mu.Lock()
+	delete(c.listener.conns, c)
+	c.listener.mu.Unlock()
+	return c.Conn.Close()
+}
--- a/daemon/peer_service.go
+++ b/daemon/peer_service.go
@@ -38,13 +38,11 @@
 	return connect.NewResponse(resp), nil
 }
 
-// View implements PeerService.
+// View implements PeerService: this process passes on the view that it has in force.
 func (s *peerService) View(ctx context.Context, req *connect.Request[peerv1.ViewRequest]) (*connect.Response[peerv1.ViewResponse], error) {
-	resp := &peerv1.ViewResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER}
-	if r := s.d.currentReplica(); r != nil {
-		resp = r.controller.View(ctx, req.Msg)
-	}
-	return connect.NewResponse(resp), nil
+	ctx, cancel := context.WithTimeout(ctx, viewHold)
+	defer cancel()
+	return connect.NewResponse(s.d.view.Serve(ctx, req.Msg)), nil
 }
 
 // Join implements PeerService.
--- a/daemon/public.go
+++ b/daemon/public.go
@@ -2,55 +2,132 @@
 
 import (
 	"context"
-	"net"
 	"net/http"
+	"sync/atomic"
+	"time"
 
+	"connectrpc.com/connect"
 	"github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1/bulrushwinchv1connect"
 	"github.com/bulrushwinch/bulrushwinch/entry"
+	"github.com/bulrushwinch/bulrushwinch/retry"
+	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
+	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
-
-	"connectrpc.com/connect"
 )
 
-// maxRequestBytes bounds one public request.
-const maxRequestBytes = 8 << 20
+const (
+	// maxRequestBytes bounds one public request; beyond twice of that a connection is
+	// cut off without an answer of the public schema.
+	maxRequestBytes = 8 << 20
+	// readTimeout bounds the arrival of one request, idleTimeout the life of a
+	// connection without one; clients give theirs up earlier.
+	readTimeout = 30 * time.Second
+	idleTimeout = 2 * time.Minute
+	// drainPoll is the time between looks at the open connections of a drain.
+	drainPoll = 20 * time.Millisecond
+)
 
 func init() {
-	hlog.SetLevel(hlog.LevelError)
+	hlog.SetLevel(hlog.LevelFatal)
 }
 
-// publicHandler returns the HTTP handler of the public schema.
-func publicHandler(s *entry.Server) http.Handler {
-	limit := connect.WithReadMaxBytes(maxRequestBytes)
+// PublicHandler returns the HTTP handler of the public schema. JSON with unknown fields
+// is refused.
+func PublicHandler(s *entry.Server) http.Handler {
+	opts := []connect.HandlerOption{connect.WithReadMaxBytes(maxRequestBytes), connect.WithCodec(strictJSON{})}
 	mux := http.NewServeMux()
-	mux.Handle(bulrushwinchv1connect.NewCallerServiceHandler(s, limit))
-	mux.Handle(bulrushwinchv1connect.NewOperatorServiceHandler(s, limit))
-	mux.Handle(bulrushwinchv1connect.NewUpstreamServiceHandler(s, limit))
+	mux.Handle(bulrushwinchv1connect.NewCallerServiceHandler(s, opts...))
+	mux.Handle(bulrushwinchv1connect.NewOperatorServiceHandler(s, opts...))
+	mux.Handle(bulrushwinchv1connect.NewUpstreamServiceHandler(s, opts...))
 	return mux
 }
 
-// servePublic serves the public schema until ctx ends, then lets open calls finish.
-func (d *Daemon) servePublic(ctx, work context.Context, l net.Listener) error {
-	api := entry.NewServer(d.settings.Name, d.router, d.events, d.gatherTimeline)
-	h := server.New(server.WithListener(l), server.WithTransport(standard.NewTransporter),
-		server.WithMaxRequestBodySize(maxRequestBytes), server.WithDisablePrintRoute(true),
-		server.WithExitWaitTime(drainTimeout))
-	handler := adaptor.HertzHandler(publicHandler(api))
-	h.POST("/*path", handler)
+// publicServer serves the public schema and can be drained.
+type publicServer struct {
+	hertz    *server.Hertz
+	listener *trackingListener
+	draining atomic.Bool
+}
+
+func newPublicServer(d *Daemon, l *trackingListener) *publicServer {
+	s := &publicServer{listener: l}
+	opts := []config.Option{server.WithListener(l), server.WithTransport(standard.NewTransporter),
+		server.WithMaxRequestBodySize(2 * maxRequestBytes), server.WithDisablePrintRoute(true),
+		server.WithReadTimeout(readTimeout), server.WithIdleTimeout(idleTimeout), server.WithExitWaitTime(drainTimeout)}
+	if d.settings.PublicTLS != nil {
+		opts = append(opts, server.WithTLS(d.settings.PublicTLS))
+	}
+	s.hertz = server.New(opts...)
+	handler := adaptor.HertzHandler(PublicHandler(d.entry))
+	s.hertz.POST("/*path", func(ctx context.Context, rc *app.RequestContext) {
+		handler(ctx, rc)
+		if s.draining.Load() {
+			rc.SetConnectionClose()
+		}
+	})
+	return s
+}
+
+// servePublic serves the public schema until ctx ends, then drains the daemon.
+func (d *Daemon) servePublic(ctx, work context.Context, l *trackingListener) error {
+	s := newPublicServer(d, l)
 	failed := make(chan error, 1)
-	go func() { failed <- h.Run() }()
+	go func() { failed <- s.hertz.Run() }()
 	select {
 	case err := <-failed:
 		return err
 	case <-work.Done():
 	case <-ctx.Done():
 	}
+	d.drain(s)
+	return nil
+}
+
+// drain takes the daemon out of service without cutting a call: the balancer sees it
+// unready, the leadership moves, connections end after their next answer, and only
+// then the listener closes and the last open calls are waited for.
+func (d *Daemon) drain(s *publicServer) {
+	ctx, cancel := context.WithTimeout(context.Background(), d.settings.DrainDelay+drainTimeout)
+	defer cancel()
+	d.log.Info().Dur("delay", d.settings.DrainDelay).Msg("draining: calls are still taken for the delay")
 	d.health.drain()
-	d.log.Info().Msg("draining: open calls may finish")
-	shutdown, cancel := context.WithTimeout(context.Background(), drainTimeout)
+	d.entry.Drain()
+	s.draining.Store(true)
+	d.handOver(ctx)
+	_ = retry.Sleep(ctx, d.settings.DrainDelay)
+	_ = s.listener.Close()
+	if open := s.finish(ctx); open > 0 {
+		d.log.Warn().Int("connections", open).Msg("drain timed out; the rest is cut")
+	}
+	d.handOver(ctx)
+	d.log.Info().Msg("drained")
+}
+
+// finish waits until no connection is open any more and returns how many are left.
+func (s *publicServer) finish(ctx context.Context) int {
+	for s.listener.open() > 0 && ctx.Err() == nil {
+		s.listener.closeIdle()
+		_ = retry.Sleep(ctx, drainPoll)
+	}
+	left := s.listener.open()
+	stop, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	return h.Shutdown(shutdown)
+	_ = s.hertz.Shutdown(stop)
+	return left
+}
+
+// handOver gives the leadership away if this process holds it.
+func (d *Daemon) handOver(ctx context.Context) {
+	r := d.currentReplica()
+	if r == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(ctx, handOverTimeout)
+	defer cancel()
+	if err := r.controller.HandOver(ctx); err != nil {
+		d.log.Warn().Err(err).Msg("leadership was not handed over; another replica will be elected")
+	}
 }
--- a/daemon/replica.go
+++ b/daemon/replica.go
@@ -64,6 +64,9 @@
 	st := state.New(state.DefaultSettings)
 	cfg := control.DefaultConfig
 	cfg.Voters, cfg.OperatorKey = d.settings.Voters, d.settings.OperatorKey
+	if d.settings.PollHold > 0 {
+		cfg.PollHold = d.settings.PollHold
+	}
 	controller := control.New(cfg, st, lease.BootClock{}, d.events)
 	transport := peer.NewTransport(ctx, d.pool, id.Group, raft.Member{ID: id.Replica, Address: d.settings.PeerAddress})
 	node, err := replica.New(replica.DefaultConfig(id.Replica, uint64(time.Now().UnixNano())),
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -6,76 +6,182 @@
 
 	"connectrpc.com/connect"
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	"github.com/bulrushwinch/bulrushwinch/config"
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
 	"github.com/bulrushwinch/bulrushwinch/retry"
 	"github.com/bulrushwinch/bulrushwinch/timeline"
+	"github.com/bulrushwinch/bulrushwinch/view"
+	"github.com/cespare/xxhash/v2"
+	"golang.org/x/sync/errgroup"
 )
 
 const (
+	// viewHold bounds how long this process holds a view call of another one.
+	viewHold        = 1200 * time.Millisecond
 	viewTimeout     = 2500 * time.Millisecond
 	viewBackoffMin  = 50 * time.Millisecond
 	viewBackoffMax  = 500 * time.Millisecond
 	timelineTimeout = 2 * time.Second
+	// timelineCalls bounds the processes that are asked for events at once.
+	timelineCalls = 8
 )
 
-// watchView follows the configuration in force by long polls to the leader.
+// viewWatcher follows the configuration in force.
+type viewWatcher struct {
+	d *Daemon
+	// sources are asked in turn; replicas ask the leader only, so that views flow from
+	// the leader to the replicas and from these to the entries, and never in a circle.
+	sources    []string
+	fromLeader bool
+	next       int
+	hint       string
+	leader     string
+}
+
+// watchView follows the configuration in force until ctx ends.
 func (d *Daemon) watchView(ctx context.Context) error {
+	w := &viewWatcher{d: d, sources: d.settings.Replicas, fromLeader: d.settings.HasRole(config.RoleReplica)}
+	if !w.fromLeader {
+		w.sources = entrySources(d.settings)
+	}
 	backoff := retry.Backoff{Min: viewBackoffMin, Max: viewBackoffMax}
-	leader, next := "", 0
-	var known uint64
 	for ctx.Err() == nil {
-		address := leader
-		if address == "" {
-			address = d.settings.Replicas[next%len(d.settings.Replicas)]
-			next++
-		}
-		sent := time.Now()
-		view := d.fetchView(ctx, address, known)
-		if view.GetStatus() == peerv1.ForwardStatus_FORWARD_STATUS_OK {
-			known, leader = view.GetRevision(), address
-			d.health.viewFresh(known, sent)
+		if w.refresh(ctx) {
 			backoff.Reset()
 			continue
 		}
-		leader = view.GetLeaderAddress()
-		d.health.checkView(time.Now())
 		_ = retry.Sleep(ctx, backoff.Next())
 	}
 	return nil
 }
 
-func (d *Daemon) fetchView(ctx context.Context, address string, known uint64) *peerv1.ViewResponse {
+// entrySources returns what an entry asks: its view sources first, then the replicas,
+// beginning at one that depends on its name, so that entries spread over them.
+func entrySources(s *config.Settings) []string {
+	n := len(s.Replicas)
+	first := int(xxhash.Sum64String(s.Name) % uint64(n))
+	out := append([]string(nil), s.ViewSources...)
+	for i := range n {
+		out = append(out, s.Replicas[(first+i)%n])
+	}
+	return out
+}
+
+// refresh fetches the view once; false means that nothing was learnt.
+func (w *viewWatcher) refresh(ctx context.Context) bool {
+	sent := w.d.clock.Now()
+	if resp := w.ask(ctx); resp != nil && w.take(resp, sent, view.FromLeader) {
+		return true
+	}
+	address := w.hint
+	if address == "" || address == w.d.settings.PeerAddress {
+		address = w.sources[w.next%len(w.sources)]
+	}
+	sent = w.d.clock.Now()
+	resp := w.fetch(ctx, address)
+	if resp.GetStatus() == peerv1.ForwardStatus_FORWARD_STATUS_OK && w.take(resp, sent, view.FromProcess) {
+		return true
+	}
+	w.hint = ""
+	if w.fromLeader {
+		w.hint = resp.GetLeaderAddress()
+	}
+	if w.hint == "" || w.hint == address {
+		w.hint = ""
+		w.next++
+	}
+	return false
+}
+
+// ask asks the replica in this process; nil if there is none or it does not lead.
+func (w *viewWatcher) ask(ctx context.Context) *peerv1.ViewResponse {
+	r := w.d.currentReplica()
+	if r == nil {
+		return nil
+	}
 	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
 	defer cancel()
-	c := d.pool.Get(address)
-	resp, err := c.View(ctx, connect.NewRequest(&peerv1.ViewRequest{KnownRevision: known, Process: d.settings.Name, Ready: d.health.ready()}))
+	resp := r.controller.View(ctx, w.request())
+	if resp.GetStatus() != peerv1.ForwardStatus_FORWARD_STATUS_OK {
+		w.hint = resp.GetLeaderAddress()
+		return nil
+	}
+	resp.LeaderAddress = w.d.settings.PeerAddress
+	return resp
+}
+
+func (w *viewWatcher) request() *peerv1.ViewRequest {
+	return &peerv1.ViewRequest{KnownRevision: w.d.view.Revision(), Process: w.d.settings.Name, Ready: w.d.health.ready(),
+		FromLeader: w.fromLeader, Address: w.d.settings.PeerAddress, Reports: w.d.view.Reports()}
+}
+
+func (w *viewWatcher) fetch(ctx context.Context, address string) *peerv1.ViewResponse {
+	ctx, cancel := context.WithTimeout(ctx, viewTimeout)
+	defer cancel()
+	c, began := w.d.pool.Get(address), time.Now()
+	resp, err := c.View(ctx, connect.NewRequest(w.request()))
 	if err == nil {
 		return resp.Msg
 	}
 	if ctx.Err() != nil {
-		d.pool.Abandon(address, c)
+		c.TimedOut(began)
 	}
 	return nil
 }
 
-// gatherTimeline merges the events of this process with those of the replicas.
-func (d *Daemon) gatherTimeline(ctx context.Context, filter *apiv1.TimelineRequest) *apiv1.TimelineResponse {
+// take puts a response in force; false means that it was refused.
+func (w *viewWatcher) take(resp *peerv1.ViewResponse, sent time.Duration, from view.Source) bool {
+	before := w.d.view.Revision()
+	if err := w.d.view.Update(resp, sent, from); err != nil {
+		w.d.log.Warn().Err(err).Uint64("revision", resp.GetRevision()).Msg("view refused; trying another source")
+		return false
+	}
+	if leader := resp.GetLeaderAddress(); leader != "" && leader != w.leader {
+		w.leader = leader
+		w.d.router.SetLeader(leader)
+	}
+	if revision := resp.GetRevision(); revision != before {
+		w.d.events.Add(&apiv1.Event{Kind: "revision-in-force", Revision: revision})
+	}
+	w.d.health.checkView()
+	return true
+}
+
+// gatherTimeline merges the events of this process with those at the given addresses.
+func (d *Daemon) gatherTimeline(ctx context.Context, filter *apiv1.TimelineRequest, addresses []string) *apiv1.TimelineResponse {
 	ctx, cancel := context.WithTimeout(ctx, timelineTimeout)
 	defer cancel()
-	out := &apiv1.TimelineResponse{}
-	lists := [][]*apiv1.Event{d.events.Events(filter)}
-	for _, address := range d.settings.Replicas {
-		if address == d.settings.PeerAddress {
+	lists := make([][]*apiv1.Event, len(addresses)+1)
+	missing := make([]bool, len(addresses))
+	lists[len(addresses)] = d.events.Events(filter)
+	var g errgroup.Group
+	g.SetLimit(timelineCalls)
+	for i, address := range addresses {
+		if address == d.settings.PeerAddress || address == "" {
 			continue
 		}
-		resp, err := d.pool.Get(address).Events(ctx, connect.NewRequest(&peerv1.EventsRequest{Filter: filter, WallNs: d.events.Clock().Now().WallNS}))
-		if err != nil {
+		g.Go(func() error {
+			events, err := d.fetchEvents(ctx, address, filter)
+			lists[i], missing[i] = events, err != nil
+			return nil
+		})
+	}
+	_ = g.Wait()
+	out := &apiv1.TimelineResponse{Events: timeline.Merge(filter, lists...)}
+	for i, address := range addresses {
+		if missing[i] {
 			out.Missing = append(out.Missing, address)
-			continue
 		}
-		d.events.Clock().Observe(resp.Msg.GetWallNs())
-		lists = append(lists, resp.Msg.GetEvents())
 	}
-	out.Events = timeline.Merge(filter, lists...)
 	return out
 }
+
+func (d *Daemon) fetchEvents(ctx context.Context, address string, filter *apiv1.TimelineRequest) ([]*apiv1.Event, error) {
+	req := connect.NewRequest(&peerv1.EventsRequest{Filter: filter, WallNs: d.events.Clock().Now().WallNS})
+	resp, err := d.pool.Get(address).Events(ctx, req)
+	if err != nil {
+		return nil, err
+	}
+	d.events.Clock().Observe(resp.Msg.GetWallNs())
+	return resp.Msg.GetEvents(), nil
+}
--- a/entry/api.go
+++ b/entry/api.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/sha256"
 	"strings"
+	"sync"
 	"time"
 
 	"connectrpc.com/connect"
@@ -11,53 +12,119 @@
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
 	"github.com/bulrushwinch/bulrushwinch/state"
 	"github.com/bulrushwinch/bulrushwinch/timeline"
+	"github.com/bulrushwinch/bulrushwinch/view"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 )
 
 const (
-	// callTimeout bounds calls that bring no deadline of their own.
-	callTimeout = 10 * time.Second
-	// maxWait bounds one Wait call.
-	maxWait = 30 * time.Second
-	// waitMargin is what is left of a call's time to bring the answer home.
-	waitMargin = 2 * time.Second
+	// callTimeout bounds a call that brings no earlier deadline of its own.
+	callTimeout = 8 * time.Second
+	// maxWait bounds one Wait call, waitStep one attempt of it.
+	maxWait  = 30 * time.Second
+	waitStep = 1500 * time.Millisecond
 )
 
-// Server implements the public services.
+// Server implements the public services. It is safe for concurrent use.
 type Server struct {
-	process  string
-	router   *Router
-	events   *timeline.Recorder
-	settings state.Settings
-	timeline TimelineSource
+	process   string
+	router    *Router
+	events    *timeline.Recorder
+	settings  state.Settings
+	timeline  TimelineSource
+	admission *admission
+
+	drainOnce sync.Once
+	draining  chan struct{}
+}
+
+// TimelineSource gathers the events of this process and of those at the given peer
+// addresses.
+type TimelineSource func(ctx context.Context, filter *apiv1.TimelineRequest, addresses []string) *apiv1.TimelineResponse
+
+// Option changes a Server.
+type Option func(*options)
+
+type options struct {
+	limits Limits
+	view   *view.Store
 }
 
-// TimelineSource gathers the events of all processes.
-type TimelineSource func(ctx context.Context, filter *apiv1.TimelineRequest) *apiv1.TimelineResponse
+// WithLimits replaces DefaultLimits.
+func WithLimits(l Limits) Option { return func(o *options) { o.limits = l } }
+
+// WithView lets the server authenticate early and stop while the view is stale.
+func WithView(v *view.Store) Option { return func(o *options) { o.view = v } }
 
 // NewServer returns a server that forwards through router.
-func NewServer(process string, router *Router, events *timeline.Recorder, source TimelineSource) *Server {
-	return &Server{process: process, router: router, events: events, settings: state.DefaultSettings, timeline: source}
+func NewServer(process string, router *Router, events *timeline.Recorder, source TimelineSource, opts ...Option) *Server {
+	o := options{limits: DefaultLimits}
+	for _, opt := range opts {
+		opt(&o)
+	}
+	return &Server{process: process, router: router, events: events, settings: state.DefaultSettings, timeline: source,
+		admission: newAdmission(o.limits, o.view), draining: make(chan struct{})}
+}
+
+// Drain shortens waits from now on. Calls are still taken, until the listener closes.
+func (s *Server) Drain() { s.drainOnce.Do(func() { close(s.draining) }) }
+
+func (s *Server) isDraining() bool {
+	select {
+	case <-s.draining:
+		return true
+	default:
+		return false
+	}
 }
 
-// call forwards one request and decodes its answer into resp.
-func (s *Server) call(ctx context.Context, method peerv1.Method, key []byte, req, resp proto.Message, idempotent bool) (*apiv1.Outcome, error) {
-	ctx, cancel := context.WithTimeout(ctx, callTimeout+maxWait)
+// method describes one public call.
+type method struct {
+	id         peerv1.Method
+	name       string
+	class      class
+	idempotent bool
+}
+
+// Methods that are forwarded. A poll is never repeated by the entry: its number must
+// reach the leader once.
+var (
+	methodSubmit   = method{peerv1.Method_METHOD_SUBMIT, "submit", classBatch, true}
+	methodWait     = method{peerv1.Method_METHOD_WAIT, "wait", classWait, true}
+	methodGet      = method{peerv1.Method_METHOD_GET, "get", classCaller, true}
+	methodCancel   = method{peerv1.Method_METHOD_CANCEL, "cancel", classCaller, true}
+	methodExplain  = method{peerv1.Method_METHOD_EXPLAIN, "explain", classCaller, true}
+	methodChange   = method{peerv1.Method_METHOD_CHANGE, "change", classOperator, true}
+	methodStatus   = method{peerv1.Method_METHOD_STATUS, "status", classOperator, true}
+	methodAnnounce = method{peerv1.Method_METHOD_ANNOUNCE, "announce", classOperator, true}
+	methodPoll     = method{peerv1.Method_METHOD_POLL, "poll", classPoll, false}
+)
+
+// forwarded is what the leader said of a call.
+type forwarded struct {
+	refusal *apiv1.Outcome
+	// uncertain is set when an earlier attempt of the call may have had an effect.
+	uncertain bool
+}
+
+// forward carries one request to the leader and decodes its answer into resp.
+func (s *Server) forward(ctx context.Context, m method, key []byte, req, resp proto.Message) (forwarded, error) {
+	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	payload, err := proto.Marshal(req)
 	if err != nil {
-		return nil, connect.NewError(connect.CodeInvalidArgument, err)
+		return forwarded{}, connect.NewError(connect.CodeInvalidArgument, err)
 	}
-	r, err := s.router.Call(ctx, &peerv1.ForwardRequest{Method: method, Payload: payload, KeySha256: key,
-		Process: s.process, WallNs: s.events.Clock().Now().WallNS}, idempotent)
+	answer, err := s.router.Call(ctx, &peerv1.ForwardRequest{Method: m.id, Payload: payload, KeySha256: key,
+		Process: s.process, WallNs: s.events.Clock().Now().WallNS}, m.idempotent)
 	if err != nil {
-		return nil, err
+		return forwarded{}, err
 	}
-	if r.GetStatus() == peerv1.ForwardStatus_FORWARD_STATUS_REFUSED {
-		return r.GetRefusal(), nil
+	s.events.Clock().Observe(answer.GetWallNs())
+	if answer.GetStatus() == peerv1.ForwardStatus_FORWARD_STATUS_REFUSED {
+		return forwarded{answer.GetRefusal(), answer.Uncertain}, nil
 	}
-	return nil, proto.Unmarshal(r.GetPayload(), resp)
+	return forwarded{uncertain: answer.Uncertain}, proto.Unmarshal(answer.GetPayload(), resp)
 }
 
 // keyHash returns the hash of the key in the call's header, or nil.
@@ -70,29 +137,89 @@
 	return sum[:]
 }
 
-// rpcError turns a refusal or a routing error into an error of the public schema.
-func rpcError(refusal *apiv1.Outcome, err error) error {
-	switch {
-	case refusal != nil:
-		return connect.NewError(connect.CodeFailedPrecondition, errors.New(refusal.GetDetail()))
-	case errors.Is(err, ErrNothingProposed), errors.Is(err, ErrUndetermined):
-		return connect.NewError(connect.CodeUnavailable, err)
+// admit lets a call in after the view and the bounds allow it.
+func (s *Server) admit(m method, authorize func() *refusal) (release func(), r *refusal) {
+	if r := s.admission.fresh(); r != nil {
+		return nil, r
 	}
-	return err
+	if r := authorize(); r != nil {
+		return nil, r
+	}
+	return s.admission.enter(m.class)
 }
 
-// unary forwards a call whose errors need no outcome of their own.
+// unary admits and forwards a call whose refusals travel as errors.
 func unary[Q, P any, QM interface {
 	*Q
 	proto.Message
 }, PM interface {
 	*P
 	proto.Message
-}](ctx context.Context, s *Server, method peerv1.Method, req *connect.Request[Q], idempotent bool) (*connect.Response[P], error) {
+}](ctx context.Context, s *Server, m method, req *connect.Request[Q], authorize func() *refusal) (*connect.Response[P], error) {
+	start := time.Now()
+	release, r := s.admit(m, authorize)
+	if r != nil {
+		return nil, observe(m, start, refusalError(r.outcome(false)))
+	}
+	defer release()
 	resp := connect.NewResponse(new(P))
-	refusal, err := s.call(ctx, method, keyHash(req), QM(req.Msg), PM(resp.Msg), idempotent)
-	if refusal != nil || err != nil {
-		return nil, rpcError(refusal, err)
+	got, err := s.forward(ctx, m, keyHash(req), QM(req.Msg), PM(resp.Msg))
+	if got.refusal != nil {
+		err = refusalError(got.refusal)
+	}
+	if err := observe(m, start, err); err != nil {
+		return nil, err
 	}
 	return resp, nil
 }
+
+// observe counts the end of a call and turns errors into those of the public schema.
+func observe(m method, start time.Time, err error) error {
+	latencies.record(m.name, time.Since(start))
+	err = publicError(err)
+	if err == nil {
+		calls.Add(m.name+".ok", 1)
+		return nil
+	}
+	calls.Add(m.name+"."+connect.CodeOf(err).String(), 1)
+	return err
+}
+
+// publicError gives errors of the router an outcome that callers can act on.
+func publicError(err error) error {
+	switch {
+	case errors.Is(err, ErrNothingProposed), errors.Is(err, ErrUndetermined):
+		return refusalError(&apiv1.Outcome{Kind: apiv1.OutcomeKind_OUTCOME_KIND_UNDETERMINED,
+			Reason: apiv1.Reason_REASON_NO_LEADER, Detail: err.Error()})
+	}
+	return err
+}
+
+// codes gives the RPC code for the reasons of refusals; others are failed preconditions.
+var codes = map[apiv1.Reason]connect.Code{
+	apiv1.Reason_REASON_BAD_REQUEST:         connect.CodeInvalidArgument,
+	apiv1.Reason_REASON_KEY_UNKNOWN:         connect.CodeUnauthenticated,
+	apiv1.Reason_REASON_KEY_WITHDRAWN:       connect.CodeUnauthenticated,
+	apiv1.Reason_REASON_KEY_OF_ANOTHER_TEAM: connect.CodePermissionDenied,
+	apiv1.Reason_REASON_NOT_PERMITTED:       connect.CodePermissionDenied,
+	apiv1.Reason_REASON_QUEUE_UNKNOWN:       connect.CodeNotFound,
+	apiv1.Reason_REASON_NOT_FOUND:           connect.CodeNotFound,
+	apiv1.Reason_REASON_OVERLOADED:          connect.CodeResourceExhausted,
+	apiv1.Reason_REASON_TOO_LARGE:           connect.CodeInvalidArgument,
+	apiv1.Reason_REASON_NO_LEADER:           connect.CodeUnavailable,
+	apiv1.Reason_REASON_DRAINING:            connect.CodeUnavailable,
+}
+
+// refusalError carries an outcome as an error of the public schema; the outcome itself
+// is attached as a detail.
+func refusalError(o *apiv1.Outcome) error {
+	code, ok := codes[o.GetReason()]
+	if !ok {
+		code = connect.CodeFailedPrecondition
+	}
+	err := connect.NewError(code, errors.New(o.GetDetail()))
+	if detail, detailErr := connect.NewErrorDetail(o); detailErr == nil {
+		err.AddDetail(detail)
+	}
+	return err
+}
--- /dev/null
+++ b/entry/entry_test.go
@@ -0,0 +1,287 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"connectrpc.com/connect"
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/timeline"
+	"github.com/bulrushwinch/bulrushwinch/view"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	notRun       = apiv1.OutcomeKind_OUTCOME_KIND_NOT_RUN
+	undetermined = apiv1.OutcomeKind_OUTCOME_KIND_UNDETERMINED
+	acceptedKind = apiv1.OutcomeKind_OUTCOME_KIND_ACCEPTED
+)
+
+// step is what a fake replica does with one call.
+type step func() (*peerv1.ForwardResponse, bool, error)
+
+// script is a Forwarder that plays steps and repeats the last one.
+type script struct {
+	steps []step
+	sends atomic.Int32
+	mu    sync.Mutex
+	seen  []string
+}
+
+func (s *script) Forward(_ context.Context, address string, _ *peerv1.ForwardRequest) (*peerv1.ForwardResponse, bool, error) {
+	n := int(s.sends.Add(1)) - 1
+	s.mu.Lock()
+	s.seen = append(s.seen, address)
+	s.mu.Unlock()
+	return s.steps[min(n, len(s.steps)-1)]()
+}
+
+func reply(o *apiv1.Outcome) step {
+	return func() (*peerv1.ForwardResponse, bool, error) {
+		payload, _ := proto.Marshal(&apiv1.SubmitResponse{Outcome: o})
+		return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_OK, Payload: payload}, true, nil
+	}
+}
+
+func status(st peerv1.ForwardStatus, hint string) step {
+	return func() (*peerv1.ForwardResponse, bool, error) {
+		return &peerv1.ForwardResponse{Status: st, LeaderAddress: hint}, true, nil
+	}
+}
+
+func broken(sent bool) step {
+	return func() (*peerv1.ForwardResponse, bool, error) { return nil, sent, errors.New("broken") }
+}
+
+var (
+	accepts   = reply(&apiv1.Outcome{Kind: acceptedKind})
+	loses     = status(peerv1.ForwardStatus_FORWARD_STATUS_LOST, "")
+	notLeader = status(peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER, "")
+	refuses   = func(r apiv1.Reason) step { return reply(&apiv1.Outcome{Kind: notRun, Reason: r}) }
+)
+
+type fakeClock struct{ now time.Duration }
+
+func (c *fakeClock) Now() time.Duration { return c.now }
+
+func newServer(f Forwarder, opts ...Option) *Server {
+	rec := timeline.NewRecorder("entry", timeline.NewClock(time.Now), 64)
+	return NewServer("entry", NewRouter(f, []string{"a", "b", "c"}), rec, nil, opts...)
+}
+
+func request(first bool) *connect.Request[apiv1.SubmitRequest] {
+	req := connect.NewRequest(&apiv1.SubmitRequest{RequestId: "r", Queue: "q", FirstSend: first, FirstSentUnixMs: 1,
+		Job: &apiv1.JobSpec{Policy: apiv1.Policy_POLICY_BATCH, Tasks: []*apiv1.TaskSpec{{Copies: 1}}}})
+	req.Header().Set("Authorization", "Bearer some-key")
+	return req
+}
+
+// TestSubmitOutcomes plays failures between the entry and the leader and expects "not
+// run" only where no send can have had an effect.
+func TestSubmitOutcomes(t *testing.T) {
+	withdrawn, full := apiv1.Reason_REASON_KEY_WITHDRAWN, apiv1.Reason_REASON_TEAM_QUEUE_FULL
+	for name, c := range map[string]struct {
+		steps []step
+		first bool
+		want  apiv1.OutcomeKind
+	}{
+		"accepted":                                 {[]step{accepts}, true, acceptedKind},
+		"accepted after a lost leader":             {[]step{loses, notLeader, accepts}, true, acceptedKind},
+		"no leader, first send":                    {[]step{notLeader}, true, notRun},
+		"no leader, resend":                        {[]step{notLeader}, false, undetermined},
+		"nobody reachable, first send":             {[]step{broken(false)}, true, notRun},
+		"lost once, then nobody":                   {[]step{loses, broken(false)}, true, undetermined},
+		"broken after sending":                     {[]step{broken(true), notLeader}, true, undetermined},
+		"key withdrawn, first send":                {[]step{refuses(withdrawn)}, true, notRun},
+		"key withdrawn, resend":                    {[]step{refuses(withdrawn)}, false, undetermined},
+		"key withdrawn after a lost first attempt": {[]step{loses, refuses(withdrawn)}, true, undetermined},
+		"refusal remembered by the log":            {[]step{loses, refuses(full)}, false, notRun},
+	} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				resp, err := newServer(&script{steps: c.steps}).Submit(t.Context(), request(c.first))
+				if err != nil || resp.Msg.GetOutcome().GetKind() != c.want {
+					t.Errorf("got %v %v, want %s", resp, err, c.want)
+				}
+			})
+		})
+	}
+}
+
+// TestMalformedResendIsUndetermined expects the same for requests refused early.
+func TestMalformedResendIsUndetermined(t *testing.T) {
+	for _, first := range []bool{true, false} {
+		req := request(first)
+		req.Msg.Job.ExpectedMs = -1
+		resp, err := newServer(&script{}).Submit(t.Context(), req)
+		if err != nil || (resp.Msg.GetOutcome().GetKind() == notRun) != first {
+			t.Errorf("first send %t: %v %v", first, resp, err)
+		}
+	}
+}
+
+// TestElectionCostsNoBudget lets many calls wait through an election, and expects one
+// of them at a time to look for the leader and the retry budget to stay full.
+func TestElectionCostsNoBudget(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		over := time.Now().Add(3 * time.Second)
+		f := &script{steps: []step{func() (*peerv1.ForwardResponse, bool, error) {
+			if time.Now().Before(over) {
+				return notLeader()
+			}
+			return accepts()
+		}}}
+		router := NewRouter(f, []string{"a", "b", "c"})
+		const callers = 500
+		done := make(chan error, callers)
+		for range callers {
+			go func() {
+				_, err := router.Call(t.Context(), &peerv1.ForwardRequest{}, true)
+				done <- err
+			}()
+		}
+		for range callers {
+			if err := <-done; err != nil {
+				t.Fatal(err)
+			}
+		}
+		if sends := f.sends.Load(); sends > callers+100 {
+			t.Errorf("%d sends for %d calls", sends, callers)
+		}
+		for range retryReserve {
+			if !router.budget.Withdraw() {
+				t.Fatal("the election used up retries")
+			}
+		}
+	})
+}
+
+// TestRetriesAreBounded expects uncertain retries to end with the budget, and calls that
+// may not be repeated to be sent once.
+func TestRetriesAreBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &script{steps: []step{broken(true)}}
+		router := NewRouter(f, []string{"a"})
+		if _, err := router.Call(t.Context(), &peerv1.ForwardRequest{}, false); !errors.Is(err, ErrUndetermined) || f.sends.Load() != 1 {
+			t.Errorf("a call that may not be repeated: %v after %d sends", err, f.sends.Load())
+		}
+		if _, err := router.Call(t.Context(), &peerv1.ForwardRequest{}, true); !errors.Is(err, ErrUndetermined) {
+			t.Error(err)
+		}
+		if n := f.sends.Load(); n > 1+1+retryReserve {
+			t.Errorf("%d sends", n)
+		}
+	})
+}
+
+func TestHintsAreFollowedWithoutPause(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		start := time.Now()
+		f := &script{steps: []step{status(peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER, "leader"), accepts}}
+		if _, err := NewRouter(f, []string{"a", "b"}).Call(t.Context(), &peerv1.ForwardRequest{}, true); err != nil {
+			t.Fatal(err)
+		}
+		if f.seen[1] != "leader" || time.Since(start) != 0 {
+			t.Errorf("sent to %v in %s", f.seen, time.Since(start))
+		}
+	})
+}
+
+// TestStaleViewStopsEverything lets the view age and expects every call to be refused
+// with an outcome, without being forwarded.
+func TestStaleViewStopsEverything(t *testing.T) {
+	clock := &fakeClock{}
+	store := view.New(clock, time.Second)
+	f := &script{steps: []step{accepts}}
+	s := newServer(f, WithView(store))
+	expect := func(first bool, want apiv1.OutcomeKind) {
+		t.Helper()
+		resp, err := s.Submit(t.Context(), request(first))
+		if err != nil || resp.Msg.GetOutcome().GetKind() != want {
+			t.Errorf("got %v %v, want %s", resp, err, want)
+		}
+	}
+	expect(true, notRun)
+	_ = store.Update(&peerv1.ViewResponse{Revision: 1, Queues: []*apiv1.Queue{{Name: "q", Team: "t", Open: true}}}, 0, view.FromLeader)
+	expect(true, acceptedKind)
+	clock.now = 2 * time.Second
+	expect(true, notRun)
+	expect(false, undetermined)
+	_, err := s.Poll(t.Context(), connect.NewRequest(&apiv1.PollRequest{}))
+	if connect.CodeOf(err) != connect.CodeUnavailable || outcomeOf(t, err).GetReason() != apiv1.Reason_REASON_NO_LEADER {
+		t.Errorf("poll: %v", err)
+	}
+	if f.sends.Load() != 1 {
+		t.Errorf("%d calls were forwarded", f.sends.Load())
+	}
+}
+
+func outcomeOf(t *testing.T, err error) *apiv1.Outcome {
+	var e *connect.Error
+	if errors.As(err, &e) {
+		for _, d := range e.Details() {
+			if m, err := d.Value(); err == nil {
+				if o, ok := m.(*apiv1.Outcome); ok {
+					return o
+				}
+			}
+		}
+	}
+	t.Errorf("%v carries no outcome", err)
+	return nil
+}
+
+// TestSheddingByClass fills the gate with batch submits and expects the other classes
+// to be let in up to their own share.
+func TestSheddingByClass(t *testing.T) {
+	g := &gate{maxCalls: 100, maxHeld: 10}
+	fill := func(c class) (n int) {
+		for g.enter(c) {
+			n++
+		}
+		return n
+	}
+	for _, c := range []struct {
+		class class
+		want  int
+	}{{classBatch, 70}, {classUrgent, 15}, {classCaller, 7}, {classOperator, 8}, {classBatch, 0}, {classWait, 7}, {classPoll, 3}} {
+		if n := fill(c.class); n != c.want {
+			t.Errorf("%s: %d more, want %d", className[c.class], n, c.want)
+		}
+	}
+	g.leave(classOperator)
+	if !g.enter(classOperator) || g.enter(classUrgent) {
+		t.Error("a freed place went to the wrong class")
+	}
+}
+
+// TestTeamBounds expects one team's bounds to leave another's alone.
+func TestTeamBounds(t *testing.T) {
+	g := &teamGate{limits: Limits{TeamRate: 0.001, TeamBurst: 4, TeamCalls: 3, TeamBytes: 100}, teams: map[string]*teamUse{}}
+	for i, c := range []struct {
+		team  string
+		bytes int64
+		full  string
+	}{
+		{"a", 60, ""}, {"a", 60, "bytes in flight"}, {"a", 40, ""}, {"b", 400, ""}, {"b", 1, "bytes in flight"},
+		{"a", 0, ""}, {"a", 0, "calls open at once"},
+	} {
+		if full := g.enter(c.team, c.bytes); full != c.full {
+			t.Errorf("step %d: %q", i, full)
+		}
+	}
+	g.leave("a", 60)
+	g.leave("a", 40)
+	if full := g.enter("a", 50); full != "" {
+		t.Errorf("after leaving: %q", full)
+	}
+	if full := g.enter("a", 0); full != "submits a second" {
+		t.Errorf("after a burst: %q", full)
+	}
+}
--- a/entry/router.go
+++ b/entry/router.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -24,77 +25,188 @@
 const (
 	routeBackoffMin = 20 * time.Millisecond
 	routeBackoffMax = 500 * time.Millisecond
-	// attemptTimeout bounds one attempt, so that a silent connection leaves time for another.
+	// attemptTimeout bounds one attempt. It is longer than the time that the leader holds
+	// a poll, and leaves time for another attempt after a silent connection.
 	attemptTimeout = 2500 * time.Millisecond
 	// Each call adds a tenth of a retry to the budget.
 	retryPerCall = 0.1
 	retryReserve = 100
+	// maxHops bounds hints that are followed without a pause.
+	maxHops = 2
 )
 
-// Router finds the leader and carries calls to it within their deadline.
+// Router finds the leader and carries calls to it within their deadline. It is safe for
+// concurrent use.
+//
+// While no leader is known, one call at a time looks for it and the others wait for
+// what it finds: an election costs neither retries of the budget nor a storm of calls.
 type Router struct {
 	forward  Forwarder
 	replicas []string
-	leader   atomic.Pointer[string]
-	next     atomic.Uint32
 	budget   *retry.Budget
+	next     atomic.Uint32
+	// search is held by the one call that looks for the leader.
+	search chan struct{}
+
+	mu     sync.Mutex
+	leader string
+	found  chan struct{}
 }
 
 // NewRouter returns a router over the addresses of the replicas.
 func NewRouter(f Forwarder, replicas []string) *Router {
-	return &Router{forward: f, replicas: replicas, budget: retry.NewBudget(retryPerCall, retryReserve)}
+	return &Router{forward: f, replicas: replicas, budget: retry.NewBudget(retryPerCall, retryReserve),
+		search: make(chan struct{}, 1), found: make(chan struct{})}
+}
+
+// Answer is a leader's response to a call.
+type Answer struct {
+	*peerv1.ForwardResponse
+	// Uncertain is set when an earlier attempt of the same call may have had an effect.
+	Uncertain bool
+}
+
+// route is the progress of one call.
+type route struct {
+	router    *Router
+	req       *peerv1.ForwardRequest
+	backoff   retry.Backoff
+	searching bool
+	uncertain bool
+	hops      int
 }
 
-// Call carries a call to the leader, retrying within the deadline of ctx. Calls are
-// retried after an uncertain end only if idempotent is set.
-func (r *Router) Call(ctx context.Context, req *peerv1.ForwardRequest, idempotent bool) (*peerv1.ForwardResponse, error) {
+// Call carries a call to the leader, retrying within the deadline of ctx. A call whose
+// answer may still be on its way is repeated only if idempotent is set.
+func (r *Router) Call(ctx context.Context, req *peerv1.ForwardRequest, idempotent bool) (Answer, error) {
 	r.budget.Deposit()
-	backoff := retry.Backoff{Min: routeBackoffMin, Max: routeBackoffMax}
-	uncertain := false
+	t := &route{router: r, req: req, backoff: retry.Backoff{Min: routeBackoffMin, Max: routeBackoffMax}}
+	defer t.endSearch()
 	for {
-		address := r.target()
-		resp, sent, err := r.attempt(ctx, address, req)
-		status := resp.GetStatus()
-		if err == nil && (status == peerv1.ForwardStatus_FORWARD_STATUS_OK || status == peerv1.ForwardStatus_FORWARD_STATUS_REFUSED) {
-			r.leader.Store(&address)
-			return resp, nil
+		address, err := t.target(ctx)
+		if err != nil {
+			return Answer{}, t.fate()
 		}
-		if err != nil && sent || status == peerv1.ForwardStatus_FORWARD_STATUS_LOST {
-			uncertain = true
-		}
-		r.redirect(address, resp)
-		if uncertain && !idempotent || !r.budget.Withdraw() || retry.Sleep(ctx, backoff.Next()) != nil {
-			return nil, fate(uncertain)
+		resp, pause, end := t.attempt(ctx, address)
+		switch {
+		case resp != nil:
+			return Answer{resp, t.uncertain}, nil
+		case end == unheard && !idempotent, end != unsent && !r.budget.Withdraw():
+			return Answer{}, t.fate()
+		case pause && retry.Sleep(ctx, t.backoff.Next()) != nil:
+			return Answer{}, t.fate()
 		}
 	}
 }
 
-func fate(uncertain bool) error {
-	if uncertain {
+// fate tells whether a call that ends without an answer may have had an effect.
+func (t *route) fate() error {
+	if t.uncertain {
 		return ErrUndetermined
 	}
 	return ErrNothingProposed
 }
 
-func (r *Router) attempt(ctx context.Context, address string, req *peerv1.ForwardRequest) (*peerv1.ForwardResponse, bool, error) {
+// ending is how an attempt without an answer ended.
+type ending int
+
+const (
+	// unsent means that the attempt surely had no effect.
+	unsent ending = iota
+	// lost means that a replica said that the leadership ended before the answer.
+	lost
+	// unheard means that nothing was heard: an answer may have been sent.
+	unheard
+)
+
+// attempt sends the call once. Without an answer it tells whether to pause before the
+// next attempt and how this one ended.
+func (t *route) attempt(ctx context.Context, address string) (resp *peerv1.ForwardResponse, pause bool, end ending) {
 	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	return r.forward.Forward(ctx, address, req)
+	resp, sent, err := t.router.forward.Forward(ctx, address, t.req)
+	switch {
+	case err != nil && sent:
+		end = unheard
+	case err != nil:
+	case resp.GetStatus() == peerv1.ForwardStatus_FORWARD_STATUS_OK, resp.GetStatus() == peerv1.ForwardStatus_FORWARD_STATUS_REFUSED:
+		t.router.SetLeader(address)
+		return resp, false, unsent
+	case resp.GetStatus() == peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER:
+		return nil, !t.follow(address, resp.GetLeaderAddress()), unsent
+	default:
+		end = lost
+	}
+	t.router.forget(address)
+	t.uncertain = t.uncertain || end != unsent
+	return nil, true, end
+}
+
+// follow turns to the leader that a replica named; false means that it named none, or
+// that hints were followed in vain.
+func (t *route) follow(from, hint string) bool {
+	t.router.forget(from)
+	if hint == "" || hint == from || t.hops >= maxHops {
+		t.hops = 0
+		return false
+	}
+	t.hops++
+	t.router.SetLeader(hint)
+	return true
+}
+
+// target returns the leader's address. While none is known it returns replicas in turn
+// to the one call that looks for the leader, and lets the others wait.
+func (t *route) target(ctx context.Context) (string, error) {
+	for {
+		leader, found := t.router.current()
+		if leader != "" {
+			t.endSearch()
+			return leader, nil
+		}
+		if t.searching {
+			return t.router.replicas[int(t.router.next.Add(1))%len(t.router.replicas)], nil
+		}
+		select {
+		case t.router.search <- struct{}{}:
+			t.searching = true
+		case <-found:
+		case <-ctx.Done():
+			return "", ctx.Err()
+		}
+	}
 }
 
-// target returns the supposed leader, or the replicas in turn while none is known.
-func (r *Router) target() string {
-	if l := r.leader.Load(); l != nil {
-		return *l
+func (t *route) endSearch() {
+	if t.searching {
+		t.searching = false
+		<-t.router.search
 	}
-	return r.replicas[int(r.next.Add(1))%len(r.replicas)]
 }
 
-// redirect follows a replica's hint, or forgets a leader that did not answer.
-func (r *Router) redirect(from string, resp *peerv1.ForwardResponse) {
-	if hint := resp.GetLeaderAddress(); hint != "" && hint != from {
-		r.leader.Store(&hint)
+func (r *Router) current() (string, <-chan struct{}) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.leader, r.found
+}
+
+// SetLeader tells the router which replica leads and lets waiting calls go on.
+func (r *Router) SetLeader(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leader == address {
 		return
 	}
-	r.leader.Store(nil)
+	r.leader = address
+	close(r.found)
+	r.found = make(chan struct{})
+}
+
+// forget drops a leader that did not act as one.
+func (r *Router) forget(address string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.leader == address {
+		r.leader = ""
+	}
 }
--- a/peer/client.go
+++ b/peer/client.go
@@ -11,6 +11,7 @@
 	"connectrpc.com/connect"
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
 	"github.com/bulrushwinch/bulrushwinch/peer/v1/peerv1connect"
+	"github.com/bulrushwinch/bulrushwinch/retry"
 	"github.com/pkg/errors"
 )
 
@@ -18,6 +19,7 @@
 	dialTimeout  = time.Second
 	pingInterval = 5 * time.Second
 	pingTimeout  = 3 * time.Second
+	idleTimeout  = time.Minute
 	// MaxMessageBytes bounds one message of the inner protocol.
 	MaxMessageBytes = 256 << 20
 )
@@ -34,6 +36,7 @@
 type Conn struct {
 	peerv1connect.PeerServiceClient
 	transport *http.Transport
+	guard     *retry.Guard
 }
 
 // NewPool returns a pool; a nil tls.Config means plain TCP.
@@ -57,11 +60,14 @@
 	protocols := &http.Protocols{}
 	protocols.SetHTTP2(p.tls != nil)
 	protocols.SetUnencryptedHTTP2(p.tls == nil)
+	guard := retry.NewGuard()
 	t := &http.Transport{
-		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
-		TLSClientConfig: p.tls,
-		Protocols:       protocols,
-		HTTP2:           &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
+		DialContext:         guard.Wrap((&net.Dialer{Timeout: dialTimeout}).DialContext),
+		TLSClientConfig:     p.tls,
+		TLSHandshakeTimeout: dialTimeout,
+		IdleConnTimeout:     idleTimeout,
+		Protocols:           protocols,
+		HTTP2:               &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout},
 	}
 	scheme := "http://"
 	if p.tls != nil {
@@ -69,7 +75,7 @@
 	}
 	client := peerv1connect.NewPeerServiceClient(&http.Client{Transport: t}, scheme+address,
 		connect.WithInterceptors(secretInterceptor(p.secret)), connect.WithReadMaxBytes(MaxMessageBytes))
-	return &Conn{PeerServiceClient: client, transport: t}
+	return &Conn{PeerServiceClient: client, transport: t, guard: guard}
 }
 
 // Close closes all idle connections.
@@ -81,16 +87,10 @@
 	}
 }
 
-// Abandon drops the client of an address after a timeout, so that the next call uses
-// a new connection.
-func (p *Pool) Abandon(address string, c *Conn) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	if p.conns[address] == c {
-		delete(p.conns, address)
-	}
-	c.transport.CloseIdleConnections()
-}
+// TimedOut is called after a call that began at began has timed out. Connections that
+// have been silent since then are closed, so that the next call uses a new one; one
+// that still brings data to other calls is kept.
+func (c *Conn) TimedOut(began time.Time) { c.guard.CloseSilent(began) }
 
 // IsDialError reports whether a call failed before anything was sent.
 func IsDialError(err error) bool {
@@ -100,13 +100,13 @@
 
 // Forward carries a call to an address; sent is false if it surely did not arrive.
 func (p *Pool) Forward(ctx context.Context, address string, req *peerv1.ForwardRequest) (resp *peerv1.ForwardResponse, sent bool, err error) {
-	c := p.Get(address)
+	c, began := p.Get(address), time.Now()
 	r, err := c.Forward(ctx, connect.NewRequest(req))
 	if err == nil {
 		return r.Msg, true, nil
 	}
 	if ctx.Err() != nil || connect.CodeOf(err) == connect.CodeDeadlineExceeded {
-		p.Abandon(address, c)
+		c.TimedOut(began)
 	}
 	return nil, !IsDialError(err), err
 }
--- /dev/null
+++ b/peer/peer_test.go
@@ -0,0 +1,116 @@
+package peer
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"connectrpc.com/connect"
+	"github.com/bulrushwinch/bulrushwinch/internal/relay"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/peer/v1/peerv1connect"
+)
+
+const (
+	testSecret = "a secret of this test"
+	// hopeless is how long a call on a silent connection is waited for; patient bounds
+	// calls that are expected to succeed.
+	hopeless = 300 * time.Millisecond
+	patient  = 30 * time.Second
+)
+
+// echo answers Forward at once and holds View until its context ends.
+type echo struct {
+	peerv1connect.UnimplementedPeerServiceHandler
+	held chan struct{}
+}
+
+func (e *echo) Forward(context.Context, *connect.Request[peerv1.ForwardRequest]) (*connect.Response[peerv1.ForwardResponse], error) {
+	return connect.NewResponse(&peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_OK}), nil
+}
+
+func (e *echo) View(ctx context.Context, _ *connect.Request[peerv1.ViewRequest]) (*connect.Response[peerv1.ViewResponse], error) {
+	e.held <- struct{}{}
+	<-ctx.Done()
+	return nil, ctx.Err()
+}
+
+func serve(t *testing.T) (*echo, *relay.Relay) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	e := &echo{held: make(chan struct{}, 8)}
+	s := NewServer(NewHandler(testSecret, e))
+	go func() { _ = s.Serve(l) }()
+	t.Cleanup(func() { _ = s.Close() })
+	return e, relay.New(t, l.Addr().String())
+}
+
+func forward(t *testing.T, p *Pool, address string, timeout time.Duration) error {
+	ctx, cancel := context.WithTimeout(t.Context(), timeout)
+	defer cancel()
+	_, _, err := p.Forward(ctx, address, &peerv1.ForwardRequest{})
+	return err
+}
+
+// TestSilentConnectionIsReplaced silences a connection that still carries an open call.
+// The next call can only time out; the one after it must use a new connection, and the
+// open call must end with the old one.
+func TestSilentConnectionIsReplaced(t *testing.T) {
+	e, r := serve(t)
+	p := NewPool(testSecret, nil)
+	defer p.Close()
+	if err := forward(t, p, r.Address(), patient); err != nil {
+		t.Fatal(err)
+	}
+	open := make(chan error, 1)
+	go func() {
+		_, err := p.Get(r.Address()).View(t.Context(), connect.NewRequest(&peerv1.ViewRequest{}))
+		open <- err
+	}()
+	<-e.held
+	r.Silence()
+	if err := forward(t, p, r.Address(), hopeless); err == nil {
+		t.Fatal("a silent connection brought an answer")
+	}
+	if err := forward(t, p, r.Address(), patient); err != nil {
+		t.Fatalf("after the timeout: %v", err)
+	}
+	if r.Opened() != 2 {
+		t.Errorf("%d connections were opened", r.Opened())
+	}
+	if err := <-open; err == nil {
+		t.Error("the open call ended without an error")
+	}
+}
+
+// TestSlowCallLeavesLiveConnectionAlone expects a call that times out on a connection
+// which serves others not to close it.
+func TestSlowCallLeavesLiveConnectionAlone(t *testing.T) {
+	e, r := serve(t)
+	p := NewPool(testSecret, nil)
+	defer p.Close()
+	c, began := p.Get(r.Address()), time.Now()
+	ctx, cancel := context.WithCancel(t.Context())
+	go func() { _, _ = c.View(ctx, connect.NewRequest(&peerv1.ViewRequest{})) }()
+	<-e.held
+	if err := forward(t, p, r.Address(), patient); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	c.TimedOut(began)
+	if err := forward(t, p, r.Address(), patient); err != nil || r.Opened() != 1 {
+		t.Errorf("%v; %d connections were opened", err, r.Opened())
+	}
+}
+
+func TestWrongSecretIsRefused(t *testing.T) {
+	_, r := serve(t)
+	p := NewPool("another secret", nil)
+	defer p.Close()
+	if err := forward(t, p, r.Address(), patient); connect.CodeOf(err) != connect.CodeUnauthenticated {
+		t.Errorf("got %v", err)
+	}
+}
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -108,9 +108,9 @@
 	}
 	ctx, cancel := context.WithTimeout(t.ctx, sendTimeout)
 	defer cancel()
-	c := t.pool.Get(address)
+	c, began := t.pool.Get(address), time.Now()
 	if _, err := c.Raft(ctx, connect.NewRequest(batch)); err != nil && ctx.Err() != nil {
-		t.pool.Abandon(address, c)
+		c.TimedOut(began)
 	}
 }
 
