--- a/config/config.go
+++ b/config/config.go
@@ -210,4 +210,3 @@
 		r.fail("listen", "admin", "two addresses are equal", "three different addresses")
 	}
 }
-
