Give the tool every call, with typed refusals, exit codes and golden outputs

Cause: teams, queues, keys and replicas could not be changed by the tool, and refusals of the leader came as text without a reason.

What is here: team, queue, key (made by the tool, shown once or written for its owner alone), key-hash, replica; submit from JSON with unknown fields refused, cancel from a file, progress of waits on standard error, -ca, -json throughout, exit codes 0 to 4; refusals of reads carry a reason.

--- a/cmd/bulrushwinch/callers.go
+++ b/cmd/bulrushwinch/callers.go
@@ -1,62 +1,19 @@
 package main
 
 import (
+	"bufio"
 	"context"
 	"flag"
 	"fmt"
+	"os"
+	"strings"
+	"time"
 
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
-	"github.com/google/subcommands"
 )
 
-func callerCommands() []subcommands.Command {
-	return []subcommands.Command{submitCommand(), waitCommand(), getCommand(), explainCommand(), cancelCommand()}
-}
-
-var policies = map[string]apiv1.Policy{
-	"batch": apiv1.Policy_POLICY_BATCH, "service": apiv1.Policy_POLICY_SERVICE, "gang": apiv1.Policy_POLICY_GANG,
-}
-
-func submitCommand() *command {
-	var (
-		queue, policy, class, payload string
-		tasks                         int
-		cores                         float64
-		memoryMiB, accelerators       int64
-		urgent, once                  bool
-	)
-	return &command{
-		name: "submit", synopsis: "hand in a job",
-		usage: "submit -queue Q [flags] REQUEST_ID\n  Example: bulrushwinch submit -queue labels -tasks 4 -payload spines batch-17\n",
-		bind: func(f *flag.FlagSet) {
-			f.StringVar(&queue, "queue", "", "`queue` that takes the job")
-			f.StringVar(&policy, "policy", "batch", "batch, service or gang")
-			f.StringVar(&class, "class", "", "`class` of alike jobs")
-			f.StringVar(&payload, "payload", "", "`text` handed to each task")
-			f.IntVar(&tasks, "tasks", 1, "`number` of tasks")
-			f.Float64Var(&cores, "cores", 1, "cores per task")
-			f.Int64Var(&memoryMiB, "memory", 256, "memory per task in `MiB`")
-			f.Int64Var(&accelerators, "accelerators", 0, "accelerators per task")
-			f.BoolVar(&urgent, "urgent", false, "a person waits for it")
-			f.BoolVar(&once, "once", false, "the job may not be repeated")
-		},
-		run: func(ctx context.Context, s *session, args []string) error {
-			if len(args) != 1 || queue == "" || policies[policy] == 0 {
-				return usageError("submit needs -queue, a valid -policy and one REQUEST_ID")
-			}
-			spec := &apiv1.TaskSpec{Copies: int32(tasks), Payload: []byte(payload), Resources: &apiv1.Resources{
-				MilliCores: int64(cores * 1000), MemoryBytes: memoryMiB << 20, Accelerators: accelerators}}
-			resp, err := s.Submit(ctx, &apiv1.SubmitRequest{RequestId: args[0], Queue: queue, Job: &apiv1.JobSpec{
-				Class: class, Policy: policies[policy], Tasks: []*apiv1.TaskSpec{spec}, Repeatable: !once, Urgent: urgent}})
-			if err != nil {
-				return err
-			}
-			if resp.GetOutcome().GetKind() != apiv1.OutcomeKind_OUTCOME_KIND_ACCEPTED {
-				return outcomeError{resp.GetOutcome()}
-			}
-			return s.print(resp, func() { fmt.Printf("accepted as job %d\n", resp.GetJobId()) })
-		},
-	}
+func callerCommands() []*command {
+	return []*command{submitCommand(), waitCommand(), getCommand(), explainCommand(), cancelCommand()}
 }
 
 // jobCommand returns a command on one job, named by queue and request.
@@ -83,18 +40,58 @@
 	}
 }
 
+// waitStepMs is how long one Wait call is held; progress is printed between them.
+const waitStepMs = 2000
+
+// waitPatience is how long the tool waits for a job unless told otherwise.
+const waitPatience = 24 * time.Hour
+
 func waitCommand() *command {
-	return jobCommand("wait", "wait for the end of a job", func(ctx context.Context, s *session, ref *apiv1.JobRef) error {
-		for {
-			resp, err := s.Wait(ctx, &apiv1.WaitRequest{Job: ref, MaxWaitMs: 5000})
-			if err != nil {
-				return err
-			}
-			if resp.GetEnded() {
-				return printJob(s, resp.GetJob())
+	c := jobCommand("wait", "wait for the end of a job, with progress on standard error",
+		func(ctx context.Context, s *session, ref *apiv1.JobRef) error {
+			shown := ""
+			for {
+				resp, err := s.Wait(ctx, &apiv1.WaitRequest{Job: ref, MaxWaitMs: waitStepMs})
+				if err != nil {
+					return err
+				}
+				if resp.GetEnded() {
+					return printEnd(s, resp.GetJob())
+				}
+				if line := progress(resp.GetJob()); line != shown {
+					fmt.Fprintln(s.err, line)
+					shown = line
+				}
 			}
+		})
+	c.patience = waitPatience
+	return c
+}
+
+// progress counts the tasks of a job by state.
+func progress(j *apiv1.JobView) string {
+	count := make(map[apiv1.TaskState]int)
+	for _, t := range j.GetTasks() {
+		count[t.GetState()]++
+	}
+	var parts []string
+	for state := apiv1.TaskState_TASK_STATE_WAITING; state <= apiv1.TaskState_TASK_STATE_ENDED; state++ {
+		if n := count[state]; n > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", n, enumText(state.String(), "TASK_STATE_")))
 		}
-	})
+	}
+	return fmt.Sprintf("job %d: %s of %d tasks", j.GetJobId(), strings.Join(parts, ", "), len(j.GetTasks()))
+}
+
+// printEnd prints an ended job; one that was not answered gives an error.
+func printEnd(s *session, j *apiv1.JobView) error {
+	if err := printJob(s, j); err != nil {
+		return err
+	}
+	if j.GetOutcome().GetKind() != apiv1.OutcomeKind_OUTCOME_KIND_ANSWERED {
+		return outcomeError{outcome: j.GetOutcome(), printed: true}
+	}
+	return nil
 }
 
 func getCommand() *command {
@@ -115,46 +112,80 @@
 		}
 		return s.print(resp, func() {
 			for _, line := range resp.GetSentences() {
-				fmt.Println(line)
+				s.printf("%s\n", line)
 			}
 		})
 	})
 }
 
 func cancelCommand() *command {
-	var queue string
+	var queue, from string
 	var all bool
 	return &command{
-		name: "cancel", synopsis: "cancel requests",
-		usage: "cancel -queue Q REQUEST_ID... | cancel -queue Q -all\n  Example: bulrushwinch cancel -queue labels batch-17 batch-18\n",
+		name: "cancel", synopsis: "cancel requests", changes: true,
+		usage: `cancel -queue Q REQUEST_ID... | cancel -queue Q -from FILE | cancel -queue Q -all
+  FILE holds one REQUEST_ID a line; "-" reads standard input.
+  Example: bulrushwinch cancel -queue labels batch-17 batch-18
+`,
 		bind: func(f *flag.FlagSet) {
 			f.StringVar(&queue, "queue", "", "`queue` of the requests")
+			f.StringVar(&from, "from", "", "`file` with one request a line")
 			f.BoolVar(&all, "all", false, "cancel all jobs of the team in the queue")
 		},
 		run: func(ctx context.Context, s *session, args []string) error {
-			if queue == "" || all == (len(args) > 0) {
-				return usageError("cancel needs -queue and either REQUEST_IDs or -all")
+			ids, err := cancelled(args, from)
+			if err != nil {
+				return err
+			}
+			if queue == "" || all == (len(ids) > 0) {
+				return usageError("cancel needs -queue and either REQUEST_IDs, -from or -all")
 			}
-			resp, err := s.Cancel(ctx, &apiv1.CancelRequest{RequestIds: args, Queue: queue, WholeQueue: all})
+			resp, err := s.Cancel(ctx, &apiv1.CancelRequest{RequestIds: ids, Queue: queue, WholeQueue: all})
 			if err != nil {
 				return err
 			}
 			return s.print(resp, func() {
 				for _, r := range resp.GetResults() {
-					fmt.Printf("%s\t%s\n", r.GetRequestId(), outcomeText(r.GetOutcome()))
+					s.printf("%s\t%s\n", r.GetRequestId(), outcomeText(r.GetOutcome()))
 				}
 			})
 		},
 	}
 }
 
+// cancelled returns the requests named as arguments and in a file.
+func cancelled(args []string, from string) ([]string, error) {
+	if from == "" {
+		return args, nil
+	}
+	in := os.Stdin
+	if from != "-" {
+		f, err := os.Open(from)
+		if err != nil {
+			return nil, usageError(err.Error())
+		}
+		defer func() { _ = f.Close() }()
+		in = f
+	}
+	for lines := bufio.NewScanner(in); lines.Scan(); {
+		if id := strings.TrimSpace(lines.Text()); id != "" {
+			args = append(args, id)
+		}
+	}
+	return args, nil
+}
+
 func printJob(s *session, j *apiv1.JobView) error {
 	return s.print(j, func() {
-		fmt.Printf("job %d\tteam %s\trequest %s\t%s\t%s\n", j.GetJobId(), j.GetTeam(), j.GetRequestId(),
+		s.printf("job %d\tteam %s\trequest %s\t%s\t%s\n", j.GetJobId(), j.GetTeam(), j.GetRequestId(),
 			enumText(j.GetState().String(), "JOB_STATE_"), outcomeText(j.GetOutcome()))
 		for _, t := range j.GetTasks() {
-			fmt.Printf("  task %d\tattempt %d\t%s\t%s\t%s\n", t.GetIndex(), t.GetAttempt(),
-				enumText(t.GetState().String(), "TASK_STATE_"), t.GetUpstream(), t.GetAnswer().GetBody())
+			where := t.GetUpstream()
+			if where == "" {
+				where = "-"
+			}
+			s.printf("  task %d\tattempt %d\t%s\t%s\t%s\n", t.GetIndex(), t.GetAttempt(),
+				enumText(t.GetState().String(), "TASK_STATE_"), where, t.GetAnswer().GetBody())
 		}
 	})
 }
--- a/cmd/bulrushwinch/command.go
+++ b/cmd/bulrushwinch/command.go
@@ -1,33 +1,48 @@
 package main
 
 import (
+	"cmp"
 	"context"
+	"crypto/tls"
+	"crypto/x509"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"strings"
 	"time"
 
-	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	"github.com/bulrushwinch/bulrushwinch/client"
 	"github.com/google/subcommands"
+	"github.com/pkg/errors"
 	"google.golang.org/protobuf/encoding/protojson"
 	"google.golang.org/protobuf/proto"
 )
 
-// Exit codes beside those of subcommands (0 success, 1 failure, 2 bad usage).
-const (
-	exitRefused      subcommands.ExitStatus = 3
-	exitUndetermined subcommands.ExitStatus = 4
-)
-
 // Environment variables that replace flags.
 const (
 	addressVariable = "BULRUSHWINCH_ADDRESS"
 	keyVariable     = "BULRUSHWINCH_KEY"
+	caVariable      = "BULRUSHWINCH_CA"
+)
+
+const (
+	defaultAddress = "127.0.0.1:7400"
+	defaultTimeout = 30 * time.Second
 )
 
-const callTimeout = 30 * time.Second
+// terminal is what a command reads and writes.
+type terminal struct {
+	out, err io.Writer
+	env      func(string) string
+}
+
+func (t terminal) envOr(name, fallback string) string {
+	if v := t.env(name); v != "" {
+		return v
+	}
+	return fallback
+}
 
 // command is one subcommand.
 type command struct {
@@ -35,10 +50,17 @@
 	// bind registers the command's own flags; run carries it out.
 	bind func(f *flag.FlagSet)
 	run  func(ctx context.Context, s *session, args []string) error
-
-	address, keyFile string
-	json             bool
-	timeout          time.Duration
+	// changes tells that a call without an answer may have had an effect.
+	changes bool
+	// patience replaces the default timeout.
+	patience time.Duration
+
+	terminal terminal
+	address  string
+	keyFile  string
+	caFile   string
+	json     bool
+	timeout  time.Duration
 }
 
 // Name implements subcommands.Command.
@@ -52,78 +74,63 @@
 
 // SetFlags implements subcommands.Command.
 func (c *command) SetFlags(f *flag.FlagSet) {
-	f.StringVar(&c.address, "address", envOr(addressVariable, "127.0.0.1:7400"), "`addresses` of entries, with commas")
+	f.StringVar(&c.address, "address", c.terminal.envOr(addressVariable, defaultAddress), "`addresses` of entries, with commas")
 	f.StringVar(&c.keyFile, "key-file", "", "`file` that holds the key; the default is the variable "+keyVariable)
+	f.StringVar(&c.caFile, "ca", c.terminal.envOr(caVariable, ""), "PEM `file` of the CA; turns TLS on")
 	f.BoolVar(&c.json, "json", false, "print JSON")
-	f.DurationVar(&c.timeout, "timeout", callTimeout, "`time` after which the command gives up")
+	f.DurationVar(&c.timeout, "timeout", cmp.Or(c.patience, defaultTimeout), "`time` after which the command gives up")
 	if c.bind != nil {
 		c.bind(f)
 	}
 }
 
-func envOr(name, fallback string) string {
-	if v := os.Getenv(name); v != "" {
-		return v
-	}
-	return fallback
-}
-
 // session is what a running command works with.
 type session struct {
 	*client.Client
+	terminal
 	json bool
+	key  string
 }
 
 // Execute implements subcommands.Command.
 func (c *command) Execute(ctx context.Context, f *flag.FlagSet, _ ...any) subcommands.ExitStatus {
-	key, err := c.key()
+	return c.report(c.execute(ctx, f.Args()))
+}
+
+func (c *command) execute(ctx context.Context, args []string) error {
+	cfg, err := c.clientConfig()
 	if err != nil {
-		return fail(err)
+		return err
 	}
-	s := &session{client.New(client.Config{Addresses: strings.Split(c.address, ","), Key: key}), c.json}
+	s := &session{client.New(cfg), c.terminal, c.json, cfg.Key}
 	defer s.Close()
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
-	return fail(c.run(ctx, s, f.Args()))
+	return c.run(ctx, s, args)
 }
 
-func (c *command) key() (string, error) {
-	if c.keyFile == "" {
-		return os.Getenv(keyVariable), nil
+func (c *command) clientConfig() (client.Config, error) {
+	cfg := client.Config{Addresses: strings.Split(c.address, ","), Key: c.terminal.env(keyVariable)}
+	if c.keyFile != "" {
+		data, err := os.ReadFile(c.keyFile)
+		if err != nil {
+			return cfg, usageError(err.Error())
+		}
+		cfg.Key = strings.TrimSpace(string(data))
 	}
-	data, err := os.ReadFile(c.keyFile)
-	return strings.TrimSpace(string(data)), err
-}
-
-// usageError tells of bad arguments.
-type usageError string
-
-// Error implements error.
-func (e usageError) Error() string { return string(e) }
-
-// outcomeError tells of a request that was not taken or did not succeed.
-type outcomeError struct {
-	outcome *apiv1.Outcome
-}
-
-// Error implements error.
-func (e outcomeError) Error() string { return outcomeText(e.outcome) }
-
-func fail(err error) subcommands.ExitStatus {
-	if err == nil {
-		return subcommands.ExitSuccess
+	if c.caFile == "" {
+		return cfg, nil
 	}
-	fmt.Fprintln(os.Stderr, err)
-	switch e := err.(type) {
-	case usageError:
-		return subcommands.ExitUsageError
-	case outcomeError:
-		if e.outcome.GetKind() == apiv1.OutcomeKind_OUTCOME_KIND_UNDETERMINED {
-			return exitUndetermined
-		}
-		return exitRefused
+	data, err := os.ReadFile(c.caFile)
+	if err != nil {
+		return cfg, usageError(err.Error())
+	}
+	pool := x509.NewCertPool()
+	if !pool.AppendCertsFromPEM(data) {
+		return cfg, usageError(c.caFile + " holds no certificate")
 	}
-	return subcommands.ExitFailure
+	cfg.TLS = &tls.Config{RootCAs: pool, MinVersion: tls.VersionTLS12}
+	return cfg, nil
 }
 
 // print writes JSON, or calls table for people.
@@ -132,26 +139,23 @@
 		table()
 		return nil
 	}
-	data, err := protojson.MarshalOptions{Multiline: true}.Marshal(m)
+	data, err := marshalJSON(m)
 	if err != nil {
-		return err
+		return errors.Wrap(err, "encode JSON")
 	}
-	_, err = fmt.Printf("%s\n", data)
+	_, err = fmt.Fprintln(s.out, data)
 	return err
 }
 
-// outcomeText renders an outcome, like "not run: never fits (a task needs 99 cores)".
-func outcomeText(o *apiv1.Outcome) string {
-	text := enumText(o.GetKind().String(), "OUTCOME_KIND_")
-	if o.GetReason() != apiv1.Reason_REASON_UNSPECIFIED {
-		text += ": " + enumText(o.GetReason().String(), "REASON_")
-	}
-	if o.GetDetail() != "" {
-		text += " (" + o.GetDetail() + ")"
-	}
-	return text
-}
+// printf writes to the standard output.
+func (s *session) printf(format string, args ...any) { fmt.Fprintf(s.out, format, args...) }
 
-func enumText(name, prefix string) string {
-	return strings.ToLower(strings.ReplaceAll(strings.TrimPrefix(name, prefix), "_", " "))
+// marshalJSON encodes a message on one line. protojson varies its spacing on purpose;
+// the result here is the same every time.
+func marshalJSON(m proto.Message) (string, error) {
+	data, err := protojson.Marshal(m)
+	if err != nil {
+		return "", err
+	}
+	return compactJSON(data)
 }
--- a/control/callers.go
+++ b/control/callers.go
@@ -9,7 +9,6 @@
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
 	"github.com/bulrushwinch/bulrushwinch/sched"
 	"github.com/bulrushwinch/bulrushwinch/state"
-	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -47,24 +46,24 @@
 	if id := state.JobID(ref.GetJobId()); id != 0 {
 		j := c.state.Job(id)
 		if j == nil {
-			return nil, errors.Errorf("job %d is not known or no longer remembered", id)
+			return nil, notFound("job %d is not known or no longer remembered", id)
 		}
 		if operator {
 			return j, nil
 		}
 		team, refusal := c.state.Authorize(key, j.Queue)
 		if refusal != nil || team != j.Team {
-			return nil, errors.Errorf("job %d is not known or no longer remembered", id)
+			return nil, notFound("job %d is not known or no longer remembered", id)
 		}
 		return j, nil
 	}
 	team, refusal := c.state.Authorize(key, ref.GetQueue())
 	if refusal != nil {
-		return nil, errors.New(refusal.Detail)
+		return nil, refusalError{refusal}
 	}
 	known := c.state.Request(state.RequestKey{Team: team, ID: ref.GetRequestId()})
 	if known == nil || c.state.Job(known.Job) == nil {
-		return nil, errors.Errorf("request %q is not known or no longer remembered", ref.GetRequestId())
+		return nil, notFound("request %q is not known or no longer remembered", ref.GetRequestId())
 	}
 	return c.state.Job(known.Job), nil
 }
--- a/control/handle.go
+++ b/control/handle.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
@@ -18,6 +19,19 @@
 	errStalePoll     = errors.New("control: a later poll has been seen")
 )
 
+// refusalError ends a call with a refusal that has a reason of its own.
+type refusalError struct {
+	outcome *apiv1.Outcome
+}
+
+// Error implements error.
+func (e refusalError) Error() string { return e.outcome.GetDetail() }
+
+func notFound(format string, args ...any) error {
+	return refusalError{&apiv1.Outcome{Kind: apiv1.OutcomeKind_OUTCOME_KIND_UNDETERMINED,
+		Reason: apiv1.Reason_REASON_NOT_FOUND, Detail: fmt.Sprintf(format, args...)}}
+}
+
 // result is what a call hands back from the control goroutine.
 type result struct {
 	message proto.Message
@@ -67,11 +81,14 @@
 }
 
 func (c *Controller) respond(r result, leader string) *peerv1.ForwardResponse {
+	var refused refusalError
 	switch {
 	case errors.Is(r.err, raft.ErrNotLeader), errors.Is(r.err, raft.ErrTransferring):
 		return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER, LeaderAddress: leader}
 	case errors.Is(r.err, replica.ErrLost), errors.Is(r.err, errNotLeader):
 		return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
+	case errors.As(r.err, &refused):
+		return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_REFUSED, Refusal: refused.outcome}
 	case errors.Is(r.err, errStalePoll):
 		return refusedResponse(apiv1.Reason_REASON_STALE_INCARNATION, r.err.Error())
 	case r.err != nil:
--- a/control/operators.go
+++ b/control/operators.go
@@ -109,7 +109,7 @@
 			return
 		}
 		if refusal := c.state.AuthorizeOperator(k.key); refusal != nil {
-			k.finish(nil, errors.New(refusal.Detail))
+			k.finish(nil, refusalError{refusal})
 			return
 		}
 		k.finish(c.statusNow(), nil)
--- a/control/upstreams.go
+++ b/control/upstreams.go
@@ -17,7 +17,7 @@
 
 func (c *Controller) poll(k call, req *apiv1.PollRequest) {
 	if refusal := c.state.AuthorizeUpstream(k.key); refusal != nil {
-		k.finish(nil, errors.New(refusal.Detail))
+		k.finish(nil, refusalError{refusal})
 		return
 	}
 	c.handlePoll(req, func(r *apiv1.PollResponse, err error) {
