--- a/control/machine.go
+++ b/control/machine.go
@@ -1,7 +1,7 @@
 package control
 
 import (
-	"bytes"
+	"io"
 
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
 	"github.com/bulrushwinch/bulrushwinch/state"
@@ -22,8 +22,8 @@
 	return m.State.Apply(batch)
 }
 
-// Snapshot implements replica.Machine.
-func (m Machine) Snapshot() []byte { return m.State.Snapshot() }
+// Capture implements replica.Machine.
+func (m Machine) Capture() func(io.Writer) error { return m.State.Capture() }
 
 // Restore implements replica.Machine.
-func (m Machine) Restore(data []byte) error { return m.State.Restore(bytes.NewReader(data)) }
+func (m Machine) Restore(r io.Reader) error { return m.State.Restore(r) }
--- a/daemon/peer_service.go
+++ b/daemon/peer_service.go
@@ -7,6 +7,7 @@
 	"github.com/bulrushwinch/bulrushwinch/peer"
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
 	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/pkg/errors"
 )
 
 // peerService answers other processes of the cell.
@@ -20,13 +21,34 @@
 		r.transport.Learn(raft.ID(req.Msg.GetSenderId()), req.Msg.GetSenderAddress())
 		var messages []raft.Message
 		for _, m := range req.Msg.GetMessages() {
-			messages = append(messages, peer.MessageFromProto(m))
+			// Snapshots come by SendSnapshot only, which stores them first.
+			if out := peer.MessageFromProto(m); out.Type != raft.MsgSnapshot {
+				messages = append(messages, out)
+			}
 		}
 		r.node.Receive(messages)
 	}
 	return connect.NewResponse(&peerv1.RaftAck{}), nil
 }
 
+// SendSnapshot implements PeerService.
+func (s *peerService) SendSnapshot(_ context.Context, stream *connect.ClientStream[peerv1.SnapshotPart]) (*connect.Response[peerv1.RaftAck], error) {
+	if !stream.Receive() {
+		return nil, connect.NewError(connect.CodeInvalidArgument, errors.New("no first part"))
+	}
+	announce := stream.Msg().GetAnnounce()
+	r := s.d.currentReplica()
+	if r == nil || r.group != announce.GetGroup() || len(announce.GetMessages()) != 1 {
+		return nil, connect.NewError(connect.CodeFailedPrecondition, errors.New("no replica of this group"))
+	}
+	r.transport.Learn(raft.ID(announce.GetSenderId()), announce.GetSenderAddress())
+	m := peer.MessageFromProto(announce.GetMessages()[0])
+	if err := r.node.ReceiveSnapshot(m, peer.SnapshotContent(stream)); err != nil {
+		return nil, connect.NewError(connect.CodeUnavailable, err)
+	}
+	return connect.NewResponse(&peerv1.RaftAck{}), nil
+}
+
 // Forward implements PeerService.
 func (s *peerService) Forward(ctx context.Context, req *connect.Request[peerv1.ForwardRequest]) (*connect.Response[peerv1.ForwardResponse], error) {
 	s.d.events.Clock().Observe(req.Msg.GetWallNs())
--- a/daemon/replica.go
+++ b/daemon/replica.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"time"
 
 	"connectrpc.com/connect"
@@ -106,7 +107,11 @@
 		return errors.New("daemon: the data folder holds a log without a group; it can't be bootstrapped")
 	}
 	first := raft.Bootstrap(raft.Member{ID: id.Replica, Address: d.settings.PeerAddress, Domain: d.settings.FailureDomain})
-	if err := storage.SaveSnapshot(first.Snapshot, true); err != nil {
+	empty := func(io.Writer) error { return nil }
+	if err := storage.StoreSnapshot(first.Snapshot, wal.Received, empty); err != nil {
+		return err
+	}
+	if err := storage.UseSnapshot(first.Snapshot); err != nil {
 		return err
 	}
 	return storage.Append(first.HardState, nil)
--- a/faults/network_test.go
+++ b/faults/network_test.go
@@ -1,7 +1,9 @@
 package faults
 
 import (
+	"bytes"
 	"context"
+	"io"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -9,6 +11,7 @@
 	"github.com/bulrushwinch/bulrushwinch/peer"
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
 	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/bulrushwinch/bulrushwinch/wal"
 	"github.com/pkg/errors"
 	"google.golang.org/protobuf/proto"
 )
@@ -101,6 +104,25 @@
 	}
 }
 
+// SendSnapshot implements replica.Transport.
+func (t *memTransport) SendSnapshot(_ context.Context, to raft.Member, m raft.Message, content io.Reader, progress func()) error {
+	data, err := io.ReadAll(content)
+	if err != nil {
+		return err
+	}
+	progress()
+	first, _, _ := t.net.delay()
+	time.Sleep(first)
+	r := t.net.reach(t.from, to.Address)
+	if r == nil {
+		return errUnreachable
+	}
+	return r.node.ReceiveSnapshot(copyMessages([]raft.Message{m})[0], func(w io.Writer) error {
+		_, err := w.Write(data)
+		return err
+	})
+}
+
 var errUnreachable = errors.New("unreachable")
 
 // call carries one request and its answer; on a cut link it hangs until ctx ends, as a
@@ -135,6 +157,9 @@
 type memDisk struct {
 	mu       sync.Mutex
 	restored raft.Restored
+	// stored is a snapshot that is not in use yet.
+	stored       raft.Snapshot
+	storedOrigin wal.Origin
 }
 
 func (d *memDisk) load() raft.Restored {
@@ -160,10 +185,27 @@
 	return nil
 }
 
-// SaveSnapshot implements replica.Storage.
-func (d *memDisk) SaveSnapshot(s raft.Snapshot, received bool) error {
+// StoreSnapshot implements replica.Storage.
+func (d *memDisk) StoreSnapshot(s raft.Snapshot, origin wal.Origin, content func(io.Writer) error) error {
+	var b bytes.Buffer
+	if err := content(&b); err != nil {
+		return err
+	}
 	d.mu.Lock()
 	defer d.mu.Unlock()
+	s.Data = b.Bytes()
+	d.stored, d.storedOrigin = s, origin
+	return nil
+}
+
+// UseSnapshot implements replica.Storage.
+func (d *memDisk) UseSnapshot(s raft.Snapshot) error {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stored.Index != s.Index {
+		return errors.Errorf("snapshot %d is not stored", s.Index)
+	}
+	s, received := d.stored, d.storedOrigin == wal.Received
 	covered := min(uint64(len(d.restored.Entries)), s.Index-d.restored.Snapshot.Index)
 	d.restored.Entries = d.restored.Entries[covered:]
 	if received {
@@ -173,9 +215,9 @@
 	return nil
 }
 
-// ReadSnapshot implements replica.Storage.
-func (d *memDisk) ReadSnapshot() (raft.Snapshot, error) {
+// OpenSnapshot implements replica.Storage.
+func (d *memDisk) OpenSnapshot() (raft.Snapshot, io.ReadCloser, error) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	return d.restored.Snapshot, nil
+	return d.restored.Snapshot, io.NopCloser(bytes.NewReader(d.restored.Snapshot.Data)), nil
 }
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -17,7 +17,7 @@
 )
 
 // Transport sends raft messages to other replicas, in order and without blocking the
-// sender. It implements replica.Transport.
+// sender, and snapshots. It implements replica.Transport.
 type Transport struct {
 	pool   *Pool
 	group  uint64
--- a/peer/v1/peerv1connect/peer.connect.go
+++ b/peer/v1/peerv1connect/peer.connect.go
@@ -38,6 +38,9 @@
 const (
 	// PeerServiceRaftProcedure is the fully-qualified name of the PeerService's Raft RPC.
 	PeerServiceRaftProcedure = "/peer.v1.PeerService/Raft"
+	// PeerServiceSendSnapshotProcedure is the fully-qualified name of the PeerService's SendSnapshot
+	// RPC.
+	PeerServiceSendSnapshotProcedure = "/peer.v1.PeerService/SendSnapshot"
 	// PeerServiceForwardProcedure is the fully-qualified name of the PeerService's Forward RPC.
 	PeerServiceForwardProcedure = "/peer.v1.PeerService/Forward"
 	// PeerServiceViewProcedure is the fully-qualified name of the PeerService's View RPC.
@@ -52,6 +55,9 @@
 type PeerServiceClient interface {
 	// Raft carries messages between replicas, in order of sending.
 	Raft(context.Context, *connect.Request[v1.RaftBatch]) (*connect.Response[v1.RaftAck], error)
+	// SendSnapshot carries a snapshot to a replica that lags, in parts. The first part holds
+	// the message, the last one the checksum. The answer comes once it is stored.
+	SendSnapshot(context.Context) *connect.ClientStreamForClient[v1.SnapshotPart, v1.RaftAck]
 	// Forward carries a public call from an entry to the leader.
 	Forward(context.Context, *connect.Request[v1.ForwardRequest]) (*connect.Response[v1.ForwardResponse], error)
 	// View returns the configuration in force, confirmed by a quorum.
@@ -79,6 +85,12 @@
 			connect.WithSchema(peerServiceMethods.ByName("Raft")),
 			connect.WithClientOptions(opts...),
 		),
+		sendSnapshot: connect.NewClient[v1.SnapshotPart, v1.RaftAck](
+			httpClient,
+			baseURL+PeerServiceSendSnapshotProcedure,
+			connect.WithSchema(peerServiceMethods.ByName("SendSnapshot")),
+			connect.WithClientOptions(opts...),
+		),
 		forward: connect.NewClient[v1.ForwardRequest, v1.ForwardResponse](
 			httpClient,
 			baseURL+PeerServiceForwardProcedure,
@@ -108,11 +120,12 @@
 
 // peerServiceClient implements PeerServiceClient.
 type peerServiceClient struct {
-	raft    *connect.Client[v1.RaftBatch, v1.RaftAck]
-	forward *connect.Client[v1.ForwardRequest, v1.ForwardResponse]
-	view    *connect.Client[v1.ViewRequest, v1.ViewResponse]
-	join    *connect.Client[v1.JoinRequest, v1.JoinResponse]
-	events  *connect.Client[v1.EventsRequest, v1.EventsResponse]
+	raft         *connect.Client[v1.RaftBatch, v1.RaftAck]
+	sendSnapshot *connect.Client[v1.SnapshotPart, v1.RaftAck]
+	forward      *connect.Client[v1.ForwardRequest, v1.ForwardResponse]
+	view         *connect.Client[v1.ViewRequest, v1.ViewResponse]
+	join         *connect.Client[v1.JoinRequest, v1.JoinResponse]
+	events       *connect.Client[v1.EventsRequest, v1.EventsResponse]
 }
 
 // Raft calls peer.v1.PeerService.Raft.
@@ -120,6 +133,11 @@
 	return c.raft.CallUnary(ctx, req)
 }
 
+// SendSnapshot calls peer.v1.PeerService.SendSnapshot.
+func (c *peerServiceClient) SendSnapshot(ctx context.Context) *connect.ClientStreamForClient[v1.SnapshotPart, v1.RaftAck] {
+	return c.sendSnapshot.CallClientStream(ctx)
+}
+
 // Forward calls peer.v1.PeerService.Forward.
 func (c *peerServiceClient) Forward(ctx context.Context, req *connect.Request[v1.ForwardRequest]) (*connect.Response[v1.ForwardResponse], error) {
 	return c.forward.CallUnary(ctx, req)
@@ -144,6 +162,9 @@
 type PeerServiceHandler interface {
 	// Raft carries messages between replicas, in order of sending.
 	Raft(context.Context, *connect.Request[v1.RaftBatch]) (*connect.Response[v1.RaftAck], error)
+	// SendSnapshot carries a snapshot to a replica that lags, in parts. The first part holds
+	// the message, the last one the checksum. The answer comes once it is stored.
+	SendSnapshot(context.Context, *connect.ClientStream[v1.SnapshotPart]) (*connect.Response[v1.RaftAck], error)
 	// Forward carries a public call from an entry to the leader.
 	Forward(context.Context, *connect.Request[v1.ForwardRequest]) (*connect.Response[v1.ForwardResponse], error)
 	// View returns the configuration in force, confirmed by a quorum.
@@ -167,6 +188,12 @@
 		connect.WithSchema(peerServiceMethods.ByName("Raft")),
 		connect.WithHandlerOptions(opts...),
 	)
+	peerServiceSendSnapshotHandler := connect.NewClientStreamHandler(
+		PeerServiceSendSnapshotProcedure,
+		svc.SendSnapshot,
+		connect.WithSchema(peerServiceMethods.ByName("SendSnapshot")),
+		connect.WithHandlerOptions(opts...),
+	)
 	peerServiceForwardHandler := connect.NewUnaryHandler(
 		PeerServiceForwardProcedure,
 		svc.Forward,
@@ -195,6 +222,8 @@
 		switch r.URL.Path {
 		case PeerServiceRaftProcedure:
 			peerServiceRaftHandler.ServeHTTP(w, r)
+		case PeerServiceSendSnapshotProcedure:
+			peerServiceSendSnapshotHandler.ServeHTTP(w, r)
 		case PeerServiceForwardProcedure:
 			peerServiceForwardHandler.ServeHTTP(w, r)
 		case PeerServiceViewProcedure:
@@ -216,6 +245,10 @@
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.Raft is not implemented"))
 }
 
+func (UnimplementedPeerServiceHandler) SendSnapshot(context.Context, *connect.ClientStream[v1.SnapshotPart]) (*connect.Response[v1.RaftAck], error) {
+	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.SendSnapshot is not implemented"))
+}
+
 func (UnimplementedPeerServiceHandler) Forward(context.Context, *connect.Request[v1.ForwardRequest]) (*connect.Response[v1.ForwardResponse], error) {
 	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.Forward is not implemented"))
 }
--- a/replica/node.go
+++ b/replica/node.go
@@ -2,9 +2,13 @@
 
 import (
 	"context"
+	"io"
+	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/bulrushwinch/bulrushwinch/wal"
 	"github.com/pkg/errors"
 )
 
@@ -20,10 +24,11 @@
 type Machine[R any] interface {
 	// Apply applies one committed entry.
 	Apply(data []byte) R
-	// Snapshot encodes the whole state.
-	Snapshot() []byte
-	// Restore replaces the state.
-	Restore(data []byte) error
+	// Capture fixes the state as it is now, quickly, and returns a function that encodes
+	// it; the function runs in another goroutine while Apply goes on.
+	Capture() func(w io.Writer) error
+	// Restore replaces the state by what such a function has written.
+	Restore(r io.Reader) error
 }
 
 // Owner acts on the control goroutine while the node runs.
@@ -38,16 +43,27 @@
 	Flush()
 }
 
-// Storage makes raft state durable; see package wal.
+// Storage makes raft state durable; *wal.Log is one. StoreSnapshot and OpenSnapshot are
+// called from other goroutines than the rest, and at the same time.
 type Storage interface {
+	// Append writes entries and the hard state and syncs them.
 	Append(hard raft.HardState, entries []raft.Entry) error
-	SaveSnapshot(s raft.Snapshot, received bool) error
-	ReadSnapshot() (raft.Snapshot, error)
+	// StoreSnapshot writes and syncs a snapshot without using it yet. Any error but
+	// wal.ErrFailed leaves the storage usable.
+	StoreSnapshot(s raft.Snapshot, origin wal.Origin, content func(io.Writer) error) error
+	// UseSnapshot makes a stored snapshot the newest and removes what it covers.
+	UseSnapshot(s raft.Snapshot) error
+	// OpenSnapshot returns the newest snapshot and its content.
+	OpenSnapshot() (raft.Snapshot, io.ReadCloser, error)
 }
 
-// Transport sends messages without blocking; it may lose them.
+// Transport carries messages to other replicas.
 type Transport interface {
+	// Send sends messages without blocking; it may lose them.
 	Send(to raft.Member, messages []raft.Message)
+	// SendSnapshot sends a snapshot message and its content, and returns once the receiver
+	// has stored it. It calls progress for each part that was sent.
+	SendSnapshot(ctx context.Context, to raft.Member, m raft.Message, content io.Reader, progress func()) error
 }
 
 // Config holds the settings of a Node.
@@ -57,11 +73,16 @@
 	TickInterval time.Duration
 	// SnapshotEntries is the number of applied entries after which a snapshot is taken.
 	SnapshotEntries uint64
+	// SnapshotBytes is the size of applied entries after which a snapshot is taken.
+	SnapshotBytes int
 	// KeepBytes is the amount of entry data that stays in memory after a snapshot, for
 	// replicas that lag a little.
 	KeepBytes int
 	// QueueLength bounds waiting calls and messages.
 	QueueLength int
+	// Warn takes what went wrong with snapshots without stopping the node. It is called on
+	// the control goroutine and may be nil.
+	Warn func(error)
 }
 
 // DefaultConfig suits replicas within a few milliseconds of each other.
@@ -71,6 +92,7 @@
 			MaxAppendBytes: 1 << 20, Seed: seed},
 		TickInterval:    50 * time.Millisecond,
 		SnapshotEntries: 20_000,
+		SnapshotBytes:   64 << 20,
 		KeepBytes:       8 << 20,
 		QueueLength:     4096,
 	}
@@ -96,16 +118,22 @@
 	confirms  map[uint64]func(ok bool)
 	nextRead  uint64
 
-	applied     uint64
-	snapshotted uint64
-	role        raft.Role
-	term        uint64
-	leader      raft.ID
+	applied uint64
+	// durable is the newest applied index that other goroutines may read.
+	durable   atomic.Uint64
+	snapshots snapshots
+
+	role   raft.Role
+	term   uint64
+	leader raft.ID
 	// leading is set once the owner was told to lead.
 	leading bool
 	// leadIndex is the first entry of this leadership; Lead is called when it is applied.
 	leadIndex uint64
 	failure   error
+	// ctx is that of Run; background counts the goroutines that it has to wait for.
+	ctx        context.Context
+	background sync.WaitGroup
 }
 
 type proposal[R any] struct {
@@ -122,13 +150,12 @@
 	n := &Node[R]{cfg: cfg, raft: r, machine: m, owner: o, storage: s, transport: t,
 		calls: make(chan func(), cfg.QueueLength), inbox: make(chan []raft.Message, cfg.QueueLength),
 		done: make(chan struct{}), proposals: make(map[uint64]proposal[R]), confirms: make(map[uint64]func(bool)),
-		applied: from.Snapshot.Index, snapshotted: from.Snapshot.Index}
-	if len(from.Snapshot.Data) > 0 {
-		if err := m.Restore(from.Snapshot.Data); err != nil {
-			return nil, err
-		}
+		snapshots: snapshots{sending: make(map[raft.ID]bool)},
 	}
-	return n, nil
+	if from.Snapshot.Index == 0 {
+		return n, nil
+	}
+	return n, n.restore(from.Snapshot.Index)
 }
 
 // Post runs f on the control goroutine. It is safe for concurrent use and returns
@@ -164,9 +191,13 @@
 // Run is the control goroutine. It returns nil when ctx ends, or the storage
 // failure that made it stop.
 func (n *Node[R]) Run(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	n.ctx = ctx
 	ticker := time.NewTicker(n.cfg.TickInterval)
 	defer ticker.Stop()
+	defer n.background.Wait()
 	defer n.stop()
+	defer cancel()
 	n.process()
 	for n.failure == nil {
 		select {
@@ -180,6 +211,7 @@
 			n.drainCalls()
 		case messages := <-n.inbox:
 			n.step(messages)
+			n.drainInbox()
 		}
 		n.owner.Flush()
 		n.process()
@@ -203,6 +235,18 @@
 	}
 }
 
+// drainInbox takes the messages that wait, so that one sync covers them all.
+func (n *Node[R]) drainInbox() {
+	for range maxEventsPerRound {
+		select {
+		case messages := <-n.inbox:
+			n.step(messages)
+		default:
+			return
+		}
+	}
+}
+
 func (n *Node[R]) step(messages []raft.Message) {
 	for _, m := range messages {
 		n.raft.Step(m)
@@ -243,7 +287,9 @@
 		n.noteRole(rd)
 		n.sendAll(rd.Messages)
 		if rd.Snapshot != nil {
-			n.restore(rd.Snapshot)
+			if n.failure = n.restore(rd.Snapshot.Index); n.failure != nil {
+				return
+			}
 		}
 		results := n.applyAll(rd.Committed)
 		n.raft.Advance(rd)
@@ -259,7 +305,7 @@
 
 func (n *Node[R]) persist(rd raft.Ready) error {
 	if rd.Snapshot != nil {
-		if err := n.storage.SaveSnapshot(*rd.Snapshot, true); err != nil {
+		if err := n.storage.UseSnapshot(*rd.Snapshot); err != nil {
 			return err
 		}
 	}
@@ -269,18 +315,12 @@
 	return n.storage.Append(rd.HardState, rd.Entries)
 }
 
-func (n *Node[R]) restore(s *raft.Snapshot) {
-	if err := n.machine.Restore(s.Data); err != nil {
-		panic("replica: snapshot from the leader can't be restored: " + err.Error())
-	}
-	n.applied, n.snapshotted = s.Index, s.Index
-}
-
 // applyAll applies committed entries and returns the completions of local proposals.
 func (n *Node[R]) applyAll(entries []raft.Entry) []func() {
 	var completions []func()
 	for _, e := range entries {
 		n.applied = e.Index
+		n.snapshots.bytes += len(e.Data)
 		if e.Type != raft.EntryNormal || len(e.Data) == 0 {
 			continue
 		}
@@ -296,6 +336,7 @@
 		}
 		completions = append(completions, func() { p.done(result, nil) })
 	}
+	n.durable.Store(n.applied)
 	return completions
 }
 
@@ -351,7 +392,8 @@
 func (n *Node[R]) sendAll(messages []raft.Message) {
 	byPeer := make(map[raft.ID][]raft.Message)
 	for _, m := range messages {
-		if m.Type == raft.MsgSnapshot && !n.fillSnapshot(&m) {
+		if m.Type == raft.MsgSnapshot {
+			n.sendSnapshot(m)
 			continue
 		}
 		byPeer[m.To] = append(byPeer[m.To], m)
@@ -361,17 +403,6 @@
 	}
 }
 
-// fillSnapshot adds the data of the newest snapshot to a message.
-func (n *Node[R]) fillSnapshot(m *raft.Message) bool {
-	s, err := n.storage.ReadSnapshot()
-	if err != nil {
-		n.raft.ReportSnapshotFailed(m.To)
-		return false
-	}
-	m.Snapshot = &s
-	return true
-}
-
 func (n *Node[R]) member(id raft.ID) raft.Member {
 	for _, m := range n.raft.Members() {
 		if m.ID == id {
@@ -381,24 +412,6 @@
 	return raft.Member{ID: id}
 }
 
-func (n *Node[R]) maybeSnapshot() {
-	if n.applied-n.snapshotted < n.cfg.SnapshotEntries {
-		return
-	}
-	s, err := n.raft.SnapshotMeta(n.applied)
-	if err != nil {
-		return
-	}
-	s.Data = n.machine.Snapshot()
-	if n.failure = n.storage.SaveSnapshot(s, false); n.failure != nil {
-		return
-	}
-	n.snapshotted = n.applied
-	if err := n.raft.Compact(&s, n.cfg.KeepBytes); err != nil {
-		panic("replica: " + err.Error())
-	}
-}
-
 // Raft returns the core, for status and membership changes.
 func (n *Node[R]) Raft() *raft.Raft { return n.raft }
 
--- /dev/null
+++ b/replica/snapshots.go
@@ -0,0 +1,165 @@
+package replica
+
+import (
+	"context"
+	"io"
+
+	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/bulrushwinch/bulrushwinch/wal"
+	"github.com/pkg/errors"
+)
+
+// snapshots is what the control goroutine knows of snapshots.
+type snapshots struct {
+	// newest is the index of the newest snapshot in use.
+	newest uint64
+	// attempt is the index at which the last one was taken, with success or not.
+	attempt uint64
+	// bytes is the size of the entries applied since then.
+	bytes int
+	// storing is set while one is written.
+	storing bool
+	// sending holds the replicas that one is on its way to.
+	sending map[raft.ID]bool
+}
+
+// restore replaces the state by the newest snapshot.
+func (n *Node[R]) restore(index uint64) error {
+	s, content, err := n.storage.OpenSnapshot()
+	if err != nil {
+		return err
+	}
+	err = n.machine.Restore(content)
+	if closeErr := content.Close(); err == nil {
+		err = closeErr
+	}
+	if err == nil && s.Index != index {
+		err = errors.Errorf("replica: the newest snapshot is at %d in place of %d", s.Index, index)
+	}
+	n.applied, n.snapshots.newest, n.snapshots.attempt = index, index, index
+	n.durable.Store(index)
+	return err
+}
+
+// maybeSnapshot starts a snapshot when enough was applied since the last one. The control
+// goroutine only captures the state; another one encodes and writes it.
+func (n *Node[R]) maybeSnapshot() {
+	due := n.applied-n.snapshots.attempt >= n.cfg.SnapshotEntries || n.snapshots.bytes >= n.cfg.SnapshotBytes
+	if !due || n.snapshots.storing {
+		return
+	}
+	s, err := n.raft.SnapshotMeta(n.applied)
+	if err != nil {
+		return
+	}
+	n.snapshots.attempt, n.snapshots.bytes, n.snapshots.storing = n.applied, 0, true
+	write := n.machine.Capture()
+	ctx := n.ctx
+	n.inBackground(func() func() {
+		err := n.storage.StoreSnapshot(s, wal.Local, func(w io.Writer) error { return write(stoppableWriter{ctx, w}) })
+		return func() { n.snapshotStored(s, err) }
+	})
+}
+
+// stoppableWriter fails once ctx ends.
+type stoppableWriter struct {
+	ctx context.Context
+	w   io.Writer
+}
+
+// Write implements io.Writer.
+func (s stoppableWriter) Write(p []byte) (int, error) {
+	if err := s.ctx.Err(); err != nil {
+		return 0, err
+	}
+	return s.w.Write(p)
+}
+
+// inBackground runs work in another goroutine, and what it returns on the control goroutine.
+func (n *Node[R]) inBackground(work func() func()) {
+	n.background.Add(1)
+	go func() {
+		defer n.background.Done()
+		// An error means that the node has stopped and needs no result.
+		_ = n.Post(n.ctx, work())
+	}()
+}
+
+// snapshotStored takes a snapshot into use, unless one from the leader overtook it.
+func (n *Node[R]) snapshotStored(s raft.Snapshot, err error) {
+	n.snapshots.storing = false
+	if err != nil {
+		n.snapshotFailed(errors.Wrapf(err, "replica: snapshot at %d", s.Index))
+		return
+	}
+	if s.Index <= n.snapshots.newest {
+		return
+	}
+	if n.failure = n.storage.UseSnapshot(s); n.failure != nil {
+		return
+	}
+	n.snapshots.newest = s.Index
+	if err := n.raft.Compact(&s, n.cfg.KeepBytes); err != nil {
+		panic("replica: " + err.Error())
+	}
+}
+
+// snapshotFailed stops the node if its storage has failed; without a snapshot it can go on.
+func (n *Node[R]) snapshotFailed(err error) {
+	if errors.Is(err, wal.ErrFailed) || errors.Is(err, wal.ErrCorrupt) {
+		n.failure = err
+		return
+	}
+	if n.cfg.Warn != nil && n.ctx.Err() == nil {
+		n.cfg.Warn(err)
+	}
+}
+
+// sendSnapshot sends the newest snapshot to a replica, one at a time each.
+func (n *Node[R]) sendSnapshot(m raft.Message) {
+	if n.snapshots.sending[m.To] {
+		return
+	}
+	n.snapshots.sending[m.To] = true
+	to := n.member(m.To)
+	ctx := n.ctx
+	n.inBackground(func() func() {
+		err := n.transferSnapshot(ctx, to, m)
+		return func() {
+			delete(n.snapshots.sending, m.To)
+			if err != nil {
+				n.raft.ReportSnapshotFailed(m.To)
+				n.snapshotFailed(errors.Wrapf(err, "replica: snapshot to %s", to.Address))
+			}
+		}
+	})
+}
+
+func (n *Node[R]) transferSnapshot(ctx context.Context, to raft.Member, m raft.Message) error {
+	s, content, err := n.storage.OpenSnapshot()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = content.Close() }()
+	m.Snapshot = &s
+	progress := func() {
+		_ = n.Post(ctx, func() { n.raft.ReportSnapshotProgress(m.To) })
+	}
+	return n.transport.SendSnapshot(ctx, to, m, content, progress)
+}
+
+// ReceiveSnapshot stores a snapshot from the leader, whose content the given function
+// writes, and then takes the message that announced it. It is safe for concurrent use.
+func (n *Node[R]) ReceiveSnapshot(m raft.Message, content func(io.Writer) error) error {
+	if m.Type != raft.MsgSnapshot || m.Snapshot == nil {
+		return errors.New("replica: not a snapshot message")
+	}
+	if m.Snapshot.Index > n.durable.Load() {
+		if err := n.storage.StoreSnapshot(*m.Snapshot, wal.Received, content); err != nil {
+			_ = n.Post(context.Background(), func() { n.snapshotFailed(err) })
+			return err
+		}
+	}
+	n.Receive([]raft.Message{m})
+	return nil
+}
--- /dev/null
+++ b/wal/fuzz_test.go
@@ -0,0 +1,77 @@
+package wal
+
+import (
+	"bytes"
+	"io"
+	"testing"
+
+	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/pkg/errors"
+)
+
+// sampleFrame is a frame with an entry and a hard state.
+func sampleFrame(sequence uint64) []byte {
+	buf := appendEntry(startFrame(nil), raft.Entry{Index: 1, Term: 2, Data: []byte("label")})
+	buf = appendHardState(buf, raft.HardState{Term: 2, Vote: 1, Commit: 1})
+	finishFrame(buf, sequence)
+	return buf
+}
+
+// FuzzSegment replays arbitrary content of a segment. What is good of it, and what is left
+// of a torn tail, must replay again to the same entries.
+func FuzzSegment(f *testing.F) {
+	two := append(sampleFrame(1), sampleFrame(2)...)
+	f.Add(two)
+	f.Add(two[:len(two)-3])
+	f.Add(append(sampleFrame(1), sampleFrame(3)...))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		first := &replay{segments: []segment{{number: 1}}}
+		good, torn, err := first.frames(data)
+		if err != nil && !torn {
+			return
+		}
+		second := &replay{segments: []segment{{number: 1}}}
+		if _, _, err := second.frames(data[:good]); err != nil {
+			t.Fatal(err)
+		}
+		if first.last() != second.last() || first.restored.HardState != second.restored.HardState {
+			t.Errorf("%v, then %v", first.restored, second.restored)
+		}
+	})
+}
+
+// FuzzRecords decodes the body of a frame that has arbitrary content.
+func FuzzRecords(f *testing.F) {
+	f.Add(sampleFrame(1)[frameHeaderBytes:])
+	f.Add(appendIndex(appendIndex(nil, recordReset, 9), recordLast, 9))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		p := &replay{segments: []segment{{number: 1}}}
+		if p.frame(1, body) == nil && p.last() < uint64(len(p.restored.Entries)) {
+			t.Error("entries are lost")
+		}
+	})
+}
+
+// FuzzSnapshot reads an arbitrary snapshot file.
+func FuzzSnapshot(f *testing.F) {
+	var b bytes.Buffer
+	s := raft.Snapshot{Index: 7, Term: 2, Members: testMembers}
+	err := writeSnapshot(&b, s, Received, func(w io.Writer) error {
+		_, err := io.WriteString(w, "state")
+		return err
+	})
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b.Bytes())
+	f.Add(b.Bytes()[:b.Len()-2])
+	f.Fuzz(func(t *testing.T, data []byte) {
+		r, err := newSnapshotReader(io.NopCloser(bytes.NewReader(data)), "fuzzed")
+		if err == nil {
+			_, err = io.Copy(io.Discard, r)
+		}
+		if err != nil && !errors.Is(err, ErrCorrupt) {
+			t.Error(err)
+		}
+	})
+}
--- a/wal/identity.go
+++ b/wal/identity.go
@@ -23,7 +23,7 @@
 
 // LoadIdentity reads the folder's identity, or creates folder and identity if there is none.
 func LoadIdentity(dir string) (id Identity, created bool, err error) {
-	if err := os.MkdirAll(dir, 0o700); err != nil {
+	if err := os.MkdirAll(dir, folderPermissions); err != nil {
 		return id, false, errors.Wrap(err, "wal: create data folder")
 	}
 	data, err := os.ReadFile(filepath.Join(dir, identityFile))
@@ -46,7 +46,7 @@
 	if err != nil {
 		return errors.Wrap(err, "wal: encode identity")
 	}
-	return writeAtomic(filepath.Join(dir, identityFile), data)
+	return writeAtomic(osFiles{}, filepath.Join(dir, identityFile), data)
 }
 
 // RandomID returns a random non-zero number for identities.
--- a/wal/log.go
+++ b/wal/log.go
@@ -1,15 +1,19 @@
 package wal
 
 import (
-	"os"
 	"path/filepath"
+	"sync/atomic"
 
 	"github.com/bulrushwinch/bulrushwinch/raft"
 	"github.com/pkg/errors"
 )
 
-// segmentBytes is the size at which a new segment is started.
-const segmentBytes = 16 << 20
+const (
+	// segmentBytes is the size at which a new segment is started.
+	segmentBytes = 16 << 20
+	// appendBytes is the amount of entry data after which Append starts another frame.
+	appendBytes = 16 << 20
+)
 
 // Errors of a Log.
 var (
@@ -20,193 +24,223 @@
 	ErrFailed = errors.New("wal: unusable after a failed write")
 )
 
-// Log is the durable state of one replica. It is not safe for concurrent use.
+// Log is the durable state of one replica. StoreSnapshot, OpenSnapshot and Syncs are safe
+// for concurrent use; all else belongs to one goroutine.
 type Log struct {
-	dir     string
-	file    *os.File
-	number  uint64
-	size    int64
-	hard    raft.HardState
-	failed  bool
-	syncs   uint64
+	dir      string
+	fs       fileSystem
+	file     file
+	size     int64
+	segments []segment
+	sequence uint64
+	hard     raft.HardState
+	// last is the index of the last entry, or of the snapshot that it follows.
+	last    uint64
+	failed  atomic.Bool
+	syncs   atomic.Uint64
 	scratch []byte
 }
 
-// Open reads the folder and prepares it for appending.
+// Open reads the folder and prepares it for appending. The snapshot comes without its
+// data, whose checksums are verified; OpenSnapshot reads it.
 // It returns ErrCorrupt, wrapped with the place, for damage other than a torn tail.
 func Open(dir string) (*Log, raft.Restored, error) {
-	var restored raft.Restored
-	snap, err := readNewestSnapshot(dir)
+	return open(dir, osFiles{})
+}
+
+func open(dir string, fs fileSystem) (*Log, raft.Restored, error) {
+	snap, err := verifyNewestSnapshot(dir)
 	if err != nil {
-		return nil, restored, err
+		return nil, raft.Restored{}, err
 	}
-	restored.Snapshot = snap
-	numbers, err := listSegments(dir)
-	if err != nil {
-		return nil, restored, err
+	p := &replay{fs: fs, dir: dir}
+	p.restored.Snapshot = snap.Snapshot
+	if err := p.run(); err != nil {
+		return nil, raft.Restored{}, err
 	}
-	for i, n := range numbers {
-		last := i == len(numbers)-1
-		if err := replaySegment(segmentPath(dir, n), last, &restored); err != nil {
-			return nil, restored, err
-		}
+	if err := p.finish(snap.origin == Received); err != nil {
+		return nil, raft.Restored{}, err
 	}
-	if err := checkContinuity(&restored); err != nil {
-		return nil, restored, err
+	l := &Log{dir: dir, fs: fs, hard: p.restored.HardState, segments: p.segments, sequence: p.sequence, last: p.last()}
+	if err := l.removeLeftovers(snap.Index); err != nil {
+		return nil, raft.Restored{}, err
 	}
-	l := &Log{dir: dir, hard: restored.HardState}
-	if len(numbers) > 0 {
-		l.number = numbers[len(numbers)-1]
+	if snap.origin == Received && p.resetAt != snap.Index {
+		return l, p.restored, l.rotate(snap.Index)
 	}
-	return l, restored, l.rotate()
+	return l, p.restored, l.rotate(0)
 }
 
 // Syncs returns the number of syncs since Open.
-func (l *Log) Syncs() uint64 { return l.syncs }
+func (l *Log) Syncs() uint64 { return l.syncs.Load() }
 
 // Append writes entries and the hard state, and syncs them before it returns.
 func (l *Log) Append(hard raft.HardState, entries []raft.Entry) error {
-	if l.failed {
+	if l.failed.Load() {
 		return ErrFailed
 	}
-	buf := l.scratch[:0]
-	for _, e := range entries {
-		buf = appendRecord(buf, recordEntry, encodeEntryHeader(e), e.Data)
-	}
-	buf = appendRecord(buf, recordHardState, encodeHardState(hard))
-	l.scratch = buf
 	l.hard = hard
-	if err := l.write(buf); err != nil {
-		return err
+	for {
+		n := prefixOfBytes(entries, appendBytes)
+		if err := l.appendFrame(entries[:n], n == len(entries)); err != nil {
+			return err
+		}
+		if entries = entries[n:]; len(entries) == 0 {
+			break
+		}
 	}
 	if l.size >= segmentBytes {
-		return l.fail(l.rotate())
+		return l.rotate(0)
 	}
 	return nil
 }
 
+// prefixOfBytes returns how many entries hold about limit bytes, at least one.
+func prefixOfBytes(entries []raft.Entry, limit int) int {
+	size := 0
+	for i := range entries {
+		size += len(entries[i].Data)
+		if i > 0 && size > limit {
+			return i
+		}
+	}
+	return len(entries)
+}
+
+// appendFrame writes one frame; the last one of an Append holds the hard state.
+func (l *Log) appendFrame(entries []raft.Entry, last bool) error {
+	buf := startFrame(l.scratch)
+	current := &l.segments[len(l.segments)-1]
+	for _, e := range entries {
+		buf = appendEntry(buf, e)
+		current.last = max(current.last, e.Index)
+		l.last = e.Index
+	}
+	if last {
+		buf = appendHardState(buf, l.hard)
+	}
+	return l.write(buf)
+}
+
+// write completes the frame in buf, writes and syncs it.
 func (l *Log) write(buf []byte) error {
+	if len(buf)-frameHeaderBytes > maxFrameBytes {
+		return l.fail(errors.Errorf("wal: frame of %d bytes is too large", len(buf)))
+	}
+	l.sequence++
+	finishFrame(buf, l.sequence)
+	l.keepScratch(buf)
 	if _, err := l.file.Write(buf); err != nil {
 		return l.fail(errors.Wrap(err, "wal: write"))
 	}
 	l.size += int64(len(buf))
-	l.syncs++
+	l.syncs.Add(1)
 	return l.fail(errors.Wrap(l.file.Sync(), "wal: sync"))
 }
 
-// fail makes the log unusable if err is not nil, and returns err.
+// maxScratchBytes bounds the buffer that is kept between appends.
+const maxScratchBytes = 1 << 20
+
+func (l *Log) keepScratch(buf []byte) {
+	if cap(buf) <= maxScratchBytes {
+		l.scratch = buf
+	}
+}
+
+// fail makes the log unusable if err is not nil. The error returned is ErrFailed with the cause.
 func (l *Log) fail(err error) error {
-	if err != nil {
-		l.failed = true
+	if err == nil {
+		return nil
 	}
-	return err
+	l.failed.Store(true)
+	return &failure{err}
 }
 
-// rotate starts a new segment that opens with the hard state.
-func (l *Log) rotate() error {
+// failure is ErrFailed with its cause.
+type failure struct{ cause error }
+
+// Error implements error.
+func (f *failure) Error() string { return ErrFailed.Error() + ": " + f.cause.Error() }
+
+// Is reports whether the target is ErrFailed.
+func (f *failure) Is(target error) bool { return target == ErrFailed }
+
+// Unwrap returns the cause.
+func (f *failure) Unwrap() error { return f.cause }
+
+// rotate starts a new segment that opens with the hard state. With reset set, it first
+// tells that a received snapshot at that index replaced all earlier entries.
+func (l *Log) rotate(reset uint64) error {
 	if l.file != nil {
 		if err := l.file.Close(); err != nil {
-			return errors.Wrap(err, "wal: close segment")
+			return l.fail(errors.Wrap(err, "wal: close segment"))
 		}
 	}
-	l.number++
-	f, err := os.OpenFile(segmentPath(l.dir, l.number), os.O_CREATE|os.O_EXCL|os.O_WRONLY|os.O_APPEND, 0o600)
+	number := uint64(1)
+	if n := len(l.segments); n > 0 {
+		number = l.segments[n-1].number + 1
+	}
+	f, err := l.fs.Create(segmentPath(l.dir, number))
 	if err != nil {
-		return errors.Wrap(err, "wal: create segment")
+		return l.fail(errors.Wrap(err, "wal: create segment"))
 	}
 	l.file, l.size = f, 0
-	if err := syncDir(l.dir); err != nil {
-		return err
+	l.segments = append(l.segments, segment{number: number})
+	if err := l.fs.SyncDir(l.dir); err != nil {
+		return l.fail(errors.Wrap(err, "wal: sync folder"))
+	}
+	buf := startFrame(l.scratch)
+	if reset != 0 {
+		buf = appendIndex(buf, recordReset, reset)
 	}
-	return l.write(appendRecord(nil, recordHardState, encodeHardState(l.hard)))
+	buf = appendIndex(buf, recordLast, l.last)
+	return l.write(appendHardState(buf, l.hard))
 }
 
-// SaveSnapshot makes a snapshot durable and removes segments that it covers.
-// Set received for a snapshot from the leader, which replaces all entries.
-func (l *Log) SaveSnapshot(s raft.Snapshot, received bool) error {
-	if l.failed {
+// UseSnapshot makes a stored snapshot the newest one, and removes what it covers. One that
+// was received from the leader replaces all entries.
+func (l *Log) UseSnapshot(s raft.Snapshot) error {
+	if l.failed.Load() {
 		return ErrFailed
 	}
-	if err := writeSnapshot(l.dir, s); err != nil {
+	origin, err := readOrigin(storedPath(l.dir, s))
+	if err != nil {
 		return l.fail(err)
 	}
-	if received {
-		if err := l.write(appendRecord(nil, recordReset)); err != nil {
-			return err
-		}
+	if err := l.fs.Rename(storedPath(l.dir, s), snapshotPath(l.dir, s.Index)); err != nil {
+		return l.fail(errors.Wrap(err, "wal: rename snapshot"))
 	}
-	if err := l.rotate(); err != nil {
-		return l.fail(err)
+	if err := l.fs.SyncDir(l.dir); err != nil {
+		return l.fail(errors.Wrap(err, "wal: sync folder"))
+	}
+	l.hard.Commit = max(l.hard.Commit, s.Index)
+	var reset uint64
+	if origin == Received {
+		reset, l.last = s.Index, s.Index
+	}
+	if err := l.rotate(reset); err != nil {
+		return err
 	}
 	return l.fail(l.removeCovered(s.Index))
 }
 
-// removeCovered deletes old snapshots and the segments whose entries the snapshot covers.
+// removeCovered deletes the oldest segments whose entries a snapshot covers, and older snapshots.
 func (l *Log) removeCovered(index uint64) error {
-	numbers, err := listSegments(l.dir)
-	if err != nil {
-		return err
-	}
-	for _, n := range numbers {
-		if n == l.number {
-			break
-		}
-		covered, err := segmentCovered(segmentPath(l.dir, n), index)
-		if err != nil {
-			return err
-		}
-		if !covered {
-			break
-		}
-		if err := os.Remove(segmentPath(l.dir, n)); err != nil {
+	for len(l.segments) > 1 && l.segments[0].last <= index {
+		if err := l.fs.Remove(segmentPath(l.dir, l.segments[0].number)); err != nil {
 			return errors.Wrap(err, "wal: remove segment")
 		}
+		l.segments = l.segments[1:]
 	}
-	return removeOldSnapshots(l.dir, index)
-}
-
-// ReadSnapshot returns the newest snapshot with its data.
-func (l *Log) ReadSnapshot() (raft.Snapshot, error) {
-	return readNewestSnapshot(l.dir)
+	return l.removeLeftovers(index)
 }
 
 // Close closes the current segment.
 func (l *Log) Close() error {
-	l.failed = true
+	l.failed.Store(true)
 	return errors.Wrap(l.file.Close(), "wal: close")
 }
 
-func syncDir(dir string) error {
-	d, err := os.Open(dir)
-	if err != nil {
-		return errors.Wrap(err, "wal: open folder")
-	}
-	err = d.Sync()
-	if closeErr := d.Close(); err == nil {
-		err = closeErr
-	}
-	return errors.Wrap(err, "wal: sync folder")
-}
-
-// writeAtomic writes a file so that it is either absent, old or complete after a crash.
-func writeAtomic(path string, data []byte) error {
-	tmp := path + ".tmp"
-	f, err := os.OpenFile(tmp, os.O_CREATE|os.O_TRUNC|os.O_WRONLY, 0o600)
-	if err != nil {
-		return errors.Wrap(err, "wal: create file")
-	}
-	_, err = f.Write(data)
-	if err == nil {
-		err = f.Sync()
-	}
-	if closeErr := f.Close(); err == nil {
-		err = closeErr
-	}
-	if err != nil {
-		return errors.Wrap(err, "wal: write file")
-	}
-	if err := os.Rename(tmp, path); err != nil {
-		return errors.Wrap(err, "wal: rename file")
-	}
-	return syncDir(filepath.Dir(path))
+func snapshotPath(dir string, index uint64) string {
+	return filepath.Join(dir, formatSnapshot(index))
 }
--- /dev/null
+++ b/wal/log_test.go
@@ -0,0 +1,462 @@
+package wal
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"os"
+	"path/filepath"
+	"slices"
+	"strings"
+	"syscall"
+	"testing"
+
+	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/pkg/errors"
+)
+
+var testMembers = []raft.Member{{ID: 1, Voter: true, Address: "10.0.0.1:7401", Domain: "cordon"}}
+
+// faultyFiles fails at one operation and at all that follow, as after a crash. A write
+// that fails leaves half of its data.
+type faultyFiles struct {
+	osFiles
+	left int
+}
+
+func (f *faultyFiles) fails() error {
+	if f.left--; f.left < 0 {
+		return syscall.ENOSPC
+	}
+	return nil
+}
+
+type faultyFile struct {
+	file
+	fs *faultyFiles
+}
+
+func (f *faultyFiles) Create(path string) (file, error) {
+	if err := f.fails(); err != nil {
+		return nil, err
+	}
+	inner, err := f.osFiles.Create(path)
+	return &faultyFile{inner, f}, err
+}
+
+func (f *faultyFile) Write(p []byte) (int, error) {
+	if err := f.fs.fails(); err != nil {
+		if f.fs.left == -1 {
+			_, _ = f.file.Write(p[:len(p)/2])
+		}
+		return 0, err
+	}
+	return f.file.Write(p)
+}
+
+func (f *faultyFile) Sync() error {
+	if err := f.fs.fails(); err != nil {
+		return err
+	}
+	return f.file.Sync()
+}
+
+func (f *faultyFiles) Rename(from, to string) error {
+	if err := f.fails(); err != nil {
+		return err
+	}
+	return f.osFiles.Rename(from, to)
+}
+
+func (f *faultyFiles) Remove(path string) error {
+	if err := f.fails(); err != nil {
+		return err
+	}
+	return f.osFiles.Remove(path)
+}
+
+func (f *faultyFiles) SyncDir(dir string) error {
+	if err := f.fails(); err != nil {
+		return err
+	}
+	return f.osFiles.SyncDir(dir)
+}
+
+// model is what a replica knows to be durable, and drives a Log like a replica does.
+type model struct {
+	log      *Log
+	hard     raft.HardState
+	snapshot raft.Snapshot
+	content  string
+	entries  []raft.Entry
+	// maybe is the state that an unacknowledged call may have left.
+	maybe *model
+}
+
+func (m *model) last() uint64 { return m.snapshot.Index + uint64(len(m.entries)) }
+
+func (m *model) clone() *model {
+	c := *m
+	c.maybe, c.entries = nil, slices.Clone(m.entries)
+	return &c
+}
+
+// do lets a call change the model; on an error either state may be on disk.
+func (m *model) do(change func(*model), call func(next *model) error) error {
+	next := m.clone()
+	change(next)
+	if err := call(next); err != nil {
+		m.maybe = next
+		return err
+	}
+	*m = *next
+	return nil
+}
+
+func (m *model) append(term, from uint64, count int) error {
+	var entries []raft.Entry
+	for i := range uint64(count) {
+		entries = append(entries, raft.Entry{Index: from + i, Term: term, Data: fmt.Appendf(nil, "%d in term %d", from+i, term)})
+	}
+	return m.do(func(n *model) {
+		n.entries = append(n.entries[:from-n.snapshot.Index-1], entries...)
+		n.hard = raft.HardState{Term: term, Vote: 1, Commit: max(n.hard.Commit, n.snapshot.Index)}
+	}, func(n *model) error { return m.log.Append(n.hard, entries) })
+}
+
+func (m *model) snap(index, term uint64, origin Origin) error {
+	s := raft.Snapshot{Index: index, Term: term, Members: testMembers}
+	content := fmt.Sprintf("state at %d", index)
+	err := m.log.StoreSnapshot(s, origin, func(w io.Writer) error {
+		_, err := io.WriteString(w, content)
+		return err
+	})
+	if err != nil {
+		return err
+	}
+	return m.do(func(n *model) {
+		if origin == Received {
+			n.entries = nil
+		} else {
+			n.entries = n.entries[index-n.snapshot.Index:]
+		}
+		n.snapshot, n.content = s, content
+		n.hard.Commit = max(n.hard.Commit, index)
+	}, func(*model) error { return m.log.UseSnapshot(s) })
+}
+
+// matches compares what was restored, but for the hard state of an unacknowledged write.
+func (m *model) matches(dir string, r raft.Restored) error {
+	_, content, err := (&Log{dir: dir}).OpenSnapshot()
+	if err != nil {
+		return err
+	}
+	defer func() { _ = content.Close() }()
+	data, err := io.ReadAll(content)
+	if err != nil {
+		return err
+	}
+	same := func(a, b raft.Entry) bool {
+		return a.Index == b.Index && a.Term == b.Term && bytes.Equal(a.Data, b.Data)
+	}
+	switch {
+	case r.Snapshot.Index != m.snapshot.Index || string(data) != m.content:
+		return errors.Errorf("snapshot %d %q in place of %d %q", r.Snapshot.Index, data, m.snapshot.Index, m.content)
+	case !slices.EqualFunc(r.Entries, m.entries, same):
+		return errors.Errorf("entries %v in place of %v", r.Entries, m.entries)
+	case r.HardState.Term != m.hard.Term || r.HardState.Vote != m.hard.Vote:
+		return errors.Errorf("hard state %v in place of %v", r.HardState, m.hard)
+	}
+	return nil
+}
+
+// check opens the folder anew and fails unless it holds what was acknowledged.
+func (m *model) check(t *testing.T, dir string) {
+	t.Helper()
+	log, restored, err := Open(dir)
+	if err != nil {
+		t.Fatalf("open: %v", err)
+	}
+	err = m.matches(dir, restored)
+	if err != nil && m.maybe != nil {
+		err = errors.Wrap(m.maybe.matches(dir, restored), err.Error())
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = log.Close()
+}
+
+// script is a life of a replica with overwritten entries and both kinds of snapshots.
+func (m *model) script() error {
+	steps := []func() error{
+		func() error { return m.append(1, 1, 3) },
+		func() error { return m.append(2, 4, 2) },
+		func() error { return m.append(3, 3, 1) },
+		func() error { return m.snap(2, 1, Local) },
+		func() error { return m.append(3, 4, 3) },
+		func() error { return m.snap(20, 4, Received) },
+		func() error { return m.append(4, 21, 2) },
+	}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// TestFailureAtEveryOperation lets each file operation of a life fail in turn, as by a full
+// disk, a failed sync or a crash there, and expects that nothing acknowledged is lost.
+func TestFailureAtEveryOperation(t *testing.T) {
+	for operation := 0; ; operation++ {
+		dir := t.TempDir()
+		fs := &faultyFiles{left: operation}
+		log, _, err := open(dir, fs)
+		if err != nil {
+			continue
+		}
+		m := &model{log: log}
+		err = m.script()
+		if err != nil && m.maybe != nil {
+			if !errors.Is(err, ErrFailed) || !errors.Is(m.log.Append(m.hard, nil), ErrFailed) {
+				t.Fatalf("operation %d: %v does not stop the log", operation, err)
+			}
+		}
+		_ = log.file.(*faultyFile).file.Close()
+		m.check(t, dir)
+		if err == nil {
+			return
+		}
+	}
+}
+
+// TestStoreSnapshotOnFullDisk expects a log that still works when a snapshot can't be written.
+func TestStoreSnapshotOnFullDisk(t *testing.T) {
+	dir := t.TempDir()
+	fs := &faultyFiles{left: 1 << 30}
+	log, _, err := open(dir, fs)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &model{log: log}
+	if err := m.append(1, 1, 3); err != nil {
+		t.Fatal(err)
+	}
+	fs.left = 1
+	if err := m.snap(2, 1, Local); err == nil || errors.Is(err, ErrFailed) {
+		t.Fatalf("snapshot on a full disk: %v", err)
+	}
+	fs.left = 1 << 30
+	if err := m.append(1, 4, 1); err != nil {
+		t.Fatal(err)
+	}
+	if err := m.snap(2, 1, Local); err != nil {
+		t.Fatal(err)
+	}
+	_ = log.Close()
+	m.check(t, dir)
+	if files, _ := filepath.Glob(filepath.Join(dir, "*.tmp")); len(files) > 0 {
+		t.Errorf("leftovers %v", files)
+	}
+}
+
+// writtenFolder returns a folder with acknowledged entries, and the path and bounds of its last frame.
+func writtenFolder(t *testing.T) (m *model, dir, path string, from, to int) {
+	t.Helper()
+	dir = t.TempDir()
+	log, _, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m = &model{log: log}
+	for i := range uint64(3) {
+		from = int(log.size)
+		if err := m.append(1, 5*i+1, 5); err != nil {
+			t.Fatal(err)
+		}
+	}
+	_ = log.Close()
+	return m, dir, segmentPath(dir, log.segments[len(log.segments)-1].number), from, int(log.size)
+}
+
+// TestTornTail cuts the last write at each byte, and leaves out each of its sectors.
+func TestTornTail(t *testing.T) {
+	m, _, path, from, to := writtenFolder(t)
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	before := m.clone()
+	before.entries = before.entries[:10]
+	try := func(data []byte) {
+		t.Helper()
+		target := t.TempDir()
+		if err := os.WriteFile(filepath.Join(target, filepath.Base(path)), data, filePermissions); err != nil {
+			t.Fatal(err)
+		}
+		before.check(t, target)
+		before.check(t, target)
+	}
+	for size := from; size < to; size++ {
+		try(whole[:size])
+	}
+	for sector := from - from%sectorBytes; sector < to; sector += sectorBytes {
+		torn := slices.Clone(whole)
+		clear(torn[max(sector, from):min(sector+sectorBytes, to)])
+		try(torn)
+	}
+}
+
+// TestDamageIsNeverSkipped flips each byte of a log and of a snapshot.
+func TestDamageIsNeverSkipped(t *testing.T) {
+	m, dir, path, _, _ := writtenFolder(t)
+	damageEachByte(t, dir, path)
+	log, _, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.log = log
+	if err := m.snap(12, 1, Local); err != nil {
+		t.Fatal(err)
+	}
+	_ = log.Close()
+	damageEachByte(t, dir, snapshotPath(dir, 12))
+}
+
+// TestLostFiles removes each file of a folder but the newest segment, whose content no
+// other file tells of.
+func TestLostFiles(t *testing.T) {
+	m, dir, _, _, _ := writtenFolder(t)
+	log, _, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.log = log
+	if err := m.snap(12, 1, Local); err != nil {
+		t.Fatal(err)
+	}
+	if err := m.append(1, 16, 2); err != nil {
+		t.Fatal(err)
+	}
+	_ = log.Close()
+	m.check(t, dir)
+	files, err := os.ReadDir(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, f := range files[:len(files)-2] {
+		path := filepath.Join(dir, f.Name())
+		if err := os.Rename(path, path+".away"); err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := Open(dir); !errors.Is(err, ErrCorrupt) {
+			t.Errorf("%s is missing: %v", f.Name(), err)
+		}
+		if err := os.Rename(path+".away", path); err != nil {
+			t.Fatal(err)
+		}
+	}
+}
+
+func damageEachByte(t *testing.T, dir, path string) {
+	t.Helper()
+	whole, err := os.ReadFile(path)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range whole {
+		damaged := slices.Clone(whole)
+		damaged[i] ^= 0x10
+		if err := os.WriteFile(path, damaged, filePermissions); err != nil {
+			t.Fatal(err)
+		}
+		if _, _, err := Open(dir); !errors.Is(err, ErrCorrupt) {
+			t.Fatalf("byte %d of %s is damaged: %v", i, filepath.Base(path), err)
+		}
+	}
+	if err := os.WriteFile(path, whole, filePermissions); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestRandomLives compares a log with a model over random lives with restarts.
+func TestRandomLives(t *testing.T) {
+	for seed := range uint64(40) {
+		rng := rand.New(rand.NewPCG(seed, 3))
+		dir := t.TempDir()
+		m := &model{}
+		for term := uint64(1); term < 12; term++ {
+			log, _, err := Open(dir)
+			if err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+			m.log = log
+			if err := m.live(rng, term); err != nil {
+				t.Fatalf("seed %d: %v", seed, err)
+			}
+			_ = log.Close()
+			m.check(t, dir)
+		}
+	}
+}
+
+// live does a few random calls of one term.
+func (m *model) live(rng *rand.Rand, term uint64) error {
+	for range rng.IntN(6) {
+		span := int(m.last() - m.snapshot.Index)
+		var err error
+		switch p := rng.IntN(10); {
+		case p < 6:
+			err = m.append(term, m.snapshot.Index+1+uint64(rng.IntN(span+1)), 1+rng.IntN(4))
+		case p < 8 && span > 0:
+			index := m.snapshot.Index + 1 + uint64(rng.IntN(span))
+			err = m.snap(index, m.entries[index-m.snapshot.Index-1].Term, Local)
+		case p == 8:
+			err = m.snap(m.last()+uint64(rng.IntN(5))+1, term, Received)
+		}
+		if err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// TestLargeSnapshot stores a snapshot of many chunks while entries are appended.
+func TestLargeSnapshot(t *testing.T) {
+	dir := t.TempDir()
+	log, _, err := Open(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m := &model{log: log}
+	if err := m.append(1, 1, 3); err != nil {
+		t.Fatal(err)
+	}
+	s := raft.Snapshot{Index: 3, Term: 1, Members: testMembers}
+	line := strings.Repeat("label", 100) + "\n"
+	err = log.StoreSnapshot(s, Local, func(w io.Writer) error {
+		for i := range 3 * chunkBytes / len(line) {
+			if _, err := io.WriteString(w, line); err != nil {
+				return err
+			}
+			if i == 100 {
+				if err := m.append(1, 4, 2); err != nil {
+					return err
+				}
+			}
+		}
+		return nil
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := log.UseSnapshot(s); err != nil {
+		t.Fatal(err)
+	}
+	_ = log.Close()
+	m.snapshot, m.entries = s, m.entries[3:]
+	m.content = strings.Repeat(line, 3*chunkBytes/len(line))
+	m.check(t, dir)
+}
--- a/wal/record.go
+++ b/wal/record.go
@@ -2,79 +2,73 @@
 
 import (
 	"encoding/binary"
-	"hash/crc32"
 
 	"github.com/bulrushwinch/bulrushwinch/raft"
 	"github.com/pkg/errors"
 )
 
-// recordType tells what a record carries.
+// recordType tells what a record in the body of a frame carries.
 type recordType uint8
 
 const (
 	recordHardState recordType = iota + 1
 	recordEntry
-	// recordReset marks that a received snapshot replaced all earlier entries.
+	// recordReset carries the index of a received snapshot that replaced all earlier entries.
 	recordReset
+	// recordLast carries the index of the log's last entry when a segment was started, which
+	// tells whether an older segment is missing.
+	recordLast
 )
 
 const (
-	// headerBytes is the size of a record header: length and CRC-32C of the body.
-	headerBytes = 8
-	// maxRecordBytes bounds the body of one record.
-	maxRecordBytes = 64 << 20
+	// recordHeaderBytes is the size of a record's type and length.
+	recordHeaderBytes = 5
+	hardStateBytes    = 24
+	entryHeaderBytes  = 17
+	indexBytes        = 8
 )
 
-var castagnoli = crc32.MakeTable(crc32.Castagnoli)
+func appendRecordHeader(buf []byte, kind recordType, length int) []byte {
+	buf = append(buf, byte(kind))
+	return binary.LittleEndian.AppendUint32(buf, uint32(length))
+}
 
-// errShort tells that the data ends before the record does.
-var errShort = errors.New("wal: record is cut short")
+func appendHardState(buf []byte, h raft.HardState) []byte {
+	buf = appendRecordHeader(buf, recordHardState, hardStateBytes)
+	buf = binary.LittleEndian.AppendUint64(buf, h.Term)
+	buf = binary.LittleEndian.AppendUint64(buf, uint64(h.Vote))
+	return binary.LittleEndian.AppendUint64(buf, h.Commit)
+}
 
-// errChecksum tells that a complete record does not match its checksum.
-var errChecksum = errors.New("wal: record checksum mismatch")
+func appendEntry(buf []byte, e raft.Entry) []byte {
+	buf = appendRecordHeader(buf, recordEntry, entryHeaderBytes+len(e.Data))
+	buf = binary.LittleEndian.AppendUint64(buf, e.Index)
+	buf = binary.LittleEndian.AppendUint64(buf, e.Term)
+	buf = append(buf, byte(e.Type))
+	return append(buf, e.Data...)
+}
 
-// appendRecord appends one framed record to buf.
-func appendRecord(buf []byte, kind recordType, body ...[]byte) []byte {
-	start := len(buf)
-	buf = append(buf, make([]byte, headerBytes)...)
-	buf = append(buf, byte(kind))
-	for _, b := range body {
-		buf = append(buf, b...)
-	}
-	payload := buf[start+headerBytes:]
-	binary.LittleEndian.PutUint32(buf[start:], uint32(len(payload)))
-	binary.LittleEndian.PutUint32(buf[start+4:], crc32.Checksum(payload, castagnoli))
-	return buf
+func appendIndex(buf []byte, kind recordType, index uint64) []byte {
+	buf = appendRecordHeader(buf, kind, indexBytes)
+	return binary.LittleEndian.AppendUint64(buf, index)
 }
 
-// nextRecord splits the first record off data.
-func nextRecord(data []byte) (kind recordType, body, rest []byte, err error) {
-	if len(data) < headerBytes {
-		return 0, nil, data, errShort
-	}
-	n := binary.LittleEndian.Uint32(data)
-	if n == 0 || n > maxRecordBytes {
-		return 0, nil, data, errChecksum
-	}
-	if uint64(len(data)) < headerBytes+uint64(n) {
-		return 0, nil, data, errShort
+// nextRecord splits the first record off the body of a frame.
+func nextRecord(body []byte) (kind recordType, payload, rest []byte, err error) {
+	if len(body) < recordHeaderBytes {
+		return 0, nil, nil, errors.New("record header is cut short")
 	}
-	payload := data[headerBytes : headerBytes+n]
-	if crc32.Checksum(payload, castagnoli) != binary.LittleEndian.Uint32(data[4:]) {
-		return 0, nil, data, errChecksum
+	n := uint64(binary.LittleEndian.Uint32(body[1:]))
+	if uint64(len(body)) < recordHeaderBytes+n {
+		return 0, nil, nil, errors.New("record is longer than its frame")
 	}
-	return recordType(payload[0]), payload[1:], data[headerBytes+n:], nil
-}
-
-func encodeHardState(h raft.HardState) []byte {
-	b := binary.LittleEndian.AppendUint64(nil, h.Term)
-	b = binary.LittleEndian.AppendUint64(b, uint64(h.Vote))
-	return binary.LittleEndian.AppendUint64(b, h.Commit)
+	end := recordHeaderBytes + n
+	return recordType(body[0]), body[recordHeaderBytes:end:end], body[end:], nil
 }
 
 func decodeHardState(b []byte) (raft.HardState, error) {
-	if len(b) != 24 {
-		return raft.HardState{}, errors.New("wal: hard state has a wrong size")
+	if len(b) != hardStateBytes {
+		return raft.HardState{}, errors.New("hard state has a wrong size")
 	}
 	return raft.HardState{
 		Term:   binary.LittleEndian.Uint64(b),
@@ -83,17 +77,9 @@
 	}, nil
 }
 
-const entryHeaderBytes = 17
-
-func encodeEntryHeader(e raft.Entry) []byte {
-	b := binary.LittleEndian.AppendUint64(make([]byte, 0, entryHeaderBytes), e.Index)
-	b = binary.LittleEndian.AppendUint64(b, e.Term)
-	return append(b, byte(e.Type))
-}
-
 func decodeEntry(b []byte) (raft.Entry, error) {
 	if len(b) < entryHeaderBytes {
-		return raft.Entry{}, errors.New("wal: entry is too short")
+		return raft.Entry{}, errors.New("entry is too short")
 	}
 	return raft.Entry{
 		Index: binary.LittleEndian.Uint64(b),
@@ -102,3 +88,10 @@
 		Data:  b[entryHeaderBytes:],
 	}, nil
 }
+
+func decodeIndex(b []byte) (uint64, error) {
+	if len(b) != indexBytes {
+		return 0, errors.New("index has a wrong size")
+	}
+	return binary.LittleEndian.Uint64(b), nil
+}
--- a/wal/segment.go
+++ b/wal/segment.go
@@ -12,13 +12,15 @@
 
 const segmentPattern = "segment-%016d.log"
 
-func segmentPath(dir string, number uint64) string {
-	return filepath.Join(dir, fmt.Sprintf(segmentPattern, number))
+// segment is a file of the log.
+type segment struct {
+	number uint64
+	// last is the highest index of an entry in it, or zero.
+	last uint64
 }
 
-// listSegments returns the numbers of all segments in rising order.
-func listSegments(dir string) ([]uint64, error) {
-	return listNumbered(dir, segmentPattern)
+func segmentPath(dir string, number uint64) string {
+	return filepath.Join(dir, fmt.Sprintf(segmentPattern, number))
 }
 
 // listNumbered returns the numbers of the files that match a pattern, in rising order.
@@ -38,106 +40,148 @@
 	return numbers, nil
 }
 
-// replaySegment applies the records of one segment; a torn tail is cut off in the last one.
-func replaySegment(path string, last bool, restored *raft.Restored) error {
+// replay gathers the durable state from the segments, oldest first.
+type replay struct {
+	fs       fileSystem
+	dir      string
+	restored raft.Restored
+	segments []segment
+	// sequence is that of the last frame; zero before the first.
+	sequence uint64
+	// resetAt is the index of the last reset.
+	resetAt uint64
+}
+
+// run reads all segments.
+func (p *replay) run() error {
+	numbers, err := listNumbered(p.dir, segmentPattern)
+	if err != nil {
+		return err
+	}
+	for i, n := range numbers {
+		if i > 0 && n != numbers[i-1]+1 {
+			return errors.Wrapf(ErrCorrupt, "segment %d is missing", numbers[i-1]+1)
+		}
+		p.segments = append(p.segments, segment{number: n})
+		if err := p.readSegment(n, i == len(numbers)-1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// readSegment applies the frames of one segment; a torn tail is cut off the last one.
+func (p *replay) readSegment(number uint64, last bool) error {
+	path := segmentPath(p.dir, number)
 	data, err := os.ReadFile(path)
 	if err != nil {
 		return errors.Wrap(err, "wal: read segment")
 	}
-	rest := data
-	for len(rest) > 0 {
-		kind, body, next, err := nextRecord(rest)
+	good, torn, err := p.frames(data)
+	switch {
+	case err == nil:
+		return nil
+	case torn && last:
+		return errors.Wrap(p.fs.Truncate(path, int64(good)), "wal: cut torn tail")
+	}
+	return errors.Wrapf(ErrCorrupt, "%s at byte %d: %v", filepath.Base(path), good, err)
+}
+
+// frames applies the frames in data. An error comes with the number of good bytes before it,
+// and whether it can be a torn tail.
+func (p *replay) frames(data []byte) (good int, torn bool, err error) {
+	for rest := data; len(rest) > 0; {
+		good = len(data) - len(rest)
+		sequence, body, next, err := nextFrame(rest)
 		if err != nil {
-			offset := len(data) - len(rest)
-			if last && isTornTail(rest, err) {
-				return errors.Wrap(os.Truncate(path, int64(offset)), "wal: cut torn tail")
-			}
-			return errors.Wrapf(ErrCorrupt, "%s at byte %d: %v", filepath.Base(path), offset, err)
+			return good, isTornTail(rest, good, err), err
 		}
-		if err := replayRecord(kind, body, restored); err != nil {
-			return errors.Wrapf(ErrCorrupt, "%s: %v", filepath.Base(path), err)
+		if err := p.frame(sequence, body); err != nil {
+			return good, false, err
 		}
 		rest = next
 	}
-	return nil
+	return len(data), false, nil
 }
 
-// isTornTail reports whether a bad record can be the rest of an unfinished write.
-// No complete record may follow it, as that would show that the damage came later.
-func isTornTail(rest []byte, cause error) bool {
-	if errors.Is(cause, errShort) && len(rest) < headerBytes {
-		return true
+func (p *replay) frame(sequence uint64, body []byte) error {
+	if p.sequence != 0 && sequence != p.sequence+1 {
+		return errors.Errorf("frame %d follows frame %d", sequence, p.sequence)
 	}
-	for i := 1; i+headerBytes < len(rest); i++ {
-		if _, _, _, err := nextRecord(rest[i:]); err == nil {
-			return false
+	p.sequence = sequence
+	for len(body) > 0 {
+		kind, payload, rest, err := nextRecord(body)
+		if err != nil {
+			return err
 		}
+		if err := p.record(kind, payload); err != nil {
+			return err
+		}
+		body = rest
 	}
-	return true
+	return nil
 }
 
-func replayRecord(kind recordType, body []byte, restored *raft.Restored) error {
+func (p *replay) record(kind recordType, payload []byte) error {
 	switch kind {
 	case recordHardState:
-		hard, err := decodeHardState(body)
-		if err == nil {
-			restored.HardState = hard
-		}
+		hard, err := decodeHardState(payload)
+		p.restored.HardState = hard
 		return err
 	case recordEntry:
-		e, err := decodeEntry(body)
-		if err == nil {
-			err = replayEntry(e, restored)
+		e, err := decodeEntry(payload)
+		if err != nil {
+			return err
 		}
-		return err
+		return p.entry(e)
 	case recordReset:
-		restored.Entries = nil
-		return nil
+		index, err := decodeIndex(payload)
+		p.resetAt = index
+		p.restored.Entries = nil
+		return err
+	case recordLast:
+		index, err := decodeIndex(payload)
+		if err == nil && index > p.last() {
+			err = errors.Errorf("entries from %d to %d are missing", p.last()+1, index)
+		}
+		return err
 	}
 	return errors.Errorf("unknown record type %d", kind)
 }
 
-// replayEntry adds an entry, replacing a suffix that it conflicts with.
-func replayEntry(e raft.Entry, restored *raft.Restored) error {
-	if e.Index <= restored.Snapshot.Index {
+// last returns the index of the last entry so far.
+func (p *replay) last() uint64 {
+	return p.restored.Snapshot.Index + uint64(len(p.restored.Entries))
+}
+
+// entry adds an entry, replacing a suffix that it conflicts with.
+func (p *replay) entry(e raft.Entry) error {
+	current := &p.segments[len(p.segments)-1]
+	current.last = max(current.last, e.Index)
+	if e.Index <= p.restored.Snapshot.Index {
+		// Writing an entry replaced all that stood behind it.
+		p.restored.Entries = nil
 		return nil
 	}
-	keep := e.Index - restored.Snapshot.Index - 1
-	if keep > uint64(len(restored.Entries)) {
+	keep := e.Index - p.restored.Snapshot.Index - 1
+	if keep > uint64(len(p.restored.Entries)) {
 		return errors.Errorf("entry %d leaves a gap", e.Index)
 	}
-	restored.Entries = append(restored.Entries[:keep], e)
+	p.restored.Entries = append(p.restored.Entries[:keep], e)
 	return nil
 }
 
-// checkContinuity verifies that the log covers everything that was committed.
-func checkContinuity(restored *raft.Restored) error {
-	last := restored.Snapshot.Index + uint64(len(restored.Entries))
-	if restored.HardState.Commit > last {
-		return errors.Wrapf(ErrCorrupt, "committed up to %d but the log ends at %d", restored.HardState.Commit, last)
+// finish drops the entries that a received snapshot replaced, if a crash came before the
+// reset, and verifies that the log covers everything that was committed.
+func (p *replay) finish(received bool) error {
+	r := &p.restored
+	if received && p.resetAt != r.Snapshot.Index {
+		r.Entries = nil
+		r.HardState.Commit = r.Snapshot.Index
 	}
-	restored.HardState.Commit = max(restored.HardState.Commit, restored.Snapshot.Index)
-	return nil
-}
-
-// segmentCovered reports whether every entry in a segment is at most index.
-func segmentCovered(path string, index uint64) (bool, error) {
-	data, err := os.ReadFile(path)
-	if err != nil {
-		return false, errors.Wrap(err, "wal: read segment")
+	if r.HardState.Commit > p.last() {
+		return errors.Wrapf(ErrCorrupt, "committed up to %d but the log ends at %d", r.HardState.Commit, p.last())
 	}
-	for len(data) > 0 {
-		kind, body, next, err := nextRecord(data)
-		if err != nil {
-			return false, errors.Wrap(ErrCorrupt, filepath.Base(path))
-		}
-		if kind == recordEntry {
-			e, err := decodeEntry(body)
-			if err != nil || e.Index > index {
-				return false, err
-			}
-		}
-		data = next
-	}
-	return true, nil
+	r.HardState.Commit = max(r.HardState.Commit, r.Snapshot.Index)
+	return nil
 }
