Let gangs start again after a partial stop, and hand a leaving upstream nothing

A gang that was stopped because it stayed prepared in part kept its record, with stopping set, when all of its tasks waited and were placed again between two ticks; it was then never released. Its record is now dropped when any of its tasks waits again. A gang of which one task had ended before the release of another went out was never released either: ended tasks now count as released. Ruled out: lost releases, which are sent again after each held poll.

A worker that leaves and is declared lost announced a new incarnation, which counts as active, and the first poll's answer raced the commit of its wish. The session now heeds the wish from the poll on, and a leaving worker that the system has given up ends instead of announcing itself again.

--- a/control/gang.go
+++ b/control/gang.go
@@ -42,15 +42,27 @@
 	return g
 }
 
-// released reports whether every task of the current attempt is prepared or running.
+// restartGang forgets what was prepared, once a task of the gang waits again.
+func (c *Controller) restartGang(t *state.Task) {
+	if t.State == lifecycle.TaskWaiting {
+		delete(c.gangs, t.Job.ID)
+	}
+}
+
+// released reports whether every task that has not ended is prepared or running.
 func (c *Controller) released(j *state.Job) bool {
 	g := c.gangs[j.ID]
 	if g == nil || g.stopping {
 		return false
 	}
 	for i := range j.Tasks {
-		t := &j.Tasks[i]
-		if t.State != lifecycle.TaskRunning && !(t.State == lifecycle.TaskPlaced && g.prepared[t.Ref()]) {
+		switch t := &j.Tasks[i]; t.State {
+		case lifecycle.TaskRunning, lifecycle.TaskEnded:
+		case lifecycle.TaskPlaced:
+			if !g.prepared[t.Ref()] {
+				return false
+			}
+		default:
 			return false
 		}
 	}
@@ -60,7 +72,7 @@
 // releaseFor returns the release of a prepared task once its gang is complete.
 func (c *Controller) releaseFor(s *session, t *state.Task, listed apiv1.ReportState) *apiv1.Command {
 	prepared := listed == apiv1.ReportState_REPORT_STATE_PREPARED
-	if !prepared || s.signalled[t.Ref()] || !c.released(t.Job) || !c.mayStart(t.Upstream) {
+	if !prepared || s.signalled[t.Ref()] || !c.released(t.Job) || !c.mayStart(s, t.Upstream) {
 		return nil
 	}
 	return &apiv1.Command{Kind: apiv1.CommandKind_COMMAND_KIND_RELEASE, Task: t.Ref().Proto()}
@@ -74,24 +86,21 @@
 			delete(c.gangs, id)
 			continue
 		}
-		var placed []sched.Stop
-		running, waiting := 0, 0
-		for i := range j.Tasks {
-			switch t := &j.Tasks[i]; t.State {
-			case lifecycle.TaskPlaced:
-				placed = append(placed, sched.Stop{Task: refFact(t.Ref()), Why: sched.StopGangUnable})
-			case lifecycle.TaskRunning:
-				running++
-			case lifecycle.TaskWaiting:
-				waiting++
-			}
-		}
-		switch {
-		case len(placed) == 0 && running == 0 && waiting > 0:
-			delete(c.gangs, id)
-		case len(placed) > 0 && !g.stopping && now-g.since > c.cfg.PrepareTimeout:
+		placed := gangStops(j)
+		if len(placed) > 0 && !g.stopping && now-g.since > c.cfg.PrepareTimeout {
 			g.stopping = true
 			c.proposeStops(placed)
 		}
 	}
 }
+
+// gangStops returns stops for the tasks that have not been released.
+func gangStops(j *state.Job) []sched.Stop {
+	var out []sched.Stop
+	for i := range j.Tasks {
+		if t := &j.Tasks[i]; t.State == lifecycle.TaskPlaced {
+			out = append(out, sched.Stop{Task: refFact(t.Ref()), Why: sched.StopGangUnable})
+		}
+	}
+	return out
+}
--- a/control/handout.go
+++ b/control/handout.go
@@ -102,7 +102,7 @@
 		if present {
 			return c.releaseFor(s, t, listed)
 		}
-		if s.handed[ref] < s.highest && c.mayStart(u) {
+		if s.handed[ref] < s.highest && c.mayStart(s, u) {
 			return startCommand(t)
 		}
 	case lifecycle.TaskStopping:
@@ -114,9 +114,9 @@
 }
 
 // mayStart reports whether the upstream may get new work now.
-func (c *Controller) mayStart(u *state.Upstream) bool {
+func (c *Controller) mayStart(s *session, u *state.Upstream) bool {
 	d := c.state.Domains()[u.Domain]
-	return u.State == lifecycle.UpstreamActive && d != nil && !d.Out
+	return !s.leaving && u.State == lifecycle.UpstreamActive && d != nil && !d.Out
 }
 
 func startCommand(t *state.Task) *apiv1.Command {
--- a/control/session.go
+++ b/control/session.go
@@ -31,6 +31,8 @@
 	throttles    []state.TaskRef
 	poll         *heldPoll
 	expiring     bool
+	// leaving is set once a poll carried the wish to leave, before it is committed.
+	leaving bool
 }
 
 // heldPoll is a poll that has not been answered yet.
@@ -187,6 +189,7 @@
 }
 
 func (c *Controller) takeLeaving(s *session, req *apiv1.PollRequest) {
+	s.leaving = req.GetLeaving()
 	u := c.state.Upstream(s.upstream)
 	if req.GetLeaving() && u.State == lifecycle.UpstreamActive {
 		c.propose(&peerv1.Command{Command: &peerv1.Command_Leaving{Leaving: &peerv1.Leaving{
@@ -209,6 +212,7 @@
 
 // taskChanged keeps sessions in step with a task and wakes a held poll.
 func (c *Controller) taskChanged(t *state.Task, from lifecycle.TaskState) {
+	c.restartGang(t)
 	if t.Upstream == nil {
 		return
 	}
--- a/upstream/agent.go
+++ b/upstream/agent.go
@@ -213,7 +213,13 @@
 	}
 	a.mu.Lock()
 	clear(a.tasks)
-	a.sequence, a.leavingTold = 0, false
+	a.sequence = 0
+	if a.leaving {
+		// The system has given this worker up, so that it gets nothing more.
+		a.leavingTold = true
+		a.mu.Unlock()
+		return nil
+	}
 	a.cfg.Incarnation = max(a.cfg.Incarnation+1, uint64(time.Now().UnixNano()))
 	a.mu.Unlock()
 	return a.announce(ctx)
