control: timers in a heap, and proofs of absence that hold

Cause: each tick scanned all sessions, gangs and jobs. An attempt that the state does not have on an upstream ran on for ever, and one that the upstream had lost stayed running in the state. A deposed leader could tell upstreams to announce again, which ends their tasks. The release of a gang stopped once a quick member had ended. A start could be handed out after the loss of its upstream was proposed. What was handed out was remembered without bound. An end was passed to the scheduler with every poll.

Change: one heap of timers and one of start deadlines; sessions are looked at once per flush; state keeps whether an attempt was reported as running, which bars its withdrawal; an announcement names what was never handed out.

--- a/control/cell.go
+++ b/control/cell.go
@@ -121,6 +121,7 @@
 func (o *observer) JobAdded(j *state.Job) {
 	c := (*Controller)(o)
 	c.cell.AddJob(jobFact(j))
+	c.watchDeadline(j)
 	c.dirty = true
 	c.event(jobEvent("job-accepted", j, fmt.Sprintf("%d tasks in queue %s", len(j.Tasks), j.Queue)))
 }
@@ -129,7 +130,7 @@
 func (o *observer) JobEnded(j *state.Job) {
 	c := (*Controller)(o)
 	c.cell.RemoveJob(sched.JobID(j.ID))
-	delete(c.gangs, j.ID)
+	c.dropGang(j.ID)
 	c.wakeWaiters(j)
 	c.event(jobEvent("job-ended", j, fmt.Sprintf("%s %s", j.Outcome.GetKind(), j.Outcome.GetDetail())))
 }
@@ -139,6 +140,7 @@
 	c := (*Controller)(o)
 	c.cell.SetTask(taskFact(t))
 	c.taskChanged(t, from)
+	c.gangChanged(t)
 	c.dirty = true
 	e := jobEvent("task-"+string(t.State), t.Job, fmt.Sprintf("task %d attempt %d, was %s", t.Index, t.Attempt, from))
 	if t.Upstream != nil {
--- a/control/controller.go
+++ b/control/controller.go
@@ -67,10 +67,14 @@
 	confirming bool
 
 	sessions map[string]*session
-	gangs    map[state.JobID]*gang
-	waiters  map[state.JobID][]*jobWaiter
-	views    []*viewWaiter
-	process  map[string]processView
+	// urgent are the sessions to look at in the next flush.
+	urgent    []*session
+	timers    timers
+	deadlines deadlineHeap
+	gangs     map[state.JobID]*gang
+	waiters   map[state.JobID][]*jobWaiter
+	views     []*viewWaiter
+	process   map[string]processView
 
 	dirty      bool
 	placing    bool
@@ -96,6 +100,9 @@
 	c.leading, c.term = true, term
 	c.cell = buildCell(c.cfg.Sched, c.state)
 	c.openSessions()
+	for _, id := range liveJobs(c.state) {
+		c.watchDeadline(c.state.Job(id))
+	}
 	c.state.Observe((*observer)(c))
 	c.dirty = true
 	c.nextSweep = c.clock.Now() + sweepInterval
@@ -121,6 +128,7 @@
 	c.state.Observe(nil)
 	c.failAll()
 	c.sessions = make(map[string]*session)
+	c.urgent, c.timers, c.deadlines = nil, timers{}, nil
 	c.gangs = make(map[state.JobID]*gang)
 	c.cell = nil
 	c.placing, c.confirming = false, false
@@ -161,10 +169,8 @@
 		return
 	}
 	now := c.clock.Now()
-	c.expireLeases(now)
-	c.answerHeldPolls(now)
+	c.timers.run(now)
 	c.answerHeldViews(now)
-	c.checkGangs(now)
 	c.promoteLearner()
 	c.refuseLate()
 	if now >= c.nextSweep {
@@ -182,7 +188,12 @@
 	if !c.leading {
 		return
 	}
-	c.decide()
+	if c.dirty && !c.placing {
+		began := time.Now()
+		c.decide()
+		decisionTime.Record(time.Since(began))
+	}
+	c.answerUrgent()
 	c.proposeBatch()
 	c.confirmBatch()
 }
@@ -204,7 +215,11 @@
 	if err != nil {
 		panic("control: batch can't be encoded: " + err.Error())
 	}
+	began := time.Now()
 	c.node.Propose(data, func(results []state.Result, err error) {
+		if err == nil {
+			commitTime.Record(time.Since(began))
+		}
 		for i, done := range completes {
 			switch {
 			case done == nil:
--- a/control/decide.go
+++ b/control/decide.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"slices"
 	"time"
 
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
@@ -50,6 +49,9 @@
 		if err == nil {
 			placementsTaken.Add(int64(len(r.Place.Taken)))
 			placementsRefused.Add(int64(len(r.Place.Refused)))
+			for _, refused := range r.Place.Refused {
+				placementsRefusedBy.Add(string(refused.Why), 1)
+			}
 		}
 	})
 }
@@ -66,29 +68,6 @@
 		Outcome: &apiv1.Outcome{Kind: apiv1.OutcomeKind_OUTCOME_KIND_NOT_RUN, Reason: reason, Detail: detail}}}}, nil)
 }
 
-// refuseLate ends waiting jobs whose caller no longer wants them started.
-func (c *Controller) refuseLate() {
-	now := time.Now().UnixNano()
-	for _, id := range c.deadlines() {
-		j := c.state.Job(id)
-		if j != nil && j.State == lifecycle.JobWaiting && j.StartDeadlineNS != 0 && j.StartDeadlineNS < now {
-			c.proposeRefusal(id, apiv1.Reason_REASON_DEADLINE, "it did not start within the caller's bound")
-		}
-	}
-}
-
-// deadlines returns the waiting jobs that have a start deadline.
-func (c *Controller) deadlines() []state.JobID {
-	var ids []state.JobID
-	for id, j := range c.state.Jobs() {
-		if j.StartDeadlineNS != 0 && j.State == lifecycle.JobWaiting {
-			ids = append(ids, id)
-		}
-	}
-	slices.Sort(ids)
-	return ids
-}
-
 func liveJobs(st *state.State) []state.JobID {
 	var ids []state.JobID
 	for id, j := range st.Jobs() {
--- a/control/gang.go
+++ b/control/gang.go
@@ -3,7 +3,6 @@
 import (
 	"time"
 
-	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	"github.com/bulrushwinch/bulrushwinch/sched"
 	"github.com/bulrushwinch/bulrushwinch/state"
@@ -12,8 +11,12 @@
 // gang follows the start of an all-at-once job in two steps: prepared, then released.
 type gang struct {
 	prepared map[state.TaskRef]bool
-	since    time.Duration
+	// released is set once this leader has sent a release; from then on the gang is not
+	// taken back for the lateness of a member.
+	released bool
+	// stopping is set once the attempt is being taken back.
 	stopping bool
+	timer    timer
 }
 
 // notePrepared counts a prepared task and releases the gang with the last one.
@@ -28,7 +31,7 @@
 	}
 	for i := range t.Job.Tasks {
 		if u := t.Job.Tasks[i].Upstream; u != nil && c.sessions[u.Name] != nil {
-			c.answerIfUrgent(c.sessions[u.Name])
+			c.mark(c.sessions[u.Name])
 		}
 	}
 }
@@ -36,30 +39,38 @@
 func (c *Controller) gangOf(j *state.Job) *gang {
 	g := c.gangs[j.ID]
 	if g == nil {
-		g = &gang{prepared: make(map[state.TaskRef]bool), since: c.clock.Now()}
+		g = &gang{prepared: make(map[state.TaskRef]bool)}
+		id := j.ID
+		g.timer.due = func(now time.Duration) { c.checkGang(id, g, now) }
+		c.timers.set(&g.timer, c.clock.Now()+c.cfg.PrepareTimeout)
 		c.gangs[j.ID] = g
 	}
 	return g
 }
 
-// restartGang forgets what was prepared, once a task of the gang waits again.
-func (c *Controller) restartGang(t *state.Task) {
-	if t.State == lifecycle.TaskWaiting {
-		delete(c.gangs, t.Job.ID)
+func (c *Controller) dropGang(id state.JobID) {
+	if g := c.gangs[id]; g != nil {
+		c.timers.clear(&g.timer)
+		delete(c.gangs, id)
 	}
 }
 
-// released reports whether every task that has not ended is prepared or running.
+// released reports whether the gang may run: every task is prepared where it may start, or
+// has started.
 func (c *Controller) released(j *state.Job) bool {
 	g := c.gangs[j.ID]
 	if g == nil || g.stopping {
 		return false
 	}
+	if g.released {
+		return true
+	}
 	for i := range j.Tasks {
-		switch t := &j.Tasks[i]; t.State {
+		t := &j.Tasks[i]
+		switch t.State {
 		case lifecycle.TaskRunning, lifecycle.TaskEnded:
 		case lifecycle.TaskPlaced:
-			if !g.prepared[t.Ref()] {
+			if !g.prepared[t.Ref()] || !c.mayStart(t.Upstream) {
 				return false
 			}
 		default:
@@ -69,38 +80,41 @@
 	return true
 }
 
-// releaseFor returns the release of a prepared task once its gang is complete.
-func (c *Controller) releaseFor(s *session, t *state.Task, listed apiv1.ReportState) *apiv1.Command {
-	prepared := listed == apiv1.ReportState_REPORT_STATE_PREPARED
-	if !prepared || s.signalled[t.Ref()] || !c.released(t.Job) || !c.mayStart(s, t.Upstream) {
-		return nil
+// checkGang takes a gang back that stayed prepared in part for too long. A member of a
+// released gang may be late; only one that may not start any more takes the gang back.
+func (c *Controller) checkGang(id state.JobID, g *gang, now time.Duration) {
+	j := c.state.Job(id)
+	if c.gangs[id] != g || j == nil {
+		return
 	}
-	return &apiv1.Command{Kind: apiv1.CommandKind_COMMAND_KIND_RELEASE, Task: t.Ref().Proto()}
-}
-
-// checkGangs stops gangs that stayed prepared in part for too long.
-func (c *Controller) checkGangs(now time.Duration) {
-	for id, g := range c.gangs {
-		j := c.state.Job(id)
-		if j == nil {
-			delete(c.gangs, id)
-			continue
-		}
-		placed := gangStops(j)
-		if len(placed) > 0 && !g.stopping && now-g.since > c.cfg.PrepareTimeout {
-			g.stopping = true
-			c.proposeStops(placed)
+	var placed []sched.Stop
+	begun, barred := g.released, false
+	for i := range j.Tasks {
+		t := &j.Tasks[i]
+		switch t.State {
+		case lifecycle.TaskPlaced:
+			placed = append(placed, sched.Stop{Task: refFact(t.Ref()), Why: sched.StopGangUnable})
+			barred = barred || !c.mayStart(t.Upstream)
+		case lifecycle.TaskRunning, lifecycle.TaskEnded:
+			begun = true
 		}
 	}
+	if len(placed) > 0 && !g.stopping && (!begun || barred) {
+		g.stopping = true
+		c.proposeStops(placed)
+	}
+	c.timers.set(&g.timer, now+c.cfg.PrepareTimeout)
 }
 
-// gangStops returns stops for the tasks that have not been released.
-func gangStops(j *state.Job) []sched.Stop {
-	var out []sched.Stop
-	for i := range j.Tasks {
-		if t := &j.Tasks[i]; t.State == lifecycle.TaskPlaced {
-			out = append(out, sched.Stop{Task: refFact(t.Ref()), Why: sched.StopGangUnable})
+// gangChanged ends the record of an attempt once no task of it is on an upstream.
+func (c *Controller) gangChanged(t *state.Task) {
+	if t.Live() || c.gangs[t.Job.ID] == nil {
+		return
+	}
+	for i := range t.Job.Tasks {
+		if t.Job.Tasks[i].Live() {
+			return
 		}
 	}
-	return out
+	c.dropGang(t.Job.ID)
 }
--- a/control/handout.go
+++ b/control/handout.go
@@ -3,33 +3,49 @@
 import (
 	"maps"
 	"slices"
-	"time"
 
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	"github.com/bulrushwinch/bulrushwinch/lifecycle"
-	"github.com/bulrushwinch/bulrushwinch/resource"
 	"github.com/bulrushwinch/bulrushwinch/sched"
 	"github.com/bulrushwinch/bulrushwinch/state"
 )
 
-// answerHeldPolls answers polls that were held long enough.
-func (c *Controller) answerHeldPolls(now time.Duration) {
-	for _, s := range c.sessions {
-		if s.poll != nil && now >= s.poll.until {
-			clear(s.signalled)
+// mark lets the next flush look whether a held poll has something to tell.
+func (c *Controller) mark(s *session) {
+	if s.poll != nil && !s.urgent {
+		s.urgent = true
+		c.urgent = append(c.urgent, s)
+	}
+}
+
+// answerUrgent answers held polls that have something new to tell.
+func (c *Controller) answerUrgent() {
+	list := c.urgent
+	c.urgent = nil
+	for _, s := range list {
+		s.urgent = false
+		if s.poll != nil && c.hasNews(s) {
 			c.answerPoll(s)
 		}
 	}
 }
 
-// answerIfUrgent answers a held poll at once if there is something new to tell.
-func (c *Controller) answerIfUrgent(s *session) {
-	if s.poll == nil {
-		return
+func (c *Controller) hasNews(s *session) bool {
+	if len(s.acknowledged) > 0 || len(s.throttles) > 0 {
+		return true
 	}
-	if len(s.acknowledged) > 0 || len(s.throttles) > 0 || len(c.commandsFor(s)) > 0 {
-		c.answerPoll(s)
+	for _, ref := range s.orphans {
+		if !s.attempts[ref].signalled {
+			return true
+		}
 	}
+	u := c.state.Upstream(s.upstream)
+	for _, t := range u.Tasks {
+		if c.commandKind(s, u, t) != apiv1.CommandKind_COMMAND_KIND_UNSPECIFIED {
+			return true
+		}
+	}
+	return false
 }
 
 // answerPoll answers once a quorum has confirmed the leadership. Commands are chosen
@@ -41,7 +57,7 @@
 		switch {
 		case !ok:
 			p.reply(nil, errNotLeader)
-		case c.sessions[s.upstream] != s || s.highest != p.sequence:
+		case c.sessions[s.upstream] != s || s.highest != p.sequence || s.expiring || s.replacing > 0:
 			p.reply(nil, errStalePoll)
 		default:
 			p.reply(c.composeAnswer(s, p.sequence), nil)
@@ -57,9 +73,7 @@
 	}
 	for _, ref := range s.acknowledged {
 		r.Acknowledged = append(r.Acknowledged, ref.Proto())
-		delete(s.handed, ref)
-		delete(s.inherited, ref)
-		delete(s.signalled, ref)
+		delete(s.attempts, ref)
 	}
 	for _, ref := range s.throttles {
 		r.Commands = append(r.Commands, &apiv1.Command{Kind: apiv1.CommandKind_COMMAND_KIND_THROTTLE, Task: ref.Proto()})
@@ -72,9 +86,15 @@
 	ref := state.RefFromProto(cmd.GetTask())
 	switch cmd.GetKind() {
 	case apiv1.CommandKind_COMMAND_KIND_START, apiv1.CommandKind_COMMAND_KIND_PREPARE:
-		s.handed[ref] = sequence
+		startsHanded.Add(1)
+		s.update(ref, func(a *attempt) { a.handed = sequence })
+	case apiv1.CommandKind_COMMAND_KIND_RELEASE:
+		if g := c.gangs[ref.Job]; g != nil {
+			g.released = true
+		}
+		s.update(ref, func(a *attempt) { a.signalled = true })
 	default:
-		s.signalled[ref] = true
+		s.update(ref, func(a *attempt) { a.signalled = true })
 	}
 }
 
@@ -86,54 +106,68 @@
 	}
 	var out []*apiv1.Command
 	for _, ref := range slices.SortedFunc(maps.Keys(u.Tasks), state.CompareRefs) {
-		if cmd := c.commandFor(s, u, u.Tasks[ref]); cmd != nil {
-			out = append(out, cmd)
+		t := u.Tasks[ref]
+		if kind := c.commandKind(s, u, t); kind != apiv1.CommandKind_COMMAND_KIND_UNSPECIFIED {
+			out = append(out, command(kind, t))
+		}
+	}
+	for _, ref := range s.orphans {
+		if !s.attempts[ref].signalled {
+			out = append(out, &apiv1.Command{Kind: apiv1.CommandKind_COMMAND_KIND_STOP, Task: ref.Proto()})
 		}
 	}
 	return out
 }
 
-// commandFor returns what the upstream has to do for one task, or nil.
-func (c *Controller) commandFor(s *session, u *state.Upstream, t *state.Task) *apiv1.Command {
-	ref := t.Ref()
-	listed, present := s.listed[ref]
+// commandKind returns what the upstream has to do for one task, or unspecified.
+func (c *Controller) commandKind(s *session, u *state.Upstream, t *state.Task) apiv1.CommandKind {
+	a, listed := s.current(t.Ref())
 	switch t.State {
 	case lifecycle.TaskPlaced:
-		if present {
-			return c.releaseFor(s, t, listed)
+		return c.startKind(u, t, a, listed, s.highest)
+	case lifecycle.TaskStopping:
+		if !listed || state.Ended(a.listed) || a.signalled {
+			break
 		}
-		if s.handed[ref] < s.highest && c.mayStart(s, u) {
-			return startCommand(t)
+		if t.Checkpointing {
+			return apiv1.CommandKind_COMMAND_KIND_CHECKPOINT
 		}
-	case lifecycle.TaskStopping:
-		if present && !state.Ended(listed) && !s.signalled[ref] {
-			return stopCommand(t)
+		return apiv1.CommandKind_COMMAND_KIND_STOP
+	}
+	return apiv1.CommandKind_COMMAND_KIND_UNSPECIFIED
+}
+
+// startKind returns how a placed task is started: batch tasks and services at once, a gang
+// by a preparation on every upstream and then its release.
+func (c *Controller) startKind(u *state.Upstream, t *state.Task, a attempt, listed bool, highest uint64) apiv1.CommandKind {
+	switch {
+	case !c.mayStart(u):
+	case listed:
+		if a.listed == apiv1.ReportState_REPORT_STATE_PREPARED && !a.signalled && c.released(t.Job) {
+			return apiv1.CommandKind_COMMAND_KIND_RELEASE
 		}
+	case a.handed >= highest || a.listedIn != 0:
+	case t.Job.Gang():
+		return apiv1.CommandKind_COMMAND_KIND_PREPARE
+	default:
+		return apiv1.CommandKind_COMMAND_KIND_START
 	}
-	return nil
+	return apiv1.CommandKind_COMMAND_KIND_UNSPECIFIED
 }
 
 // mayStart reports whether the upstream may get new work now.
-func (c *Controller) mayStart(s *session, u *state.Upstream) bool {
+func (c *Controller) mayStart(u *state.Upstream) bool {
 	d := c.state.Domains()[u.Domain]
-	return !s.leaving && u.State == lifecycle.UpstreamActive && d != nil && !d.Out
+	s := c.sessions[u.Name]
+	return s != nil && !s.leaving && u.State == lifecycle.UpstreamActive && d != nil && !d.Out
 }
 
-func startCommand(t *state.Task) *apiv1.Command {
-	kind := apiv1.CommandKind_COMMAND_KIND_START
-	if t.Job.Gang() {
-		kind = apiv1.CommandKind_COMMAND_KIND_PREPARE
+func command(kind apiv1.CommandKind, t *state.Task) *apiv1.Command {
+	cmd := &apiv1.Command{Kind: kind, Task: t.Ref().Proto()}
+	if kind == apiv1.CommandKind_COMMAND_KIND_START || kind == apiv1.CommandKind_COMMAND_KIND_PREPARE {
+		cmd.Payload, cmd.Resources, cmd.Checkpoint = t.Spec.GetPayload(), t.Reserved.Proto(), t.Checkpoint
 	}
-	return &apiv1.Command{Kind: kind, Task: t.Ref().Proto(), Payload: t.Spec.GetPayload(),
-		Resources: t.Reserved.Proto(), Checkpoint: t.Checkpoint}
-}
-
-func stopCommand(t *state.Task) *apiv1.Command {
-	kind := apiv1.CommandKind_COMMAND_KIND_STOP
-	if t.Checkpointing {
-		kind = apiv1.CommandKind_COMMAND_KIND_CHECKPOINT
-	}
-	return &apiv1.Command{Kind: kind, Task: t.Ref().Proto()}
+	return cmd
 }
 
 // throttle asks upstreams to hold tasks to their reservation.
@@ -144,13 +178,9 @@
 		if j == nil || j.Tasks[ref.Index].Ref() != ref || j.Tasks[ref.Index].Upstream == nil {
 			continue
 		}
-		if s := c.sessions[j.Tasks[ref.Index].Upstream.Name]; s != nil {
+		if s := c.sessions[j.Tasks[ref.Index].Upstream.Name]; s != nil && !slices.Contains(s.throttles, ref) {
 			s.throttles = append(s.throttles, ref)
-			c.answerIfUrgent(s)
+			c.mark(s)
 		}
 	}
 }
-
-func (c *Controller) observeUsage(t *state.Task, r *apiv1.TaskReport) {
-	c.cell.ObserveUsage(sched.Usage{Ref: refFact(t.Ref()), Used: resource.FromProto(r.GetUsage())})
-}
--- /dev/null
+++ b/control/poll.go
@@ -0,0 +1,188 @@
+package control
+
+import (
+	"time"
+
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/resource"
+	"github.com/bulrushwinch/bulrushwinch/sched"
+	"github.com/bulrushwinch/bulrushwinch/state"
+)
+
+// spareAttempts is how many attempts a session may remember beyond those of its upstream.
+const spareAttempts = 16
+
+// handlePoll takes a poll: it renews the lease, reports ends and starts, and holds
+// the poll until there is something to hand out.
+func (c *Controller) handlePoll(req *apiv1.PollRequest, reply func(*apiv1.PollResponse, error)) {
+	polls.Add(1)
+	s := c.sessions[req.GetUpstream()]
+	if s == nil || s.incarnation != req.GetIncarnation() || s.expiring {
+		c.replyAnnounceAgain(reply)
+		return
+	}
+	if req.GetSequence() <= s.highest || s.replacing > 0 {
+		stalePolls.Add(1)
+		reply(nil, errStalePoll)
+		return
+	}
+	s.drop(errStalePoll)
+	now := c.clock.Now()
+	if s.first == 0 {
+		s.first = req.GetSequence()
+	}
+	s.highest = req.GetSequence()
+	s.leaseEnd = c.cfg.Terms.GrantorEnd(now)
+	s.poll = &heldPoll{sequence: s.highest, until: now + c.cfg.PollHold, reply: reply}
+	c.setTimer(s)
+	c.takeReports(s, req)
+	c.takeLeaving(s, req)
+	c.reviewAbsent(s)
+	c.mark(s)
+}
+
+// replyAnnounceAgain tells an upstream to begin a new incarnation, which ends its tasks.
+// A leader that was deposed must not say so.
+func (c *Controller) replyAnnounceAgain(reply func(*apiv1.PollResponse, error)) {
+	c.confirmed(func(ok bool) {
+		if ok {
+			reply(nil, errAnnounceAgain)
+			return
+		}
+		reply(nil, errNotLeader)
+	})
+}
+
+// takeReports records the poll's listing and proposes what is new in it.
+func (c *Controller) takeReports(s *session, req *apiv1.PollRequest) {
+	u := c.state.Upstream(s.upstream)
+	s.orphans = s.orphans[:0]
+	report := &peerv1.Report{Upstream: s.upstream, Incarnation: s.incarnation}
+	for _, r := range req.GetTasks() {
+		ref := state.RefFromProto(r.GetTask())
+		s.update(ref, func(a *attempt) { a.listedIn, a.listed = s.highest, r.GetState() })
+		t := u.Tasks[ref]
+		if t == nil {
+			s.noteUnknown(ref, r.GetState())
+			continue
+		}
+		if c.noteReport(s, t, r) {
+			report.Tasks = append(report.Tasks, r)
+		}
+	}
+	s.forgetAttempts(u)
+	c.proposeReport(s, report)
+}
+
+// noteUnknown takes an attempt that the state does not have on this upstream: its end needs
+// no further report, and if it runs it has to stop.
+func (s *session) noteUnknown(ref state.TaskRef, reported apiv1.ReportState) {
+	if state.Ended(reported) {
+		s.acknowledged = append(s.acknowledged, ref)
+		return
+	}
+	s.orphans = append(s.orphans, ref)
+}
+
+// noteReport takes one listed attempt and reports whether it has to go into the log.
+func (c *Controller) noteReport(s *session, t *state.Task, r *apiv1.TaskReport) bool {
+	if r.GetUsage() != nil {
+		c.cell.ObserveUsage(sched.Usage{Ref: refFact(t.Ref()), Used: resource.FromProto(r.GetUsage())})
+	}
+	switch {
+	case state.Ended(r.GetState()):
+		s.update(t.Ref(), func(a *attempt) {
+			if !a.ended {
+				c.learn(s, t, r)
+			}
+			a.ended = true
+		})
+		return true
+	case r.GetState() == apiv1.ReportState_REPORT_STATE_PREPARED:
+		c.notePrepared(t)
+	case r.GetState() == apiv1.ReportState_REPORT_STATE_RUNNING:
+		return !t.Started
+	}
+	return false
+}
+
+// forgetAttempts drops what is known of attempts that have left the upstream.
+func (s *session) forgetAttempts(u *state.Upstream) {
+	if len(s.attempts) <= len(u.Tasks)+spareAttempts {
+		return
+	}
+	for ref, a := range s.attempts {
+		if u.Tasks[ref] == nil && a.listedIn != s.highest {
+			delete(s.attempts, ref)
+		}
+	}
+}
+
+func (c *Controller) proposeReport(s *session, report *peerv1.Report) {
+	if len(report.Tasks) == 0 {
+		return
+	}
+	c.propose(&peerv1.Command{Command: &peerv1.Command_Report{Report: report}}, func(r state.Result, err error) {
+		if err == nil && c.sessions[s.upstream] == s {
+			s.acknowledged = append(s.acknowledged, r.Acknowledged...)
+			c.mark(s)
+		}
+	})
+}
+
+func (c *Controller) takeLeaving(s *session, req *apiv1.PollRequest) {
+	s.leaving = req.GetLeaving()
+	u := c.state.Upstream(s.upstream)
+	if req.GetLeaving() && u.State == lifecycle.UpstreamActive {
+		c.propose(&peerv1.Command{Command: &peerv1.Command_Leaving{Leaving: &peerv1.Leaving{
+			Upstream: s.upstream, Incarnation: s.incarnation}}}, nil)
+	}
+}
+
+// reviewAbsent settles attempts that the upstream surely does not have. One that ran is
+// lost. One that is to stop is taken back. One that may not be started any more, since the
+// upstream leaves or its failure domain is out, is stopped first, so that no start can
+// follow its withdrawal.
+func (c *Controller) reviewAbsent(s *session) {
+	u := c.state.Upstream(s.upstream)
+	lost := &peerv1.Report{Upstream: s.upstream, Incarnation: s.incarnation}
+	stop := &peerv1.Stop{Why: "the upstream takes no new work"}
+	var unstarted []*apiv1.TaskRef
+	for ref, t := range u.Tasks {
+		if !s.absent(ref) {
+			continue
+		}
+		switch {
+		case t.Started || s.attempts[ref].listedIn != 0:
+			lost.Missing = append(lost.Missing, ref.Proto())
+		case t.State == lifecycle.TaskStopping:
+			unstarted = append(unstarted, ref.Proto())
+		case t.State == lifecycle.TaskPlaced && !c.mayStart(u):
+			stop.Tasks = append(stop.Tasks, ref.Proto())
+		}
+	}
+	if len(lost.Missing) > 0 {
+		c.propose(&peerv1.Command{Command: &peerv1.Command_Report{Report: lost}}, nil)
+	}
+	if len(unstarted) > 0 {
+		c.withdraw(unstarted)
+	}
+	if len(stop.Tasks) > 0 {
+		c.propose(&peerv1.Command{Command: &peerv1.Command_Stop{Stop: stop}}, nil)
+	}
+}
+
+// learn tells the scheduler how an attempt ended.
+func (c *Controller) learn(s *session, t *state.Task, r *apiv1.TaskReport) {
+	kind := sched.Interrupted
+	switch r.GetState() {
+	case apiv1.ReportState_REPORT_STATE_SUCCEEDED:
+		kind = sched.Succeeded
+	case apiv1.ReportState_REPORT_STATE_FAILED:
+		kind = sched.Failed
+	}
+	c.cell.AttemptEnded(sched.AttemptEnd{Ref: refFact(t.Ref()), Upstream: s.upstream, Kind: kind,
+		RunTime: time.Duration(r.GetRunMs()) * time.Millisecond})
+}
--- a/control/session.go
+++ b/control/session.go
@@ -6,7 +6,6 @@
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
-	"github.com/bulrushwinch/bulrushwinch/sched"
 	"github.com/bulrushwinch/bulrushwinch/state"
 )
 
@@ -17,22 +16,41 @@
 	// leaseEnd is when the leader may rely on the upstream's tasks having stopped.
 	leaseEnd time.Duration
 	// highest is the highest poll number seen in this term, first the lowest; 0 before the first.
-	highest uint64
-	first   uint64
-	// handed holds, per task attempt, the poll in whose answer a start was last sent.
-	handed map[state.TaskRef]uint64
-	// inherited holds attempts that an earlier leader may have handed out.
-	inherited map[state.TaskRef]bool
-	// listed holds the attempts in the highest poll.
-	listed map[state.TaskRef]apiv1.ReportState
-	// signalled holds attempts whose stop, release or throttle was sent in a held poll's answer.
-	signalled    map[state.TaskRef]bool
+	highest  uint64
+	first    uint64
+	attempts map[state.TaskRef]attempt
+	// orphans are attempts in the highest poll that the state does not have here.
+	orphans      []state.TaskRef
 	acknowledged []state.TaskRef
 	throttles    []state.TaskRef
 	poll         *heldPoll
-	expiring     bool
+	// timer fires at the end of the held poll or of the lease.
+	timer timer
 	// leaving is set once a poll carried the wish to leave, before it is committed.
 	leaving bool
+	// urgent is set while the session waits to be looked at in the next flush.
+	urgent bool
+	// expiring is set once the loss of the incarnation was proposed.
+	expiring bool
+	// replacing counts announcements of newer incarnations that are being committed;
+	// nothing is handed out meanwhile.
+	replacing int
+}
+
+// attempt is what the leader knows of one attempt on an upstream.
+type attempt struct {
+	// handed is the poll in whose answer a start was last sent, or zero.
+	handed uint64
+	// listedIn is the last poll that listed the attempt, as listed.
+	listedIn uint64
+	listed   apiv1.ReportState
+	// inherited is set for attempts that an earlier leader may have handed out.
+	inherited bool
+	// signalled is set once a stop or release was sent, until the next poll that is held
+	// for its whole time.
+	signalled bool
+	// ended is set once the attempt's end was passed to the scheduler.
+	ended bool
 }
 
 // heldPoll is a poll that has not been answered yet.
@@ -42,10 +60,25 @@
 	reply    func(*apiv1.PollResponse, error)
 }
 
-func newSession(u *state.Upstream, leaseEnd time.Duration) *session {
-	return &session{upstream: u.Name, incarnation: u.Incarnation, leaseEnd: leaseEnd,
-		handed: make(map[state.TaskRef]uint64), inherited: make(map[state.TaskRef]bool),
-		listed: make(map[state.TaskRef]apiv1.ReportState), signalled: make(map[state.TaskRef]bool)}
+func (c *Controller) newSession(u *state.Upstream, leaseEnd time.Duration) *session {
+	s := &session{upstream: u.Name, incarnation: u.Incarnation, leaseEnd: leaseEnd, attempts: make(map[state.TaskRef]attempt)}
+	s.timer.due = func(now time.Duration) { c.sessionDue(s, now) }
+	c.timers.set(&s.timer, leaseEnd)
+	c.sessions[u.Name] = s
+	return s
+}
+
+// update changes what is known of an attempt.
+func (s *session) update(ref state.TaskRef, f func(*attempt)) {
+	a := s.attempts[ref]
+	f(&a)
+	s.attempts[ref] = a
+}
+
+// current returns what is known of an attempt, and whether the highest poll lists it.
+func (s *session) current(ref state.TaskRef) (a attempt, listed bool) {
+	a = s.attempts[ref]
+	return a, a.listedIn != 0 && a.listedIn == s.highest
 }
 
 // drop answers a held poll with an error.
@@ -64,11 +97,10 @@
 		if u.State == lifecycle.UpstreamLost {
 			continue
 		}
-		s := newSession(u, end)
+		s := c.newSession(u, end)
 		for ref := range u.Tasks {
-			s.inherited[ref] = true
+			s.attempts[ref] = attempt{inherited: true}
 		}
-		c.sessions[u.Name] = s
 	}
 }
 
@@ -77,142 +109,102 @@
 	s := c.sessions[u.Name]
 	if s != nil && (s.incarnation != u.Incarnation || u.State == lifecycle.UpstreamLost) {
 		s.drop(errAnnounceAgain)
+		c.timers.clear(&s.timer)
 		delete(c.sessions, u.Name)
 		s = nil
 	}
 	if s == nil && u.State != lifecycle.UpstreamLost {
-		c.sessions[u.Name] = newSession(u, c.cfg.Terms.GrantorEnd(c.clock.Now()))
+		c.newSession(u, c.cfg.Terms.GrantorEnd(c.clock.Now()))
 	}
 }
 
-// expireLeases declares upstreams lost whose lease has surely run out.
-func (c *Controller) expireLeases(now time.Duration) {
-	for _, s := range c.sessions {
-		if s.expiring || now < s.leaseEnd {
-			continue
-		}
-		s.expiring = true
-		s.drop(errAnnounceAgain)
-		cmd := &peerv1.UpstreamLost{Upstream: s.upstream, Incarnation: s.incarnation}
-		if u := c.state.Upstream(s.upstream); u != nil {
-			for ref := range u.Tasks {
-				if s.neverHanded(ref) {
-					cmd.NeverStarted = append(cmd.NeverStarted, ref.Proto())
-				}
-			}
+// sessionDue answers a poll that was held long enough and declares an upstream lost whose
+// lease has surely run out.
+func (c *Controller) sessionDue(s *session, now time.Duration) {
+	if c.sessions[s.upstream] != s || s.expiring {
+		return
+	}
+	if s.poll != nil && now >= s.poll.until {
+		for ref, a := range s.attempts {
+			a.signalled = false
+			s.attempts[ref] = a
 		}
-		c.propose(&peerv1.Command{Command: &peerv1.Command_UpstreamLost{UpstreamLost: cmd}}, nil)
+		c.answerPoll(s)
 	}
+	if now >= s.leaseEnd {
+		c.expire(s)
+		return
+	}
+	c.setTimer(s)
 }
 
-// neverHanded reports whether no leader can have sent a start for the attempt.
-func (s *session) neverHanded(ref state.TaskRef) bool {
-	_, handed := s.handed[ref]
-	return !handed && !s.inherited[ref]
-}
-
-// neverStarted reports whether the highest poll proves that the attempt did not start:
-// it does not list the attempt, and the upstream drops answers to older polls.
-func (s *session) neverStarted(ref state.TaskRef) bool {
-	if _, listed := s.listed[ref]; listed {
-		return false
-	}
-	if poll, ok := s.handed[ref]; ok {
-		return poll < s.highest
+// setTimer sets the timer to the next event of the session.
+func (c *Controller) setTimer(s *session) {
+	at := s.leaseEnd
+	if s.poll != nil {
+		at = min(at, s.poll.until)
 	}
-	return !s.inherited[ref] || s.first != 0 && s.first < s.highest
+	c.timers.set(&s.timer, at)
 }
 
-// handlePoll takes a poll: it renews the lease, reports ends and starts, and holds
-// the poll until there is something to hand out.
-func (c *Controller) handlePoll(req *apiv1.PollRequest, reply func(*apiv1.PollResponse, error)) {
-	s := c.sessions[req.GetUpstream()]
-	if s == nil || s.incarnation != req.GetIncarnation() || s.expiring {
-		reply(nil, errAnnounceAgain)
-		return
-	}
-	if req.GetSequence() <= s.highest {
-		reply(nil, errStalePoll)
-		return
-	}
-	s.drop(errStalePoll)
-	now := c.clock.Now()
-	if s.first == 0 {
-		s.first = req.GetSequence()
-	}
-	s.highest = req.GetSequence()
-	s.leaseEnd = c.cfg.Terms.GrantorEnd(now)
-	s.poll = &heldPoll{sequence: s.highest, until: now + c.cfg.PollHold, reply: reply}
-	c.takeReports(s, req)
-	c.takeLeaving(s, req)
-	c.withdrawUnstarted(s)
-	c.answerIfUrgent(s)
-}
-
-// takeReports records the poll's listing and proposes what is new in it.
-func (c *Controller) takeReports(s *session, req *apiv1.PollRequest) {
-	u := c.state.Upstream(s.upstream)
-	clear(s.listed)
-	report := &peerv1.Report{Upstream: s.upstream, Incarnation: s.incarnation}
-	for _, r := range req.GetTasks() {
-		ref := state.RefFromProto(r.GetTask())
-		s.listed[ref] = r.GetState()
-		t := u.Tasks[ref]
-		switch {
-		case t == nil && state.Ended(r.GetState()):
-			s.acknowledged = append(s.acknowledged, ref)
-		case t == nil:
-		case state.Ended(r.GetState()):
-			report.Tasks = append(report.Tasks, r)
-			c.learn(s, t, r)
-		case r.GetState() == apiv1.ReportState_REPORT_STATE_PREPARED:
-			c.notePrepared(t)
-		case r.GetState() == apiv1.ReportState_REPORT_STATE_RUNNING && t.State == lifecycle.TaskPlaced:
-			report.Tasks = append(report.Tasks, r)
-		}
-		if t != nil && r.GetUsage() != nil {
-			c.observeUsage(t, r)
-		}
-	}
-	if len(report.Tasks) == 0 {
-		return
-	}
-	sequence := s.highest
-	c.propose(&peerv1.Command{Command: &peerv1.Command_Report{Report: report}}, func(r state.Result, err error) {
-		if err == nil && c.sessions[s.upstream] == s {
-			s.acknowledged = append(s.acknowledged, r.Acknowledged...)
-			if s.highest == sequence {
-				c.answerIfUrgent(s)
-			}
+// expire proposes the loss of an upstream.
+func (c *Controller) expire(s *session) {
+	s.expiring = true
+	s.drop(errNotLeader)
+	leaseExpiries.Add(1)
+	cmd := &peerv1.UpstreamLost{Upstream: s.upstream, Incarnation: s.incarnation, NeverStarted: c.neverHandedTo(s)}
+	c.propose(&peerv1.Command{Command: &peerv1.Command_UpstreamLost{UpstreamLost: cmd}}, func(_ state.Result, err error) {
+		if err != nil && c.sessions[s.upstream] == s {
+			s.expiring = false
+			c.setTimer(s)
 		}
 	})
 }
 
-func (c *Controller) takeLeaving(s *session, req *apiv1.PollRequest) {
-	s.leaving = req.GetLeaving()
-	u := c.state.Upstream(s.upstream)
-	if req.GetLeaving() && u.State == lifecycle.UpstreamActive {
-		c.propose(&peerv1.Command{Command: &peerv1.Command_Leaving{Leaving: &peerv1.Leaving{
-			Upstream: s.upstream, Incarnation: s.incarnation}}}, nil)
+// neverHandedTo lists the attempts for which no leader can have sent a start.
+func (c *Controller) neverHandedTo(s *session) []*apiv1.TaskRef {
+	var refs []*apiv1.TaskRef
+	if u := c.state.Upstream(s.upstream); u != nil {
+		for ref := range u.Tasks {
+			if s.neverHanded(ref) {
+				refs = append(refs, ref.Proto())
+			}
+		}
 	}
+	return refs
 }
 
-// withdrawUnstarted takes back attempts that are to stop and surely never started.
-func (c *Controller) withdrawUnstarted(s *session) {
-	cmd := &peerv1.Withdraw{}
-	for ref, t := range c.state.Upstream(s.upstream).Tasks {
-		if t.State == lifecycle.TaskStopping && s.neverStarted(ref) {
-			cmd.Tasks = append(cmd.Tasks, ref.Proto())
-		}
-	}
-	if len(cmd.Tasks) > 0 {
-		c.propose(&peerv1.Command{Command: &peerv1.Command_Withdraw{Withdraw: cmd}}, nil)
-	}
+// neverHanded reports whether no leader can have sent a start for the attempt.
+func (s *session) neverHanded(ref state.TaskRef) bool {
+	a := s.attempts[ref]
+	return a.handed == 0 && a.listedIn == 0 && !a.inherited
+}
+
+// settled reports whether the highest poll tells all about an attempt: the upstream drops
+// answers to older polls, so that a start sent before it can no longer arrive.
+func (s *session) settled(ref state.TaskRef) bool {
+	a := s.attempts[ref]
+	switch {
+	case a.handed != 0:
+		return a.handed < s.highest
+	case a.inherited:
+		// An earlier leader may have answered the first poll of this term.
+		return s.first != 0 && s.first < s.highest
+	}
+	return true
+}
+
+// absent reports whether the upstream surely does not have the attempt.
+func (s *session) absent(ref state.TaskRef) bool {
+	_, listed := s.current(ref)
+	return !listed && s.settled(ref)
 }
 
 // taskChanged keeps sessions in step with a task and wakes a held poll.
 func (c *Controller) taskChanged(t *state.Task, from lifecycle.TaskState) {
-	c.restartGang(t)
+	if from == lifecycle.TaskPlaced && t.State == lifecycle.TaskRunning && t.Attempt == 1 {
+		waitingTime.Record(c.state.Now().Sub(time.Unix(0, t.Job.SubmittedNS)))
+	}
 	if t.Upstream == nil {
 		return
 	}
@@ -221,24 +213,15 @@
 		return
 	}
 	if t.State == lifecycle.TaskStopping && s.neverHanded(t.Ref()) {
-		c.propose(&peerv1.Command{Command: &peerv1.Command_Withdraw{Withdraw: &peerv1.Withdraw{
-			Tasks: []*apiv1.TaskRef{t.Ref().Proto()}}}}, nil)
+		c.withdraw([]*apiv1.TaskRef{t.Ref().Proto()})
 		return
 	}
 	if t.State != from {
-		c.answerIfUrgent(s)
+		c.mark(s)
 	}
 }
 
-// learn tells the scheduler how an attempt ended.
-func (c *Controller) learn(s *session, t *state.Task, r *apiv1.TaskReport) {
-	kind := sched.Interrupted
-	switch r.GetState() {
-	case apiv1.ReportState_REPORT_STATE_SUCCEEDED:
-		kind = sched.Succeeded
-	case apiv1.ReportState_REPORT_STATE_FAILED:
-		kind = sched.Failed
-	}
-	c.cell.AttemptEnded(sched.AttemptEnd{Ref: refFact(t.Ref()), Upstream: s.upstream, Kind: kind,
-		RunTime: time.Duration(r.GetRunMs()) * time.Millisecond})
+func (c *Controller) withdraw(refs []*apiv1.TaskRef) {
+	withdrawals.Add(int64(len(refs)))
+	c.propose(&peerv1.Command{Command: &peerv1.Command_Withdraw{Withdraw: &peerv1.Withdraw{Tasks: refs}}}, nil)
 }
--- a/control/upstreams.go
+++ b/control/upstreams.go
@@ -7,9 +7,21 @@
 	"github.com/pkg/errors"
 )
 
+// announce proposes an incarnation. Nothing is handed to an older one meanwhile, so that
+// attempts it never got are known to be safe to place again.
 func (c *Controller) announce(k call, req *apiv1.AnnounceRequest) {
 	cmd := &peerv1.Announce{KeySha256: k.key, Request: req}
+	s := c.sessions[req.GetUpstream()]
+	if s != nil && s.incarnation < req.GetIncarnation() {
+		s.replacing++
+		cmd.NeverStarted = c.neverHandedTo(s)
+	} else {
+		s = nil
+	}
 	c.propose(&peerv1.Command{Command: &peerv1.Command_Announce{Announce: cmd}}, func(r state.Result, err error) {
+		if s != nil {
+			s.replacing--
+		}
 		k.finish(&apiv1.AnnounceResponse{Outcome: r.Announce, LeaseMs: c.cfg.Terms.Duration.Milliseconds(),
 			PollIntervalMs: c.cfg.PollHold.Milliseconds()}, err)
 	})
--- a/state/cancel.go
+++ b/state/cancel.go
@@ -120,7 +120,7 @@
 	changed := false
 	for _, r := range c.GetTasks() {
 		t := s.task(RefFromProto(r))
-		if t != nil && (t.State == lifecycle.TaskPlaced || t.State == lifecycle.TaskStopping) {
+		if t != nil && t.Live() && !t.Started {
 			s.release(t, lifecycle.TaskWithdraw)
 			changed = true
 		}
--- a/state/place.go
+++ b/state/place.go
@@ -133,7 +133,7 @@
 	team.Waiting++
 	t.Job.placed--
 	t.Upstream, t.Reserved = nil, resource.Vector{}
-	t.Checkpointing = false
+	t.Checkpointing, t.Started = false, false
 	s.checkUpstream(u)
 }
 
--- a/state/report.go
+++ b/state/report.go
@@ -66,10 +66,14 @@
 }
 
 func (s *State) started(t *Task) {
+	if t.State == lifecycle.TaskStopping {
+		t.Started = true
+	}
 	if t.State != lifecycle.TaskPlaced {
 		return
 	}
 	s.fire(t, lifecycle.TaskStarted)
+	t.Started = true
 	s.observer.TaskChanged(t, lifecycle.TaskPlaced)
 }
 
@@ -116,7 +120,7 @@
 
 // refusedStart takes back an attempt that its upstream did not start.
 func (s *State) refusedStart(t *Task) {
-	if t.State == lifecycle.TaskRunning {
+	if t.Started {
 		s.stopped(t)
 		return
 	}
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -74,7 +74,7 @@
 	for i := range j.Tasks {
 		t := &j.Tasks[i]
 		st := &peerv1.StateTask{State: string(t.State), Attempt: t.Attempt, Failures: t.Failures, NotBeforeNs: t.NotBeforeNS,
-			Outcome: t.Outcome, Answer: t.Answer, Checkpoint: t.Checkpoint, Checkpointing: t.Checkpointing}
+			Outcome: t.Outcome, Answer: t.Answer, Checkpoint: t.Checkpoint, Checkpointing: t.Checkpointing, Started: t.Started}
 		if t.Upstream != nil {
 			st.Upstream = t.Upstream.Name
 			st.Reserved = t.Reserved.Proto()
@@ -208,7 +208,7 @@
 	t := &j.Tasks[i]
 	*t = Task{Job: j, Index: int32(i), Attempt: st.Attempt, State: lifecycle.TaskState(st.State), Spec: spec,
 		Failures: st.Failures, NotBeforeNS: st.NotBeforeNs, Outcome: st.Outcome, Answer: st.Answer,
-		Checkpoint: st.Checkpoint, Checkpointing: st.Checkpointing}
+		Checkpoint: st.Checkpoint, Checkpointing: st.Checkpointing, Started: st.Started}
 	j.answerBytes += len(st.Answer.GetBody())
 	switch {
 	case t.State == lifecycle.TaskEnded:
--- a/state/types.go
+++ b/state/types.go
@@ -127,6 +127,8 @@
 	Failures int32
 	// NotBeforeNS delays the next attempt after a failure.
 	NotBeforeNS int64
+	// Started is set once the upstream has reported the current attempt as running.
+	Started bool
 	// Checkpointing is set when the pending stop asks for a checkpoint.
 	Checkpointing bool
 	Checkpoint    []byte
--- a/state/upstream.go
+++ b/state/upstream.go
@@ -123,7 +123,7 @@
 	}
 	for _, ref := range sortedRefs(u.Tasks) {
 		if t := u.Tasks[ref]; t != nil {
-			s.loseTask(t, never[ref] && t.State != lifecycle.TaskRunning)
+			s.loseTask(t, never[ref] && !t.Started)
 		}
 	}
 }
--- a/upstream/poll.go
+++ b/upstream/poll.go
@@ -59,13 +59,13 @@
 func (a *Agent) takeAnswer(req *apiv1.PollRequest, resp *apiv1.PollResponse, sent time.Duration) (again bool) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if resp.GetAnnounceAgain() {
-		return true
-	}
 	if resp.GetSequence() != a.sequence || req.GetSequence() != a.sequence || resp.GetTerm() < a.term {
 		return false
 	}
 	a.term = resp.GetTerm()
+	if resp.GetAnnounceAgain() {
+		return true
+	}
 	a.leavingTold = req.GetLeaving()
 	a.leaseEnd = sent + time.Duration(resp.GetLeaseMs())*time.Millisecond
 	for _, ref := range resp.GetAcknowledged() {
@@ -125,8 +125,12 @@
 	a.wg.Add(1)
 	go func() {
 		defer a.wg.Done()
-		result := a.runner.Run(ctx, r.task)
-		a.ended(r, result)
+		if !a.leaseHeld() {
+			// The process was paused since the start was accepted.
+			a.ended(r, Result{State: apiv1.ReportState_REPORT_STATE_REFUSED, Detail: ErrLeaseEnded.Error()})
+			return
+		}
+		a.ended(r, a.runner.Run(ctx, r.task))
 	}()
 	a.wake()
 }
