control: repair voters by standbys, and record operators' replica changes

Cause: a silent voter was never replaced, voters were promoted without regard to failure domains, and operators' changes of replicas had no operation: two that raced both won, a resend was judged anew, a transfer was lost with its leader. Join answered before its entry was committed.

Change: a pure plan with one change at a time and a check of the quorum after it; operators' changes are recorded in the state and carried out by the leader of the moment; Join answers once committed.

--- a/control/controller.go
+++ b/control/controller.go
@@ -21,8 +21,8 @@
 	PollHold time.Duration
 	// PrepareTimeout bounds how long a gang may stay prepared in part.
 	PrepareTimeout time.Duration
-	// Voters is the number of voters that the group grows to.
-	Voters int
+	// Membership says when the leader changes the group by itself.
+	Membership MembershipPolicy
 	// OperatorKey is the hash of the first operator's key; empty if it is not set here.
 	OperatorKey []byte
 	Sched       sched.Settings
@@ -33,7 +33,7 @@
 	Terms:          lease.DefaultTerms,
 	PollHold:       time.Second,
 	PrepareTimeout: 10 * time.Second,
-	Voters:         3,
+	Membership:     DefaultMembershipPolicy,
 	Sched:          sched.DefaultSettings,
 }
 
@@ -68,13 +68,15 @@
 
 	sessions map[string]*session
 	// urgent are the sessions to look at in the next flush.
-	urgent    []*session
-	timers    timers
-	deadlines deadlineHeap
-	gangs     map[state.JobID]*gang
-	waiters   map[state.JobID][]*jobWaiter
-	views     []*viewWaiter
-	process   map[string]processView
+	urgent []*session
+	timers timers
+	// memberTimer fires for the next look at the group's members.
+	memberTimer timer
+	deadlines   deadlineHeap
+	gangs       map[state.JobID]*gang
+	waiters     map[state.JobID][]*jobWaiter
+	views       []*viewWaiter
+	process     map[string]processView
 
 	dirty      bool
 	placing    bool
@@ -100,6 +102,8 @@
 	c.leading, c.term = true, term
 	c.cell = buildCell(c.cfg.Sched, c.state)
 	c.openSessions()
+	c.memberTimer.due = c.tendMembers
+	c.timers.set(&c.memberTimer, c.clock.Now()+membershipInterval)
 	for _, id := range liveJobs(c.state) {
 		c.watchDeadline(c.state.Job(id))
 	}
@@ -128,7 +132,7 @@
 	c.state.Observe(nil)
 	c.failAll()
 	c.sessions = make(map[string]*session)
-	c.urgent, c.timers, c.deadlines = nil, timers{}, nil
+	c.urgent, c.timers, c.deadlines, c.memberTimer = nil, timers{}, nil, timer{}
 	c.gangs = make(map[state.JobID]*gang)
 	c.cell = nil
 	c.placing, c.confirming = false, false
@@ -171,7 +175,6 @@
 	now := c.clock.Now()
 	c.timers.run(now)
 	c.answerHeldViews(now)
-	c.promoteLearner()
 	c.refuseLate()
 	if now >= c.nextSweep {
 		c.nextSweep = now + sweepInterval
--- /dev/null
+++ b/control/membership.go
@@ -0,0 +1,191 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/bulrushwinch/bulrushwinch/state"
+	"github.com/pkg/errors"
+)
+
+const (
+	// membershipInterval is the time between looks at the group's members.
+	membershipInterval = 500 * time.Millisecond
+	// replicaChangeLife bounds how long an accepted replica change is tried.
+	replicaChangeLife = 2 * time.Minute
+)
+
+// membership returns the leader's view of the group.
+func (c *Controller) membership() *membership {
+	core := c.node.Raft()
+	return &membership{policy: c.cfg.Membership, self: core.LeaderID(), committed: core.Committed(), replicas: core.Status()}
+}
+
+// tendMembers makes at most one change to the group: one that an operator asked for, or
+// else one that the policy asks for.
+func (c *Controller) tendMembers(now time.Duration) {
+	c.timers.set(&c.memberTimer, now+membershipInterval)
+	core := c.node.Raft()
+	if !core.MembersCommitted() {
+		return
+	}
+	m := c.membership()
+	if c.carryOutReplicaChange(m) {
+		return
+	}
+	change := m.plan()
+	if change == nil {
+		return
+	}
+	if _, err := core.ProposeMembers(m.changed(change.id, change.action)); err == nil {
+		c.event(&apiv1.Event{Kind: "membership", Detail: change.why})
+	}
+}
+
+// carryOutReplicaChange takes the oldest accepted change one step further and reports
+// whether it did anything.
+func (c *Controller) carryOutReplicaChange(m *membership) bool {
+	list := c.state.ReplicaChanges()
+	if len(list) == 0 {
+		return false
+	}
+	intent := list[0]
+	if m.reached(intent) {
+		c.finishReplicaChange(intent, "done")
+		return true
+	}
+	err := c.tryReplicaChange(m, intent)
+	if err != nil && c.state.Now().UnixNano()-intent.DecidedNS > int64(replicaChangeLife) {
+		c.finishReplicaChange(intent, "given up: "+err.Error())
+		return true
+	}
+	return err == nil
+}
+
+func (c *Controller) finishReplicaChange(intent state.ReplicaIntent, detail string) {
+	c.event(&apiv1.Event{Kind: "replica-change", Detail: intent.OperationID + ": " + detail})
+	c.propose(&peerv1.Command{Command: &peerv1.Command_ReplicaChangeDone{
+		ReplicaChangeDone: &peerv1.ReplicaChangeDone{OperationId: intent.OperationID}}}, nil)
+}
+
+func (c *Controller) tryReplicaChange(m *membership, intent state.ReplicaIntent) error {
+	if err := m.check(raft.ID(intent.Replica), intent.Action); err != nil {
+		return err
+	}
+	if intent.Action == apiv1.ReplicaAction_REPLICA_ACTION_TRANSFER_LEADERSHIP {
+		return c.node.Raft().TransferLeadership(raft.ID(intent.Replica))
+	}
+	_, err := c.node.Raft().ProposeMembers(m.changed(raft.ID(intent.Replica), actionOf(intent.Action)))
+	return err
+}
+
+func actionOf(a apiv1.ReplicaAction) memberAction {
+	if a == apiv1.ReplicaAction_REPLICA_ACTION_PROMOTE {
+		return promote
+	}
+	return remove
+}
+
+func (m *membership) find(id raft.ID) (raft.ReplicaStatus, bool) {
+	i := slices.IndexFunc(m.replicas, func(r raft.ReplicaStatus) bool { return r.Member.ID == id })
+	if i < 0 {
+		return raft.ReplicaStatus{}, false
+	}
+	return m.replicas[i], true
+}
+
+// reached reports whether the group already is as an operator asked for.
+func (m *membership) reached(intent state.ReplicaIntent) bool {
+	r, known := m.find(raft.ID(intent.Replica))
+	switch intent.Action {
+	case apiv1.ReplicaAction_REPLICA_ACTION_REMOVE:
+		return !known
+	case apiv1.ReplicaAction_REPLICA_ACTION_PROMOTE:
+		return known && r.Member.Voter
+	case apiv1.ReplicaAction_REPLICA_ACTION_TRANSFER_LEADERSHIP:
+		return m.self == raft.ID(intent.Replica)
+	}
+	return true
+}
+
+// check returns why the group can't take an operator's change now, or nil.
+func (m *membership) check(id raft.ID, action apiv1.ReplicaAction) error {
+	r, known := m.find(id)
+	switch {
+	case action == apiv1.ReplicaAction_REPLICA_ACTION_REMOVE && !known:
+		return nil
+	case !known:
+		return errors.Errorf("replica %d is not a member", id)
+	case !m.live(r) && action != apiv1.ReplicaAction_REPLICA_ACTION_REMOVE:
+		return errors.Errorf("replica %d is silent", id)
+	case action == apiv1.ReplicaAction_REPLICA_ACTION_TRANSFER_LEADERSHIP && !r.Member.Voter:
+		return errors.Errorf("replica %d is not a voter", id)
+	case action == apiv1.ReplicaAction_REPLICA_ACTION_TRANSFER_LEADERSHIP || r.Member.Voter && action == apiv1.ReplicaAction_REPLICA_ACTION_PROMOTE:
+		return nil
+	case action == apiv1.ReplicaAction_REPLICA_ACTION_PROMOTE && len(m.voters()) >= m.policy.Voters:
+		return errors.Errorf("the group has its %d voters; remove one first", m.policy.Voters)
+	case !m.safe(id, actionOf(action)):
+		return errors.New("fewer live voters than a quorum would be left")
+	}
+	return nil
+}
+
+// changeReplica accepts an operator's change of the group, once per operation. It is
+// recorded in the log first, so that a resend gets the first answer and a new leader
+// carries it out; a change that the group can't take is refused without a record.
+func (c *Controller) changeReplica(k call, req *apiv1.ChangeRequest) {
+	r := req.GetReplica()
+	if c.state.AuthorizeOperator(k.key) == nil && !c.state.KnowsOperation(req.GetOperationId()) {
+		if err := c.membership().check(raft.ID(r.GetReplicaId()), r.GetAction()); err != nil {
+			k.finish(&apiv1.ChangeResponse{Revision: c.state.Revision(), Outcome: &apiv1.Outcome{
+				Kind: apiv1.OutcomeKind_OUTCOME_KIND_NOT_RUN, Reason: apiv1.Reason_REASON_BAD_REQUEST, Detail: err.Error()}}, nil)
+			return
+		}
+	}
+	c.proposeChange(k, req)
+}
+
+// Join adds a data folder to the group as a learner. It is safe for concurrent use and
+// idempotent; it answers OK once the learner is a committed member.
+func (c *Controller) Join(ctx context.Context, req *peerv1.JoinRequest, group uint64) *peerv1.JoinResponse {
+	done := make(chan *peerv1.JoinResponse, 1)
+	err := c.node.Post(ctx, func() {
+		if !c.leading {
+			done <- &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER, LeaderAddress: c.leader.Address}
+			return
+		}
+		c.confirmed(func(ok bool) {
+			if ok && c.addLearner(req.GetMember()) {
+				done <- &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_OK, Group: group}
+				return
+			}
+			done <- &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
+		})
+	})
+	if err == nil {
+		select {
+		case r := <-done:
+			return r
+		case <-ctx.Done():
+		case <-c.node.Done():
+		}
+	}
+	return &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
+}
+
+// addLearner reports whether the learner is a committed member; if it is none yet, it is
+// proposed and the caller has to ask again.
+func (c *Controller) addLearner(m *peerv1.Member) bool {
+	core := c.node.Raft()
+	members := core.Members()
+	if slices.ContainsFunc(members, func(o raft.Member) bool { return o.ID == raft.ID(m.GetId()) }) {
+		return core.MembersCommitted()
+	}
+	members = append(members, raft.Member{ID: raft.ID(m.GetId()), Address: m.GetAddress(), Domain: m.GetFailureDomain()})
+	_, _ = core.ProposeMembers(members)
+	return false
+}
--- a/control/operators.go
+++ b/control/operators.go
@@ -9,9 +9,7 @@
 
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
-	"github.com/bulrushwinch/bulrushwinch/raft"
 	"github.com/bulrushwinch/bulrushwinch/state"
-	"github.com/pkg/errors"
 )
 
 // processView is what a process last said of itself.
@@ -53,53 +51,16 @@
 }
 
 func (c *Controller) change(k call, req *apiv1.ChangeRequest) {
-	if r := req.GetReplica(); r != nil {
-		c.changeReplica(k, r)
+	if req.GetReplica() != nil {
+		c.changeReplica(k, req)
 		return
 	}
-	c.propose(&peerv1.Command{Command: &peerv1.Command_Change{Change: &peerv1.Change{KeySha256: k.key, Request: req}}},
-		func(r state.Result, err error) { k.finish(r.Change, err) })
+	c.proposeChange(k, req)
 }
 
-// changeReplica changes the membership; it is idempotent, as the target state is named.
-func (c *Controller) changeReplica(k call, r *apiv1.ReplicaChange) {
-	if refusal := c.state.AuthorizeOperator(k.key); refusal != nil {
-		k.finish(&apiv1.ChangeResponse{Outcome: refusal}, nil)
-		return
-	}
-	if err := c.applyReplicaChange(raft.ID(r.GetReplicaId()), r.GetAction()); err != nil {
-		k.finish(&apiv1.ChangeResponse{Outcome: &apiv1.Outcome{Kind: apiv1.OutcomeKind_OUTCOME_KIND_NOT_RUN,
-			Reason: apiv1.Reason_REASON_BAD_REQUEST, Detail: err.Error()}, Revision: c.state.Revision()}, nil)
-		return
-	}
-	k.finish(&apiv1.ChangeResponse{Applied: true, Revision: c.state.Revision(),
-		Outcome: &apiv1.Outcome{Kind: apiv1.OutcomeKind_OUTCOME_KIND_ACCEPTED}}, nil)
-}
-
-func (c *Controller) applyReplicaChange(id raft.ID, action apiv1.ReplicaAction) error {
-	members := c.node.Raft().Members()
-	i := slices.IndexFunc(members, func(m raft.Member) bool { return m.ID == id })
-	switch action {
-	case apiv1.ReplicaAction_REPLICA_ACTION_REMOVE:
-		if i < 0 {
-			return nil
-		}
-		_, err := c.node.Raft().ProposeMembers(slices.Delete(members, i, i+1))
-		return err
-	case apiv1.ReplicaAction_REPLICA_ACTION_PROMOTE:
-		if i < 0 {
-			return errors.Errorf("replica %d is not a member", id)
-		}
-		if members[i].Voter {
-			return nil
-		}
-		members[i].Voter = true
-		_, err := c.node.Raft().ProposeMembers(members)
-		return err
-	case apiv1.ReplicaAction_REPLICA_ACTION_TRANSFER_LEADERSHIP:
-		return c.node.Raft().TransferLeadership(id)
-	}
-	return errors.New("action must be remove, promote or transfer leadership")
+func (c *Controller) proposeChange(k call, req *apiv1.ChangeRequest) {
+	c.propose(&peerv1.Command{Command: &peerv1.Command_Change{Change: &peerv1.Change{KeySha256: k.key, Request: req}}},
+		func(r state.Result, err error) { k.finish(r.Change, err) })
 }
 
 func (c *Controller) status(k call, _ *apiv1.StatusRequest) {
@@ -240,59 +201,3 @@
 	}
 	return out
 }
-
-// Join adds a data folder to the group as a learner. It is safe for concurrent use and
-// idempotent.
-func (c *Controller) Join(ctx context.Context, req *peerv1.JoinRequest, group uint64) *peerv1.JoinResponse {
-	done := make(chan *peerv1.JoinResponse, 1)
-	err := c.node.Post(ctx, func() {
-		if !c.leading {
-			done <- &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER, LeaderAddress: c.leader.Address}
-			return
-		}
-		done <- c.addLearner(req.GetMember(), group)
-	})
-	if err == nil {
-		select {
-		case r := <-done:
-			return r
-		case <-ctx.Done():
-		case <-c.node.Done():
-		}
-	}
-	return &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
-}
-
-func (c *Controller) addLearner(m *peerv1.Member, group uint64) *peerv1.JoinResponse {
-	members := c.node.Raft().Members()
-	known := slices.ContainsFunc(members, func(o raft.Member) bool { return o.ID == raft.ID(m.GetId()) })
-	if !known {
-		members = append(members, raft.Member{ID: raft.ID(m.GetId()), Address: m.GetAddress(), Domain: m.GetFailureDomain()})
-		if _, err := c.node.Raft().ProposeMembers(members); err != nil {
-			return &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
-		}
-	}
-	return &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_OK, Group: group}
-}
-
-// promoteLearner makes a caught-up learner a voter while voters are missing.
-func (c *Controller) promoteLearner() {
-	core := c.node.Raft()
-	voters := 0
-	for _, m := range core.Members() {
-		if m.Voter {
-			voters++
-		}
-	}
-	if voters >= c.cfg.Voters {
-		return
-	}
-	for _, r := range core.Status() {
-		if r.Member.Voter || r.Match < core.Committed() || r.SilentTicks > 0 && r.Match == 0 {
-			continue
-		}
-		if c.applyReplicaChange(r.Member.ID, apiv1.ReplicaAction_REPLICA_ACTION_PROMOTE) == nil {
-			return
-		}
-	}
-}
--- /dev/null
+++ b/control/repair.go
@@ -0,0 +1,232 @@
+package control
+
+import (
+	"slices"
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/raft"
+)
+
+// MembershipPolicy says when the leader changes the group by itself.
+type MembershipPolicy struct {
+	// Voters is the number of voters that the group grows to.
+	Voters int
+	// TickInterval is the length of one raft tick.
+	TickInterval time.Duration
+	// Live is how long a replica may be silent and still count as live.
+	Live time.Duration
+	// Replace is how long a voter may be silent before a standby takes its place.
+	Replace time.Duration
+	// Forget is how long a learner may be silent before it is removed.
+	Forget time.Duration
+	// CatchUpEntries is how far a learner's log may be behind when it becomes a voter.
+	CatchUpEntries uint64
+}
+
+// DefaultMembershipPolicy suits replicas in one region.
+var DefaultMembershipPolicy = MembershipPolicy{
+	Voters:         3,
+	TickInterval:   50 * time.Millisecond,
+	Live:           2 * time.Second,
+	Replace:        time.Minute,
+	Forget:         24 * time.Hour,
+	CatchUpEntries: 256,
+}
+
+// membership is the leader's view of the group.
+type membership struct {
+	policy    MembershipPolicy
+	self      raft.ID
+	committed uint64
+	replicas  []raft.ReplicaStatus
+}
+
+// memberAction is one change of one member.
+type memberAction uint8
+
+const (
+	promote memberAction = iota + 1
+	demote
+	remove
+)
+
+// memberChange is a change that the plan asks for, and why.
+type memberChange struct {
+	id     raft.ID
+	action memberAction
+	why    string
+}
+
+// plan returns the next change that the policy asks for, or nil. A standby is promoted
+// before the voter that it replaces is demoted, and no change leaves fewer live voters than
+// a quorum of the membership after it.
+func (m *membership) plan() *memberChange {
+	for _, c := range []*memberChange{m.dropSurplus(), m.fillVoters(), m.replaceSilent(), m.spreadDomains(), m.forgetLearner()} {
+		if c != nil && m.safe(c.id, c.action) {
+			return c
+		}
+	}
+	return nil
+}
+
+func (m *membership) silent(r raft.ReplicaStatus) time.Duration {
+	if r.Member.ID == m.self {
+		return 0
+	}
+	return time.Duration(r.SilentTicks) * m.policy.TickInterval
+}
+
+func (m *membership) live(r raft.ReplicaStatus) bool { return m.silent(r) <= m.policy.Live }
+
+func (m *membership) voters() (out []raft.ReplicaStatus) {
+	for _, r := range m.replicas {
+		if r.Member.Voter {
+			out = append(out, r)
+		}
+	}
+	return out
+}
+
+// safe reports whether the live voters after a change are a quorum of the voters after it.
+func (m *membership) safe(id raft.ID, action memberAction) bool {
+	voters, live := 0, 0
+	for _, r := range m.replicas {
+		voter := r.Member.Voter
+		if r.Member.ID == id {
+			voter = action == promote
+		}
+		if !voter {
+			continue
+		}
+		voters++
+		if m.live(r) {
+			live++
+		}
+	}
+	return live >= voters/2+1
+}
+
+// domains counts live voters by failure domain.
+func (m *membership) domains() map[string]int {
+	count := make(map[string]int)
+	for _, r := range m.voters() {
+		if m.live(r) {
+			count[r.Member.Domain]++
+		}
+	}
+	return count
+}
+
+// standby returns the best live learner that has caught up: one of a failure domain without
+// a live voter first, then the longest log, then the lowest identity.
+func (m *membership) standby() (best raft.ReplicaStatus, fresh, ok bool) {
+	domains := m.domains()
+	for _, r := range m.replicas {
+		if r.Member.Voter || !m.live(r) || r.Match == 0 || r.Match+m.policy.CatchUpEntries < m.committed {
+			continue
+		}
+		free := domains[r.Member.Domain] == 0
+		better := !ok || free && !fresh || free == fresh && (r.Match > best.Match || r.Match == best.Match && r.Member.ID < best.Member.ID)
+		if better {
+			best, fresh, ok = r, free, true
+		}
+	}
+	return best, fresh, ok
+}
+
+func (m *membership) promoteStandby(why string) *memberChange {
+	if r, _, ok := m.standby(); ok {
+		return &memberChange{r.Member.ID, promote, why}
+	}
+	return nil
+}
+
+// dropSurplus makes a voter too many a learner: one that is silent first, then one that
+// shares its failure domain, then the highest identity; never the leader.
+func (m *membership) dropSurplus() *memberChange {
+	voters := m.voters()
+	if len(voters) <= m.policy.Voters {
+		return nil
+	}
+	domains := m.domains()
+	rank := func(r raft.ReplicaStatus) int {
+		switch {
+		case r.Member.ID == m.self:
+			return 0
+		case m.silent(r) > m.policy.Live:
+			return 3
+		case domains[r.Member.Domain] > 1:
+			return 2
+		}
+		return 1
+	}
+	worst := slices.MaxFunc(voters, func(a, b raft.ReplicaStatus) int {
+		if d := rank(a) - rank(b); d != 0 {
+			return d
+		}
+		if a.Member.ID < b.Member.ID {
+			return -1
+		}
+		return 1
+	})
+	if worst.Member.ID == m.self {
+		return nil
+	}
+	return &memberChange{worst.Member.ID, demote, "the group has a voter too many"}
+}
+
+func (m *membership) fillVoters() *memberChange {
+	if len(m.voters()) >= m.policy.Voters {
+		return nil
+	}
+	return m.promoteStandby("the group has a voter too few")
+}
+
+func (m *membership) replaceSilent() *memberChange {
+	for _, r := range m.voters() {
+		if m.silent(r) > m.policy.Replace {
+			return m.promoteStandby("a voter has been silent for too long")
+		}
+	}
+	return nil
+}
+
+// spreadDomains promotes a standby of a failure domain without a voter while two voters
+// share one.
+func (m *membership) spreadDomains() *memberChange {
+	r, fresh, ok := m.standby()
+	if !ok || !fresh || len(m.voters()) != m.policy.Voters {
+		return nil
+	}
+	for _, n := range m.domains() {
+		if n > 1 {
+			return &memberChange{r.Member.ID, promote, "two voters share a failure domain"}
+		}
+	}
+	return nil
+}
+
+func (m *membership) forgetLearner() *memberChange {
+	for _, r := range m.replicas {
+		if !r.Member.Voter && m.silent(r) > m.policy.Forget {
+			return &memberChange{r.Member.ID, remove, "a learner has been silent for too long"}
+		}
+	}
+	return nil
+}
+
+// changed returns the members after a change.
+func (m *membership) changed(id raft.ID, action memberAction) []raft.Member {
+	var out []raft.Member
+	for _, r := range m.replicas {
+		member := r.Member
+		if member.ID == id {
+			if action == remove {
+				continue
+			}
+			member.Voter = action == promote
+		}
+		out = append(out, member)
+	}
+	return out
+}
--- a/daemon/replica.go
+++ b/daemon/replica.go
@@ -64,7 +64,7 @@
 func (d *Daemon) buildReplica(ctx context.Context, id wal.Identity, storage *wal.Log, restored raft.Restored) (*replicaRole, error) {
 	st := state.New(state.DefaultSettings)
 	cfg := control.DefaultConfig
-	cfg.Voters, cfg.OperatorKey = d.settings.Voters, d.settings.OperatorKey
+	cfg.Membership.Voters, cfg.OperatorKey = d.settings.Voters, d.settings.OperatorKey
 	if d.settings.PollHold > 0 {
 		cfg.PollHold = d.settings.PollHold
 	}
--- a/raft/membership.go
+++ b/raft/membership.go
@@ -30,6 +30,9 @@
 	return r.log.lastIndex(), nil
 }
 
+// MembersCommitted reports whether the membership in force is committed.
+func (r *Raft) MembersCommitted() bool { return r.memberIndex <= r.log.committed }
+
 func hasVoter(members []Member) bool {
 	return slices.ContainsFunc(members, func(m Member) bool { return m.Voter })
 }
--- a/state/replica_change.go
+++ b/state/replica_change.go
@@ -33,6 +33,9 @@
 	return len(s.replicaChanges) < before
 }
 
+// KnowsOperation reports whether an operator's operation has been decided.
+func (s *State) KnowsOperation(id string) bool { return s.operations[id] != nil }
+
 // ReplicaChanges returns the accepted changes that are still to be carried out, oldest
 // first. The caller must not change the slice.
 func (s *State) ReplicaChanges() []ReplicaIntent { return s.replicaChanges }
