--- a/Makefile
+++ b/Makefile
@@ -21,4 +21,5 @@
 	buf generate
 
 bench:
+	$(GO) run ./bench
 	$(GO) test -run '^$$' -bench . -benchtime 1x ./...
--- a/control/cell.go
+++ b/control/cell.go
@@ -13,6 +13,7 @@
 // buildCell describes the whole state to a new scheduler cell.
 func buildCell(settings sched.Settings, st *state.State) *sched.Cell {
 	c := sched.NewCell(settings)
+	c.SetTime(time.Now())
 	for _, t := range st.Teams() {
 		c.PutTeam(teamFact(t))
 	}
@@ -46,7 +47,7 @@
 }
 
 func jobFact(j *state.Job) sched.Job {
-	out := sched.Job{ID: sched.JobID(j.ID), Team: j.Team, Class: j.Spec.Class, RequestID: j.RequestID,
+	out := sched.Job{ID: sched.JobID(j.ID), Team: j.Team, Class: j.Spec.Class, Queue: j.Queue, RequestID: j.RequestID,
 		Policy: policyFact(j.Spec.Policy), Urgent: j.Spec.Urgent, Repeatable: j.Spec.Repeatable,
 		Submitted: time.Unix(0, j.SubmittedNS), Expected: time.Duration(j.Spec.ExpectedMs) * time.Millisecond}
 	for i := range j.Tasks {
--- a/control/controller.go
+++ b/control/controller.go
@@ -78,8 +78,9 @@
 	views       []*viewWaiter
 	process     map[string]processView
 
-	dirty      bool
-	placing    bool
+	dirty bool
+	// deciding counts proposals of the last decision without a result.
+	deciding   int
 	nextDecide time.Duration
 	nextSweep  time.Duration
 }
@@ -135,7 +136,7 @@
 	c.urgent, c.timers, c.deadlines, c.memberTimer = nil, timers{}, nil, timer{}
 	c.gangs = make(map[state.JobID]*gang)
 	c.cell = nil
-	c.placing, c.confirming = false, false
+	c.deciding, c.confirming = 0, false
 }
 
 // failAll answers everything that waits for this leadership.
@@ -191,7 +192,7 @@
 	if !c.leading {
 		return
 	}
-	if c.dirty && !c.placing {
+	if c.dirty && c.deciding == 0 {
 		began := time.Now()
 		c.decide()
 		decisionTime.Record(time.Since(began))
--- a/control/decide.go
+++ b/control/decide.go
@@ -10,10 +10,10 @@
 	"github.com/bulrushwinch/bulrushwinch/state"
 )
 
-// decide asks the scheduler for decisions when a fact has changed and the last
-// placements are applied.
+// decide asks the scheduler for decisions when a fact has changed and the last decision
+// is applied.
 func (c *Controller) decide() {
-	if !c.dirty || c.placing {
+	if !c.dirty || c.deciding > 0 {
 		return
 	}
 	c.dirty = false
@@ -23,13 +23,18 @@
 	c.proposeStops(d.Stops)
 	c.throttle(d.Throttles)
 	for _, r := range d.Refusals {
-		c.proposeRefusal(state.JobID(r.Job), apiv1.Reason_REASON_NEVER_FITS, r.Detail)
+		c.proposeRefusal(state.JobID(r.Job), refusalReasons[r.Reason], r.Detail)
 	}
 	if len(d.Placements) >= maxPlacementsPerRound {
 		c.dirty = true
 	}
 }
 
+var refusalReasons = map[sched.RefusalReason]apiv1.Reason{
+	sched.RefusalNeverFits:    apiv1.Reason_REASON_NEVER_FITS,
+	sched.RefusalGangTooLarge: apiv1.Reason_REASON_NEVER_FITS,
+}
+
 func (c *Controller) proposePlacements(list []sched.Placement) {
 	if len(list) == 0 {
 		return
@@ -39,13 +44,7 @@
 		cmd.Placements[i] = &peerv1.Placement{JobId: uint64(p.Task.Job), Task: p.Task.Index, Attempt: p.Task.Attempt,
 			Upstream: p.Upstream, Incarnation: p.Incarnation, Reserved: p.Reserved.Proto()}
 	}
-	c.placing = true
-	term := c.term
-	c.propose(&peerv1.Command{Command: &peerv1.Command_Place{Place: cmd}}, func(r state.Result, err error) {
-		if c.term != term {
-			return
-		}
-		c.placing = false
+	c.proposeDecided(&peerv1.Command{Command: &peerv1.Command_Place{Place: cmd}}, func(r state.Result, err error) {
 		if err == nil {
 			placementsTaken.Add(int64(len(r.Place.Taken)))
 			placementsRefused.Add(int64(len(r.Place.Refused)))
@@ -56,10 +55,37 @@
 	})
 }
 
+// proposeDecided proposes a part of a decision; the next decision waits for its result.
+func (c *Controller) proposeDecided(cmd *peerv1.Command, done completion) {
+	c.deciding++
+	term := c.term
+	c.propose(cmd, func(r state.Result, err error) {
+		if c.term != term {
+			return
+		}
+		c.deciding--
+		if done != nil {
+			done(r, err)
+		}
+	})
+}
+
+// proposeStops proposes one command for all stops that are alike.
 func (c *Controller) proposeStops(stops []sched.Stop) {
+	type kind struct {
+		checkpoint bool
+		why        sched.StopReason
+	}
+	commands := make(map[kind]*peerv1.Stop)
 	for _, s := range stops {
-		c.propose(&peerv1.Command{Command: &peerv1.Command_Stop{Stop: &peerv1.Stop{
-			Tasks: []*apiv1.TaskRef{refProto(s.Task)}, Checkpoint: s.Checkpoint, Why: string(s.Why)}}}, nil)
+		k := kind{s.Checkpoint, s.Why}
+		cmd := commands[k]
+		if cmd == nil {
+			cmd = &peerv1.Stop{Checkpoint: s.Checkpoint, Why: string(s.Why)}
+			commands[k] = cmd
+			c.proposeDecided(&peerv1.Command{Command: &peerv1.Command_Stop{Stop: cmd}}, nil)
+		}
+		cmd.Tasks = append(cmd.Tasks, refProto(s.Task))
 	}
 }
 
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -1,88 +1,165 @@
 package sched
 
 import (
+	"time"
+
 	"github.com/bulrushwinch/bulrushwinch/resource"
 )
 
-// Settings tune the policies.
-type Settings struct {
-	// Seed breaks ties between equal choices.
-	Seed uint64
-}
-
-// DefaultSettings suit a cell of any size.
-var DefaultSettings = Settings{Seed: 1}
-
 // Cell is the scheduler's picture of the cluster. It is not safe for concurrent use.
 type Cell struct {
 	settings  Settings
+	now       time.Time
+	began     time.Time
 	teams     map[string]*team
-	domains   map[string]*Domain
-	upstreams map[string]*upstream
-	jobs      map[JobID]*job
-	// order lists upstreams by name and waiting lists jobs by number.
-	order   []*upstream
-	waiting []*job
-}
-
-type team struct {
-	Team
-	used resource.Vector
-}
+	teamOrder []*team
+	classes   map[classKey]*class
+	domains   map[string]*domain
+	// domainOrder lists domains in order of their first mention.
+	domainOrder []*domain
+	racks       map[rackKey]*rack
+	rackOrder   []*rack
+	upstreams   map[string]*upstream
+	// order lists upstreams in order of their first mention.
+	order []*upstream
+	jobs  map[JobID]*job
 
-type upstream struct {
-	Upstream
-	used  resource.Vector
-	tasks map[TaskRef]*task
-}
-
-type job struct {
-	Job
-	tasks []task
-}
+	// total is the capacity of all upstreams that may get work.
+	total resource.Vector
+	// sizes counts the known upstreams by capacity, lost ones included.
+	sizes map[resource.Vector]int
+	// known is the capacity of all known upstreams.
+	known resource.Vector
+	// typical is the mean capacity of the known upstreams.
+	typical resource.Vector
+	// blocked counts the upstreams that may not get work, by reason.
+	blocked reasonCounts
 
-type task struct {
-	job    *job
-	status TaskStatus
+	timers timers
+	// fresh lists jobs that were not yet checked against the largest VMs; recheck
+	// is set when a size of VM has vanished.
+	fresh        []JobID
+	recheck      bool
+	draining     map[*upstream]bool
+	strained     map[*upstream]bool
+	overLimit    map[*team]bool
+	quarantined  map[*upstream]bool
+	reservations []*reservation
+	stoppers     map[*upstream]bool
+	notes        map[TaskRef]*note
+	dirty        bool
 }
 
 // NewCell returns an empty cell.
 func NewCell(s Settings) *Cell {
-	return &Cell{settings: s, teams: make(map[string]*team), domains: make(map[string]*Domain),
-		upstreams: make(map[string]*upstream), jobs: make(map[JobID]*job)}
+	return &Cell{settings: s.withDefaults(), teams: make(map[string]*team), classes: make(map[classKey]*class),
+		domains: make(map[string]*domain), racks: make(map[rackKey]*rack), upstreams: make(map[string]*upstream),
+		jobs: make(map[JobID]*job), sizes: make(map[resource.Vector]int), draining: make(map[*upstream]bool),
+		strained: make(map[*upstream]bool), overLimit: make(map[*team]bool), quarantined: make(map[*upstream]bool),
+		stoppers: make(map[*upstream]bool), notes: make(map[TaskRef]*note), dirty: true}
 }
 
 // PutTeam adds or changes a team.
 func (c *Cell) PutTeam(t Team) {
-	if known := c.teams[t.Name]; known != nil {
-		known.Team = t
-		return
+	t.Share = max(1, t.Share)
+	known := c.teams[t.Name]
+	if known == nil {
+		known = newTeam(len(c.teamOrder))
+		c.teams[t.Name] = known
+		c.teamOrder = append(c.teamOrder, known)
 	}
-	c.teams[t.Name] = &team{Team: t}
+	known.Team = t
+	c.noteLimit(known)
+	c.dirty = true
 }
 
 // PutDomain adds or changes a failure domain.
-func (c *Cell) PutDomain(d Domain) { c.domains[d.Name] = &d }
+func (c *Cell) PutDomain(d Domain) {
+	known := c.domain(d.Name)
+	known.turn(c, d)
+	for _, u := range known.members {
+		c.refresh(u)
+	}
+	c.dirty = true
+}
+
+func (c *Cell) domain(name string) *domain {
+	d := c.domains[name]
+	if d == nil {
+		d = &domain{Domain: Domain{Name: name}, index: newIndex()}
+		c.domains[name] = d
+		c.domainOrder = append(c.domainOrder, d)
+	}
+	return d
+}
 
 // PutUpstream adds or changes an upstream.
 func (c *Cell) PutUpstream(u Upstream) {
-	if known := c.upstreams[u.Name]; known != nil {
-		known.Upstream = u
-		return
+	known := c.upstreams[u.Name]
+	if known == nil {
+		known = &upstream{number: len(c.order)}
+		c.upstreams[u.Name] = known
+		c.order = append(c.order, known)
+	} else {
+		known.leaveRack()
+	}
+	c.countSize(u.Capacity, 1)
+	if known.domain != nil {
+		c.countSize(known.Capacity, -1)
+	}
+	if u.Incarnation != known.Incarnation {
+		known.throttledAt = time.Time{}
+	}
+	known.Upstream = u
+	known.join(c)
+	c.refresh(known)
+	c.dirty = true
+}
+
+func (c *Cell) countSize(capacity resource.Vector, n int) {
+	c.sizes[capacity] += n
+	for d, amount := range capacity {
+		c.known[d] += int64(n) * amount
+		c.typical[d] = c.known[d] / int64(max(1, len(c.order)))
+	}
+	if c.sizes[capacity] == 0 {
+		delete(c.sizes, capacity)
+		c.recheck = true
+	}
+}
+
+// fitsSomeVM reports whether an empty VM of a known size could hold the amounts.
+func (c *Cell) fitsSomeVM(need resource.Vector) bool {
+	for capacity := range c.sizes {
+		if need.Fits(capacity) {
+			return true
+		}
 	}
-	added := &upstream{Upstream: u, tasks: make(map[TaskRef]*task)}
-	c.upstreams[u.Name] = added
-	c.order = append(c.order, added)
+	return false
 }
 
 // AddJob adds a job whose tasks all wait under attempt 1.
 func (c *Cell) AddJob(info Job) {
-	j := &job{Job: info, tasks: make([]task, len(info.Needs))}
+	j := &job{Job: info, class: c.class(info.Team, info.Class), tasks: make([]task, len(info.Needs))}
 	for i := range j.tasks {
-		j.tasks[i] = task{job: j, status: TaskStatus{Ref: TaskRef{info.ID, int32(i), 1}}}
+		j.tasks[i] = task{job: j, index: int32(i), attempt: 1, sample: noSamples}
 	}
 	c.jobs[info.ID] = j
-	c.waiting = append(c.waiting, j)
+	for i := range j.tasks {
+		c.enqueue(&j.tasks[i])
+	}
+	c.fresh = append(c.fresh, info.ID)
+	c.dirty = true
+}
+
+func (c *Cell) class(team, name string) *class {
+	key := classKey{team, name}
+	cl := c.classes[key]
+	if cl == nil {
+		cl = &class{team: team, name: name}
+		c.classes[key] = cl
+	}
+	return cl
 }
 
 // RemoveJob forgets a job whose tasks hold nothing.
@@ -91,13 +168,11 @@
 	if j == nil {
 		return
 	}
-	delete(c.jobs, id)
-	for i, w := range c.waiting {
-		if w == j {
-			c.waiting = append(c.waiting[:i], c.waiting[i+1:]...)
-			return
-		}
+	for i := range j.tasks {
+		c.dequeue(&j.tasks[i])
 	}
+	c.endReservation(j)
+	delete(c.jobs, id)
 }
 
 // SetTask records where a task stands.
@@ -107,37 +182,98 @@
 		return
 	}
 	t := &j.tasks[s.Ref.Index]
+	if holds(t.phase) && holds(s.Phase) && t.attempt == s.Ref.Attempt && t.up == c.upstreams[s.Upstream] {
+		c.changePhase(t, s.Phase)
+		return
+	}
+	c.dequeue(t)
 	c.release(t)
-	t.status = s
-	c.hold(t)
+	t.phase, t.attempt, t.notBefore = s.Phase, s.Ref.Attempt, s.NotBefore
+	switch {
+	case holds(s.Phase):
+		c.hold(t, c.upstreams[s.Upstream], s.Reserved)
+	case s.Phase == Waiting:
+		c.enqueue(t)
+	}
+	c.dirty = true
 }
 
 func holds(p Phase) bool { return p == Placed || p == Running || p == Stopping }
 
-func (c *Cell) release(t *task) {
-	u := c.upstreams[t.status.Upstream]
-	if !holds(t.status.Phase) || u == nil {
+func (c *Cell) changePhase(t *task, p Phase) {
+	if p == t.phase {
 		return
 	}
-	u.used = u.used.Sub(t.status.Reserved)
-	delete(u.tasks, t.status.Ref)
-	tm := c.teams[t.job.Team]
-	tm.used = tm.used.Sub(t.status.Reserved)
+	if p == Running {
+		t.since = c.now
+	}
+	if p == Stopping {
+		c.bookStopping(t, t.reserved)
+		c.dirty = true
+	}
+	t.phase = p
 }
 
-func (c *Cell) hold(t *task) {
-	u := c.upstreams[t.status.Upstream]
-	if !holds(t.status.Phase) || u == nil {
-		return
+// bookStopping counts capacity that is about to be freed.
+func (c *Cell) bookStopping(t *task, v resource.Vector) {
+	tm := t.job.team(c)
+	tm.stopping = tm.stopping.Add(v)
+	t.up.stopping = t.up.stopping.Add(v)
+	if t.up.stopping.IsZero() {
+		delete(c.stoppers, t.up)
+	} else {
+		c.stoppers[t.up] = true
 	}
-	u.used = u.used.Add(t.status.Reserved)
-	u.tasks[t.status.Ref] = t
-	tm := c.teams[t.job.Team]
-	tm.used = tm.used.Add(t.status.Reserved)
 }
 
-// AttemptEnded records how an attempt ended.
-func (c *Cell) AttemptEnded(AttemptEnd) {}
+// hold books a live task on its upstream and team.
+func (c *Cell) hold(t *task, u *upstream, reserved resource.Vector) {
+	if u == nil {
+		return
+	}
+	t.up, t.reserved, t.since = u, reserved, c.now
+	t.use, t.sample, t.throttled = [len(measured)]int64{}, noSamples, false
+	tm := t.job.team(c)
+	t.pos = len(u.tasks)
+	u.tasks = append(u.tasks, t)
+	if t.phase == Stopping {
+		c.bookStopping(t, reserved)
+	}
+	if t.job.Policy == Service {
+		t.job.class.spread.add(u, 1)
+	}
+	u.domain.noteStart(c.now)
+	ref := t.ref()
+	t.note = c.notes[ref]
+	delete(c.notes, ref)
+	tm.book(reserved)
+	tm.pushLive(t)
+	u.reserved = u.reserved.Add(reserved)
+	u.load = u.load.Add(reserved)
+	c.refresh(u)
+	c.noteLimit(tm)
+}
 
-// ObserveUsage records what a running task uses.
-func (c *Cell) ObserveUsage(Usage) {}
+// release frees what a live task holds.
+func (c *Cell) release(t *task) {
+	u := t.up
+	if u == nil {
+		return
+	}
+	tm := t.job.team(c)
+	if t.phase == Stopping {
+		c.bookStopping(t, resource.Vector{}.Sub(t.reserved))
+	}
+	u.unlist(t)
+	if t.job.Policy == Service {
+		t.job.class.spread.add(u, -1)
+	}
+	tm.book(resource.Vector{}.Sub(t.reserved))
+	u.reserved = u.reserved.Sub(t.reserved)
+	u.load = u.load.Sub(t.load())
+	u.real = u.real.Sub(t.real())
+	t.up, t.reserved, t.note = nil, resource.Vector{}, nil
+	t.use = [len(measured)]int64{}
+	c.refresh(u)
+	c.noteLimit(tm)
+}
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -1,105 +1,170 @@
 package sched
 
 import (
+	"container/heap"
 	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/resource"
 )
 
-// Decide proposes at most limit placements, and stops and refusals as needed.
+// Decide proposes at most limit placements, and stops and refusals as needed. It
+// costs next to nothing when no fact has changed and no time has come.
 func (c *Cell) Decide(now time.Time, limit int) Decision {
-	r := &round{cell: c, now: now, limit: limit,
-		used: make(map[*upstream]resource.Vector), teamUsed: make(map[*team]resource.Vector)}
-	r.stopDisplaced()
-	for _, urgent := range []bool{true, false} {
-		for _, j := range c.waiting {
-			if j.Urgent == urgent {
-				r.placeJob(j)
-			}
-		}
+	c.advance(now)
+	if !c.dirty {
+		return Decision{}
+	}
+	c.dirty = false
+	clear(c.notes)
+	r := newRound(c, now, limit)
+	r.refuseHopeless()
+	r.drain()
+	r.stopExcess()
+	for tr := range numTiers {
+		r.serve(tr)
+	}
+	r.makeRoom()
+	r.evenOut()
+	r.noteContent()
+	r.rollBack()
+	if !r.decision.Empty() {
+		c.dirty = true
 	}
 	return r.decision
 }
 
-// round is one call of Decide, with what it has given away so far.
+// SetTime tells the time of the facts that follow. Decide tells it as well.
+func (c *Cell) SetTime(now time.Time) { c.advance(now) }
+
+// advance moves the cell's time and wakes what was waiting for it.
+func (c *Cell) advance(now time.Time) {
+	c.now = now
+	if c.began.IsZero() {
+		c.began = now
+	}
+	c.admitDue()
+	if len(c.draining) > 0 || len(c.strained) > 0 || len(c.overLimit) > 0 || len(c.reservations) > 0 || c.ramping() {
+		c.dirty = true
+	}
+	if len(c.fresh) > 0 && c.settled() {
+		c.dirty = true
+	}
+	for u := range c.quarantined {
+		if !now.Before(u.health.until) {
+			c.dirty = true
+		}
+	}
+}
+
+// round is one call of Decide. It books its placements on the cell while it goes
+// and takes them back at its end: facts alone change the cell.
 type round struct {
 	cell     *Cell
 	now      time.Time
 	limit    int
-	used     map[*upstream]resource.Vector
-	teamUsed map[*team]resource.Vector
 	decision Decision
+	context  *roundNote
+	journal  []booking
+	// tries is how many more entries the tier may find no place for.
+	tries int
+	// aside are entries out of their queue, touched those with taken tasks.
+	aside   []*entry
+	touched []*entry
+	// full are amounts for which no upstream has room.
+	full    []resource.Vector
+	starved []*entry
+	// deprived holds the first entry of each team that found no room.
+	deprived      []*entry
+	deprivedTeams map[*team]bool
+	probes        []*upstream
+	// spread counts what the round places of the service class in question.
+	spread  spread
+	spreads map[*class]spread
+	claims  map[*upstream]resource.Vector
+	evicted map[*task]bool
+	evicts  map[*team]resource.Vector
+	gangs   int
 }
 
-// stopDisplaced asks tasks to leave upstreams that are leaving or in a domain that is out.
-func (r *round) stopDisplaced() {
-	for _, u := range r.cell.order {
-		d := r.cell.domains[u.Domain]
-		out := d != nil && d.Out
-		if !out && !u.Leaving {
-			continue
-		}
-		why := StopLeaving
-		if out {
-			why = StopDomainOut
-		}
-		for _, t := range u.tasks {
-			if t.status.Phase != Stopping && t.job.Repeatable {
-				r.decision.Stops = append(r.decision.Stops, Stop{Task: t.status.Ref, Checkpoint: true, Why: why})
-			}
-		}
+// booking is a placement of the round.
+type booking struct {
+	task  *task
+	entry *entry
+	up    *upstream
+	need  resource.Vector
+}
+
+func newRound(c *Cell, now time.Time, limit int) *round {
+	r := &round{cell: c, now: now, limit: limit, spreads: make(map[*class]spread),
+		claims: make(map[*upstream]resource.Vector), evicted: make(map[*task]bool), evicts: make(map[*team]resource.Vector), deprivedTeams: make(map[*team]bool)}
+	r.context = &roundNote{at: now, blocked: c.blocked}
+	r.probes = r.dueProbes()
+	return r
+}
+
+// book places a task for the rest of the round.
+func (r *round) book(t *task, u *upstream, need resource.Vector, k *ranking) {
+	r.journal = append(r.journal, booking{t, t.entry, u, need})
+	if t.entry.taken == 0 {
+		r.touched = append(r.touched, t.entry)
 	}
+	t.entry.taken++
+	r.shift(t, u, need, 1)
+	r.decision.Placements = append(r.decision.Placements,
+		Placement{Task: t.ref(), Upstream: u.Name, Incarnation: u.Incarnation, Reserved: need})
+	r.cell.notes[t.ref()] = r.note(t, k)
 }
 
-func (r *round) placeJob(j *job) {
-	before := len(r.decision.Placements)
-	for i := range j.tasks {
-		t := &j.tasks[i]
-		if t.status.Phase != Waiting || t.status.NotBefore.After(r.now) || len(r.decision.Placements) >= r.limit {
-			if j.Policy == Gang && t.status.Phase != Ended {
-				r.undo(before)
-				return
-			}
-			continue
-		}
-		if !r.placeTask(t) && j.Policy == Gang {
-			r.undo(before)
-			return
-		}
+func (r *round) shift(t *task, u *upstream, need resource.Vector, sign int) {
+	tm := t.job.team(r.cell)
+	if sign < 0 {
+		need = resource.Vector{}.Sub(need)
+	}
+	u.load = u.load.Add(need)
+	u.reserved = u.reserved.Add(need)
+	tm.book(need)
+	u.domain.proposed += sign
+	if u.bucket != nil || u.reason == Fits && u.heldFor == nil {
+		r.cell.refresh(u)
+	}
+	if t.job.Policy == Service {
+		sp := r.spreads[t.job.class]
+		sp.add(u, sign)
+		r.spreads[t.job.class] = sp
 	}
 }
 
-func (r *round) placeTask(t *task) bool {
-	need := t.job.Needs[t.status.Ref.Index]
-	tm := r.cell.teams[t.job.Team]
-	if !tm.used.Add(r.teamUsed[tm]).Add(need).Fits(tm.Limit) {
-		return false
-	}
-	for _, u := range r.cell.order {
-		if !r.cell.usable(u) || !u.used.Add(r.used[u]).Add(need).Fits(u.Capacity) {
-			continue
-		}
-		r.used[u] = r.used[u].Add(need)
-		r.teamUsed[tm] = r.teamUsed[tm].Add(need)
-		r.decision.Placements = append(r.decision.Placements,
-			Placement{Task: t.status.Ref, Upstream: u.Name, Incarnation: u.Incarnation, Reserved: need})
-		return true
+// undo takes back the placements after the first n.
+func (r *round) undo(n int) {
+	for i := len(r.journal) - 1; i >= n; i-- {
+		b := r.journal[i]
+		r.shift(b.task, b.up, b.need, -1)
+		b.entry.taken--
+		delete(r.cell.notes, b.task.ref())
 	}
-	return false
+	r.journal = r.journal[:n]
+	r.decision.Placements = r.decision.Placements[:n]
 }
 
-func (r *round) undo(to int) {
-	for _, p := range r.decision.Placements[to:] {
-		u := r.cell.upstreams[p.Upstream]
-		tm := r.cell.teams[r.cell.jobs[p.Task.Job].Team]
-		r.used[u] = r.used[u].Sub(p.Reserved)
-		r.teamUsed[tm] = r.teamUsed[tm].Sub(p.Reserved)
-	}
-	r.decision.Placements = r.decision.Placements[:to]
+// rollBack leaves the cell as the facts describe it.
+func (r *round) rollBack() {
+	for i := len(r.journal) - 1; i >= 0; i-- {
+		b := r.journal[i]
+		r.shift(b.task, b.up, b.need, -1)
+	}
+	for _, e := range r.touched {
+		e.taken = 0
+	}
+	for _, e := range r.aside {
+		heap.Push(&e.team.queues[e.tier], e)
+	}
 }
 
-// usable reports whether an upstream may get new work.
-func (c *Cell) usable(u *upstream) bool {
-	d := c.domains[u.Domain]
-	return u.Active && d != nil && !d.Out
+// stop proposes to end a live attempt.
+func (r *round) stop(t *task, checkpoint bool, why StopReason) {
+	if r.evicted[t] {
+		return
+	}
+	r.evicted[t] = true
+	r.decision.Stops = append(r.decision.Stops, Stop{Task: t.ref(), Checkpoint: checkpoint, Why: why})
 }
--- /dev/null
+++ b/sched/drain.go
@@ -0,0 +1,83 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+)
+
+// sorted returns the upstreams of a set in order of their numbers.
+func sorted(set map[*upstream]bool) []*upstream {
+	list := make([]*upstream, 0, len(set))
+	for u := range set {
+		list = append(list, u)
+	}
+	slices.SortFunc(list, func(a, b *upstream) int { return cmp.Compare(a.number, b.number) })
+	return list
+}
+
+// drain asks work to leave upstreams that are leaving or in a domain that is out.
+func (r *round) drain() {
+	for _, u := range sorted(r.cell.draining) {
+		if len(u.tasks) > 0 {
+			r.drainOne(u)
+		}
+	}
+}
+
+// drainOne moves services at once, one at a time, and lets other work run on for as
+// long as the notice allows, since much of it ends by itself.
+func (r *round) drainOne(u *upstream) {
+	out := u.reason == DomainOut
+	notice, why := r.cell.settings.DrainNotice, StopLeaving
+	if out {
+		notice, why = u.domain.Notice, StopDomainOut
+	}
+	deadline := u.drainSince.Add(notice)
+	moving := movingServices(u)
+	for i, t := range u.tasks {
+		switch {
+		case t.phase == Stopping:
+			r.force(t, deadline, why)
+		case !t.job.Repeatable:
+			if out && !r.now.Before(deadline) {
+				r.stop(t, false, why)
+			}
+		case t.job.Policy == Service:
+			if moving == 0 || r.now.Sub(u.drainSince) >= notice/2 {
+				r.stop(t, true, why)
+				moving++
+			}
+		case !r.now.Before(r.latest(u, i, notice)):
+			r.stop(t, true, why)
+		}
+	}
+}
+
+func movingServices(u *upstream) int {
+	n := 0
+	for _, t := range u.tasks {
+		if t.phase == Stopping && t.job.Policy == Service {
+			n++
+		}
+	}
+	return n
+}
+
+// latest returns when the checkpoint of the upstream's i-th task has to begin. The
+// checkpoints of one VM are spread over the last part of the notice.
+func (r *round) latest(u *upstream, i int, notice time.Duration) time.Time {
+	margin := min(2*r.cell.settings.CheckpointTime, notice/2)
+	spread := min(notice/4, time.Duration(len(u.tasks))*r.cell.settings.CheckpointTime)
+	offset := spread * time.Duration(i) / time.Duration(len(u.tasks))
+	return u.drainSince.Add(notice - margin - offset)
+}
+
+// force ends a checkpoint that has not come to its end when the notice has.
+func (r *round) force(t *task, deadline time.Time, why StopReason) {
+	if t.forced || why == StopLeaving || r.now.Before(deadline.Add(2*r.cell.settings.CheckpointTime)) {
+		return
+	}
+	t.forced = true
+	r.decision.Stops = append(r.decision.Stops, Stop{Task: t.ref(), Why: why})
+}
--- a/sched/explain.go
+++ b/sched/explain.go
@@ -2,41 +2,255 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/resource"
 )
 
-// Explain says in plain sentences why a job's tasks wait or run where they do.
+// maxExplained bounds the placements that one explanation describes.
+const maxExplained = 20
+
+// Explain says in plain sentences why a job's tasks wait or run where they do, most
+// important first. It looks at every upstream and is meant for a person's question.
 func (c *Cell) Explain(id JobID, now time.Time) []string {
 	j := c.jobs[id]
 	if j == nil {
 		return []string{fmt.Sprintf("Job %d has ended or is not known to the scheduler.", id)}
 	}
-	var counts [Ended + 1]int
+	x := &explainer{cell: c, job: j, now: now}
+	x.origin()
+	if t := x.firstWaiting(); t != nil {
+		x.waiting(t)
+	}
+	x.placements()
+	return x.out
+}
+
+// explainer gathers the sentences about one job.
+type explainer struct {
+	cell *Cell
+	job  *job
+	now  time.Time
+	out  []string
+}
+
+func (x *explainer) say(format string, args ...any) {
+	x.out = append(x.out, fmt.Sprintf(format, args...))
+}
+
+func short(d time.Duration) time.Duration {
+	if d < time.Second {
+		return d.Round(time.Millisecond)
+	}
+	return d.Round(100 * time.Millisecond)
+}
+
+func percent(f float64) string { return fmt.Sprintf("%.1f%%", 100*f) }
+
+var phaseNames = [...]string{Waiting: "waiting", Placed: "placed", Running: "running", Stopping: "stopping", Ended: "ended"}
+
+// origin names the job, the call that produced it and where its tasks stand.
+func (x *explainer) origin() {
+	j := x.job
+	kind := j.Policy.String()
+	if j.Urgent {
+		kind = "urgent " + kind
+	}
+	x.say("Job %d (%s, team %s) was made by the call Submit with request_id %q in queue %q, %s ago.",
+		j.ID, kind, j.Team, j.RequestID, j.Queue, short(x.now.Sub(j.Submitted)))
+	var counts [len(phaseNames)]int
 	for i := range j.tasks {
-		counts[j.tasks[i].status.Phase]++
+		counts[j.tasks[i].phase]++
 	}
-	out := []string{fmt.Sprintf("Job %d (%s, team %s): %d tasks waiting, %d placed, %d running, %d stopping, %d ended.",
-		id, j.Policy, j.Team, counts[Waiting], counts[Placed], counts[Running], counts[Stopping], counts[Ended])}
-	if counts[Waiting] > 0 {
-		out = append(out, c.explainWaiting(j, now)...)
+	var parts []string
+	for p, n := range counts {
+		if n > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", n, phaseNames[p]))
+		}
 	}
-	return out
+	x.say("Its tasks: %s.", strings.Join(parts, ", "))
 }
 
-func (c *Cell) explainWaiting(j *job, _ time.Time) []string {
-	tm := c.teams[j.Team]
-	need := j.Needs[0]
-	if d, ok := tm.used.Add(need).FirstOver(tm.Limit); !ok {
-		return []string{fmt.Sprintf("Team %s is at its upper limit in %s.", j.Team, d)}
+func (x *explainer) firstWaiting() *task {
+	var first *task
+	for i := range x.job.tasks {
+		t := &x.job.tasks[i]
+		if t.phase == Waiting && (first == nil || t.notBefore.Before(first.notBefore)) {
+			first = t
+		}
+	}
+	return first
+}
+
+// waiting names the first bound that holds a task back.
+func (x *explainer) waiting(t *task) {
+	c := x.cell
+	need := c.reserve(t.job.class, t.need())
+	x.sizes(t, need)
+	tm := t.job.team(c)
+	switch d, ok := tm.used.Add(need).FirstOver(tm.Limit); {
+	case t.notBefore.After(x.now):
+		x.say("Task %d failed before and pauses; it may start again in %s.", t.index, short(t.notBefore.Sub(x.now)))
+	case !ok:
+		x.say("It waits because of its team's upper limit: team %s uses %s of %s, and the task needs %s more.",
+			tm.Name, resource.Format(d, tm.used[d]), resource.Format(d, tm.Limit[d]), resource.Format(d, need[d]))
+	case !c.fitsSomeVM(need):
+		x.say("It waits because none of the %d known upstreams is large enough for it even when empty; such jobs are refused once the cell has been known for %s.",
+			len(c.order), c.settings.Settle)
+	default:
+		x.room(t, need)
+		x.gang()
+		x.order(t)
 	}
-	unusable, full := 0, 0
+}
+
+func (x *explainer) sizes(t *task, need resource.Vector) {
+	if need == t.need() {
+		x.say("Task %d declares %s.", t.index, need)
+		return
+	}
+	x.say("Task %d declares %s; by what %d tasks of class %q really used, %s is reserved.",
+		t.index, t.need(), t.job.class.model.ratio[0].total, t.job.Class, need)
+}
+
+// room counts the upstreams by the first reason against them.
+func (x *explainer) room(t *task, need resource.Vector) {
+	c := x.cell
+	var counts reasonCounts
 	for _, u := range c.order {
-		switch {
-		case !c.usable(u):
-			unusable++
-		case !u.used.Add(need).Fits(u.Capacity):
-			full++
+		counts[c.against(t, u, need, x.now)]++
+	}
+	if counts[Fits] > 0 {
+		x.say("%d of %d upstreams have room; the task is placed when its turn comes.", counts[Fits], len(c.order))
+	} else {
+		x.say("It waits because none of the %d upstreams can take it now.", len(c.order))
+	}
+	if list := counts.list(); list != "" {
+		x.say("Of the others, %s.", list)
+	}
+}
+
+// list renders the counts of all reasons but Fits.
+func (counts *reasonCounts) list() string {
+	var parts []string
+	for r := Fits + 1; r < numReasons; r++ {
+		if n := counts[r]; n > 0 {
+			parts = append(parts, fmt.Sprintf("%d %s", n, r))
+		}
+	}
+	return strings.Join(parts, ", ")
+}
+
+// against returns the first reason against placing a task on an upstream.
+func (c *Cell) against(t *task, u *upstream, need resource.Vector, now time.Time) Reason {
+	if u.reason != Fits {
+		return u.reason
+	}
+	switch d, ok := need.FirstOver(u.free()); {
+	case !ok:
+		return noRoomIn(d)
+	case !u.domain.open(now):
+		return DomainRamping
+	case c.avoids(t.job, u):
+		return FailedBefore
+	case u.heldFor != nil && u.heldFor.job != t.job:
+		return HeldForGang
+	}
+	return Fits
+}
+
+func (x *explainer) gang() {
+	if x.job.Policy != Gang {
+		return
+	}
+	x.say("All %d tasks of a gang start together or not at all.", len(x.job.tasks))
+	if v := x.job.reservation; v != nil {
+		x.say("%d upstreams are held for it until %s from now; they are expected to be free in %s, and shorter work may use them until then.",
+			len(v.held), short(v.until.Sub(x.now)), short(max(0, v.start.Sub(x.now))))
+	} else if x.now.Before(x.job.restUntil) {
+		x.say("Upstreams held for it did not become free in time; it may hold others in %s.", short(x.job.restUntil.Sub(x.now)))
+	}
+}
+
+// order tells who goes first: teams by share, and work of the team by deadline.
+func (x *explainer) order(t *task) {
+	c, tm := x.cell, x.job.team(x.cell)
+	before := 0
+	for _, o := range c.teamOrder {
+		if o.waits() && c.position(o) < c.position(tm) {
+			before++
+		}
+	}
+	x.say("Team %s uses %s of the cell with a weight of %d; %d teams with waiting work use less for their weight and go first.",
+		tm.Name, percent(dominantShare(tm.used, c.total)), tm.Share, before)
+	if t.entry == nil {
+		return
+	}
+	ahead := 0
+	for _, e := range tm.queues[t.entry.tier] {
+		if e.order.Before(t.entry.order) {
+			ahead++
 		}
 	}
-	return []string{fmt.Sprintf("Of %d upstreams %d take no work and %d have no room for %s.", len(c.order), unusable, full, need)}
+	x.say("Of the team's own work, %d jobs go first: by submission, with short and small work ahead of long and large.", ahead)
+}
+
+func (tm *team) waits() bool {
+	for _, q := range tm.queues {
+		if len(q) > 0 {
+			return true
+		}
+	}
+	return false
+}
+
+// placements tells what was weighed for each live task.
+func (x *explainer) placements() {
+	said := 0
+	for i := range x.job.tasks {
+		t := &x.job.tasks[i]
+		if t.up == nil {
+			continue
+		}
+		if said == maxExplained {
+			x.say("Further placements are not listed.")
+			return
+		}
+		said++
+		x.placement(t)
+	}
+}
+
+func (x *explainer) placement(t *task) {
+	u, n := t.up, t.note
+	x.say("Task %d (attempt %d) is %s on %s, failure domain %s, rack %s, with %s reserved.",
+		t.index, t.attempt, phaseNames[t.phase], u.Name, u.Domain, u.Rack, t.reserved)
+	if n == nil {
+		x.say("It was placed by an earlier leader, which kept the reasons.")
+		return
+	}
+	x.say("It was placed %s after submission, when its team used %s of the cell per unit of weight.",
+		short(n.waited), percent(float64(n.position)))
+	text := fmt.Sprintf("%d upstreams had room and %d had not", n.fitting, n.full)
+	if list := n.round.blocked.list(); list != "" {
+		text += "; " + list
+	}
+	x.say("%s.", text)
+	x.say("%s", n.choice(t))
+}
+
+// choice tells why the winner was taken.
+func (n *note) choice(t *task) string {
+	why := "leaves the least capacity unused, evenly over all dimensions"
+	switch t.job.Policy {
+	case Service:
+		why = "keeps the service spread over failure domains and racks"
+	case Gang:
+		why = "keeps the gang in few racks"
+	}
+	if n.second == nil {
+		return fmt.Sprintf("%s %s (score %.2f, lower is better); no other upstream was as good a candidate.", t.up.Name, why, n.score)
+	}
+	return fmt.Sprintf("%s %s (score %.2f, lower is better); next was %s with %.2f.", t.up.Name, why, n.score, n.second.Name, n.secondScore)
 }
--- /dev/null
+++ b/sched/hopeless.go
@@ -0,0 +1,86 @@
+package sched
+
+import (
+	"fmt"
+	"slices"
+
+	"github.com/bulrushwinch/bulrushwinch/resource"
+)
+
+// settled reports whether the known upstreams are proof that a job can never run.
+// Lost upstreams and those in a domain that is out count as known.
+func (c *Cell) settled() bool {
+	return len(c.order) > 0 && c.now.Sub(c.began) >= c.settings.Settle
+}
+
+// refuseHopeless refuses new jobs that no known VM, or not all of them, can hold.
+func (r *round) refuseHopeless() {
+	c := r.cell
+	if !c.settled() {
+		return
+	}
+	if c.recheck {
+		c.recheck, c.fresh = false, c.fresh[:0]
+		for id, j := range c.jobs {
+			if j.waiting > 0 {
+				c.fresh = append(c.fresh, id)
+			}
+		}
+		slices.Sort(c.fresh)
+	}
+	for _, id := range c.fresh {
+		if j := c.jobs[id]; j != nil && j.waiting > 0 {
+			r.refuse(j)
+		}
+	}
+	c.fresh = nil
+}
+
+func (r *round) refuse(j *job) {
+	for _, need := range distinct(j.Needs) {
+		if !r.cell.fitsSomeVM(need) {
+			r.decision.Refusals = append(r.decision.Refusals, Refusal{Job: j.ID, Reason: RefusalNeverFits,
+				Detail: fmt.Sprintf("a task needs %s; none of the %d known upstreams is large enough even when empty", need, len(r.cell.order))})
+			return
+		}
+	}
+	if j.Policy != Gang {
+		return
+	}
+	if room := r.cell.room(j); room < len(j.tasks) {
+		r.decision.Refusals = append(r.decision.Refusals, Refusal{Job: j.ID, Reason: RefusalGangTooLarge,
+			Detail: fmt.Sprintf("the gang has %d tasks; all %d known upstreams together hold %d of them when empty", len(j.tasks), len(r.cell.order), room)})
+	}
+}
+
+// distinct returns the different vectors of a list in which equal ones are neighbours.
+func distinct(list []resource.Vector) []resource.Vector {
+	return slices.Compact(slices.Clone(list))
+}
+
+// room returns how many of a gang's tasks the empty cell holds, counting each as the
+// least that any of them needs.
+func (c *Cell) room(j *job) int {
+	least := j.Needs[0]
+	for _, n := range j.Needs {
+		for d := range least {
+			least[d] = min(least[d], n[d])
+		}
+	}
+	sum := 0
+	for capacity, n := range c.sizes {
+		sum += n * times(least, capacity)
+	}
+	return sum
+}
+
+// times returns how often need fits capacity.
+func times(need, capacity resource.Vector) int {
+	n := int64(1 << 30)
+	for d, amount := range need {
+		if amount > 0 {
+			n = min(n, capacity[d]/amount)
+		}
+	}
+	return int(n)
+}
--- /dev/null
+++ b/sched/preempt.go
@@ -0,0 +1,146 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/bulrushwinch/bulrushwinch/resource"
+)
+
+const (
+	// maxStarved bounds the entries for which a round makes room.
+	maxStarved = 64
+	// maxVictimTries bounds the upstreams weighed for one waiting task.
+	maxVictimTries = 24
+)
+
+// noteStarved remembers work of the first tiers that other work may be checkpointed for.
+func (r *round) noteStarved(e *entry, v verdict) {
+	if e.tier != tierNormal && e.job.Policy != Gang && v != incomplete && len(r.starved) < maxStarved {
+		r.starved = append(r.starved, e)
+	}
+}
+
+// makeRoom checkpoints batch for urgent work and displaced services, no more than needed.
+func (r *round) makeRoom() {
+	r.expireReservations()
+	for _, e := range r.starved {
+		for _, t := range e.tasks[e.taken:] {
+			if !r.makeRoomFor(t) {
+				break
+			}
+		}
+	}
+}
+
+// makeRoomFor reports whether room for one task is on its way.
+func (r *round) makeRoomFor(t *task) bool {
+	need := r.reserveFor(t)
+	tm := t.job.team(r.cell)
+	pending := tm.used.Sub(tm.stopping).Sub(r.evicts[tm])
+	limited := !pending.Add(need).Fits(tm.Limit)
+	if !limited && r.claimPending(need) {
+		r.evicts[tm] = r.evicts[tm].Sub(need)
+		return true
+	}
+	var only *team
+	if limited {
+		only = tm
+	}
+	u, victims := r.cheapest(need, only)
+	if u == nil {
+		return false
+	}
+	r.claims[u] = r.claims[u].Add(need)
+	r.evicts[tm] = r.evicts[tm].Sub(need)
+	r.evict(victims, StopPreempted)
+	return true
+}
+
+// evict checkpoints tasks and counts what their teams will no longer use.
+func (r *round) evict(victims []*task, why StopReason) {
+	for _, v := range victims {
+		r.stop(v, true, why)
+		owner := v.job.team(r.cell)
+		r.evicts[owner] = r.evicts[owner].Add(v.reserved)
+	}
+}
+
+// claimPending finds an upstream where enough is already being freed.
+func (r *round) claimPending(need resource.Vector) bool {
+	for _, u := range sorted(r.cell.stoppers) {
+		if u.reason != Fits {
+			continue
+		}
+		claimed := r.claims[u].Add(need)
+		if claimed.Fits(u.free().Add(u.stopping)) {
+			r.claims[u] = claimed
+			return true
+		}
+	}
+	return false
+}
+
+// cheapest returns the upstream on which the fewest and latest tasks have to leave.
+// With only set, they must be of that team.
+func (r *round) cheapest(need resource.Vector, only *team) (best *upstream, victims []*task) {
+	seen := make(map[*upstream]bool)
+	for _, tm := range r.donors(only) {
+		for i := len(tm.live) - 1; i >= 0 && len(seen) < maxVictimTries; i-- {
+			l := tm.live[i]
+			if !l.current() || !l.task.evictable() || r.evicted[l.task] {
+				continue
+			}
+			u := l.task.up
+			if u.reason != Fits || seen[u] {
+				continue
+			}
+			seen[u] = true
+			list, ok := r.victims(u, r.claims[u].Add(need), only)
+			if ok && len(list) > 0 && (best == nil || len(list) < len(victims)) {
+				best, victims = u, list
+			}
+		}
+		if best != nil {
+			return best, victims
+		}
+	}
+	return nil, nil
+}
+
+// donors lists teams by how far they are above their share.
+func (r *round) donors(only *team) []*team {
+	if only != nil {
+		return []*team{only}
+	}
+	list := slices.Clone(r.cell.teamOrder)
+	slices.SortStableFunc(list, func(a, b *team) int { return cmp.Compare(r.cell.position(b), r.cell.position(a)) })
+	return list
+}
+
+// victims returns the tasks that have to leave an upstream so that need fits there:
+// those of the team that is furthest above its share, and of it the latest started.
+func (r *round) victims(u *upstream, need resource.Vector, only *team) ([]*task, bool) {
+	free := u.free().Add(u.stopping)
+	var list []*task
+	for _, t := range u.tasks {
+		if r.evicted[t] {
+			free = free.Add(t.load())
+		} else if t.evictable() && (only == nil || t.job.team(r.cell) == only) {
+			list = append(list, t)
+		}
+	}
+	slices.SortStableFunc(list, func(a, b *task) int {
+		pa, pb := r.cell.position(a.job.team(r.cell)), r.cell.position(b.job.team(r.cell))
+		return cmp.Or(cmp.Compare(pb, pa), b.since.Compare(a.since))
+	})
+	for n := 0; ; n++ {
+		if need.Fits(free) {
+			return list[:n], true
+		}
+		if n == len(list) {
+			return nil, false
+		}
+		free = free.Add(list[n].load())
+	}
+}
--- /dev/null
+++ b/sched/quarantine.go
@@ -0,0 +1,160 @@
+package sched
+
+import (
+	"slices"
+	"time"
+)
+
+const (
+	// failureThreshold is the weight of failures in a row that pauses an upstream.
+	failureThreshold = 2.0
+	// maxRemembered bounds the failures, upstreams and jobs kept as evidence.
+	maxRemembered = 16
+	// maxFailedOn bounds the upstreams that a job avoids.
+	maxFailedOn = 4
+)
+
+// classHealth tells on which upstreams tasks of a class lately succeeded and failed.
+type classHealth struct {
+	good []*upstream
+	bad  []*upstream
+}
+
+// weight is how much one failure of the class speaks against its upstream: near 1
+// when the class succeeds elsewhere, near 0 when it fails wherever it runs.
+func (h *classHealth) weight() float64 {
+	good, bad := float64(len(h.good)), float64(len(h.bad))
+	return (good + 1) / (good + bad + 2)
+}
+
+func remember(list []*upstream, u *upstream) []*upstream {
+	if slices.Contains(list, u) {
+		return list
+	}
+	if len(list) == maxRemembered {
+		list = list[1:]
+	}
+	return append(list, u)
+}
+
+// failure is one failed attempt as evidence against an upstream.
+type failure struct {
+	class *class
+	job   JobID
+}
+
+// upstreamHealth is the evidence against an upstream since its last success.
+type upstreamHealth struct {
+	failures []failure
+	paused   bool
+	until    time.Time
+	pauses   int
+}
+
+func (h *upstreamHealth) add(f failure) {
+	for _, known := range h.failures {
+		if known.job == f.job {
+			return
+		}
+	}
+	if len(h.failures) < maxRemembered {
+		h.failures = append(h.failures, f)
+	}
+}
+
+func (h *upstreamHealth) score() float64 {
+	sum := 0.0
+	for _, f := range h.failures {
+		sum += f.class.health.weight()
+	}
+	return sum
+}
+
+// AttemptEnded records how an attempt ended. Repeated reports of one end count once.
+func (c *Cell) AttemptEnded(e AttemptEnd) {
+	j, u := c.jobs[e.Ref.Job], c.upstreams[e.Upstream]
+	if j == nil || u == nil || int(e.Ref.Index) >= len(j.tasks) {
+		return
+	}
+	t := &j.tasks[e.Ref.Index]
+	if t.attempt != e.Ref.Attempt || t.endSeen == e.Ref.Attempt {
+		return
+	}
+	t.endSeen = e.Ref.Attempt
+	switch e.Kind {
+	case Succeeded:
+		c.noteSuccess(j, u, e.RunTime)
+	case Failed:
+		c.noteFailure(j, u)
+	}
+}
+
+func (c *Cell) noteSuccess(j *job, u *upstream, run time.Duration) {
+	if run > 0 {
+		j.class.observeRun(j.Expected, run)
+	}
+	j.class.health.good = remember(j.class.health.good, u)
+	j.class.health.bad = without(j.class.health.bad, u)
+	u.health.failures = nil
+	if u.health.paused {
+		u.health.paused = false
+		delete(c.quarantined, u)
+		c.refresh(u)
+	}
+}
+
+func (c *Cell) noteFailure(j *job, u *upstream) {
+	j.class.health.bad = remember(j.class.health.bad, u)
+	j.class.health.good = without(j.class.health.good, u)
+	if len(j.failedOn) < maxFailedOn {
+		j.failedOn = remember(j.failedOn, u)
+	}
+	u.health.add(failure{j.class, j.ID})
+	if u.health.paused && !c.now.Before(u.health.until) || !u.health.paused && u.health.score() >= failureThreshold {
+		c.pause(u)
+	}
+}
+
+// pause bars an upstream from new work; each pause is twice the last.
+func (c *Cell) pause(u *upstream) {
+	const maxDoublings = 16
+	h := &u.health
+	h.paused = true
+	h.until = c.now.Add(min(c.settings.MaxQuarantine, c.settings.QuarantinePause<<min(h.pauses, maxDoublings)))
+	h.pauses++
+	c.quarantined[u] = true
+	c.refresh(u)
+	c.dirty = true
+}
+
+// avoids reports whether a job keeps away from an upstream on which it failed. It
+// does not when it would have few others left.
+func (c *Cell) avoids(j *job, u *upstream) bool {
+	return len(j.failedOn) > 0 && 2*len(j.failedOn) < int(c.blocked[Fits]) && slices.Contains(j.failedOn, u)
+}
+
+// probe returns a paused upstream whose pause has ended and which runs nothing, if
+// the task may be tried there.
+func (r *round) probe(t *task) *upstream {
+	if t.job.Policy != Batch || !t.job.Repeatable || t.job.Urgent || len(r.probes) == 0 {
+		return nil
+	}
+	for i, u := range r.probes {
+		if !r.cell.avoids(t.job, u) && r.cell.reserve(t.job.class, t.need()).Fits(u.free()) {
+			r.probes = slices.Delete(r.probes, i, i+1)
+			return u
+		}
+	}
+	return nil
+}
+
+// dueProbes lists the paused upstreams that may be probed.
+func (r *round) dueProbes() []*upstream {
+	var due []*upstream
+	for _, u := range sorted(r.cell.quarantined) {
+		if u.reason == Quarantined && !r.now.Before(u.health.until) && len(u.tasks) == 0 {
+			due = append(due, u)
+		}
+	}
+	return due
+}
--- /dev/null
+++ b/sched/queue.go
@@ -0,0 +1,221 @@
+package sched
+
+import (
+	"container/heap"
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/resource"
+)
+
+// tier orders work before shares do.
+type tier uint8
+
+// Tiers, first to last.
+const (
+	tierUrgent tier = iota
+	// tierDisplaced holds services that lost their place.
+	tierDisplaced
+	tierNormal
+	numTiers
+)
+
+func tierOf(t *task) tier {
+	switch {
+	case t.job.Urgent:
+		return tierUrgent
+	case t.job.Policy == Service && t.attempt > 1:
+		return tierDisplaced
+	}
+	return tierNormal
+}
+
+// entry is the waiting tasks of one job that are equal to the scheduler.
+type entry struct {
+	job  *job
+	team *team
+	tier tier
+	need resource.Vector
+	// order is the virtual start deadline: entries of a team are served in its order.
+	order time.Time
+	pos   int
+	tasks []*task
+	// taken is how many tasks the current round has given a place.
+	taken int
+}
+
+// entries is a heap by virtual start deadline.
+type entries []*entry
+
+// Len implements heap.Interface.
+func (h entries) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h entries) Less(i, j int) bool {
+	a, b := h[i], h[j]
+	if !a.order.Equal(b.order) {
+		return a.order.Before(b.order)
+	}
+	if a.job.ID != b.job.ID {
+		return a.job.ID < b.job.ID
+	}
+	return a.tasks[0].index < b.tasks[0].index
+}
+
+// Swap implements heap.Interface.
+func (h entries) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].pos, h[j].pos = i, j
+}
+
+// Push implements heap.Interface.
+func (h *entries) Push(x any) {
+	e := x.(*entry)
+	e.pos = len(*h)
+	*h = append(*h, e)
+}
+
+// Pop implements heap.Interface.
+func (h *entries) Pop() any {
+	last := len(*h) - 1
+	e := (*h)[last]
+	(*h)[last] = nil
+	*h = (*h)[:last]
+	e.pos = -1
+	return e
+}
+
+// deadline returns the virtual start deadline of a task: the submission plus a multiple
+// of the work that the task is expected to be. Small work passes large work that was
+// submitted a little earlier; large work waits for a bounded time at most.
+func (c *Cell) deadline(t *task) time.Time {
+	run := c.expected(t.job.class, t.job.Expected, 0, 0.5)
+	weight := float64(c.settings.AgeFactor) * c.size(t.need())
+	return t.job.Submitted.Add(min(c.settings.MaxAge, time.Duration(weight*float64(run))))
+}
+
+// size returns the largest fraction of a typical VM that need takes.
+func (c *Cell) size(need resource.Vector) float64 {
+	if c.typical.IsZero() {
+		return 1
+	}
+	return dominantShare(need, c.typical)
+}
+
+// enqueue lets a task wait, at once or from its NotBefore on.
+func (c *Cell) enqueue(t *task) {
+	t.queued = true
+	t.job.waiting++
+	if t.notBefore.After(c.now) {
+		c.timers.add(t.notBefore, t)
+		return
+	}
+	c.admit(t)
+}
+
+// admit puts a waiting task in the queue of its team.
+func (c *Cell) admit(t *task) {
+	tm := t.job.team(c)
+	need := t.need()
+	if t.job.Policy == Gang {
+		need = t.job.Needs[0]
+	}
+	e := entryOf(t, need)
+	if e == nil {
+		e = &entry{job: t.job, team: tm, tier: tierOf(t), need: need, order: c.deadline(t), tasks: []*task{t}}
+		heap.Push(&tm.queues[e.tier], e)
+	} else {
+		e.tasks = append(e.tasks, t)
+	}
+	t.entry = e
+	c.dirty = true
+}
+
+// entryOf finds the entry that equal tasks of the job wait in.
+func entryOf(t *task, need resource.Vector) *entry {
+	tasks := t.job.tasks
+	for _, i := range [...]int{int(t.index) - 1, int(t.index) + 1, 0, len(tasks) - 1} {
+		if i < 0 || i >= len(tasks) {
+			continue
+		}
+		if e := tasks[i].entry; e != nil && e.need == need && e.tier == tierOf(t) {
+			return e
+		}
+	}
+	return nil
+}
+
+// dequeue takes a task out of the queues.
+func (c *Cell) dequeue(t *task) {
+	if !t.queued {
+		return
+	}
+	t.queued = false
+	t.job.waiting--
+	e := t.entry
+	if e == nil {
+		return
+	}
+	t.entry = nil
+	if len(e.tasks) > 1 {
+		e.drop(t)
+		return
+	}
+	heap.Remove(&e.team.queues[e.tier], e.pos)
+}
+
+// drop removes a task; tasks leave mostly from the ends.
+func (e *entry) drop(t *task) {
+	for i, o := range e.tasks {
+		if o != t {
+			continue
+		}
+		if i == 0 {
+			e.tasks = e.tasks[1:]
+		} else {
+			e.tasks = append(e.tasks[:i], e.tasks[i+1:]...)
+		}
+		return
+	}
+}
+
+// timers is a heap of tasks by the time at which they may wait in their queue.
+type timers []timer
+
+type timer struct {
+	at      time.Time
+	task    *task
+	attempt uint32
+}
+
+// Len implements heap.Interface.
+func (x timers) Len() int { return len(x) }
+
+// Less implements heap.Interface.
+func (x timers) Less(i, j int) bool { return x[i].at.Before(x[j].at) }
+
+// Swap implements heap.Interface.
+func (x timers) Swap(i, j int) { x[i], x[j] = x[j], x[i] }
+
+// Push implements heap.Interface.
+func (x *timers) Push(v any) { *x = append(*x, v.(timer)) }
+
+// Pop implements heap.Interface.
+func (x *timers) Pop() any {
+	last := len(*x) - 1
+	v := (*x)[last]
+	(*x)[last] = timer{}
+	*x = (*x)[:last]
+	return v
+}
+
+func (x *timers) add(at time.Time, t *task) { heap.Push(x, timer{at, t, t.attempt}) }
+
+// admitDue queues the tasks whose backoff has ended.
+func (c *Cell) admitDue() {
+	for len(c.timers) > 0 && !c.timers[0].at.After(c.now) {
+		x := heap.Pop(&c.timers).(timer)
+		if x.task.queued && x.task.entry == nil && x.task.attempt == x.attempt {
+			c.admit(x.task)
+		}
+	}
+}
--- /dev/null
+++ b/sched/serve.go
@@ -0,0 +1,164 @@
+package sched
+
+import (
+	"container/heap"
+
+	"github.com/bulrushwinch/bulrushwinch/resource"
+)
+
+const (
+	// minTries bounds the searches of a round that find no place; larger cells add to it.
+	minTries = 512
+	// skipsPerTry is how many entries may be passed over without a search at the
+	// price of one search.
+	skipsPerTry = 16
+)
+
+// verdict is what came of trying to place a task or gang.
+type verdict uint8
+
+const (
+	placed verdict = iota
+	// noRoom means that no upstream can take the task now.
+	noRoom
+	// overLimit means that the team's upper limit bars the task.
+	overLimit
+	// incomplete means that not all tasks of the gang wait, or that the round has
+	// tried enough gangs.
+	incomplete
+)
+
+// claimant is a team that may still place work in the round.
+type claimant struct {
+	team     *team
+	position float64
+}
+
+// claimants is a heap of teams by weighted dominant share.
+type claimants []*claimant
+
+// Len implements heap.Interface.
+func (h claimants) Len() int { return len(h) }
+
+// Less implements heap.Interface.
+func (h claimants) Less(i, j int) bool {
+	if h[i].position != h[j].position {
+		return h[i].position < h[j].position
+	}
+	return h[i].team.number < h[j].team.number
+}
+
+// Swap implements heap.Interface.
+func (h claimants) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
+
+// Push implements heap.Interface.
+func (h *claimants) Push(x any) { *h = append(*h, x.(*claimant)) }
+
+// Pop implements heap.Interface.
+func (h *claimants) Pop() any {
+	last := len(*h) - 1
+	x := (*h)[last]
+	*h = (*h)[:last]
+	return x
+}
+
+// serve places the waiting work of a tier, each time for the team that is furthest
+// below its share.
+func (r *round) serve(tr tier) {
+	var h claimants
+	for _, tm := range r.cell.teamOrder {
+		if len(tm.queues[tr]) > 0 {
+			h = append(h, &claimant{team: tm, position: r.cell.position(tm)})
+		}
+	}
+	heap.Init(&h)
+	r.tries = skipsPerTry * (minTries + len(r.cell.order)/4)
+	for len(h) > 0 && len(r.journal) < r.limit && r.tries > 0 {
+		x := h[0]
+		if !r.serveTeam(x.team, tr) {
+			heap.Pop(&h)
+			continue
+		}
+		x.position = r.cell.position(x.team)
+		heap.Fix(&h, 0)
+	}
+}
+
+// serveTeam places one task or gang of a team and reports whether it could. Entries
+// that find no place are set aside for the round.
+func (r *round) serveTeam(tm *team, tr tier) bool {
+	queue := &tm.queues[tr]
+	for len(*queue) > 0 && r.tries > 0 {
+		e := (*queue)[0]
+		if e.taken == len(e.tasks) {
+			r.setAside(queue)
+			continue
+		}
+		v := r.serveEntry(e)
+		if v == placed {
+			return true
+		}
+		r.tries--
+		r.noteStarved(e, v)
+		r.noteDeprived(e, v)
+		r.setAside(queue)
+	}
+	return false
+}
+
+// setAside takes the first entry out of its queue until the end of the round.
+func (r *round) setAside(queue *entries) { r.aside = append(r.aside, heap.Pop(queue).(*entry)) }
+
+// serveEntry tries to place the entry's next task or its gang.
+func (r *round) serveEntry(e *entry) verdict {
+	if e.job.Policy == Gang {
+		return r.serveGang(e)
+	}
+	return r.placeTask(e, e.tasks[e.taken])
+}
+
+// reserveFor returns what to reserve, within the team's limit.
+func (r *round) reserveFor(t *task) resource.Vector {
+	need := t.need()
+	v := r.cell.reserve(t.job.class, need)
+	if v != need && !v.Fits(t.job.team(r.cell).Limit) {
+		return need
+	}
+	return v
+}
+
+func (r *round) placeTask(e *entry, t *task) verdict {
+	need := r.reserveFor(t)
+	if !e.team.used.Add(need).Fits(e.team.Limit) {
+		return overLimit
+	}
+	if u := r.probe(t); u != nil {
+		r.book(t, u, need, &ranking{best: u, fitting: 1})
+		return placed
+	}
+	if r.knownFull(need) {
+		return r.backfill(t, need)
+	}
+	r.spread = r.spreads[t.job.class]
+	r.tries -= skipsPerTry
+	k := r.rank(&query{task: t, need: need})
+	if k.best == nil {
+		if len(t.job.failedOn) == 0 {
+			r.full = append(r.full, need)
+		}
+		return r.backfill(t, need)
+	}
+	r.tries += skipsPerTry
+	r.book(t, k.best, need, &k)
+	return placed
+}
+
+// knownFull reports whether the round has already found no room for as little.
+func (r *round) knownFull(need resource.Vector) bool {
+	for i := range r.full {
+		if r.full[i].Fits(need) {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/sched/settings.go
@@ -0,0 +1,80 @@
+package sched
+
+import "time"
+
+// Settings tune the policies. Zero fields take their defaults.
+type Settings struct {
+	// Seed breaks ties between equal choices.
+	Seed uint64
+	// Settle is how long a new Cell waits before it takes the upstreams that it
+	// knows as proof that a job can never run.
+	Settle time.Duration
+	// AgeFactor is how many times its expected run time a task lets later and
+	// shorter work of its team go first.
+	AgeFactor int
+	// MaxAge bounds that time.
+	MaxAge time.Duration
+	// GangHold bounds one reservation of a gang; GangRest follows a reservation
+	// that came to nothing.
+	GangHold time.Duration
+	GangRest time.Duration
+	// CheckpointTime is how long a checkpoint is expected to take.
+	CheckpointTime time.Duration
+	// DrainNotice is how long the tasks of a leaving upstream have to end by themselves.
+	DrainNotice time.Duration
+	// RampTime is how long a returned domain takes to be filled.
+	RampTime time.Duration
+	// FlapWindow is the time within which another return of a domain counts as
+	// flapping; FlapPause delays starts there, doubled with every further return.
+	FlapWindow time.Duration
+	FlapPause  time.Duration
+	// QuarantinePause is the first pause of an upstream that fails what it starts;
+	// it doubles up to MaxQuarantine.
+	QuarantinePause time.Duration
+	MaxQuarantine   time.Duration
+	// SharePatience is how long a team below its share waits before work of teams
+	// above their shares is checkpointed for it.
+	SharePatience time.Duration
+	// ThrottleGrace is how long a throttle has to show in reports before tasks are stopped.
+	ThrottleGrace time.Duration
+}
+
+// DefaultSettings suit a cell of any size.
+var DefaultSettings = Settings{
+	Seed:            1,
+	Settle:          15 * time.Second,
+	AgeFactor:       40,
+	MaxAge:          time.Hour,
+	GangHold:        2 * time.Minute,
+	GangRest:        30 * time.Second,
+	CheckpointTime:  time.Second,
+	DrainNotice:     30 * time.Second,
+	RampTime:        10 * time.Second,
+	FlapWindow:      5 * time.Minute,
+	FlapPause:       5 * time.Second,
+	QuarantinePause: 30 * time.Second,
+	MaxQuarantine:   30 * time.Minute,
+	SharePatience:   5 * time.Second,
+	ThrottleGrace:   10 * time.Second,
+}
+
+func (s Settings) withDefaults() Settings {
+	d := DefaultSettings
+	if s.Seed == 0 {
+		s.Seed = d.Seed
+	}
+	if s.AgeFactor == 0 {
+		s.AgeFactor = d.AgeFactor
+	}
+	for _, f := range []struct{ field, value *time.Duration }{
+		{&s.Settle, &d.Settle}, {&s.MaxAge, &d.MaxAge}, {&s.GangHold, &d.GangHold}, {&s.GangRest, &d.GangRest},
+		{&s.CheckpointTime, &d.CheckpointTime}, {&s.DrainNotice, &d.DrainNotice}, {&s.RampTime, &d.RampTime},
+		{&s.FlapWindow, &d.FlapWindow}, {&s.FlapPause, &d.FlapPause}, {&s.QuarantinePause, &d.QuarantinePause},
+		{&s.MaxQuarantine, &d.MaxQuarantine}, {&s.SharePatience, &d.SharePatience}, {&s.ThrottleGrace, &d.ThrottleGrace},
+	} {
+		if *f.field == 0 {
+			*f.field = *f.value
+		}
+	}
+	return s
+}
--- a/sched/types.go
+++ b/sched/types.go
@@ -66,9 +66,11 @@
 
 // Job is a request for work.
 type Job struct {
-	ID         JobID
-	Team       string
-	Class      string
+	ID    JobID
+	Team  string
+	Class string
+	// Queue and RequestID name the call that handed the job in.
+	Queue      string
 	RequestID  string
 	Policy     Policy
 	Urgent     bool
@@ -157,6 +159,9 @@
 	StopPreempted  StopReason = "urgent work needs its place"
 	StopOverUse    StopReason = "it uses more than its VM can give"
 	StopOverLimit  StopReason = "its team is over its upper limit"
+	StopCapacity   StopReason = "its VM's capacity was lowered"
+	StopForGang    StopReason = "a gang that waited to the end of its reservation needs its place"
+	StopForShare   StopReason = "a team below its share waited too long for its place"
 	StopGangUnable StopReason = "its gang could not start as a whole"
 )
 
@@ -172,9 +177,21 @@
 	Task TaskRef
 }
 
+// RefusalReason tells why a job can never run.
+type RefusalReason uint8
+
+// Reasons to refuse a job.
+const (
+	// RefusalNeverFits is given when no VM is large enough for one of the tasks.
+	RefusalNeverFits RefusalReason = iota + 1
+	// RefusalGangTooLarge is given when the gang is larger than the whole cell.
+	RefusalGangTooLarge
+)
+
 // Refusal tells that a waiting job can never run.
 type Refusal struct {
 	Job    JobID
+	Reason RefusalReason
 	Detail string
 }
 
