Lend team limits to groups by demand, with leases

Cause: with more than one group no group sees a team's use in the others, and a region that is cut off for an hour must go on without passing the limit.

--- a/state/promises_test.go
+++ b/state/promises_test.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"fmt"
 	"strings"
 	"testing"
 	"time"
@@ -436,3 +437,33 @@
 		t.Errorf("time went back to %s", w.s.Now())
 	}
 }
+
+func TestLentLimitsBoundAGroup(t *testing.T) {
+	w := newWorld(t)
+	lent := w.s.UseLentLimits()
+	place := func() PlaceReason {
+		return w.place(placement(&w.batch(fmt.Sprint(w.s.nextJob)).Tasks[0], "u-d1", oneSlot))
+	}
+	if why := place(); why != PlaceOverLimit {
+		t.Errorf("without a loan: %q", why)
+	}
+	two := resource.Vector{resource.Slots: 2, resource.Connections: 9}
+	lent.Set("a", two, w.now.Add(time.Hour))
+	for i, want := range []PlaceReason{"", "", PlaceOverLimit} {
+		if why := place(); why != want {
+			t.Errorf("placement %d within a loan of 2: %q", i, why)
+		}
+	}
+	lent.Set("a", two.Add(two), w.now.Add(time.Hour))
+	w.limitSlots("a", 3)
+	for i, want := range []PlaceReason{"", PlaceOverLimit} {
+		if why := place(); why != want {
+			t.Errorf("placement %d within a limit of 3: %q", i, why)
+		}
+	}
+	w.limitSlots("a", 9)
+	w.now = w.now.Add(time.Hour)
+	if why := place(); why != PlaceOverLimit {
+		t.Errorf("after the loan: %q", why)
+	}
+}
--- a/state/state.go
+++ b/state/state.go
@@ -117,10 +117,6 @@
 	s.capture = nil
 }
 
-// UseAllowance replaces the team's upper limit as the bound of this group. It must be
-// set before the first Apply, and equally on all replicas.
-func (s *State) UseAllowance(a Allowance) { s.limits = a }
-
 // Observe sets the observer; nil removes it.
 func (s *State) Observe(o Observer) {
 	if o == nil {
