--- a/cmd/bulrushwinchd/main.go
+++ b/cmd/bulrushwinchd/main.go
@@ -28,6 +28,9 @@
 	check := flag.String("check", "", "check an INI `file` and exit")
 	bootstrap := flag.Bool("bootstrap", false, "found a new group in an empty data folder; use it once, on one VM")
 	dev := flag.Bool("dev", false, "run one VM's worth with stand-in upstreams in a temporary folder")
+	standin := flag.Bool("standin", false, "run stand-in upstreams")
+	var trial standInFlags
+	trial.bind(flag.CommandLine)
 	flag.Parse()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
@@ -36,6 +39,8 @@
 		return checkSettings(*check)
 	case *dev:
 		return report(daemon.RunDev(ctx, logger("info")))
+	case *standin:
+		return trial.run(ctx)
 	case *configPath != "":
 		settings, err := config.Load(*configPath)
 		if err != nil {
@@ -49,10 +54,14 @@
 }
 
 func checkSettings(path string) int {
-	if _, err := config.Load(path); err != nil {
+	settings, err := config.Load(path)
+	if err != nil {
 		fmt.Fprintln(os.Stderr, err)
 		return exitUsage
 	}
+	for _, w := range settings.Warnings {
+		fmt.Fprintln(os.Stderr, "warning: "+w)
+	}
 	fmt.Println(path + ": the settings are valid")
 	return exitOK
 }
--- a/config/config.go
+++ b/config/config.go
@@ -107,7 +107,7 @@
 	return data, info.Mode(), err
 }
 
-// Load reads and checks a file. Relative paths in it are taken as they are.
+// Load reads and checks a file. Relative paths in it are taken from its folder.
 func Load(path string) (*Settings, error) {
 	data, err := os.ReadFile(path)
 	if err != nil {
@@ -157,7 +157,7 @@
 		Name:          r.name("node", "name"),
 		FailureDomain: r.name("node", "failure_domain"),
 		Roles:         r.roles("node", "roles"),
-		DataFolder:    r.text("node", "data_folder", ""),
+		DataFolder:    r.filePath("node", "data_folder"),
 		PublicAddress: r.address("listen", "public"),
 		PeerAddress:   r.address("listen", "peer"),
 		AdminAddress:  r.address("listen", "admin"),
--- a/config/reader.go
+++ b/config/reader.go
@@ -6,6 +6,7 @@
 	"io/fs"
 	"maps"
 	"net/netip"
+	"path/filepath"
 	"slices"
 	"strings"
 	"time"
@@ -31,6 +32,15 @@
 	return sec.Key(key).String()
 }
 
+// filePath returns a path; a relative one is taken from the folder of the INI file.
+func (r *reader) filePath(section, key string) string {
+	path := r.text(section, key, "")
+	if path == "" || filepath.IsAbs(path) {
+		return path
+	}
+	return filepath.Join(filepath.Dir(r.path), path)
+}
+
 func (r *reader) name(section, key string) string {
 	v := r.text(section, key, "")
 	if !state.ValidName(v) {
@@ -157,7 +167,7 @@
 }
 
 func (r *reader) namedFile(section, key, allowed string) ([]byte, fs.FileMode) {
-	data, mode, err := r.read(r.text(section, key, ""))
+	data, mode, err := r.read(r.filePath(section, key))
 	if err != nil {
 		r.fail(section, key, err.Error(), allowed)
 		return nil, 0
--- a/control/operators.go
+++ b/control/operators.go
@@ -26,10 +26,10 @@
 // noteProcesses remembers what the sender of a View call said of itself and of the
 // processes that fetch through it.
 func (c *Controller) noteProcesses(req *peerv1.ViewRequest, now time.Duration) {
-	c.process[req.GetProcess()] = processView{req.GetKnownRevision(), req.GetReady(), req.GetAddress(), now}
 	for _, p := range req.GetReports() {
 		c.process[p.GetProcess()] = processView{p.GetRevision(), p.GetReady(), p.GetAddress(), now}
 	}
+	c.process[req.GetProcess()] = processView{req.GetKnownRevision(), req.GetReady(), req.GetAddress(), now}
 }
 
 func (c *Controller) processStatus() (out []*apiv1.ProcessStatus) {
--- a/view/store.go
+++ b/view/store.go
@@ -183,7 +183,6 @@
 func (s *Store) Serve(ctx context.Context, req *peerv1.ViewRequest) *peerv1.ViewResponse {
 	s.mu.Lock()
 	arrived := s.clock.Now()
-	s.note(req)
 	known, updated := req.GetKnownRevision(), s.updated
 	wait := s.fresh() && known == s.revision
 	s.mu.Unlock()
@@ -198,6 +197,7 @@
 	if !s.fresh() || req.GetFromLeader() && !s.root {
 		return &peerv1.ViewResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER, LeaderAddress: s.leader}
 	}
+	s.note(req)
 	out := s.since(known)
 	out.HeldNs = int64(s.clock.Now() - arrived)
 	return out
@@ -220,7 +220,7 @@
 	return out
 }
 
-// note remembers what a process said of itself and of those behind it.
+// note remembers what a process that was served said of itself and of those behind it.
 func (s *Store) note(req *peerv1.ViewRequest) {
 	now := s.clock.Now()
 	own := &peerv1.ProcessReport{Process: req.GetProcess(), Revision: req.GetKnownRevision(), Ready: req.GetReady(),
