--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -9,6 +9,7 @@
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/raft"
 	"github.com/bulrushwinch/bulrushwinch/state"
 )
 
@@ -147,3 +148,20 @@
 		})
 	}
 }
+
+// BenchmarkLead reports how long a new leader takes to begin, during which its control
+// goroutine sends no heartbeats.
+func BenchmarkLead(b *testing.B) {
+	c := newCrowd(b, 17_000, 17)
+	for range 14 {
+		c.sequence++
+		c.fill(20_000)
+	}
+	c.do(func() {
+		for b.Loop() {
+			term := c.ctl.term
+			c.ctl.Follow(raft.Member{})
+			c.ctl.Lead(term + 1)
+		}
+	})
+}
--- a/control/session.go
+++ b/control/session.go
@@ -61,7 +61,7 @@
 }
 
 func (c *Controller) newSession(u *state.Upstream, leaseEnd time.Duration) *session {
-	s := &session{upstream: u.Name, incarnation: u.Incarnation, leaseEnd: leaseEnd, attempts: make(map[state.TaskRef]attempt)}
+	s := &session{upstream: u.Name, incarnation: u.Incarnation, leaseEnd: leaseEnd, attempts: make(map[state.TaskRef]attempt, len(u.Tasks))}
 	s.timer.due = func(now time.Duration) { c.sessionDue(s, now) }
 	c.timers.set(&s.timer, leaseEnd)
 	c.sessions[u.Name] = s
--- a/control/session_test.go
+++ b/control/session_test.go
@@ -308,3 +308,16 @@
 		l.expect(task, lifecycle.TaskEnded, apiv1.OutcomeKind_OUTCOME_KIND_NOT_RUN, 1)
 	})
 }
+
+func TestCapacityChangesByPoll(t *testing.T) {
+	inBubble(t, func(l *leader) {
+		w := l.worker("u1")
+		w.capacity = &apiv1.Resources{}
+		w.poll()
+		task := &l.submit("job", batch, 1, true).Tasks[0]
+		w.want(w.poll(), "")
+		w.capacity = &apiv1.Resources{MilliCores: 1000, MemoryBytes: 1 << 30, Slots: 1, Connections: 1}
+		w.want(w.poll(), "start ")
+		l.expect(task, lifecycle.TaskPlaced, noOutcome, 1)
+	})
+}
--- a/control/upstreams.go
+++ b/control/upstreams.go
@@ -3,6 +3,7 @@
 import (
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/resource"
 	"github.com/bulrushwinch/bulrushwinch/state"
 	"github.com/pkg/errors"
 )
@@ -32,6 +33,7 @@
 		k.finish(nil, refusalError{refusal})
 		return
 	}
+	c.takeCapacity(k.key, req)
 	c.handlePoll(req, func(r *apiv1.PollResponse, err error) {
 		if errors.Is(err, errAnnounceAgain) {
 			r, err = &apiv1.PollResponse{Sequence: req.GetSequence(), Term: c.term, AnnounceAgain: true}, nil
@@ -39,3 +41,16 @@
 		k.finish(r, err)
 	})
 }
+
+// takeCapacity proposes a capacity that changed within an incarnation. Polls are numbered,
+// so that a delayed one can't bring an older capacity back.
+func (c *Controller) takeCapacity(key []byte, req *apiv1.PollRequest) {
+	s, u := c.sessions[req.GetUpstream()], c.state.Upstream(req.GetUpstream())
+	if req.GetCapacity() == nil || s == nil || s.incarnation != req.GetIncarnation() || req.GetSequence() <= s.highest ||
+		u.Capacity == resource.FromProto(req.GetCapacity()) {
+		return
+	}
+	c.propose(&peerv1.Command{Command: &peerv1.Command_Announce{Announce: &peerv1.Announce{KeySha256: key,
+		Request: &apiv1.AnnounceRequest{Upstream: u.Name, Incarnation: u.Incarnation, FailureDomain: u.Domain, Rack: u.Rack,
+			Vm: u.VM, Capacity: req.GetCapacity()}}}}, nil)
+}
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -179,6 +179,7 @@
 	incarnation uint64
 	sequence    uint64
 	leaving     bool
+	capacity    *apiv1.Resources
 	tasks       []*apiv1.TaskReport
 }
 
@@ -213,7 +214,7 @@
 
 func (w *worker) send(sequence uint64) <-chan answer {
 	out := make(chan answer, 1)
-	req := &apiv1.PollRequest{Upstream: w.name, Incarnation: w.incarnation, Sequence: sequence, Tasks: w.tasks, Leaving: w.leaving}
+	req := &apiv1.PollRequest{Upstream: w.name, Incarnation: w.incarnation, Sequence: sequence, Tasks: w.tasks, Leaving: w.leaving, Capacity: w.capacity}
 	began := time.Now()
 	go func() {
 		resp := &apiv1.PollResponse{}
--- a/state/change.go
+++ b/state/change.go
@@ -119,7 +119,7 @@
 	}
 	t := s.teams[spec.GetName()]
 	if t == nil {
-		t = &Team{Name: spec.GetName()}
+		t = &Team{Name: spec.GetName(), Stored: s.storedFor(spec.GetName())}
 		s.teams[t.Name] = t
 	}
 	t.spec, t.Share, t.Limit, t.MaxWaiting = spec, spec.GetShare(), limit, spec.GetMaxWaitingTasks()
@@ -130,6 +130,17 @@
 	return nil
 }
 
+// storedFor counts what is kept of jobs that a deleted team of the same name left behind.
+func (s *State) storedFor(team string) int64 {
+	var n int64
+	for _, j := range s.jobs.all() {
+		if j.Team == team {
+			n += int64(j.stored)
+		}
+	}
+	return n
+}
+
 // Spec returns the team as the operator set it.
 func (t *Team) Spec() *apiv1.Team { return t.spec }
 
--- a/state/promises_test.go
+++ b/state/promises_test.go
@@ -252,6 +252,8 @@
 	if restored.Job(task.Job.ID).Outcome.GetKind() != apiv1.OutcomeKind_OUTCOME_KIND_ANSWERED {
 		t.Error("the outcome was lost")
 	}
+	w.must(&apiv1.ChangeRequest{Change: &apiv1.ChangeRequest_PutTeam{PutTeam: &apiv1.Team{Name: "a", Share: 1}}})
+	w.recount()
 }
 
 // TestLostAttempts checks at-most-once through the loss of an upstream, by every proof.
@@ -467,3 +469,24 @@
 		t.Errorf("after the loan: %q", why)
 	}
 }
+
+func TestStoredBytesAndRefusalsAreBounded(t *testing.T) {
+	w := newWorld(t)
+	w.s.settings.MaxTeamStoredBytes, w.s.settings.MaxRefusals = 7, 2
+	w.report(w.run(w.batch("1")), succeeded)
+	for i, want := range []apiv1.OutcomeKind{neverRun, neverRun, undecided} {
+		id := fmt.Sprint("refused-", i)
+		if got := w.submitAs("caller-a", request(id, batchPolicy, 1, true)).GetOutcome(); got.GetKind() != want {
+			t.Errorf("%s with 6 of 7 bytes kept: %v", id, got)
+		}
+	}
+	if got := w.cancel("unknown"); got.GetReason() != apiv1.Reason_REASON_OVERLOADED {
+		t.Errorf("a cancellation that can't be remembered: %v", got)
+	}
+	w.now = w.now.Add(w.s.settings.Retention)
+	w.sweep()
+	later := request("2", batchPolicy, 1, true)
+	later.FirstSentUnixMs = w.now.UnixMilli()
+	w.submit(later)
+	w.recount()
+}
--- a/state/report.go
+++ b/state/report.go
@@ -88,6 +88,8 @@
 	}
 	t.Answer = a
 	t.Job.answerBytes += len(a.GetBody())
+	s.store(t.Job, len(a.GetBody())-len(t.Checkpoint))
+	t.Checkpoint = nil
 	s.finishLive(t, answered)
 }
 
@@ -114,6 +116,7 @@
 		s.stopped(t)
 		return
 	}
+	s.store(t.Job, len(a.GetBody())-len(t.Checkpoint))
 	t.Checkpoint = a.GetBody()
 	s.release(t, lifecycle.TaskRequeue)
 }
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -210,6 +210,7 @@
 		Failures: st.Failures, NotBeforeNS: st.NotBeforeNs, Outcome: st.Outcome, Answer: st.Answer,
 		Checkpoint: st.Checkpoint, Checkpointing: st.Checkpointing, Started: st.Started}
 	j.answerBytes += len(st.Answer.GetBody())
+	s.store(j, len(st.Answer.GetBody())+len(st.Checkpoint))
 	switch {
 	case t.State == lifecycle.TaskEnded:
 		return nil
--- a/state/spec.go
+++ b/state/spec.go
@@ -49,11 +49,7 @@
 }
 
 func checkSize(settings Settings, spec *apiv1.JobSpec) *apiv1.Outcome {
-	bytes := 0
-	for _, ts := range spec.GetTasks() {
-		bytes += len(ts.GetPayload())
-	}
-	if bytes > settings.MaxPayloadBytes {
+	if bytes := payloadBytes(spec); bytes > settings.MaxPayloadBytes {
 		return notRun(apiv1.Reason_REASON_TOO_LARGE, "payloads have %d bytes; at most %d are taken", bytes, settings.MaxPayloadBytes)
 	}
 	if n := CountTasks(spec); n > settings.MaxTasksPerJob {
@@ -62,6 +58,14 @@
 	return nil
 }
 
+func payloadBytes(spec *apiv1.JobSpec) int {
+	n := 0
+	for _, ts := range spec.GetTasks() {
+		n += len(ts.GetPayload())
+	}
+	return n
+}
+
 // ValidName reports whether a name or identity is non-empty, short and printable.
 func ValidName(name string) bool {
 	if name == "" || len(name) > maxNameBytes {
--- a/state/state.go
+++ b/state/state.go
@@ -42,6 +42,8 @@
 	endedJobs      []JobID
 	requestOrder   []*Request
 	operationOrder []*Operation
+	// stored is the size of payloads, answers and checkpoints.
+	stored int64
 	// replicaChanges are operators' accepted changes that are still to be carried out.
 	replicaChanges []ReplicaIntent
 
@@ -89,6 +91,9 @@
 	setDefault(&s.MaxPayloadBytes, d.MaxPayloadBytes)
 	setDefault(&s.MaxAnswerBytes, d.MaxAnswerBytes)
 	setDefault(&s.MaxJobAnswerBytes, d.MaxJobAnswerBytes)
+	setDefault(&s.MaxStoredBytes, d.MaxStoredBytes)
+	setDefault(&s.MaxTeamStoredBytes, d.MaxTeamStoredBytes)
+	setDefault(&s.MaxRefusals, d.MaxRefusals)
 	return s
 }
 
@@ -114,7 +119,7 @@
 	s.identities = make(map[RequestKey]identity)
 	s.operations = make(map[string]*Operation)
 	s.endedJobs, s.requestOrder, s.operationOrder, s.replicaChanges = nil, nil, nil, nil
-	s.capture = nil
+	s.capture, s.stored = nil, 0
 }
 
 // Observe sets the observer; nil removes it.
--- a/state/submit.go
+++ b/state/submit.go
@@ -27,7 +27,9 @@
 		return &apiv1.SubmitResponse{Outcome: refusal}
 	}
 	if refusal := s.checkSubmit(team, req); refusal != nil {
-		s.remember(&Request{Key: key, Digest: string(c.Digest), Refusal: refusal})
+		if !s.remember(&Request{Key: key, Digest: string(c.Digest), Refusal: refusal}) {
+			refusal = undetermined(apiv1.Reason_REASON_OVERLOADED, "%s; too many refusals are remembered to bar a delayed duplicate", refusal.Detail)
+		}
 		return &apiv1.SubmitResponse{Outcome: refusal}
 	}
 	job := s.addJob(key, string(c.Digest), req)
@@ -48,10 +50,15 @@
 	return undetermined(refusal.Reason, "%s; an earlier send of request %q may have been taken", refusal.Detail, req.GetRequestId())
 }
 
-// remember records an identity that created no job at the current leader time.
-func (s *State) remember(r *Request) {
+// remember records an identity that created no job at the current leader time. It reports
+// false when too many are remembered.
+func (s *State) remember(r *Request) bool {
+	if len(s.requestOrder) >= s.settings.MaxRefusals {
+		return false
+	}
 	r.DecidedNS = s.nowNS
 	s.addRefused(r)
+	return true
 }
 
 func (s *State) addRefused(r *Request) {
@@ -134,9 +141,34 @@
 		return notRun(apiv1.Reason_REASON_TEAM_QUEUE_FULL,
 			"team %q has %d tasks waiting; %d more would pass its bound of %d", team, t.Waiting, tasks, t.MaxWaiting)
 	}
+	if refusal := s.checkStored(t, payloadBytes(req.GetJob())); refusal != nil {
+		return refusal
+	}
 	return s.checkLimit(t, req.GetJob())
 }
 
+// checkStored refuses work while what is kept for remembered jobs has reached its bound.
+func (s *State) checkStored(t *Team, more int) *apiv1.Outcome {
+	if t.Stored+int64(more) > s.settings.MaxTeamStoredBytes {
+		return notRun(apiv1.Reason_REASON_TEAM_QUEUE_FULL, "payloads and answers of team %q have %d bytes; at most %d are kept",
+			t.Name, t.Stored, s.settings.MaxTeamStoredBytes)
+	}
+	if s.stored+int64(more) > s.settings.MaxStoredBytes {
+		return notRun(apiv1.Reason_REASON_OVERLOADED, "payloads and answers of all teams have %d bytes; at most %d are kept",
+			s.stored, s.settings.MaxStoredBytes)
+	}
+	return nil
+}
+
+// store counts bytes that are kept for a job, or no longer kept if negative.
+func (s *State) store(j *Job, bytes int) {
+	j.stored += bytes
+	s.stored += int64(bytes)
+	if t := s.teams[j.Team]; t != nil {
+		t.Stored += int64(bytes)
+	}
+}
+
 // checkLimit refuses jobs that the team's upper limit can never admit.
 func (s *State) checkLimit(t *Team, spec *apiv1.JobSpec) *apiv1.Outcome {
 	var whole resource.Vector
@@ -204,6 +236,7 @@
 // keepJob enters a job into every index.
 func (s *State) keepJob(j *Job) {
 	s.jobs.put(j)
+	s.store(j, payloadBytes(j.Spec))
 	s.identities[RequestKey{j.Team, j.RequestID}] = identity{job: j.ID}
 	if j.State == lifecycle.JobEnded {
 		return
--- a/state/types.go
+++ b/state/types.go
@@ -47,7 +47,9 @@
 	Used    resource.Vector
 	Waiting int64
 	Running int64
-	spec    *apiv1.Team
+	// Stored is the size of payloads, answers and checkpoints of the team's remembered jobs.
+	Stored int64
+	spec   *apiv1.Team
 }
 
 // Key lets its holder act for a team or as an operator or upstream.
@@ -104,8 +106,9 @@
 	// placed counts tasks that hold capacity, unended those without an outcome.
 	placed  int
 	unended int
-	// answerBytes is the size of all answers.
+	// answerBytes is the size of all answers, stored that of payloads and checkpoints as well.
 	answerBytes int
+	stored      int
 	// captured is the last capture that has the job as it was.
 	captured uint32
 }
@@ -195,6 +198,13 @@
 	MaxAnswerBytes  int
 	// MaxJobAnswerBytes bounds all answers of one job together.
 	MaxJobAnswerBytes int
+	// MaxStoredBytes bounds payloads, answers and checkpoints of all remembered jobs, and
+	// MaxTeamStoredBytes those of one team. Above them no work is taken.
+	MaxStoredBytes     int64
+	MaxTeamStoredBytes int64
+	// MaxRefusals bounds remembered identities that created no job. Above it a refusal is
+	// not remembered and says so by being undetermined.
+	MaxRefusals int
 }
 
 // DefaultSettings are used where a setting is zero.
@@ -210,6 +220,9 @@
 	MaxPayloadBytes:    1 << 20,
 	MaxAnswerBytes:     1 << 20,
 	MaxJobAnswerBytes:  64 << 20,
+	MaxStoredBytes:     1 << 30,
+	MaxTeamStoredBytes: 256 << 20,
+	MaxRefusals:        200_000,
 }
 
 // Observer is told of every change while a batch is applied.
--- a/state/world_test.go
+++ b/state/world_test.go
@@ -93,7 +93,7 @@
 // request is a submission of equal tasks that need one slot each.
 func request(id string, policy apiv1.Policy, copies int32, repeatable bool) *apiv1.SubmitRequest {
 	return &apiv1.SubmitRequest{RequestId: id, Queue: "queue-a", FirstSend: true, FirstSentUnixMs: start.UnixMilli(),
-		Job: &apiv1.JobSpec{Policy: policy, Repeatable: repeatable, Tasks: []*apiv1.TaskSpec{{Copies: copies}}}}
+		Job: &apiv1.JobSpec{Policy: policy, Repeatable: repeatable, Tasks: []*apiv1.TaskSpec{{Copies: copies, Payload: []byte("ab")}}}}
 }
 
 func (w *world) submitAs(key string, req *apiv1.SubmitRequest) *apiv1.SubmitResponse {
@@ -214,6 +214,18 @@
 			w.t.Fatalf("team %s: books %v %d %d, recount %v %d %d", name, team.Used, team.Running, team.Waiting, byTeam[name], running[name], waiting[name])
 		}
 	}
+	stored, storedBy := int64(0), map[string]int64{}
+	for _, j := range w.s.Jobs() {
+		n := int64(payloadBytes(j.Spec))
+		for i := range j.Tasks {
+			n += int64(len(j.Tasks[i].Answer.GetBody()) + len(j.Tasks[i].Checkpoint))
+		}
+		stored += n
+		storedBy[j.Team] += n
+	}
+	if stored != w.s.stored || storedBy["a"] != w.s.Team("a").Stored {
+		w.t.Fatalf("%d bytes stored, %d for team a; recount %d, %d", w.s.stored, w.s.Team("a").Stored, stored, storedBy["a"])
+	}
 	queued := 0
 	for _, jobs := range w.s.liveByQueue {
 		queued += len(jobs)
