Test which answers an upstream may act on

Seen: answers to older polls, of older terms, after the start window, and a start whose lease ended before its turn run nothing; without the checks of sequence, term and lease each case fails.

--- /dev/null
+++ b/upstream/answer_test.go
@@ -0,0 +1,86 @@
+package upstream
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+)
+
+type runnerFunc func(context.Context, Task) Result
+
+func (f runnerFunc) Run(ctx context.Context, t Task) Result { return f(ctx, t) }
+
+// TestAnswersThatMayStartNothing gives an agent whose second poll is open one answer, and
+// counts what runs.
+func TestAnswersThatMayStartNothing(t *testing.T) {
+	ref := &apiv1.TaskRef{JobId: 1, Attempt: 1}
+	start := []*apiv1.Command{{Kind: apiv1.CommandKind_COMMAND_KIND_START, Task: ref}}
+	prepare := []*apiv1.Command{{Kind: apiv1.CommandKind_COMMAND_KIND_PREPARE, Task: ref}}
+	cases := map[string]struct {
+		answersPoll uint64
+		resp        *apiv1.PollResponse
+		age         time.Duration
+		started     int
+		again       bool
+	}{
+		"in time":              {2, &apiv1.PollResponse{Sequence: 2, Term: 5, Commands: start}, time.Second, 1, false},
+		"twice":                {2, &apiv1.PollResponse{Sequence: 2, Term: 5, Commands: append(start, start...)}, 0, 1, false},
+		"after the window":     {2, &apiv1.PollResponse{Sequence: 2, Term: 5, Commands: start}, 2100 * time.Millisecond, 0, false},
+		"to an older poll":     {1, &apiv1.PollResponse{Sequence: 1, Term: 5, Commands: start}, 0, 0, false},
+		"crossed":              {1, &apiv1.PollResponse{Sequence: 2, Term: 5, Commands: start}, 0, 0, false},
+		"of an older term":     {2, &apiv1.PollResponse{Sequence: 2, Term: 3, Commands: start}, 0, 0, false},
+		"only prepared":        {2, &apiv1.PollResponse{Sequence: 2, Term: 5, Commands: prepare}, 0, 0, false},
+		"announce again":       {2, &apiv1.PollResponse{Sequence: 2, Term: 5, AnnounceAgain: true}, 0, 0, true},
+		"announce, older poll": {1, &apiv1.PollResponse{Sequence: 1, Term: 5, AnnounceAgain: true}, 0, 0, false},
+		"announce, older term": {2, &apiv1.PollResponse{Sequence: 2, Term: 3, AnnounceAgain: true}, 0, 0, false},
+	}
+	for name, c := range cases {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				runs := make(chan Task, 8)
+				a := New(Config{Name: "u", Incarnation: 1}, nil, runnerFunc(func(_ context.Context, task Task) Result {
+					runs <- task
+					return Result{State: apiv1.ReportState_REPORT_STATE_SUCCEEDED}
+				}), &testClock{start: time.Now()})
+				a.term = 4
+				first, firstSent := a.composePoll()
+				second, sent := a.composePoll()
+				req, at := second, sent
+				if c.answersPoll == 1 {
+					req, at = first, firstSent
+				}
+				c.resp.LeaseMs, c.resp.StartWindowMs = 6000, 2000
+				time.Sleep(c.age)
+				if again := a.takeAnswer(req, c.resp, at); again != c.again {
+					t.Errorf("told to announce again: %v", again)
+				}
+				synctest.Wait()
+				if len(runs) != c.started {
+					t.Errorf("%d runs, want %d", len(runs), c.started)
+				}
+			})
+		})
+	}
+}
+
+// TestPauseBetweenCheckAndStart lets the lease be over once an accepted start gets its turn.
+func TestPauseBetweenCheckAndStart(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		a := New(Config{Name: "u", Incarnation: 1}, nil, runnerFunc(func(context.Context, Task) Result {
+			t.Error("the task ran after its lease")
+			return Result{}
+		}), &testClock{start: time.Now()})
+		req, sent := a.composePoll()
+		a.leaseEnd = sent
+		a.mu.Lock()
+		a.start(a.admit(&apiv1.Command{Task: &apiv1.TaskRef{JobId: 1, Attempt: 1}}))
+		a.mu.Unlock()
+		synctest.Wait()
+		if next, _ := a.composePoll(); len(next.Tasks) != 1 || next.Tasks[0].State != apiv1.ReportState_REPORT_STATE_REFUSED {
+			t.Errorf("after %v the next poll lists %v", req, next.Tasks)
+		}
+	})
+}
