Let a forgotten or moved replica join its group again

Cause: a standby that was removed after a long silence, or a replica whose VM came back under another address, stayed outside its group for ever; a folder of another group could join.

Change: Join takes a member's new address and refuses another group; the daemon joins again while no leader knows it as it is.

Test: a removed replica comes back as a standby and a voter keeps its vote at a new address, over replicas in memory. The daemon's loop is not tested by a process.

--- a/control/membership.go
+++ b/control/membership.go
@@ -149,8 +149,9 @@
 	c.proposeChange(k, req)
 }
 
-// Join adds a data folder to the group as a learner. It is safe for concurrent use and
-// idempotent; it answers OK once the learner is a committed member.
+// Join adds a data folder to the group as a learner, or takes a member's new address. It
+// is safe for concurrent use and idempotent; it answers OK once the change is committed,
+// and refuses a folder of another group.
 func (c *Controller) Join(ctx context.Context, req *peerv1.JoinRequest, group uint64) *peerv1.JoinResponse {
 	done := make(chan *peerv1.JoinResponse, 1)
 	err := c.node.Post(ctx, func() {
@@ -158,6 +159,10 @@
 			done <- &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER, LeaderAddress: c.leader.Address}
 			return
 		}
+		if req.GetGroup() != 0 && req.GetGroup() != group {
+			done <- &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_REFUSED}
+			return
+		}
 		c.confirmed(func(ok bool) {
 			if ok && c.addLearner(req.GetMember()) {
 				done <- &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_OK, Group: group}
@@ -177,15 +182,22 @@
 	return &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
 }
 
-// addLearner reports whether the learner is a committed member; if it is none yet, it is
-// proposed and the caller has to ask again.
+// addLearner reports whether the replica is a committed member under its address and
+// failure domain; if it is not yet, that is proposed and the caller has to ask again.
 func (c *Controller) addLearner(m *peerv1.Member) bool {
 	core := c.node.Raft()
 	members := core.Members()
-	if slices.ContainsFunc(members, func(o raft.Member) bool { return o.ID == raft.ID(m.GetId()) }) {
-		return core.MembersCommitted()
+	wanted := raft.Member{ID: raft.ID(m.GetId()), Address: m.GetAddress(), Domain: m.GetFailureDomain()}
+	i := slices.IndexFunc(members, func(o raft.Member) bool { return o.ID == wanted.ID })
+	if i < 0 {
+		members = append(members, wanted)
+	} else {
+		wanted.Voter = members[i].Voter
+		if members[i] == wanted {
+			return core.MembersCommitted()
+		}
+		members[i] = wanted
 	}
-	members = append(members, raft.Member{ID: raft.ID(m.GetId()), Address: m.GetAddress(), Domain: m.GetFailureDomain()})
 	_, _ = core.ProposeMembers(members)
 	return false
 }
--- a/control/membership_test.go
+++ b/control/membership_test.go
@@ -298,5 +298,27 @@
 		if answers[0] == peerv1.ForwardStatus_FORWARD_STATUS_OK || answers[1] != peerv1.ForwardStatus_FORWARD_STATUS_OK {
 			t.Errorf("answers %v", answers)
 		}
+		if got := g.leader().ctl.Join(g.ctx, &peerv1.JoinRequest{Group: 6, Member: join.Member}, 5).GetStatus(); got != peerv1.ForwardStatus_FORWARD_STATUS_REFUSED {
+			t.Errorf("a folder of another group: %v", got)
+		}
+		// A removed replica comes back as a standby, a voter keeps its vote at a new address.
+		g.change(replicaRequest("remove", 9, apiv1.ReplicaAction_REPLICA_ACTION_REMOVE, 0))
+		time.Sleep(time.Second)
+		moved := &peerv1.JoinRequest{Member: &peerv1.Member{Id: uint64(g.follower()), Address: "elsewhere", FailureDomain: "d1"}}
+		for _, req := range []*peerv1.JoinRequest{join, join, moved, moved} {
+			g.leader().ctl.Join(g.ctx, req, 5)
+			time.Sleep(time.Second)
+		}
+		l := g.leader()
+		l.do(func() {
+			for _, m := range l.node.Raft().Members() {
+				if m.Voter == (m.ID == 9) || uint64(m.ID) == moved.Member.Id && m.Address != "elsewhere" {
+					t.Errorf("member %+v", m)
+				}
+			}
+			if n := len(l.node.Raft().Members()); n != 4 {
+				t.Errorf("%d members", n)
+			}
+		})
 	})
 }
--- /dev/null
+++ b/daemon/rejoin.go
@@ -0,0 +1,54 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/bulrushwinch/bulrushwinch/retry"
+	"github.com/bulrushwinch/bulrushwinch/wal"
+)
+
+// memberCheckInterval is the time between looks whether the group knows this replica.
+const memberCheckInterval = 5 * time.Second
+
+// stayMember joins the group again whenever it has forgotten this replica, or knows it
+// under another address or failure domain. It returns when ctx ends.
+func (d *Daemon) stayMember(ctx context.Context, id wal.Identity, role *replicaRole) {
+	own := d.ownMember(id)
+	for next := 0; retry.Sleep(ctx, memberCheckInterval) == nil; next++ {
+		if isMember(ctx, role, own) {
+			continue
+		}
+		address := d.settings.Replicas[next%len(d.settings.Replicas)]
+		if address != d.settings.PeerAddress && d.tryJoin(ctx, address, id.Group, own) != 0 {
+			d.log.Info().Uint64("replica", uint64(id.Replica)).Msg("replica joined its group again")
+		}
+	}
+}
+
+func (d *Daemon) ownMember(id wal.Identity) *peerv1.Member {
+	return &peerv1.Member{Id: uint64(id.Replica), Address: d.settings.PeerAddress, FailureDomain: d.settings.FailureDomain}
+}
+
+// isMember reports whether this replica hears a leader of a group that knows it as it is.
+func isMember(ctx context.Context, role *replicaRole, own *peerv1.Member) bool {
+	answer := make(chan bool, 1)
+	err := role.node.Post(ctx, func() {
+		core := role.node.Raft()
+		answer <- core.LeaderID() != raft.None && slices.ContainsFunc(core.Members(), func(m raft.Member) bool {
+			return uint64(m.ID) == own.GetId() && m.Address == own.GetAddress() && m.Domain == own.GetFailureDomain()
+		})
+	})
+	if err != nil {
+		return true
+	}
+	select {
+	case known := <-answer:
+		return known
+	case <-role.node.Done():
+		return true
+	}
+}
--- a/daemon/replica.go
+++ b/daemon/replica.go
@@ -56,6 +56,9 @@
 	d.setReplica(role)
 	defer d.setReplica(nil)
 	d.log.Info().Uint64("replica", uint64(id.Replica)).Uint64("group", id.Group).Msg("replica started")
+	stay, cancel := context.WithCancel(ctx)
+	defer cancel()
+	go d.stayMember(stay, id, role)
 	err = role.node.Run(ctx)
 	role.transport.Wait()
 	return err
@@ -119,12 +122,11 @@
 
 // join asks the replicas in turn until the leader has added this one as a learner.
 func (d *Daemon) join(ctx context.Context, id wal.Identity) (group uint64, err error) {
-	member := &peerv1.Member{Id: uint64(id.Replica), Address: d.settings.PeerAddress, FailureDomain: d.settings.FailureDomain}
 	backoff := retry.Backoff{Min: joinBackoffMin, Max: joinBackoffMax}
 	for next := 0; ; next++ {
 		address := d.settings.Replicas[next%len(d.settings.Replicas)]
 		if address != d.settings.PeerAddress {
-			if group := d.tryJoin(ctx, address, member); group != 0 {
+			if group := d.tryJoin(ctx, address, 0, d.ownMember(id)); group != 0 {
 				return group, nil
 			}
 		}
@@ -134,10 +136,10 @@
 	}
 }
 
-func (d *Daemon) tryJoin(ctx context.Context, address string, member *peerv1.Member) uint64 {
+func (d *Daemon) tryJoin(ctx context.Context, address string, group uint64, member *peerv1.Member) uint64 {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
-	resp, err := d.pool.Get(address).Join(ctx, connect.NewRequest(&peerv1.JoinRequest{Member: member}))
+	resp, err := d.pool.Get(address).Join(ctx, connect.NewRequest(&peerv1.JoinRequest{Group: group, Member: member}))
 	if err != nil || resp.Msg.GetStatus() != peerv1.ForwardStatus_FORWARD_STATUS_OK {
 		return 0
 	}
