Keep outcomes in reach, and say "not run" of no request that was only looked at

Cause: once a queue was deleted its callers could not see what became of their jobs; a refused request was "not known" to Get and Wait; a refused look or cancellation said "not run" of a request that may run.

--- a/control/callers.go
+++ b/control/callers.go
@@ -40,34 +40,47 @@
 		func(r state.Result, err error) { k.finish(r.Cancel, err) })
 }
 
-// findJob returns the job that a key may see.
+// findJob returns the job that a key may see, or the refusal that its request got.
 func (c *Controller) findJob(key []byte, ref *apiv1.JobRef) (*state.Job, error) {
-	operator := c.state.AuthorizeOperator(key) == nil
 	if id := state.JobID(ref.GetJobId()); id != 0 {
 		j := c.state.Job(id)
-		if j == nil {
-			return nil, notFound("job %d is not known or no longer remembered", id)
-		}
-		if operator {
-			return j, nil
-		}
-		team, refusal := c.state.Authorize(key, j.Queue)
-		if refusal != nil || team != j.Team {
+		if j == nil || !c.maySee(key, j) {
 			return nil, notFound("job %d is not known or no longer remembered", id)
 		}
 		return j, nil
 	}
 	team, refusal := c.state.Authorize(key, ref.GetQueue())
+	if k := c.state.KeyByHash(key); refusal != nil && k != nil && k.Role == apiv1.KeyRole_KEY_ROLE_CALLER {
+		// The queue may have been deleted since the request was taken.
+		team, refusal = k.Team, nil
+	}
 	if refusal != nil {
-		return nil, refusalError{refusal}
+		// "Not run" would speak of the request, of which a refused look tells nothing.
+		return nil, refusalError{&apiv1.Outcome{Kind: apiv1.OutcomeKind_OUTCOME_KIND_UNDETERMINED, Reason: refusal.Reason, Detail: refusal.Detail}}
 	}
 	known := c.state.Request(state.RequestKey{Team: team, ID: ref.GetRequestId()})
-	if known == nil || c.state.Job(known.Job) == nil {
+	switch {
+	case known == nil:
 		return nil, notFound("request %q is not known or no longer remembered", ref.GetRequestId())
+	case known.Refusal != nil:
+		return nil, refusalError{known.Refusal}
 	}
 	return c.state.Job(known.Job), nil
 }
 
+// maySee reports whether a key belongs to an operator or to the job's team, or the job
+// came through an open queue.
+func (c *Controller) maySee(key []byte, j *state.Job) bool {
+	if c.state.AuthorizeOperator(key) == nil {
+		return true
+	}
+	if k := c.state.KeyByHash(key); k != nil && k.Role == apiv1.KeyRole_KEY_ROLE_CALLER && k.Team == j.Team {
+		return true
+	}
+	team, refusal := c.state.Authorize(key, j.Queue)
+	return refusal == nil && team == j.Team
+}
+
 // withJob calls f with the job once the leadership is confirmed, so that reads are current.
 func (c *Controller) withJob(k call, ref *apiv1.JobRef, f func(*state.Job)) {
 	c.confirmed(func(ok bool) {
--- a/state/cancel.go
+++ b/state/cancel.go
@@ -11,6 +11,10 @@
 	req := c.GetRequest()
 	response := &apiv1.CancelResponse{}
 	team, refusal := s.Authorize(c.KeySha256, req.GetQueue())
+	if refusal != nil {
+		// The request may run all the same.
+		refusal = undetermined(refusal.Reason, "not cancelled: %s", refusal.Detail)
+	}
 	ids := req.GetRequestIds()
 	if refusal == nil && req.GetWholeQueue() {
 		ids = s.liveRequests(team, req.GetQueue())
--- a/state/promises_test.go
+++ b/state/promises_test.go
@@ -173,6 +173,7 @@
 	}
 	w.must(withdraw)
 	check(submit("caller-a", "queue-a", "8", true), neverRun, apiv1.Reason_REASON_KEY_WITHDRAWN)
+	check(w.cancel("1"), undecided, apiv1.Reason_REASON_KEY_WITHDRAWN)
 	check(submit("caller-a", "queue-a", "1", true), undecided, apiv1.Reason_REASON_KEY_WITHDRAWN)
 	if r := w.change(&apiv1.ChangeRequest{Change: &apiv1.ChangeRequest_GrantKey{GrantKey: &apiv1.GrantKey{KeyId: "new", Team: "a",
 		KeySha256: keyHash("caller-a"), Role: apiv1.KeyRole_KEY_ROLE_CALLER}}}); r.GetApplied() {
