Follow views past hints that are out of date, and offer refused sends elsewhere

Cause: a replica's process forgot the leader that another had named as soon as its own replica said nothing, and asked the same follower for ever; a client resent to an entry that had no leader instead of turning to the next.

What is here: sources, which takes at most one hint in a row; Submit turns to another entry after a passing refusal and keeps a certain "not run" certain.

Seen: eight ways of wrong hints, each past the leader within 12 tries.

Conclusion: one process that lags holds up nobody.

--- a/client/client.go
+++ b/client/client.go
@@ -136,19 +136,29 @@
 }
 
 // Submit hands in a job and resends it under the same identity until the outcome is
-// certain. When ctx ends first, the outcome is undetermined.
+// certain. When ctx ends first, the outcome is undetermined. A first send that one entry
+// refused for a passing reason is offered to each of the others.
 func (c *Client) Submit(ctx context.Context, req *apiv1.SubmitRequest) (*apiv1.SubmitResponse, error) {
 	if req.FirstSentUnixMs == 0 {
 		req.FirstSentUnixMs = time.Now().UnixMilli()
 		req.FirstSend = true
 	}
 	backoff := retry.Backoff{Min: backoffMin, Max: backoffMax}
+	refusals := 0
 	for {
 		resp, err := c.submitOnce(ctx, req)
-		if err == nil && !worthResending(resp.GetOutcome()) || err != nil && refusedForGood(err) {
+		again := err != nil && !refusedForGood(err) || err == nil && passing(resp.GetOutcome())
+		certain := err == nil && resp.GetOutcome().GetKind() == apiv1.OutcomeKind_OUTCOME_KIND_NOT_RUN
+		if certain {
+			refusals++
+		}
+		if !again || refusals > len(c.endpoints) {
 			return resp, err
 		}
-		req.FirstSend = false
+		if err == nil {
+			c.failed()
+		}
+		req.FirstSend = req.FirstSend && certain
 		if sleepErr := retry.Sleep(ctx, backoff.Next()); sleepErr != nil {
 			return resp, err
 		}
@@ -170,10 +180,18 @@
 	return false
 }
 
-// worthResending reports whether a resend can make the outcome certain.
-func worthResending(o *apiv1.Outcome) bool {
-	return o.GetKind() == apiv1.OutcomeKind_OUTCOME_KIND_UNDETERMINED &&
-		(o.GetReason() == apiv1.Reason_REASON_NO_LEADER || o.GetReason() == apiv1.Reason_REASON_OVERLOADED)
+// passing reports whether another entry, or this one a moment later, may decide otherwise.
+func passing(o *apiv1.Outcome) bool {
+	switch o.GetKind() {
+	case apiv1.OutcomeKind_OUTCOME_KIND_UNDETERMINED, apiv1.OutcomeKind_OUTCOME_KIND_NOT_RUN:
+	default:
+		return false
+	}
+	switch o.GetReason() {
+	case apiv1.Reason_REASON_NO_LEADER, apiv1.Reason_REASON_OVERLOADED, apiv1.Reason_REASON_DRAINING:
+		return true
+	}
+	return false
 }
 
 // Wait waits for the end of a job, at most req.MaxWaitMs.
--- /dev/null
+++ b/daemon/sources_test.go
@@ -0,0 +1,41 @@
+package daemon
+
+import (
+	"slices"
+	"testing"
+)
+
+// TestSourcesReachTheLeader lets some processes give hints that are empty or out of date
+// and expects the leader to be asked after a few tries all the same.
+func TestSourcesReachTheLeader(t *testing.T) {
+	list := []string{"a", "b", "c", "d"}
+	for name, c := range map[string]struct {
+		own   string
+		hints map[string]string
+	}{
+		"nobody knows":                   {"", nil},
+		"one knows":                      {"", map[string]string{"b": "d"}},
+		"own replica is out of date":     {"c", nil},
+		"all are out of date":            {"c", map[string]string{"b": "c", "c": "b"}},
+		"hints go in a circle":           {"", map[string]string{"b": "c", "c": "b"}},
+		"hint at an address not listed":  {"x", map[string]string{"b": "x"}},
+		"hint at the process that asks":  {"a", map[string]string{"b": "a", "c": "a"}},
+		"own replica names it correctly": {"d", nil},
+	} {
+		s := &sources{self: "a", list: list}
+		var asked []string
+		for range 12 {
+			s.suggest(c.own)
+			address := s.pick()
+			asked = append(asked, address)
+			if address == "d" {
+				s.succeeded()
+				break
+			}
+			s.failed(c.hints[address])
+		}
+		if !slices.Contains(asked, "d") || slices.Contains(asked, "a") {
+			t.Errorf("%s: asked %v", name, asked)
+		}
+	}
+}
--- a/daemon/view.go
+++ b/daemon/view.go
@@ -31,18 +31,17 @@
 	d *Daemon
 	// sources are asked in turn; replicas ask the leader only, so that views flow from
 	// the leader to the replicas and from these to the entries, and never in a circle.
-	sources    []string
+	sources    *sources
 	fromLeader bool
-	next       int
-	hint       string
 	leader     string
 }
 
 // watchView follows the configuration in force until ctx ends.
 func (d *Daemon) watchView(ctx context.Context) error {
-	w := &viewWatcher{d: d, sources: d.settings.Replicas, fromLeader: d.settings.HasRole(config.RoleReplica)}
+	w := &viewWatcher{d: d, fromLeader: d.settings.HasRole(config.RoleReplica),
+		sources: &sources{self: d.settings.PeerAddress, list: d.settings.Replicas}}
 	if !w.fromLeader {
-		w.sources = entrySources(d.settings)
+		w.sources.list = entrySources(d.settings)
 	}
 	backoff := retry.Backoff{Min: viewBackoffMin, Max: viewBackoffMax}
 	for ctx.Err() == nil {
@@ -73,23 +72,21 @@
 	if resp := w.ask(ctx); resp != nil && w.take(resp, sent, view.FromLeader) {
 		return true
 	}
-	address := w.hint
-	if address == "" || address == w.d.settings.PeerAddress {
-		address = w.sources[w.next%len(w.sources)]
+	address := w.sources.pick()
+	if address == "" {
+		return false
 	}
 	sent = w.d.clock.Now()
 	resp := w.fetch(ctx, address)
 	if resp.GetStatus() == peerv1.ForwardStatus_FORWARD_STATUS_OK && w.take(resp, sent, view.FromProcess) {
+		w.sources.succeeded()
 		return true
 	}
-	w.hint = ""
+	leader := ""
 	if w.fromLeader {
-		w.hint = resp.GetLeaderAddress()
-	}
-	if w.hint == "" || w.hint == address {
-		w.hint = ""
-		w.next++
+		leader = resp.GetLeaderAddress()
 	}
+	w.sources.failed(leader)
 	return false
 }
 
@@ -103,7 +100,7 @@
 	defer cancel()
 	resp := r.controller.View(ctx, w.request())
 	if resp.GetStatus() != peerv1.ForwardStatus_FORWARD_STATUS_OK {
-		w.hint = resp.GetLeaderAddress()
+		w.sources.suggest(resp.GetLeaderAddress())
 		return nil
 	}
 	resp.LeaderAddress = w.d.settings.PeerAddress
--- a/scripts/run-example.sh
+++ b/scripts/run-example.sh
@@ -13,6 +13,7 @@
 cleanup() {
   for pid in "${pids[@]}"; do kill "$pid" 2>/dev/null || true; done
   for pid in "${pids[@]}"; do wait "$pid" 2>/dev/null || true; done
+  [ -n "${KEEP:-}" ] && cp "$work"/*.log "$KEEP"
   rm -rf "$work"
 }
 trap cleanup EXIT
