Let a gang wait in a cell without upstreams

A seed beyond signed numbers would have given a negative index.

Seen: the new test panics without the change and passes with it.

Conclusion: mended where the first candidate is chosen.

--- a/sched/gang.go
+++ b/sched/gang.go
@@ -178,12 +178,12 @@
 // reserve holds the upstreams that are expected to have room for the gang first.
 func (r *round) reserve(j *job, needs []resource.Vector) {
 	c := r.cell
-	if j.reservation != nil || r.now.Before(j.restUntil) {
+	if j.reservation != nil || r.now.Before(j.restUntil) || len(c.order) == 0 {
 		return
 	}
 	var list []opening
 	seen := 0
-	first := int(c.settings.Seed+uint64(j.ID)) % len(c.order)
+	first := int((c.settings.Seed + uint64(j.ID)) % uint64(len(c.order)))
 	for i := range c.order {
 		u := c.order[(first+i)%len(c.order)]
 		if u.reason != Fits || u.heldFor != nil || seen == maxHoldCandidates {
--- a/sched/policy_test.go
+++ b/sched/policy_test.go
@@ -250,3 +250,18 @@
 	h.equal("queue", len(h.teams["a"].queues[tierNormal]), 0)
 	h.equal("decision", len(h.decide(time.Second).Placements), 0)
 }
+
+// TestGangInAnEmptyCellWaits hands in a gang before any upstream has announced itself,
+// under a seed beyond the range of signed numbers, and expects it to start later.
+func TestGangInAnEmptyCellWaits(t *testing.T) {
+	h := newHarness(t, 0, "d")
+	h.settings.Seed = 1<<63 + 5
+	h.add(Job{Policy: Gang}, 4, full)
+	h.equal("without upstreams", len(h.decide(time.Second).Placements), 0)
+	h.put("late-0", "d", "r", full, true)
+	h.equal("with one of four", len(h.decide(time.Second).Placements), 0)
+	for _, name := range []string{"late-1", "late-2", "late-3"} {
+		h.put(name, "d", "r", full, true)
+	}
+	h.equal("with all", len(h.decide(time.Second).Placements), 4)
+}
