control: answer the first poll after a gap at once

Cause: after a lost leader the next poll was held like any other, so that time-out, election and hold together came close to the lease of 6 s, at whose end an upstream stops all its tasks.

Test: the first poll of a leadership, and one after a silence, are not held; the next ones are.

--- a/control/poll.go
+++ b/control/poll.go
@@ -30,19 +30,29 @@
 	}
 	s.drop(errStalePoll)
 	now := c.clock.Now()
+	overdue := s.first == 0 || now-s.heard > overduePolls*c.cfg.PollHold
 	if s.first == 0 {
 		s.first = req.GetSequence()
 	}
-	s.highest = req.GetSequence()
+	s.highest, s.heard = req.GetSequence(), now
 	s.leaseEnd = c.cfg.Terms.GrantorEnd(now)
 	s.poll = &heldPoll{sequence: s.highest, until: now + c.cfg.PollHold, reply: reply}
 	c.setTimer(s)
 	c.takeReports(s, req)
 	c.takeLeaving(s, req)
 	c.reviewAbsent(s)
+	if overdue {
+		s.signalAgain()
+		c.answerPoll(s)
+		return
+	}
 	c.mark(s)
 }
 
+// overduePolls is the silence, in polls, after which a poll is answered at once: the
+// upstream's lease may be about to end, since a leader or a message was lost.
+const overduePolls = 2
+
 // replyAnnounceAgain tells an upstream to begin a new incarnation, which ends its tasks.
 // A leader that was deposed must not say so.
 func (c *Controller) replyAnnounceAgain(reply func(*apiv1.PollResponse, error)) {
--- a/control/session.go
+++ b/control/session.go
@@ -16,8 +16,10 @@
 	// leaseEnd is when the leader may rely on the upstream's tasks having stopped.
 	leaseEnd time.Duration
 	// highest is the highest poll number seen in this term, first the lowest; 0 before the first.
-	highest  uint64
-	first    uint64
+	highest uint64
+	first   uint64
+	// heard is when the highest poll was handled.
+	heard    time.Duration
 	attempts map[state.TaskRef]attempt
 	// orphans are attempts in the highest poll that the state does not have here.
 	orphans      []state.TaskRef
@@ -125,10 +127,7 @@
 		return
 	}
 	if s.poll != nil && now >= s.poll.until {
-		for ref, a := range s.attempts {
-			a.signalled = false
-			s.attempts[ref] = a
-		}
+		s.signalAgain()
 		c.answerPoll(s)
 	}
 	if now >= s.leaseEnd {
@@ -138,6 +137,16 @@
 	c.setTimer(s)
 }
 
+// signalAgain lets stops and releases be sent again, in case that an answer was lost.
+func (s *session) signalAgain() {
+	for ref, a := range s.attempts {
+		if a.signalled {
+			a.signalled = false
+			s.attempts[ref] = a
+		}
+	}
+}
+
 // setTimer sets the timer to the next event of the session.
 func (c *Controller) setTimer(s *session) {
 	at := s.leaseEnd
--- a/control/session_test.go
+++ b/control/session_test.go
@@ -321,3 +321,20 @@
 		l.expect(task, lifecycle.TaskPlaced, noOutcome, 1)
 	})
 }
+
+// TestPollAfterSilenceIsAnsweredAtOnce renews leases that a lost leader or message has
+// brought near their end.
+func TestPollAfterSilenceIsAnsweredAtOnce(t *testing.T) {
+	inBubble(t, func(l *leader) {
+		w := l.worker("u1")
+		for _, interrupt := range []func(){l.changeLeader, func() { time.Sleep(overduePolls*DefaultConfig.PollHold + time.Second) }} {
+			interrupt()
+			if a := w.poll(); a.held > 0 {
+				t.Errorf("held for %s after an interruption", a.held)
+			}
+			if a := w.poll(); a.held < DefaultConfig.PollHold {
+				t.Errorf("held for %s only", a.held)
+			}
+		}
+	})
+}
--- a/control/world_test.go
+++ b/control/world_test.go
@@ -185,7 +185,11 @@
 
 func (l *leader) worker(name string) *worker {
 	l.announce(name, 1)
-	return &worker{leader: l, name: name, incarnation: 1}
+	w := &worker{leader: l, name: name, incarnation: 1}
+	if a := w.poll(); a.held > 0 {
+		l.t.Errorf("the first poll was held for %s", a.held)
+	}
+	return w
 }
 
 // list sets what the next polls list.
