--- a/control/world_test.go
+++ b/control/world_test.go
@@ -28,7 +28,7 @@
 func (nullStorage) StoreSnapshot(_ raft.Snapshot, _ wal.Origin, content func(io.Writer) error) error {
 	return content(io.Discard)
 }
-func (nullStorage) UseSnapshot(raft.Snapshot) error { return nil }
+func (nullStorage) UseSnapshot(raft.Snapshot, wal.Origin) error { return nil }
 func (nullStorage) OpenSnapshot() (raft.Snapshot, io.ReadCloser, error) {
 	return raft.Snapshot{Index: 1, Term: 1}, io.NopCloser(strings.NewReader("")), nil
 }
--- a/daemon/replica.go
+++ b/daemon/replica.go
@@ -114,7 +114,7 @@
 	if err := storage.StoreSnapshot(first.Snapshot, wal.Received, empty); err != nil {
 		return err
 	}
-	if err := storage.UseSnapshot(first.Snapshot); err != nil {
+	if err := storage.UseSnapshot(first.Snapshot, wal.Received); err != nil {
 		return err
 	}
 	return storage.Append(first.HardState, nil)
--- a/faults/network_test.go
+++ b/faults/network_test.go
@@ -199,7 +199,7 @@
 }
 
 // UseSnapshot implements replica.Storage.
-func (d *memDisk) UseSnapshot(s raft.Snapshot) error {
+func (d *memDisk) UseSnapshot(s raft.Snapshot, _ wal.Origin) error {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	if d.stored.Index != s.Index {
--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -124,7 +124,7 @@
 	s := raft.Snapshot{Index: 1, Term: 1, Members: members}
 	err = log.StoreSnapshot(s, wal.Received, func(io.Writer) error { return nil })
 	if err == nil {
-		err = log.UseSnapshot(s)
+		err = log.UseSnapshot(s, wal.Received)
 	}
 	if err != nil {
 		c.t.Fatal(err)
--- a/replica/node.go
+++ b/replica/node.go
@@ -51,8 +51,8 @@
 	// StoreSnapshot writes and syncs a snapshot without using it yet. Any error but
 	// wal.ErrFailed leaves the storage usable.
 	StoreSnapshot(s raft.Snapshot, origin wal.Origin, content func(io.Writer) error) error
-	// UseSnapshot makes a stored snapshot the newest and removes what it covers.
-	UseSnapshot(s raft.Snapshot) error
+	// UseSnapshot takes a stored snapshot into use; a received one replaces all entries.
+	UseSnapshot(s raft.Snapshot, origin wal.Origin) error
 	// OpenSnapshot returns the newest snapshot and its content.
 	OpenSnapshot() (raft.Snapshot, io.ReadCloser, error)
 }
@@ -305,7 +305,7 @@
 
 func (n *Node[R]) persist(rd raft.Ready) error {
 	if rd.Snapshot != nil {
-		if err := n.storage.UseSnapshot(*rd.Snapshot); err != nil {
+		if err := n.storage.UseSnapshot(*rd.Snapshot, wal.Received); err != nil {
 			return err
 		}
 	}
--- a/replica/snapshots.go
+++ b/replica/snapshots.go
@@ -95,7 +95,7 @@
 	if s.Index <= n.snapshots.newest {
 		return
 	}
-	if n.failure = n.storage.UseSnapshot(s); n.failure != nil {
+	if n.failure = n.storage.UseSnapshot(s, wal.Local); n.failure != nil {
 		return
 	}
 	n.snapshots.newest = s.Index
--- a/wal/bench_test.go
+++ b/wal/bench_test.go
@@ -90,7 +90,7 @@
 		if err != nil {
 			b.Fatal(err)
 		}
-		if err := log.UseSnapshot(s); err != nil {
+		if err := log.UseSnapshot(s, Received); err != nil {
 			b.Fatal(err)
 		}
 	}
--- a/wal/doc.go
+++ b/wal/doc.go
@@ -10,7 +10,7 @@
 // use between two appends:
 //
 //	err = l.StoreSnapshot(snapshot, wal.Local, func(w io.Writer) error { ... })
-//	err = l.UseSnapshot(snapshot)
+//	err = l.UseSnapshot(snapshot, wal.Local)
 //
 // A write, sync or rename that fails makes the Log unusable, because the kernel
 // may have dropped the data that it failed to write. All later calls return
--- a/wal/example_test.go
+++ b/wal/example_test.go
@@ -34,7 +34,7 @@
 		return err
 	})
 	if err == nil {
-		err = log.UseSnapshot(covered)
+		err = log.UseSnapshot(covered, wal.Local)
 	}
 	if err != nil {
 		fmt.Println(err)
--- a/wal/log.go
+++ b/wal/log.go
@@ -1,7 +1,6 @@
 package wal
 
 import (
-	"path/filepath"
 	"sync/atomic"
 
 	"github.com/bulrushwinch/bulrushwinch/raft"
@@ -39,6 +38,7 @@
 	failed  atomic.Bool
 	syncs   atomic.Uint64
 	scratch []byte
+	covered covered
 }
 
 // Open reads the folder and prepares it for appending. The snapshot comes without its
@@ -62,13 +62,18 @@
 		return nil, raft.Restored{}, err
 	}
 	l := &Log{dir: dir, fs: fs, hard: p.restored.HardState, segments: p.segments, sequence: p.sequence, last: p.last()}
-	if err := l.removeLeftovers(snap.Index); err != nil {
+	if err := l.removeUnfinished(); err != nil {
 		return nil, raft.Restored{}, err
 	}
+	var reset uint64
 	if snap.origin == Received && p.resetAt != snap.Index {
-		return l, p.restored, l.rotate(snap.Index)
+		reset = snap.Index
+	}
+	if err := l.rotate(reset); err != nil {
+		return nil, raft.Restored{}, err
 	}
-	return l, p.restored, l.rotate(0)
+	l.cover(snap.Index)
+	return l, p.restored, l.removeCovered()
 }
 
 // Syncs returns the number of syncs since Open.
@@ -197,42 +202,32 @@
 	return l.write(appendHardState(buf, l.hard))
 }
 
-// UseSnapshot makes a stored snapshot the newest one, and removes what it covers. One that
-// was received from the leader replaces all entries.
-func (l *Log) UseSnapshot(s raft.Snapshot) error {
+// UseSnapshot takes a stored snapshot into use. What a local one covers is removed when
+// the next snapshot is stored, away from the caller. A received one replaces all entries.
+func (l *Log) UseSnapshot(s raft.Snapshot, origin Origin) error {
 	if l.failed.Load() {
 		return ErrFailed
 	}
-	origin, err := readOrigin(storedPath(l.dir, s))
-	if err != nil {
-		return l.fail(err)
+	l.hard.Commit = max(l.hard.Commit, s.Index)
+	if origin == Received {
+		if err := l.replaceBy(s); err != nil {
+			return err
+		}
 	}
+	l.cover(s.Index)
+	return nil
+}
+
+// replaceBy puts a received snapshot in place of the whole log.
+func (l *Log) replaceBy(s raft.Snapshot) error {
 	if err := l.fs.Rename(storedPath(l.dir, s), snapshotPath(l.dir, s.Index)); err != nil {
 		return l.fail(errors.Wrap(err, "wal: rename snapshot"))
 	}
 	if err := l.fs.SyncDir(l.dir); err != nil {
 		return l.fail(errors.Wrap(err, "wal: sync folder"))
 	}
-	l.hard.Commit = max(l.hard.Commit, s.Index)
-	var reset uint64
-	if origin == Received {
-		reset, l.last = s.Index, s.Index
-	}
-	if err := l.rotate(reset); err != nil {
-		return err
-	}
-	return l.fail(l.removeCovered(s.Index))
-}
-
-// removeCovered deletes the oldest segments whose entries a snapshot covers, and older snapshots.
-func (l *Log) removeCovered(index uint64) error {
-	for len(l.segments) > 1 && l.segments[0].last <= index {
-		if err := l.fs.Remove(segmentPath(l.dir, l.segments[0].number)); err != nil {
-			return errors.Wrap(err, "wal: remove segment")
-		}
-		l.segments = l.segments[1:]
-	}
-	return l.removeLeftovers(index)
+	l.last = s.Index
+	return l.rotate(s.Index)
 }
 
 // Close closes the current segment.
@@ -240,7 +235,3 @@
 	l.failed.Store(true)
 	return errors.Wrap(l.file.Close(), "wal: close")
 }
-
-func snapshotPath(dir string, index uint64) string {
-	return filepath.Join(dir, formatSnapshot(index))
-}
--- a/wal/log_test.go
+++ b/wal/log_test.go
@@ -128,13 +128,6 @@
 func (m *model) snap(index, term uint64, origin Origin) error {
 	s := raft.Snapshot{Index: index, Term: term, Members: testMembers}
 	content := fmt.Sprintf("state at %d", index)
-	err := m.log.StoreSnapshot(s, origin, func(w io.Writer) error {
-		_, err := io.WriteString(w, content)
-		return err
-	})
-	if err != nil {
-		return err
-	}
 	return m.do(func(n *model) {
 		if origin == Received {
 			n.entries = nil
@@ -143,7 +136,16 @@
 		}
 		n.snapshot, n.content = s, content
 		n.hard.Commit = max(n.hard.Commit, index)
-	}, func(*model) error { return m.log.UseSnapshot(s) })
+	}, func(*model) error {
+		err := m.log.StoreSnapshot(s, origin, func(w io.Writer) error {
+			_, err := io.WriteString(w, content)
+			return err
+		})
+		if err != nil {
+			return err
+		}
+		return m.log.UseSnapshot(s, origin)
+	})
 }
 
 // matches compares what was restored, but for the hard state of an unacknowledged write.
@@ -219,10 +221,8 @@
 		}
 		m := &model{log: log}
 		err = m.script()
-		if err != nil && m.maybe != nil {
-			if !errors.Is(err, ErrFailed) || !errors.Is(m.log.Append(m.hard, nil), ErrFailed) {
-				t.Fatalf("operation %d: %v does not stop the log", operation, err)
-			}
+		if err != nil && !errors.Is(m.log.Append(m.hard, nil), ErrFailed) {
+			t.Fatalf("operation %d: the log goes on after %v", operation, err)
 		}
 		_ = log.file.(*faultyFile).file.Close()
 		m.check(t, dir)
@@ -452,7 +452,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := log.UseSnapshot(s); err != nil {
+	if err := log.UseSnapshot(s, Local); err != nil {
 		t.Fatal(err)
 	}
 	_ = log.Close()
--- a/wal/segment.go
+++ b/wal/segment.go
@@ -60,7 +60,9 @@
 	}
 	for i, n := range numbers {
 		if i > 0 && n != numbers[i-1]+1 {
-			return errors.Wrapf(ErrCorrupt, "segment %d is missing", numbers[i-1]+1)
+			if err := p.gap(numbers[i-1] + 1); err != nil {
+				return err
+			}
 		}
 		p.segments = append(p.segments, segment{number: n})
 		if err := p.readSegment(n, i == len(numbers)-1); err != nil {
@@ -70,6 +72,18 @@
 	return nil
 }
 
+// gap takes missing segments as removed if the snapshot covers all segments before them.
+// If they held more, the segment after them tells of entries that are missing.
+func (p *replay) gap(number uint64) error {
+	for _, s := range p.segments {
+		if s.last > p.restored.Snapshot.Index {
+			return errors.Wrapf(ErrCorrupt, "segment %d is missing", number)
+		}
+	}
+	p.sequence = 0
+	return nil
+}
+
 // readSegment applies the frames of one segment; a torn tail is cut off the last one.
 func (p *replay) readSegment(number uint64, last bool) error {
 	path := segmentPath(p.dir, number)
--- a/wal/snapshot.go
+++ b/wal/snapshot.go
@@ -43,24 +43,31 @@
 
 func formatSnapshot(index uint64) string { return fmt.Sprintf(snapshotPattern, index) }
 
+func snapshotPath(dir string, index uint64) string {
+	return filepath.Join(dir, formatSnapshot(index))
+}
+
 func storedPath(dir string, s raft.Snapshot) string {
 	return filepath.Join(dir, fmt.Sprintf(storedPattern, s.Index, s.Term))
 }
 
 // StoreSnapshot writes a snapshot, whose content the given function produces, and syncs it.
-// The snapshot's own Data is not written. It is not used until UseSnapshot. An error of
+// The snapshot's own Data is not written. UseSnapshot takes it into use. An error of
 // content is returned as it is and leaves the log usable, as do errors of writing; a
 // failed sync does not.
 func (l *Log) StoreSnapshot(s raft.Snapshot, origin Origin, content func(io.Writer) error) error {
 	if l.failed.Load() {
 		return ErrFailed
 	}
+	if err := l.removeCovered(); err != nil {
+		return err
+	}
 	tmp := fmt.Sprintf("%s-%016x%s", storedPath(l.dir, s), RandomID(), temporarySuffix)
 	f, err := l.fs.Create(tmp)
 	if err != nil {
 		return errors.Wrap(err, "wal: create snapshot")
 	}
-	if err := writeSnapshot(f, s, origin, content); err != nil {
+	if err := writeSnapshot(&steadyFile{file: f}, s, origin, content); err != nil {
 		_ = f.Close()
 		_ = l.fs.Remove(tmp)
 		return err
@@ -68,7 +75,40 @@
 	if err := syncAndClose(f, nil); err != nil {
 		return l.fail(errors.Wrap(err, "wal: sync snapshot"))
 	}
-	return l.fail(errors.Wrap(l.fs.Rename(tmp, storedPath(l.dir, s)), "wal: rename snapshot"))
+	if err := l.fs.Rename(tmp, finishedPath(l.dir, s, origin)); err != nil {
+		return l.fail(errors.Wrap(err, "wal: rename snapshot"))
+	}
+	return l.fail(errors.Wrap(l.fs.SyncDir(l.dir), "wal: sync folder"))
+}
+
+// finishedPath is that of a snapshot which is complete. A local one is the newest from then
+// on, as the entries behind it stand; a received one waits for UseSnapshot.
+func finishedPath(dir string, s raft.Snapshot, origin Origin) string {
+	if origin == Local {
+		return snapshotPath(dir, s.Index)
+	}
+	return storedPath(dir, s)
+}
+
+// steadyBytes is the amount of a snapshot that is written between two syncs.
+const steadyBytes = 1 << 20
+
+// steadyFile syncs a large file as it grows, so that a sync of the log, which the file
+// system may order behind it, never waits for all of it.
+type steadyFile struct {
+	file
+	unsynced int
+}
+
+// Write implements io.Writer.
+func (s *steadyFile) Write(p []byte) (int, error) {
+	n, err := s.file.Write(p)
+	s.unsynced += n
+	if err == nil && s.unsynced >= steadyBytes {
+		s.unsynced = 0
+		err = s.file.Sync()
+	}
+	return n, err
 }
 
 // snapshotWriter frames content in chunks.
@@ -182,37 +222,3 @@
 		return r.meta.Snapshot, r, nil
 	}
 }
-
-// removeLeftovers deletes snapshots that are older than the one at keep, unfinished files,
-// and stored snapshots that will not be used any more.
-func (l *Log) removeLeftovers(keep uint64) error {
-	files, err := os.ReadDir(l.dir)
-	if err != nil {
-		return errors.Wrap(err, "wal: list folder")
-	}
-	for _, f := range files {
-		if !isLeftover(f.Name(), keep, l.file == nil) {
-			continue
-		}
-		if err := l.fs.Remove(filepath.Join(l.dir, f.Name())); err != nil && !os.IsNotExist(err) {
-			return errors.Wrap(err, "wal: remove leftover")
-		}
-	}
-	return nil
-}
-
-// isLeftover reports whether a file serves no more beside a snapshot at keep. While the
-// folder is opened nothing writes to it, so that all unfinished files are leftovers.
-func isLeftover(name string, keep uint64, opening bool) bool {
-	var index, term uint64
-	if strings.HasSuffix(name, temporarySuffix) {
-		return opening
-	}
-	if _, err := fmt.Sscanf(name, snapshotPattern, &index); err == nil {
-		return index < keep
-	}
-	if _, err := fmt.Sscanf(name, storedPattern, &index, &term); err == nil {
-		return opening || index <= keep
-	}
-	return false
-}
--- a/wal/snapshot_reader.go
+++ b/wal/snapshot_reader.go
@@ -61,14 +61,6 @@
 	return r, nil
 }
 
-func readOrigin(path string) (Origin, error) {
-	r, err := openSnapshotFile(path)
-	if err != nil {
-		return 0, err
-	}
-	return r.meta.origin, r.Close()
-}
-
 // next reads one frame.
 func (r *snapshotReader) next() (kind byte, body []byte, err error) {
 	var header [frameHeaderBytes]byte
