Set a damaged data folder aside and rejoin as a learner

A damaged folder ended the process for good. Its content now moves into damaged-NNNN inside the folder, and the replica joins under a new identity. It never founds a group then, nor does -bootstrap where another replica knows a group: an emptied disk with the flag left in its unit file would have started a second cell. The identity file had no checksum: one flipped bit made another replica of it, which the test of damaged folders found.

--- /dev/null
+++ b/daemon/folder.go
@@ -0,0 +1,122 @@
+package daemon
+
+import (
+	"context"
+	"io"
+
+	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/bulrushwinch/bulrushwinch/wal"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+)
+
+// folder brings a data folder into a group: as it is if it belongs to one, as a new
+// learner if it is empty or damaged, as the first voter of a new group on request.
+type folder struct {
+	dir string
+	// self describes this replica; its ID is filled in from the identity.
+	self raft.Member
+	log  zerolog.Logger
+	// find asks every other replica once for a group that has taken the replica in, and
+	// returns zero if there is none.
+	find func(ctx context.Context, id wal.Identity) (group uint64)
+	// join asks until a group has taken the replica in, or ctx ends.
+	join func(ctx context.Context, id wal.Identity) (group uint64, err error)
+}
+
+// openedFolder is a data folder that belongs to a group.
+type openedFolder struct {
+	id       wal.Identity
+	storage  *wal.Log
+	restored raft.Restored
+}
+
+// open opens the folder. Damaged content is set aside and the replica joins under a new
+// identity; it never founds a group then, as the one that it had may live on.
+func (f *folder) open(ctx context.Context, bootstrap bool) (*openedFolder, error) {
+	for {
+		opened, err := f.tryOpen(ctx, bootstrap)
+		if !errors.Is(err, wal.ErrCorrupt) {
+			return opened, err
+		}
+		aside, moveErr := wal.SetAside(f.dir)
+		if moveErr != nil {
+			return nil, moveErr
+		}
+		f.log.Error().Err(err).Str("moved_to", aside).
+			Msg("data folder is damaged; its content was moved and this replica joins its group as a new learner")
+		bootstrap = false
+	}
+}
+
+func (f *folder) tryOpen(ctx context.Context, bootstrap bool) (*openedFolder, error) {
+	id, created, err := wal.LoadIdentity(f.dir)
+	if err != nil {
+		return nil, err
+	}
+	if created {
+		f.log.Info().Uint64("replica", uint64(id.Replica)).Msg("data folder is new; created a replica identity")
+	}
+	if id.Group == 0 {
+		if id, err = f.enterGroup(ctx, id, bootstrap); err != nil {
+			return nil, err
+		}
+	}
+	hasLog, err := wal.HasLog(f.dir)
+	if err == nil && !hasLog {
+		err = errors.Wrap(wal.ErrCorrupt, "the log of a member is missing")
+	}
+	if err != nil {
+		return nil, err
+	}
+	storage, restored, err := wal.Open(f.dir)
+	if err != nil {
+		return nil, err
+	}
+	return &openedFolder{id, storage, restored}, nil
+}
+
+// enterGroup gives the folder a group. A crash on the way leaves an identity without a
+// group and an empty log, with which it starts over.
+func (f *folder) enterGroup(ctx context.Context, id wal.Identity, bootstrap bool) (wal.Identity, error) {
+	storage, restored, err := wal.Open(f.dir)
+	if err != nil {
+		return id, err
+	}
+	defer func() { _ = storage.Close() }()
+	if restored.Snapshot.Index > 0 || len(restored.Entries) > 0 {
+		return id, errors.Wrap(wal.ErrCorrupt, "the data folder holds a log without a group")
+	}
+	if id.Group, err = f.chooseGroup(ctx, id, bootstrap, storage); err != nil {
+		return id, err
+	}
+	return id, wal.SaveIdentity(f.dir, id)
+}
+
+// chooseGroup joins a group, or founds one if that is asked for and no other replica
+// knows a group.
+func (f *folder) chooseGroup(ctx context.Context, id wal.Identity, bootstrap bool, storage *wal.Log) (uint64, error) {
+	if !bootstrap {
+		return f.join(ctx, id)
+	}
+	if group := f.find(ctx, id); group != 0 {
+		f.log.Warn().Uint64("group", group).Msg("bootstrap was asked for, but a group exists; joined it as a learner")
+		return group, nil
+	}
+	return wal.RandomID(), f.found(id, storage)
+}
+
+// found writes the state of a new group with this replica as its only voter.
+func (f *folder) found(id wal.Identity, storage *wal.Log) error {
+	self := f.self
+	self.ID = id.Replica
+	first := raft.Bootstrap(self)
+	empty := func(io.Writer) error { return nil }
+	if err := storage.StoreSnapshot(first.Snapshot, wal.Received, empty); err != nil {
+		return err
+	}
+	if err := storage.UseSnapshot(first.Snapshot, wal.Received); err != nil {
+		return err
+	}
+	return storage.Append(first.HardState, nil)
+}
--- /dev/null
+++ b/daemon/folder_test.go
@@ -0,0 +1,167 @@
+package daemon
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/bulrushwinch/bulrushwinch/wal"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+)
+
+const existingGroup = 77
+
+// testFolder notes who joined. Without a group nobody answers.
+type testFolder struct {
+	folder
+	exists bool
+	joined []raft.ID
+}
+
+func newTestFolder(t *testing.T, exists bool) *testFolder {
+	f := &testFolder{exists: exists}
+	f.folder = folder{dir: filepath.Join(t.TempDir(), "data"), log: zerolog.Nop(), self: raft.Member{Address: "10.0.0.1:7401"}}
+	f.find = func(_ context.Context, id wal.Identity) uint64 {
+		if !f.exists {
+			return 0
+		}
+		f.joined = append(f.joined, id.Replica)
+		return existingGroup
+	}
+	f.join = func(ctx context.Context, id wal.Identity) (uint64, error) {
+		if group := f.find(ctx, id); group != 0 {
+			return group, nil
+		}
+		return 0, context.DeadlineExceeded
+	}
+	return f
+}
+
+func (f *testFolder) mustOpen(t *testing.T, bootstrap bool) *openedFolder {
+	t.Helper()
+	opened, err := f.open(context.Background(), bootstrap)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = opened.storage.Close() })
+	return opened
+}
+
+// write adds entries to a folder as a member does, and closes it.
+func (o *openedFolder) write(t *testing.T) {
+	t.Helper()
+	last := o.restored.Snapshot.Index + uint64(len(o.restored.Entries))
+	err := o.storage.Append(raft.HardState{Term: 2, Commit: last}, []raft.Entry{{Index: last + 1, Term: 2, Data: []byte("x")}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = o.storage.Close()
+}
+
+func TestFolderKeepsItsIdentity(t *testing.T) {
+	f := newTestFolder(t, true)
+	first := f.mustOpen(t, false)
+	first.write(t)
+	second := f.mustOpen(t, false)
+	if second.id != first.id || first.id.Group != existingGroup || len(second.restored.Entries) != 1 || len(f.joined) != 1 {
+		t.Errorf("opened as %v, then %v with %d entries; joined %v", first.id, second.id, len(second.restored.Entries), f.joined)
+	}
+}
+
+func TestBootstrapFoundsOneGroupOnly(t *testing.T) {
+	f := newTestFolder(t, false)
+	first := f.mustOpen(t, true)
+	members := first.restored.Snapshot.Members
+	if len(members) != 1 || members[0].ID != first.id.Replica || !members[0].Voter || first.id.Group == 0 {
+		t.Fatalf("founded %v with %v", first.id, members)
+	}
+	_ = first.storage.Close()
+	if second := f.mustOpen(t, true); second.id != first.id {
+		t.Errorf("a second start opened %v", second.id)
+	}
+	other := newTestFolder(t, true)
+	if joined := other.mustOpen(t, true); joined.id.Group != existingGroup || joined.restored.Snapshot.Index != 0 {
+		t.Errorf("bootstrap beside a group opened %v", joined.id)
+	}
+}
+
+// TestDamagedFolderJoinsAnew damages a member's folder in each way, with bootstrap still set.
+func TestDamagedFolderJoinsAnew(t *testing.T) {
+	flip := func(pattern string) func(dir string) error {
+		return func(dir string) error {
+			paths, err := filepath.Glob(filepath.Join(dir, pattern))
+			if err != nil || len(paths) == 0 {
+				return errors.Errorf("no %s: %v", pattern, err)
+			}
+			data, err := os.ReadFile(paths[0])
+			if err != nil {
+				return err
+			}
+			data[len(data)/2] ^= 1
+			return os.WriteFile(paths[0], data, 0o600)
+		}
+	}
+	remove := func(pattern string) func(dir string) error {
+		return func(dir string) error {
+			paths, err := filepath.Glob(filepath.Join(dir, pattern))
+			for _, p := range paths {
+				if err == nil {
+					err = os.Remove(p)
+				}
+			}
+			return err
+		}
+	}
+	for name, damage := range map[string]func(dir string) error{
+		"log": flip("segment-*"), "snapshot": flip("snapshot-*"), "identity": flip("identity.json"),
+		"no identity": remove("identity.json"), "no log": remove("s*"), "emptied": remove("*"),
+	} {
+		f := newTestFolder(t, false)
+		first := f.mustOpen(t, true)
+		first.write(t)
+		if err := damage(f.dir); err != nil {
+			t.Fatal(err)
+		}
+		f.exists = true
+		again := f.mustOpen(t, true)
+		if again.id.Replica == first.id.Replica || again.id.Group != existingGroup ||
+			again.restored.Snapshot.Index != 0 || len(again.restored.Entries) != 0 {
+			t.Errorf("%s: opened %v with snapshot %d after %v", name, again.id, again.restored.Snapshot.Index, first.id)
+		}
+		if aside, _ := filepath.Glob(filepath.Join(f.dir, "damaged-*")); len(aside) != 1 && name != "emptied" {
+			t.Errorf("%s: set aside in %v", name, aside)
+		}
+	}
+}
+
+// TestCrashBeforeIdentityIsSaved joins, forgets the answer and joins again under one identity.
+func TestCrashBeforeIdentityIsSaved(t *testing.T) {
+	f := newTestFolder(t, true)
+	id, _, err := wal.LoadIdentity(f.dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.join(context.Background(), id); err != nil {
+		t.Fatal(err)
+	}
+	opened := f.mustOpen(t, false)
+	if opened.id.Replica != id.Replica || len(f.joined) != 2 || f.joined[0] != f.joined[1] {
+		t.Errorf("joined as %v, opened %v", f.joined, opened.id)
+	}
+}
+
+// TestDamagedFolderFoundsNothing damages the only replica of a group: it waits for a group
+// and never starts one over.
+func TestDamagedFolderFoundsNothing(t *testing.T) {
+	f := newTestFolder(t, false)
+	f.mustOpen(t, true).write(t)
+	if err := os.Truncate(filepath.Join(f.dir, "identity.json"), 3); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := f.open(context.Background(), true); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("opened a damaged folder without a group: %v", err)
+	}
+}
--- a/daemon/replica.go
+++ b/daemon/replica.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"io"
 	"time"
 
 	"connectrpc.com/connect"
@@ -15,7 +14,6 @@
 	"github.com/bulrushwinch/bulrushwinch/retry"
 	"github.com/bulrushwinch/bulrushwinch/state"
 	"github.com/bulrushwinch/bulrushwinch/wal"
-	"github.com/pkg/errors"
 )
 
 const (
@@ -34,20 +32,13 @@
 
 // runReplica opens the data folder, joins or founds a group and runs until ctx ends.
 func (d *Daemon) runReplica(ctx context.Context, bootstrap bool) error {
-	dir := d.settings.DataFolder
-	id, _, err := wal.LoadIdentity(dir)
-	if err != nil {
-		return err
-	}
-	if id.Group == 0 {
-		if id, err = d.enterGroup(ctx, id, bootstrap); err != nil {
-			return err
-		}
-	}
-	storage, restored, err := wal.Open(dir)
+	f := &folder{dir: d.settings.DataFolder, log: d.log, find: d.findGroup, join: d.join,
+		self: raft.Member{Address: d.settings.PeerAddress, Domain: d.settings.FailureDomain}}
+	opened, err := f.open(ctx, bootstrap)
 	if err != nil {
 		return err
 	}
+	id, storage, restored := opened.id, opened.storage, opened.restored
 	defer func() { _ = storage.Close() }()
 	role, err := d.buildReplica(ctx, id, storage, restored)
 	if err != nil {
@@ -73,8 +64,9 @@
 	}
 	controller := control.New(cfg, st, lease.BootClock{}, d.events)
 	transport := peer.NewTransport(ctx, d.pool, id.Group, raft.Member{ID: id.Replica, Address: d.settings.PeerAddress})
-	node, err := replica.New(replica.DefaultConfig(id.Replica, uint64(time.Now().UnixNano())),
-		control.Machine{State: st}, controller, storage, transport, restored)
+	nodeConfig := replica.DefaultConfig(id.Replica, uint64(time.Now().UnixNano()))
+	nodeConfig.Warn = func(err error) { d.log.Warn().Err(err).Msg("snapshot was not completed; it is tried again later") }
+	node, err := replica.New(nodeConfig, control.Machine{State: st}, controller, storage, transport, restored)
 	if err != nil {
 		return nil, err
 	}
@@ -82,42 +74,17 @@
 	return &replicaRole{group: id.Group, node: node, controller: controller, transport: transport}, nil
 }
 
-// enterGroup founds a group in an empty folder, or joins an existing one as a learner.
-func (d *Daemon) enterGroup(ctx context.Context, id wal.Identity, bootstrap bool) (wal.Identity, error) {
-	if bootstrap {
-		id.Group = wal.RandomID()
-		if err := d.found(id); err != nil {
-			return id, err
+// findGroup asks every other replica once to take this one in, and returns zero if none does.
+func (d *Daemon) findGroup(ctx context.Context, id wal.Identity) uint64 {
+	for _, address := range d.settings.Replicas {
+		if address == d.settings.PeerAddress {
+			continue
 		}
-	} else {
-		group, err := d.join(ctx, id)
-		if err != nil {
-			return id, err
+		if group := d.tryJoin(ctx, address, 0, d.ownMember(id)); group != 0 {
+			return group
 		}
-		id.Group = group
-	}
-	return id, wal.SaveIdentity(d.settings.DataFolder, id)
-}
-
-// found writes the state of a new group with this replica as its only voter.
-func (d *Daemon) found(id wal.Identity) error {
-	storage, existing, err := wal.Open(d.settings.DataFolder)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = storage.Close() }()
-	if existing.Snapshot.Index > 0 || len(existing.Entries) > 0 {
-		return errors.New("daemon: the data folder holds a log without a group; it can't be bootstrapped")
-	}
-	first := raft.Bootstrap(raft.Member{ID: id.Replica, Address: d.settings.PeerAddress, Domain: d.settings.FailureDomain})
-	empty := func(io.Writer) error { return nil }
-	if err := storage.StoreSnapshot(first.Snapshot, wal.Received, empty); err != nil {
-		return err
-	}
-	if err := storage.UseSnapshot(first.Snapshot, wal.Received); err != nil {
-		return err
 	}
-	return storage.Append(first.HardState, nil)
+	return 0
 }
 
 // join asks the replicas in turn until the leader has added this one as a learner.
--- a/wal/identity.go
+++ b/wal/identity.go
@@ -4,6 +4,7 @@
 	"crypto/rand"
 	"encoding/binary"
 	"encoding/json"
+	"hash/crc32"
 	"os"
 	"path/filepath"
 
@@ -21,28 +22,47 @@
 	Group uint64
 }
 
-// LoadIdentity reads the folder's identity, or creates folder and identity if there is none.
+// identityRecord is the content of the identity file.
+type identityRecord struct {
+	Identity
+	// Checksum is the CRC-32C of the identity.
+	Checksum uint32
+}
+
+func (r identityRecord) checksum() uint32 {
+	b := binary.LittleEndian.AppendUint64(nil, uint64(r.Replica))
+	return crc32.Checksum(binary.LittleEndian.AppendUint64(b, r.Group), castagnoli)
+}
+
+// LoadIdentity reads the folder's identity, or creates folder and identity if both are
+// missing. A log without an identity, as a crash in SetAside leaves it, is ErrCorrupt.
 func LoadIdentity(dir string) (id Identity, created bool, err error) {
 	if err := os.MkdirAll(dir, folderPermissions); err != nil {
 		return id, false, errors.Wrap(err, "wal: create data folder")
 	}
 	data, err := os.ReadFile(filepath.Join(dir, identityFile))
 	if os.IsNotExist(err) {
+		if hasLog, err := HasLog(dir); hasLog || err != nil {
+			return id, false, errors.Wrap(ErrCorrupt, "the data folder holds a log without an identity")
+		}
 		id = Identity{Replica: raft.ID(RandomID())}
 		return id, true, SaveIdentity(dir, id)
 	}
 	if err != nil {
 		return id, false, errors.Wrap(err, "wal: read identity")
 	}
-	if err := json.Unmarshal(data, &id); err != nil || id.Replica == raft.None {
+	var record identityRecord
+	if err := json.Unmarshal(data, &record); err != nil || record.Checksum != record.checksum() || record.Replica == raft.None {
 		return id, false, errors.Wrap(ErrCorrupt, identityFile)
 	}
-	return id, false, nil
+	return record.Identity, false, nil
 }
 
 // SaveIdentity makes the folder's identity durable.
 func SaveIdentity(dir string, id Identity) error {
-	data, err := json.Marshal(id)
+	record := identityRecord{Identity: id}
+	record.Checksum = record.checksum()
+	data, err := json.Marshal(record)
 	if err != nil {
 		return errors.Wrap(err, "wal: encode identity")
 	}
