--- a/control/bench_test.go
+++ b/control/bench_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 
@@ -172,4 +173,17 @@
 		}
 	}
 	b.ReportMetric(float64(longest.Microseconds())/1000, "longest-pause-ms")
+	leading := heapInUse()
+	c.do(func() { c.ctl.Follow(raft.Member{}) })
+	following := heapInUse()
+	b.ReportMetric(float64(leading-following)/1e6, "leader-heap-MB")
+	b.ReportMetric(float64(following)/1e6, "follower-heap-MB")
+}
+
+func heapInUse() uint64 {
+	runtime.GC()
+	runtime.GC()
+	var m runtime.MemStats
+	runtime.ReadMemStats(&m)
+	return m.HeapAlloc
 }
