Let Join wait for its commit

Cause: Join answered "lost" until a second call found the member committed, so that four processes that started together took longer than eight seconds to three voters (trial on loopback).

Change: Join looks again each 50 ms until its deadline.

--- a/control/membership.go
+++ b/control/membership.go
@@ -8,6 +8,7 @@
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
 	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/bulrushwinch/bulrushwinch/retry"
 	"github.com/bulrushwinch/bulrushwinch/state"
 	"github.com/pkg/errors"
 )
@@ -15,6 +16,8 @@
 const (
 	// membershipInterval is the time between looks at the group's members.
 	membershipInterval = 500 * time.Millisecond
+	// joinCheckInterval is the time between looks whether a join is committed.
+	joinCheckInterval = 50 * time.Millisecond
 	// replicaChangeLife bounds how long an accepted replica change is tried.
 	replicaChangeLife = 2 * time.Minute
 )
@@ -153,22 +156,33 @@
 // is safe for concurrent use and idempotent; it answers OK once the change is committed,
 // and refuses a folder of another group.
 func (c *Controller) Join(ctx context.Context, req *peerv1.JoinRequest, group uint64) *peerv1.JoinResponse {
+	if req.GetGroup() != 0 && req.GetGroup() != group {
+		return &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_REFUSED}
+	}
+	for {
+		if r := c.tryJoin(ctx, req, group); r != nil {
+			return r
+		}
+		if retry.Sleep(ctx, joinCheckInterval) != nil {
+			return &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
+		}
+	}
+}
+
+// tryJoin returns nil while the membership change is not committed.
+func (c *Controller) tryJoin(ctx context.Context, req *peerv1.JoinRequest, group uint64) *peerv1.JoinResponse {
 	done := make(chan *peerv1.JoinResponse, 1)
 	err := c.node.Post(ctx, func() {
 		if !c.leading {
 			done <- &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER, LeaderAddress: c.leader.Address}
 			return
 		}
-		if req.GetGroup() != 0 && req.GetGroup() != group {
-			done <- &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_REFUSED}
-			return
-		}
 		c.confirmed(func(ok bool) {
 			if ok && c.addLearner(req.GetMember()) {
 				done <- &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_OK, Group: group}
 				return
 			}
-			done <- &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
+			done <- nil
 		})
 	})
 	if err == nil {
