Add the fault matrix: 20 steps by 20 faults in virtual time

Each cell is three runs of the real replicas, scheduler, entries, views and upstream agents in a synctest bubble; the fault is brought about on the very goroutine that takes the step (before the sync, after it, or on apply, for steps that are log entries). 13 named checks look for breaches of each promise in the history from outside: runs, calls, views; operations on the configuration also by porcupine.

The two tests that stood before are kept, on the new scaffolding.

--- a/faults/cell_test.go
+++ b/faults/cell_test.go
@@ -4,13 +4,13 @@
 	"context"
 	"crypto/sha256"
 	"fmt"
+	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
-	"connectrpc.com/connect"
-	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	"github.com/bulrushwinch/bulrushwinch/control"
 	"github.com/bulrushwinch/bulrushwinch/entry"
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
@@ -18,19 +18,18 @@
 	"github.com/bulrushwinch/bulrushwinch/replica"
 	"github.com/bulrushwinch/bulrushwinch/state"
 	"github.com/bulrushwinch/bulrushwinch/timeline"
-	"github.com/bulrushwinch/bulrushwinch/upstream"
+	"github.com/bulrushwinch/bulrushwinch/view"
+	"github.com/bulrushwinch/bulrushwinch/wal"
 	"github.com/pkg/errors"
 )
 
 const (
-	operatorKey  = "operator-key"
-	upstreamKey  = "upstream-key"
-	callerKey    = "caller-key"
-	oneWayDelay  = 500 * time.Microsecond
-	settleTime   = 5 * time.Second
-	testTeam     = "montevideo"
-	testQueue    = "labels"
-	openCallTime = 10 * time.Second
+	groupID = 1
+	// snapshotEntries is low, so that every run takes snapshots.
+	snapshotEntries = 60
+	eventCapacity   = 8192
+	viewPause       = 50 * time.Millisecond
+	viewTimeout     = 2500 * time.Millisecond
 )
 
 var testDomains = []string{"cordon", "prado", "pocitos"}
@@ -40,312 +39,449 @@
 
 func (c bubbleClock) Now() time.Duration { return time.Since(c.start) }
 
-// cell is a whole system in memory: replicas, one entry per replica, upstreams.
+// gate holds up whoever passes while it is shut, as a stopped process is held up.
+type gate struct {
+	mu     sync.Mutex
+	opened chan struct{}
+	since  time.Time
+}
+
+func (g *gate) shut() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.opened == nil {
+		g.opened, g.since = make(chan struct{}), time.Now()
+	}
+}
+
+func (g *gate) open() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.opened != nil {
+		close(g.opened)
+		g.opened = nil
+	}
+}
+
+// shutSince returns when the gate was shut, or false while it is open.
+func (g *gate) shutSince() (time.Time, bool) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.since, g.opened != nil
+}
+
+func (g *gate) wait() {
+	for {
+		g.mu.Lock()
+		opened := g.opened
+		g.mu.Unlock()
+		if opened == nil {
+			return
+		}
+		<-opened
+	}
+}
+
+// cell is a whole system in memory: replicas, entries and workers.
 type cell struct {
-	t     *testing.T
-	seed  uint64
-	net   *network
-	clock bubbleClock
+	t        *testing.T
+	seed     uint64
+	dir      string // parent of the replicas' data folders; empty for disks in memory
+	net      *network
+	clock    bubbleClock
+	triggers triggers
+	history  *history
+	operator *memEntry
 
 	mu       sync.Mutex
 	replicas map[string]*memReplica
-	agents   []*upstream.Agent
-	runs     *runLog
-	ctx      context.Context
-	cancel   context.CancelFunc
-	wg       sync.WaitGroup
+	lastID   raft.ID
+	entries  []*memEntry
+	workers  map[string]*worker
+	// repairing is held by whoever changes the membership.
+	repairing chan struct{}
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	wg     sync.WaitGroup
+	// healing counts faults that have yet to end.
+	healing sync.WaitGroup
 }
 
-// memReplica is one VM with a data folder.
+// memReplica is one process on a VM with a data folder.
 type memReplica struct {
 	address    string
 	id         raft.ID
-	disk       *memDisk
+	disk       disk
 	node       *replica.Node[[]state.Result]
 	controller *control.Controller
-	state      *state.State
+	events     *timeline.Recorder
+	gate       gate
+	dead       atomic.Bool
+	leadTerm   atomic.Uint64
 	cancel     context.CancelFunc
 	done       chan struct{}
 }
 
-// newCell starts a group with one voter per failure domain and waits for a leader.
-func newCell(t *testing.T, seed uint64) *cell {
+// halted holds up a paused process and reports whether it is dead.
+func (r *memReplica) halted() bool {
+	if r.dead.Load() {
+		return true
+	}
+	r.gate.wait()
+	return r.dead.Load()
+}
+
+// newCell starts a group with one voter per failure domain, two entries, and a first
+// operator. Disks are folders in dir, or in memory if dir is empty.
+func newCell(t *testing.T, seed uint64, dir string) *cell {
 	ctx, cancel := context.WithCancel(context.Background())
-	c := &cell{t: t, seed: seed, net: newNetwork(seed), clock: bubbleClock{time.Now().Add(-time.Hour)},
-		replicas: make(map[string]*memReplica), runs: &runLog{}, ctx: ctx, cancel: cancel}
+	c := &cell{t: t, seed: seed, dir: dir, clock: bubbleClock{time.Now().Add(-time.Hour)}, history: newHistory(),
+		replicas: make(map[string]*memReplica), workers: make(map[string]*worker),
+		repairing: make(chan struct{}, 1), ctx: ctx, cancel: cancel}
+	c.net = newNetwork(seed, &c.triggers)
+	for i := range 2 {
+		c.entries = append(c.entries, c.newEntry(fmt.Sprintf("entry-%d", i+1)))
+	}
+	c.operator = c.newEntry("operator")
 	var members []raft.Member
 	for i, d := range testDomains {
 		members = append(members, raft.Member{ID: raft.ID(i + 1), Voter: true, Address: "replica-" + d, Domain: d})
 	}
+	c.lastID = raft.ID(len(members))
+	first := raft.Snapshot{Index: 1, Term: 1, Members: members}
 	for _, m := range members {
-		disk := &memDisk{restored: raft.Restored{HardState: raft.HardState{Term: 1, Commit: 1},
-			Snapshot: raft.Snapshot{Index: 1, Term: 1, Members: members}}}
-		c.startReplica(m.Address, m.ID, disk)
+		d := c.newDisk(m.ID)
+		if err := c.found(d, first); err != nil {
+			t.Fatal(err)
+		}
+		c.startReplica(m.Address, m.ID, d)
 	}
 	time.Sleep(settleTime)
-	c.configure()
 	return c
 }
 
+// found writes the first state of a group to a disk.
+func (c *cell) found(d disk, first raft.Snapshot) error {
+	if _, err := d.open(); err != nil {
+		return err
+	}
+	st := state.New(state.DefaultSettings)
+	if err := d.StoreSnapshot(first, wal.Received, st.Capture()); err != nil {
+		return err
+	}
+	if err := d.UseSnapshot(first, wal.Received); err != nil {
+		return err
+	}
+	return d.Append(raft.HardState{Term: 1, Commit: 1}, nil)
+}
+
+func (c *cell) newDisk(id raft.ID) disk {
+	if c.dir == "" {
+		return &memDisk{}
+	}
+	dir := filepath.Join(c.dir, fmt.Sprint(id))
+	if err := makeFolder(dir); err != nil {
+		c.t.Fatal(err)
+	}
+	return &walDisk{dir: dir}
+}
+
+// spawn runs f on a goroutine that ends with the cell.
+func (c *cell) spawn(f func()) {
+	c.wg.Add(1)
+	go func() {
+		defer c.wg.Done()
+		f()
+	}()
+}
+
+// heal runs f as the later part of a fault, after a delay.
+func (c *cell) heal(after time.Duration, f func()) {
+	c.healing.Add(1)
+	c.spawn(func() {
+		defer c.healing.Done()
+		time.Sleep(after)
+		f()
+	})
+}
+
 // stop ends every goroutine of the cell.
 func (c *cell) stop() {
 	c.cancel()
+	for _, r := range c.live() {
+		r.gate.open()
+	}
+	for _, w := range c.workers {
+		w.gate.open()
+	}
 	c.wg.Wait()
-	c.net.wait()
+	c.net.wg.Wait()
 }
 
-// startReplica starts a replica process on a disk.
-func (c *cell) startReplica(address string, id raft.ID, disk *memDisk) *memReplica {
+// startReplica starts a process on a disk.
+func (c *cell) startReplica(address string, id raft.ID, d disk) *memReplica {
 	ctx, cancel := context.WithCancel(c.ctx)
+	r := &memReplica{address: address, id: id, disk: d, cancel: cancel, done: make(chan struct{})}
+	restored, err := d.open()
+	if err != nil {
+		c.t.Errorf("replica %s: open: %v", address, err)
+	}
 	st := state.New(state.DefaultSettings)
 	cfg := control.DefaultConfig
 	key := sha256.Sum256([]byte(operatorKey))
 	cfg.OperatorKey = key[:]
-	ctl := control.New(cfg, st, c.clock, timeline.NewRecorder(address, timeline.NewClock(time.Now), 4096))
-	node, err := replica.New(replica.DefaultConfig(id, c.seed), control.Machine{State: st}, ctl, disk,
-		&memTransport{c.net, address}, disk.load())
+	r.events = timeline.NewRecorder(address, timeline.NewClock(time.Now), eventCapacity)
+	r.controller = control.New(cfg, st, c.clock, r.events)
+	settings := replica.DefaultConfig(id, c.seed)
+	settings.SnapshotEntries = snapshotEntries
+	r.node, err = replica.New(settings, &tapMachine{control.Machine{State: st}, c, r}, &tapOwner{r.controller, r},
+		&tapStorage{disk: d, cell: c, replica: r, members: restored.Snapshot.Members}, &memTransport{c.net, r}, restored)
 	if err != nil {
-		c.t.Fatal(err)
+		c.t.Errorf("replica %s: start: %v", address, err)
+		cancel()
+		return r
 	}
-	ctl.Attach(node)
-	r := &memReplica{address, id, disk, node, ctl, st, cancel, make(chan struct{})}
+	r.controller.Attach(r.node)
 	c.mu.Lock()
 	c.replicas[address] = r
 	c.mu.Unlock()
-	c.net.register(address, r)
-	c.wg.Add(1)
-	go func() {
-		defer c.wg.Done()
+	c.net.register(r)
+	c.spawn(func() {
 		defer close(r.done)
-		if err := node.Run(ctx); err != nil {
+		if err := r.node.Run(ctx); err != nil && !r.dead.Load() {
 			c.t.Errorf("replica %s: %v", address, err)
 		}
-	}()
+	})
 	return r
 }
 
-// kill ends a replica process; what was synced stays on its disk.
-func (c *cell) kill(address string) *memReplica {
-	c.mu.Lock()
-	r := c.replicas[address]
-	delete(c.replicas, address)
-	c.mu.Unlock()
-	c.net.register(address, nil)
+// crash ends a process at once: nothing more is written, sent or answered.
+func (c *cell) crash(r *memReplica) {
+	r.dead.Store(true)
+	r.leadTerm.Store(0)
+	r.gate.open()
 	r.cancel()
+}
+
+// restart starts a crashed replica again on its disk.
+func (c *cell) restart(r *memReplica) *memReplica {
 	<-r.done
-	return r
+	return c.startReplica(r.address, r.id, r.disk)
+}
+
+// freeze pauses a replica's process.
+func (c *cell) freeze(r *memReplica) {
+	r.gate.shut()
+	_ = r.node.Post(c.ctx, func() { r.gate.wait() })
 }
 
-// leader returns the address of the replica that leads, or "".
-func (c *cell) leader() string {
+// live returns the replicas that are not dead, by address.
+func (c *cell) live() []*memReplica {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	best, term := "", uint64(0)
-	for address, r := range c.replicas {
-		result := make(chan uint64, 1)
-		if r.node.Post(c.ctx, func() {
-			if r.controller.Leading() {
-				result <- r.node.Raft().Term()
-				return
-			}
-			result <- 0
-		}) != nil {
-			continue
-		}
-		if got := <-result; got > term {
-			best, term = address, got
+	var out []*memReplica
+	for _, r := range c.replicas {
+		if !r.dead.Load() {
+			out = append(out, r)
 		}
 	}
-	return best
-}
-
-func (c *cell) addresses() []string {
-	var out []string
-	for _, d := range testDomains {
-		out = append(out, "replica-"+d)
-	}
+	slices.SortFunc(out, func(a, b *memReplica) int {
+		if a.address < b.address {
+			return -1
+		}
+		return 1
+	})
 	return out
 }
 
-// entry returns a new entry process, reached by no delay of its own.
-func (c *cell) entry(name string) *entry.Server {
-	router := entry.NewRouter(&memForwarder{c.net, name}, c.addresses())
-	return entry.NewServer(name, router, timeline.NewRecorder(name, timeline.NewClock(time.Now), 1024), nil)
+// leader returns the live replica that leads in the highest term, or nil.
+func (c *cell) leader() *memReplica {
+	var best *memReplica
+	for _, r := range c.live() {
+		if t := r.leadTerm.Load(); t > 0 && (best == nil || t > best.leadTerm.Load()) {
+			best = r
+		}
+	}
+	return best
 }
 
-// change applies a change of configuration, resending until it has an answer.
-func (c *cell) change(req *apiv1.ChangeRequest) *apiv1.ChangeResponse {
-	e := c.entry("operator")
-	for range 20 {
-		r := connect.NewRequest(req)
-		r.Header().Set("Authorization", "Bearer "+operatorKey)
-		resp, err := e.Change(c.ctx, r)
-		if err == nil {
-			return resp.Msg
+// leaderAt returns the leader that took part in an event, or some live replica.
+func (c *cell) leaderAt(e event) *memReplica {
+	live := c.live()
+	for _, r := range live {
+		if r.address == e.replica {
+			return r
 		}
-		time.Sleep(100 * time.Millisecond)
 	}
-	c.t.Fatalf("change %s found no leader", req.GetOperationId())
+	if l := c.leader(); l != nil {
+		return l
+	}
+	if len(live) > 0 {
+		return live[0]
+	}
 	return nil
 }
 
-func (c *cell) mustChange(req *apiv1.ChangeRequest) {
-	c.t.Helper()
-	if r := c.change(req); !r.GetApplied() {
-		c.t.Fatalf("change %s: %v", req.GetOperationId(), r.GetOutcome())
+// followerAt returns a live replica other than the leader of an event.
+func (c *cell) followerAt(e event) *memReplica {
+	leader := c.leaderAt(e)
+	for _, r := range c.live() {
+		if r != leader {
+			return r
+		}
 	}
+	return leader
 }
 
-func (c *cell) configure() {
-	c.mustChange(&apiv1.ChangeRequest{OperationId: "team", Change: &apiv1.ChangeRequest_PutTeam{PutTeam: &apiv1.Team{Name: testTeam, Share: 1}}})
-	c.mustChange(&apiv1.ChangeRequest{OperationId: "queue", Change: &apiv1.ChangeRequest_PutQueue{PutQueue: &apiv1.Queue{Name: testQueue, Team: testTeam}}})
-	c.grant("caller", testTeam, callerKey, apiv1.KeyRole_KEY_ROLE_CALLER)
-	c.grant("upstream", "", upstreamKey, apiv1.KeyRole_KEY_ROLE_UPSTREAM)
+func (c *cell) replicaAddresses() []string {
+	out := []string{spareAddress}
 	for _, d := range testDomains {
-		c.setDomain("in-"+d, d, apiv1.DomainState_DOMAIN_STATE_IN)
+		out = append(out, "replica-"+d)
 	}
+	return out
 }
 
-func (c *cell) grant(id, team, key string, role apiv1.KeyRole) {
-	sum := sha256.Sum256([]byte(key))
-	c.mustChange(&apiv1.ChangeRequest{OperationId: "grant-" + id, Change: &apiv1.ChangeRequest_GrantKey{
-		GrantKey: &apiv1.GrantKey{KeyId: id, Team: team, KeySha256: sum[:], Role: role}}})
-}
+// memEntry is one entry process, reached by clients over the network in memory.
+type memEntry struct {
+	name   string
+	net    *network
+	start  func() *entry.Server
+	server *entry.Server
+	view   *view.Store
 
-func (c *cell) setDomain(operation, name string, st apiv1.DomainState) {
-	c.mustChange(&apiv1.ChangeRequest{OperationId: operation, Change: &apiv1.ChangeRequest_PutFailureDomain{
-		PutFailureDomain: &apiv1.FailureDomain{Name: name, State: st, NoticeMs: 1000}}})
+	mu       sync.Mutex
+	draining bool
+	dead     bool
+	reset    chan struct{}
+	// open are the calls being served.
+	open map[*openCall]bool
 }
 
-// addUpstreams starts workers of 8 slots, spread over the failure domains.
-func (c *cell) addUpstreams(n int) {
-	for i := range n {
-		domain := testDomains[i%len(testDomains)]
-		name := fmt.Sprintf("worker-%02d", i)
-		agent := upstream.New(upstream.Config{Name: name, FailureDomain: domain, Rack: fmt.Sprintf("rack-%d", i/8), VM: "vm-" + name,
-			Capacity: &apiv1.Resources{MilliCores: 8000, MemoryBytes: 32 << 30, Slots: 8, Connections: 64}},
-			&memAPI{c.entry(name)}, &recordingRunner{upstream: name, log: c.runs}, c.clock)
-		c.agents = append(c.agents, agent)
-		c.wg.Add(1)
-		go func() {
-			defer c.wg.Done()
-			if err := agent.Run(c.ctx); err != nil && !errors.Is(err, context.Canceled) {
-				c.t.Errorf("upstream %s: %v", name, err)
-			}
-		}()
-	}
+type openCall struct {
+	method string
+	// drained is set once the entry began to drain while the call was open.
+	drained bool
 }
 
-// memAPI is upstream.API on an entry in memory.
-type memAPI struct{ entry *entry.Server }
-
-func (a *memAPI) Announce(ctx context.Context, req *apiv1.AnnounceRequest) (*apiv1.AnnounceResponse, error) {
-	r := connect.NewRequest(req)
-	r.Header().Set("Authorization", "Bearer "+upstreamKey)
-	resp, err := a.entry.Announce(ctx, r)
-	if err != nil {
-		return nil, err
+func (c *cell) newEntry(name string) *memEntry {
+	e := &memEntry{name: name, net: c.net, reset: make(chan struct{}), open: make(map[*openCall]bool),
+		view: view.New(c.clock, view.DefaultStaleAfter)}
+	e.start = func() *entry.Server {
+		router := entry.NewRouter(&memForwarder{c.net, name}, c.replicaAddresses())
+		events := timeline.NewRecorder(name, timeline.NewClock(time.Now), 1024)
+		return entry.NewServer(name, router, events, nil, entry.WithView(e.view))
 	}
-	return resp.Msg, nil
+	e.server = e.start()
+	c.spawn(func() { c.watchView(e) })
+	return e
 }
 
-func (a *memAPI) Poll(ctx context.Context, req *apiv1.PollRequest) (*apiv1.PollResponse, error) {
-	r := connect.NewRequest(req)
-	r.Header().Set("Authorization", "Bearer "+upstreamKey)
-	resp, err := a.entry.Poll(ctx, r)
-	if err != nil {
-		return nil, err
+// watchView keeps an entry's view of the configuration up to date and records what is in
+// force there.
+func (c *cell) watchView(e *memEntry) {
+	for c.ctx.Err() == nil {
+		for _, r := range c.live() {
+			if r.leadTerm.Load() != 0 {
+				c.fetchView(e, r)
+			}
+		}
+		if e.view.Fresh() {
+			add(c.history, &c.history.views, viewSeen{e.name, e.view.Revision(), time.Now()})
+		}
+		time.Sleep(viewPause)
 	}
-	return resp.Msg, nil
 }
 
-// submit hands in a job through an entry and returns its outcome.
-func (c *cell) submit(e *entry.Server, req *apiv1.SubmitRequest) (*apiv1.SubmitResponse, error) {
-	ctx, cancel := context.WithTimeout(c.ctx, openCallTime)
+func (c *cell) fetchView(e *memEntry, r *memReplica) {
+	ctx, cancel := context.WithTimeout(c.ctx, viewTimeout)
 	defer cancel()
-	r := connect.NewRequest(req)
-	r.Header().Set("Authorization", "Bearer "+callerKey)
-	resp, err := e.Submit(ctx, r)
-	if err != nil {
-		return nil, err
-	}
-	return resp.Msg, nil
-}
-
-// wait waits for a job's end.
-func (c *cell) wait(e *entry.Server, id uint64, limit time.Duration) (*apiv1.JobView, error) {
-	until := time.Now().Add(limit)
-	for time.Now().Before(until) {
-		r := connect.NewRequest(&apiv1.WaitRequest{Job: &apiv1.JobRef{JobId: id}, MaxWaitMs: 1000})
-		r.Header().Set("Authorization", "Bearer "+callerKey)
-		resp, err := e.Wait(c.ctx, r)
-		if err == nil && resp.Msg.GetEnded() {
-			return resp.Msg.GetJob(), nil
+	sent := c.clock.Now()
+	var resp *peerv1.ViewResponse
+	_, err := c.net.hop(ctx, toLeader, e.name, r.address, func() error {
+		resp = r.controller.View(ctx, &peerv1.ViewRequest{KnownRevision: e.view.Revision(), Process: e.name, FromLeader: true})
+		if r.halted() {
+			return errReset
 		}
-		time.Sleep(50 * time.Millisecond)
+		return nil
+	})
+	if err == nil && resp.GetStatus() == peerv1.ForwardStatus_FORWARD_STATUS_OK {
+		_ = e.view.Update(resp, sent, view.FromLeader)
 	}
-	return nil, errors.Errorf("job %d has not ended within %s", id, limit)
-}
-
-// runLog is the history of what ran where.
-type runLog struct {
-	mu   sync.Mutex
-	runs []run
 }
 
-// run is one execution of an attempt on an upstream.
-type run struct {
-	task     upstream.Task
-	upstream string
-	from, to time.Time
-}
-
-func (l *runLog) begin(t upstream.Task, on string) int {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.runs = append(l.runs, run{task: t, upstream: on, from: time.Now()})
-	return len(l.runs) - 1
-}
-
-func (l *runLog) end(i int) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.runs[i].to = time.Now()
+// serve runs one call unless the entry is dead or draining; a crash resets it.
+func (e *memEntry) serve(ctx context.Context, method string, f func(context.Context, *entry.Server) error) (err error, drained bool) {
+	e.mu.Lock()
+	if e.dead || e.draining {
+		e.mu.Unlock()
+		return errUnreachable, false
+	}
+	call, reset, server := &openCall{method: method}, e.reset, e.server
+	e.open[call] = true
+	e.mu.Unlock()
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	result := make(chan error, 1)
+	go func() { result <- f(ctx, server) }()
+	select {
+	case err = <-result:
+	case <-reset:
+		err = errReset
+		cancel()
+		<-result
+	}
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	delete(e.open, call)
+	return err, call.drained
 }
 
-func (l *runLog) all() []run {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	return slices.Clone(l.runs)
+// crash resets every open call; restart takes calls again.
+func (e *memEntry) crash() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if !e.dead {
+		e.dead = true
+		close(e.reset)
+	}
 }
 
-// recordingRunner runs each task for the time that its payload names.
-type recordingRunner struct {
-	upstream string
-	log      *runLog
+func (e *memEntry) restart() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.dead, e.draining, e.reset, e.server = false, false, make(chan struct{}), e.start()
 }
 
-func (r *recordingRunner) Run(ctx context.Context, t upstream.Task) upstream.Result {
-	i := r.log.begin(t, r.upstream)
-	defer r.log.end(i)
-	d, err := time.ParseDuration(string(t.Payload))
-	if err != nil {
-		return upstream.Result{State: apiv1.ReportState_REPORT_STATE_FAILED, Detail: err.Error()}
+// drain takes no new calls and returns once the open ones have ended.
+func (e *memEntry) drain() {
+	e.mu.Lock()
+	e.draining = true
+	e.server.Drain()
+	for call := range e.open {
+		call.drained = true
 	}
-	select {
-	case <-time.After(d):
-		return upstream.Result{State: apiv1.ReportState_REPORT_STATE_SUCCEEDED, Body: t.Payload}
-	case <-ctx.Done():
-		return upstream.Result{State: apiv1.ReportState_REPORT_STATE_STOPPED}
+	e.mu.Unlock()
+	for {
+		e.mu.Lock()
+		left := len(e.open)
+		e.mu.Unlock()
+		if left == 0 {
+			return
+		}
+		time.Sleep(10 * time.Millisecond)
 	}
 }
 
-// memForwarder carries calls of an entry over the network in memory.
-type memForwarder struct {
-	net  *network
-	from string
-}
-
-func (f *memForwarder) Forward(ctx context.Context, address string, req *peerv1.ForwardRequest) (*peerv1.ForwardResponse, bool, error) {
-	return f.net.call(ctx, f.from, address, req)
+// call carries one call of a client to an entry. Calls that were open when the entry
+// began to drain, and that no fault of the network ended, are noted if they fail.
+func (c *cell) call(ctx context.Context, from, method string, e *memEntry, f func(context.Context, *entry.Server) error) error {
+	_, err := c.net.hop(ctx, toEntry, from, e.name, func() error {
+		err, drained := e.serve(ctx, method, f)
+		if drained {
+			c.history.drained(e.name, method, err)
+		}
+		return err
+	})
+	return errors.Wrap(err, method)
 }
--- /dev/null
+++ b/faults/checks_test.go
@@ -0,0 +1,315 @@
+package faults
+
+import (
+	"bytes"
+	"cmp"
+	"crypto/sha256"
+	"fmt"
+	"slices"
+	"time"
+
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	"github.com/bulrushwinch/bulrushwinch/resource"
+)
+
+// effectBound is how long a change may take to have its effect, where the promise says
+// "a few seconds".
+const effectBound = 5 * time.Second
+
+// check finds breaches of one promise in a history.
+type check struct {
+	name string
+	find func(h *history) []string
+}
+
+// checks holds one check per promise.
+var checks = []check{
+	{"no VM is overcommitted", overcommitted},
+	{"no task runs in two places", inTwoPlaces},
+	{"work is taken only for the team of the key, and a withdrawn key stops working", wrongKey},
+	{"no team is above its upper limit", overLimit},
+	{"no task starts in a failure domain that is out", startedInOutage},
+	{"every caller gets the whole answer to its own request", wrongAnswer},
+	{"a refusal that says not run is true", falseNotRun},
+	{"work that may not be repeated runs at most once", ranTwice},
+	{"a leaving upstream gets no new work", startedOnLeaving},
+	{"a graceful shutdown cuts no request", cutRequests},
+	{"accepted configuration is in force within seconds and never reverts", revertedConfig},
+	{"operations on the configuration are linearizable", notLinearizable},
+	{"all accepted work ends", notEnded},
+}
+
+// amountAt is a change of an amount in use.
+type amountAt struct {
+	at     time.Time
+	amount resource.Vector
+	label  string
+}
+
+// peaks returns a breach for each place whose use exceeds its bound at some instant.
+func peaks(h *history, what string, bounds map[string]resource.Vector, place func(run) string) []string {
+	steps := make(map[string][]amountAt)
+	for _, r := range h.runs {
+		for _, s := range r.spans {
+			p, label := place(r), fmt.Sprintf("%s task %d attempt %d", r.work.request, r.index, r.attempt)
+			steps[p] = append(steps[p], amountAt{s.from, r.reserved, label}, amountAt{s.to, resource.Vector{}.Sub(r.reserved), label})
+		}
+	}
+	var out []string
+	for p, list := range steps {
+		bound, ok := bounds[p]
+		if !ok {
+			continue
+		}
+		// At equal times ends come before starts.
+		slices.SortStableFunc(list, func(a, b amountAt) int {
+			return cmp.Or(a.at.Compare(b.at), cmp.Compare(a.amount[resource.Slots], b.amount[resource.Slots]))
+		})
+		var used resource.Vector
+		for _, s := range list {
+			used = used.Add(s.amount)
+			if d, fits := used.FirstOver(bound); !fits {
+				out = append(out, fmt.Sprintf("%s %s: %d of %d %s at %s, with %s", what, p, used[d], bound[d], d, h.at(s.at), s.label))
+				break
+			}
+		}
+	}
+	return out
+}
+
+func overcommitted(h *history) []string {
+	return peaks(h, "VM", h.vms, func(r run) string { return r.vm })
+}
+
+func overLimit(h *history) []string {
+	return peaks(h, "team", h.limits, func(r run) string { return r.work.team })
+}
+
+func overlap(a, b span) bool { return a.from.Before(b.to) && b.from.Before(a.to) }
+
+func inTwoPlaces(h *history) []string {
+	var out []string
+	for i, a := range h.runs {
+		for _, b := range h.runs[i+1:] {
+			if a.job != b.job || a.index != b.index {
+				continue
+			}
+			for _, sa := range a.spans {
+				for _, sb := range b.spans {
+					if overlap(sa, sb) {
+						out = append(out, fmt.Sprintf("%s task %d: attempt %d on %s until %s, attempt %d on %s from %s", a.work.request,
+							a.index, a.attempt, a.upstream, h.at(sa.to), b.attempt, b.upstream, h.at(sb.from)))
+					}
+				}
+			}
+		}
+	}
+	return out
+}
+
+func wrongKey(h *history) []string {
+	var out []string
+	for _, s := range h.submits {
+		taken := s.outcome.GetKind() == apiv1.OutcomeKind_OUTCOME_KIND_ACCEPTED || h.ran(s.request)
+		if taken && s.queueTeam != "" && s.keyTeam != s.queueTeam {
+			out = append(out, fmt.Sprintf("%s of team %q was taken on a queue of team %q", s.request, s.keyTeam, s.queueTeam))
+		}
+		if taken && !s.withdrawn.IsZero() && s.sent.After(s.withdrawn.Add(effectBound)) {
+			out = append(out, fmt.Sprintf("%s was sent at %s and taken; its key was withdrawn at %s", s.request, h.at(s.sent), h.at(s.withdrawn)))
+		}
+	}
+	for _, r := range h.runs {
+		for _, s := range h.submits {
+			if s.request == r.work.request && s.keyTeam != r.work.team {
+				out = append(out, fmt.Sprintf("%s of team %q ran for team %q", s.request, s.keyTeam, r.work.team))
+			}
+		}
+	}
+	return out
+}
+
+func (h *history) ran(request string) bool {
+	return slices.ContainsFunc(h.runs, func(r run) bool { return r.work.request == request })
+}
+
+func startedInOutage(h *history) []string {
+	var out []string
+	for _, o := range h.outs {
+		for _, r := range h.runs {
+			from := r.spans[0].from
+			if r.domain == o.domain && from.After(o.from.Add(effectBound)) && from.Before(o.to) {
+				out = append(out, fmt.Sprintf("%s started on %s at %s; %s was out from %s", r.work.request, r.upstream, h.at(from), o.domain, h.at(o.from)))
+			}
+		}
+	}
+	return out
+}
+
+func startedOnLeaving(h *history) []string {
+	var out []string
+	for _, l := range h.leaves {
+		for _, r := range h.runs {
+			from := r.spans[0].from
+			if r.upstream == l.upstream && from.After(l.from.Add(effectBound)) && from.Before(l.to) {
+				out = append(out, fmt.Sprintf("%s started on %s at %s; it was leaving from %s", r.work.request, r.upstream, h.at(from), h.at(l.from)))
+			}
+		}
+	}
+	return out
+}
+
+func wrongAnswer(h *history) []string {
+	var out []string
+	for _, s := range h.submits {
+		if s.end.GetOutcome().GetKind() != apiv1.OutcomeKind_OUTCOME_KIND_ANSWERED {
+			continue
+		}
+		if len(s.end.GetTasks()) != len(s.payloads) {
+			out = append(out, fmt.Sprintf("%s: %d answers to %d tasks", s.request, len(s.end.GetTasks()), len(s.payloads)))
+			continue
+		}
+		for i, t := range s.end.GetTasks() {
+			if why := answerFault(t.GetAnswer(), answerOf(s.payloads[i], int32(i))); why != "" {
+				out = append(out, fmt.Sprintf("%s task %d: %s", s.request, i, why))
+			}
+		}
+	}
+	return out
+}
+
+func answerFault(a *apiv1.Answer, want []byte) string {
+	sum := sha256.Sum256(want)
+	switch {
+	case !bytes.Equal(a.GetBody(), want):
+		return fmt.Sprintf("answer %q instead of %q", a.GetBody(), want)
+	case a.GetLength() != uint64(len(want)):
+		return "wrong length"
+	case !bytes.Equal(a.GetSha256(), sum[:]):
+		return "wrong digest"
+	}
+	return ""
+}
+
+func falseNotRun(h *history) []string {
+	var out []string
+	for _, s := range h.submits {
+		told := s.outcome.GetKind() == apiv1.OutcomeKind_OUTCOME_KIND_NOT_RUN ||
+			s.end.GetOutcome().GetKind() == apiv1.OutcomeKind_OUTCOME_KIND_NOT_RUN
+		if told && h.ran(s.request) {
+			out = append(out, fmt.Sprintf("%s ran, but its caller was told that it was not run", s.request))
+		}
+		for i, t := range s.end.GetTasks() {
+			ran := func(r run) bool { return r.work.request == s.request && r.index == int32(i) }
+			if t.GetOutcome().GetKind() == apiv1.OutcomeKind_OUTCOME_KIND_NOT_RUN && slices.ContainsFunc(h.runs, ran) {
+				out = append(out, fmt.Sprintf("%s task %d ran, but its caller was told that it was not run", s.request, i))
+			}
+		}
+	}
+	return out
+}
+
+func ranTwice(h *history) []string {
+	var out []string
+	for _, s := range h.submits {
+		if s.repeatable {
+			continue
+		}
+		runs := make(map[int32]int)
+		for _, r := range h.runs {
+			if r.work.request == s.request {
+				runs[r.index]++
+			}
+		}
+		for index, n := range runs {
+			if n > 1 {
+				out = append(out, fmt.Sprintf("%s task %d may not be repeated and ran %d times", s.request, index, n))
+			}
+		}
+	}
+	return out
+}
+
+func cutRequests(h *history) []string {
+	var out []string
+	for _, c := range h.cuts {
+		out = append(out, fmt.Sprintf("%s was open on %s when it began to drain: %s", c.method, c.entry, c.why))
+	}
+	return out
+}
+
+// revertedConfig compares every read with the changes that were acknowledged well before
+// it and with the reads that ended before it began.
+func revertedConfig(h *history) []string {
+	var out []string
+	for i, r := range h.reads {
+		for _, c := range h.changes {
+			if c.applied && r.sent.After(c.done.Add(effectBound)) && r.revision < c.revision {
+				out = append(out, fmt.Sprintf("%s was accepted as revision %d at %s; revision %d was in force at %s",
+					c.operation, c.revision, h.at(c.done), r.revision, h.at(r.sent)))
+			}
+		}
+		for _, earlier := range h.reads[:i] {
+			if earlier.done.Before(r.sent) && earlier.revision > r.revision {
+				out = append(out, fmt.Sprintf("revision %d at %s came after revision %d", r.revision, h.at(r.sent), earlier.revision))
+			}
+		}
+		out = append(out, wrongShares(h, r)...)
+	}
+	return append(out, staleViews(h)...)
+}
+
+// staleViews finds processes that are ready under a configuration that was replaced a few
+// seconds before, or that have gone back.
+func staleViews(h *history) []string {
+	var out []string
+	newest := make(map[string]uint64)
+	for _, v := range h.views {
+		if v.revision < newest[v.process] {
+			out = append(out, fmt.Sprintf("%s went back from revision %d to %d at %s", v.process, newest[v.process], v.revision, h.at(v.at)))
+		}
+		newest[v.process] = v.revision
+		for _, c := range h.changes {
+			if c.applied && v.revision < c.revision && v.at.After(c.done.Add(effectBound)) {
+				out = append(out, fmt.Sprintf("%s was ready under revision %d at %s; %s was accepted as revision %d at %s",
+					v.process, v.revision, h.at(v.at), c.operation, c.revision, h.at(c.done)))
+			}
+		}
+	}
+	return out
+}
+
+// wrongShares compares the shares in a read with the last change up to its revision.
+func wrongShares(h *history, r configRead) []string {
+	newest := make(map[string]change)
+	for _, c := range h.changes {
+		if c.applied && c.team != "" && c.revision <= r.revision && c.revision > newest[c.team].revision {
+			newest[c.team] = c
+		}
+	}
+	var out []string
+	for team, c := range newest {
+		if r.shares[team] != c.share {
+			out = append(out, fmt.Sprintf("team %s has share %d in revision %d; %s set %d", team, r.shares[team], r.revision, c.operation, c.share))
+		}
+	}
+	return out
+}
+
+// notEnded finds accepted work without an end, and repeatable work that was given up
+// without need.
+func notEnded(h *history) []string {
+	out := slices.Clone(h.unended)
+	for _, s := range h.submits {
+		if s.outcome.GetKind() != apiv1.OutcomeKind_OUTCOME_KIND_ACCEPTED {
+			continue
+		}
+		kind := s.end.GetOutcome().GetKind()
+		switch {
+		case s.end.GetState() != apiv1.JobState_JOB_STATE_ENDED:
+			out = append(out, fmt.Sprintf("%s was accepted and has not ended", s.request))
+		case s.repeatable && !s.cancelled && !h.failing && kind != apiv1.OutcomeKind_OUTCOME_KIND_ANSWERED:
+			out = append(out, fmt.Sprintf("%s may be repeated and ended %s: %s", s.request, kind, s.end.GetOutcome().GetDetail()))
+		}
+	}
+	return out
+}
--- /dev/null
+++ b/faults/matrix_test.go
@@ -0,0 +1,204 @@
+package faults
+
+import (
+	"bufio"
+	"bytes"
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/sebdah/goldie/v2"
+)
+
+const (
+	knownRedFile = "../KNOWN-RED.txt"
+	// traceVariable, when set, makes each run log the events of its replicas.
+	traceVariable = "FAULTS_TRACE"
+	// minRuns and minSubmits are what the load of a run makes at least.
+	minRuns    = 15
+	minSubmits = 40
+)
+
+// scenario is one run: a load with some faults, each at a step.
+type scenario struct {
+	seed   uint64
+	faults []plannedFault
+	// mayMiss allows that a step is never taken, because another fault is in its way.
+	mayMiss bool
+}
+
+type plannedFault struct {
+	step  step
+	phase phase
+	skip  int
+	fault fault
+}
+
+// run carries a scenario out in virtual time and returns every breach of a promise.
+func (s scenario) run(t *testing.T) []string {
+	var h *history
+	var left []step
+	dir := ""
+	for _, f := range s.faults {
+		if f.fault.onDisk {
+			dir = t.TempDir()
+		}
+	}
+	synctest.Test(t, func(t *testing.T) {
+		c := newCell(t, s.seed, dir)
+		h = c.history
+		s.drive(c)
+		left = c.triggers.left()
+		if os.Getenv(traceVariable) != "" {
+			trace(t, c)
+		}
+		c.stop()
+	})
+	var out []string
+	for _, l := range left {
+		if s.mayMiss {
+			t.Logf("the step %q was never taken", l)
+			continue
+		}
+		out = append(out, fmt.Sprintf("the step %q was never taken", l))
+	}
+	if len(h.runs) < minRuns || len(h.submits) < minSubmits || len(h.reads) == 0 || len(h.views) == 0 {
+		out = append(out, fmt.Sprintf("the load is too small to tell: %d runs, %d submissions, %d reads, %d views",
+			len(h.runs), len(h.submits), len(h.reads), len(h.views)))
+	}
+	for _, ch := range checks {
+		for _, breach := range ch.find(h) {
+			out = append(out, ch.name+": "+breach)
+		}
+	}
+	return out
+}
+
+// drive prepares the cell, arms the faults and runs the load to its end.
+func (s scenario) drive(c *cell) {
+	c.configure()
+	for i := range numWorkers {
+		c.addWorker(i)
+	}
+	time.Sleep(settleTime)
+	for _, f := range s.faults {
+		if f.fault.prepare != nil {
+			f.fault.prepare(c)
+		}
+		c.history.failing = c.history.failing || f.fault.failsWork
+		c.triggers.arm(&trigger{step: f.step, phase: f.phase, skip: f.skip, inject: func(e event) {
+			if len(c.live()) > 0 {
+				f.fault.inject(c, e)
+			}
+		}})
+	}
+	l := &load{c: c}
+	l.start()
+	time.Sleep(loadTime)
+	c.awaitEnd(l)
+	c.history.finish()
+}
+
+// awaitEnd waits until all faults are healed and all work has ended, within endLimit.
+func (c *cell) awaitEnd(l *load) {
+	done := make(chan struct{})
+	c.spawn(func() {
+		c.healing.Wait()
+		l.wg.Wait()
+		close(done)
+	})
+	select {
+	case <-done:
+		c.read(0, 0)
+	case <-time.After(endLimit):
+		add(c.history, &c.history.unended, fmt.Sprintf("faults, calls or work have not ended %s after the load", endLimit))
+		c.cancel()
+		<-done
+	}
+}
+
+// trace prints the events of all processes.
+func trace(t *testing.T, c *cell) {
+	for _, r := range c.live() {
+		for _, e := range r.events.Events(nil) {
+			t.Logf("%.3f %s %s job %d %s %s %s", time.Unix(0, e.GetWallNs()).Sub(c.history.began).Seconds(), e.GetProcess(), e.GetKind(),
+				e.GetJobId(), e.GetRequestId(), e.GetUpstream(), e.GetDetail())
+		}
+	}
+}
+
+// knownRed returns the tests listed in KNOWN-RED.txt.
+func knownRed(t *testing.T) map[string]bool {
+	data, err := os.ReadFile(knownRedFile)
+	if err != nil {
+		t.Fatal(err)
+	}
+	out := make(map[string]bool)
+	lines := bufio.NewScanner(bytes.NewReader(data))
+	for lines.Scan() {
+		if name, _, ok := strings.Cut(lines.Text(), ":"); ok && !strings.HasPrefix(name, "#") {
+			out[name] = true
+		}
+	}
+	return out
+}
+
+// report fails the test for each breach, unless the test is listed as known red.
+func report(t *testing.T, red map[string]bool, breaches []string) (verdict string) {
+	const shown = 8
+	if red[t.Name()] {
+		t.Logf("KNOWN RED, %d breaches: %s", len(breaches), strings.Join(breaches[:min(len(breaches), shown)], "\n"))
+		return "RED"
+	}
+	for i, b := range breaches {
+		if i == shown {
+			t.Errorf("and %d more", len(breaches)-shown)
+			break
+		}
+		t.Error(b)
+	}
+	if len(breaches) > 0 {
+		return "failed"
+	}
+	return "passed"
+}
+
+func testName(s string) string { return strings.NewReplacer(" ", "_", ",", "").Replace(s) }
+
+// TestMatrix brings every fault about at every step, in each phase of the step.
+func TestMatrix(t *testing.T) {
+	red := knownRed(t)
+	var mu sync.Mutex
+	verdicts := make(map[string]string)
+	t.Run("cells", func(t *testing.T) {
+		for row, st := range steps {
+			for col, f := range columns {
+				t.Run(testName(string(st.step))+"/"+testName(f.name), func(t *testing.T) {
+					t.Parallel()
+					var breaches []string
+					for p := range numPhases {
+						breaches = append(breaches, cellScenario(row, col, p).run(t)...)
+					}
+					verdict := report(t, red, breaches)
+					mu.Lock()
+					defer mu.Unlock()
+					verdicts[string(st.step)+"/"+f.name] = verdict
+				})
+			}
+		}
+	})
+	if len(verdicts) == len(steps)*len(columns) {
+		goldie.New(t, goldie.WithFixtureDir("../docs"), goldie.WithNameSuffix(".md")).Assert(t, "FAULTS", renderMatrix(verdicts))
+	}
+}
+
+// cellScenario plans one run of a cell; later runs hit the step at a later occurrence.
+func cellScenario(row, col int, p phase) scenario {
+	skip := int(p) * steps[row].stride
+	seed := uint64(1000*row + 10*col + int(p))
+	return scenario{seed: seed, faults: []plannedFault{{steps[row].step, p, skip, columns[col]}}}
+}
--- a/faults/path_test.go
+++ b/faults/path_test.go
@@ -9,85 +9,60 @@
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 )
 
-func batchJob(id string, tasks int32, run string) *apiv1.SubmitRequest {
-	return &apiv1.SubmitRequest{RequestId: id, Queue: testQueue, FirstSend: true, Job: &apiv1.JobSpec{
-		Policy: apiv1.Policy_POLICY_BATCH, Repeatable: true,
-		Tasks: []*apiv1.TaskSpec{{Resources: &apiv1.Resources{MilliCores: 500}, Payload: []byte(run), Copies: tasks}}}}
+// startCell returns a configured cell with its workers.
+func startCell(t *testing.T, seed uint64) *cell {
+	c := newCell(t, seed, "")
+	c.configure()
+	for i := range numWorkers {
+		c.addWorker(i)
+	}
+	time.Sleep(settleTime)
+	return c
 }
 
-// TestPathSurvivesLeaderDeath submits work, kills the leader while it runs, and expects
-// every task to be answered once.
-func TestPathSurvivesLeaderDeath(t *testing.T) {
+// TestLeaderDeathRepeatsNothing kills the leader while work runs, and expects every task
+// to be answered after exactly one run.
+func TestLeaderDeathRepeatsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCell(t, 1)
+		c := startCell(t, 1)
 		defer c.stop()
-		c.addUpstreams(6)
-		time.Sleep(settleTime)
-		e := c.entry("entry-1")
-		var jobs []uint64
+		l := &load{c: c}
 		for i := range 4 {
-			resp, err := c.submit(e, batchJob(fmt.Sprintf("batch-%d", i), 5, "2s"))
-			if err != nil || resp.GetOutcome().GetKind() != apiv1.OutcomeKind_OUTCOME_KIND_ACCEPTED {
-				t.Fatalf("submit: %v %v", resp, err)
-			}
-			jobs = append(jobs, resp.GetJobId())
+			l.goDo(0, func() {
+				l.do(job{request: fmt.Sprintf("batch-%d", i), key: bigKey, queue: bigTeam, tasks: 5, runTime: 2 * time.Second})
+			})
 		}
 		time.Sleep(500 * time.Millisecond)
-		c.kill(c.leader())
-		for _, id := range jobs {
-			j, err := c.wait(e, id, 30*time.Second)
-			if err != nil {
-				t.Fatal(err)
-			}
-			if j.GetOutcome().GetKind() != apiv1.OutcomeKind_OUTCOME_KIND_ANSWERED {
-				t.Errorf("job %d: %v", id, j.GetOutcome())
+		c.crash(c.leader())
+		l.wg.Wait()
+		for _, s := range c.history.submits {
+			if s.end.GetOutcome().GetKind() != apiv1.OutcomeKind_OUTCOME_KIND_ANSWERED {
+				t.Errorf("%s: %v", s.request, s.end.GetOutcome())
 			}
 		}
-		if n := len(c.runs.all()); n != 20 {
+		if n := len(c.history.runs); n != 20 {
 			t.Errorf("%d runs of 20 tasks", n)
 		}
 	})
 }
 
 // TestCutOffLeaderStartsNothing cuts the leader off from the other replicas only, so that
-// upstreams and entries still reach it, and expects no task in two places.
+// upstreams and entries still reach it, and expects no false refusal and no task in two places.
 func TestCutOffLeaderStartsNothing(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		c := newCell(t, 2)
+		c := startCell(t, 3)
 		defer c.stop()
-		c.addUpstreams(6)
-		time.Sleep(settleTime)
-		e := c.entry("entry-1")
-		old := c.leader()
-		for _, other := range c.addresses() {
-			c.net.setCut(old, other, other != old)
-			c.net.setCut(other, old, other != old)
-		}
-		resp, err := c.submit(e, batchJob("batch", 20, "1s"))
-		if err != nil {
-			t.Fatal(err)
-		}
-		if resp.GetOutcome().GetKind() == apiv1.OutcomeKind_OUTCOME_KIND_NOT_RUN {
-			t.Fatalf("a false refusal: %v", resp.GetOutcome())
-		}
-		if resp.GetOutcome().GetKind() == apiv1.OutcomeKind_OUTCOME_KIND_ACCEPTED {
-			if _, err := c.wait(e, resp.GetJobId(), time.Minute); err != nil {
-				t.Fatal(err)
+		c.cutOff(c.leader(), true, true)
+		l := &load{c: c}
+		l.do(job{request: "batch", key: bigKey, queue: bigTeam, tasks: 20, runTime: time.Second})
+		c.history.finish()
+		for _, ch := range checks {
+			for _, breach := range ch.find(c.history) {
+				t.Errorf("%s: %s", ch.name, breach)
 			}
 		}
-		checkOncePerTask(t, c.runs.all())
-	})
-}
-
-// checkOncePerTask fails if two attempts of one task overlap in time.
-func checkOncePerTask(t *testing.T, runs []run) {
-	t.Helper()
-	for i, a := range runs {
-		for _, b := range runs[i+1:] {
-			same := a.task.Job == b.task.Job && a.task.Index == b.task.Index
-			if same && a.from.Before(b.to) && b.from.Before(a.to) {
-				t.Errorf("job %d task %d ran on %s and %s at once", a.task.Job, a.task.Index, a.upstream, b.upstream)
-			}
+		if n := len(c.history.runs); n != 20 {
+			t.Errorf("%d runs of 20 tasks", n)
 		}
-	}
+	})
 }
--- /dev/null
+++ b/faults/worker_test.go
@@ -0,0 +1,179 @@
+package faults
+
+import (
+	"context"
+	"fmt"
+	"sync/atomic"
+	"time"
+
+	"connectrpc.com/connect"
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	"github.com/bulrushwinch/bulrushwinch/entry"
+	"github.com/bulrushwinch/bulrushwinch/resource"
+	"github.com/bulrushwinch/bulrushwinch/upstream"
+	"github.com/pkg/errors"
+)
+
+// workerCapacity is small, so that the load fills a good part of the cell.
+var workerCapacity = &apiv1.Resources{MilliCores: 4000, MemoryBytes: 8 << 30, Slots: 4, Connections: 16}
+
+// runStepAfter is how long a task has run when the step "run" is taken.
+const runStepAfter = 300 * time.Millisecond
+
+// worker is one upstream VM.
+type worker struct {
+	cell    *cell
+	name    string
+	domain  string
+	gate    gate
+	failing atomic.Bool
+	calls   atomic.Uint32
+	agent   *upstream.Agent
+	cancel  context.CancelFunc
+	done    chan struct{}
+}
+
+func (c *cell) addWorker(i int) *worker {
+	w := &worker{cell: c, name: fmt.Sprintf("worker-%02d", i), domain: testDomains[i%len(testDomains)]}
+	c.mu.Lock()
+	c.workers[w.name] = w
+	c.mu.Unlock()
+	c.history.addVM(w.vm(), resource.FromProto(workerCapacity))
+	w.start()
+	return w
+}
+
+func (w *worker) vm() string { return "vm-" + w.name }
+
+func (w *worker) start() {
+	ctx, cancel := context.WithCancel(w.cell.ctx)
+	w.cancel, w.done = cancel, make(chan struct{})
+	w.agent = upstream.New(upstream.Config{Name: w.name, FailureDomain: w.domain, Rack: "rack-" + w.domain, VM: w.vm(),
+		Capacity: workerCapacity}, w, &taskRunner{w}, w)
+	done, agent := w.done, w.agent
+	w.cell.spawn(func() {
+		defer close(done)
+		if err := agent.Run(ctx); err != nil && !errors.Is(err, context.Canceled) {
+			w.cell.t.Errorf("upstream %s: %v", w.name, err)
+		}
+	})
+}
+
+// crash ends the worker and its tasks at once.
+func (w *worker) crash() { w.cancel() }
+
+func (w *worker) restart() {
+	<-w.done
+	w.start()
+}
+
+// Now implements lease.Clock; it stands still while the VM is paused.
+func (w *worker) Now() time.Duration {
+	if since, shut := w.gate.shutSince(); shut {
+		return since.Sub(w.cell.clock.start)
+	}
+	return w.cell.clock.Now()
+}
+
+// pick returns the entries in turn, as the balancer does.
+func (w *worker) pick() *memEntry {
+	return w.cell.entries[int(w.calls.Add(1))%len(w.cell.entries)]
+}
+
+// Announce implements upstream.API.
+func (w *worker) Announce(ctx context.Context, req *apiv1.AnnounceRequest) (out *apiv1.AnnounceResponse, err error) {
+	w.gate.wait()
+	err = w.cell.call(ctx, w.name, "announce", w.pick(), func(ctx context.Context, s *entry.Server) error {
+		resp, err := s.Announce(ctx, withKey(req, upstreamKey))
+		if err == nil {
+			out = resp.Msg
+		}
+		return err
+	})
+	w.gate.wait()
+	return out, err
+}
+
+// Poll implements upstream.API.
+func (w *worker) Poll(ctx context.Context, req *apiv1.PollRequest) (out *apiv1.PollResponse, err error) {
+	w.gate.wait()
+	err = w.cell.call(ctx, w.name, "poll", w.pick(), func(ctx context.Context, s *entry.Server) error {
+		resp, err := s.Poll(ctx, withKey(req, upstreamKey))
+		if err == nil {
+			out = resp.Msg
+		}
+		return err
+	})
+	w.gate.wait()
+	return out, err
+}
+
+func withKey[T any](msg *T, key string) *connect.Request[T] {
+	r := connect.NewRequest(msg)
+	r.Header().Set("Authorization", "Bearer "+key)
+	return r
+}
+
+// work is what a task's payload says: who asked for it and how long it takes.
+type work struct {
+	team    string
+	request string
+	runTime time.Duration
+}
+
+func (w work) payload() []byte {
+	return fmt.Appendf(nil, "%s %s %s", w.team, w.request, w.runTime)
+}
+
+func parseWork(payload []byte) (w work, err error) {
+	var runTime string
+	if _, err = fmt.Sscanf(string(payload), "%s %s %s", &w.team, &w.request, &runTime); err == nil {
+		w.runTime, err = time.ParseDuration(runTime)
+	}
+	return w, err
+}
+
+// answerOf is the only right answer of a task.
+func answerOf(payload []byte, index int32) []byte {
+	return fmt.Appendf(nil, "answer to %s, task %d", payload, index)
+}
+
+// taskRunner runs tasks for the time that their payload names and records each run.
+type taskRunner struct{ worker *worker }
+
+// Run implements upstream.Runner.
+func (r *taskRunner) Run(ctx context.Context, t upstream.Task) upstream.Result {
+	w := r.worker
+	wanted, err := parseWork(t.Payload)
+	if err != nil {
+		return upstream.Result{State: apiv1.ReportState_REPORT_STATE_FAILED, Detail: err.Error()}
+	}
+	w.gate.wait()
+	if !t.LeaseHeld() {
+		return upstream.Result{State: apiv1.ReportState_REPORT_STATE_STOPPED}
+	}
+	i := w.cell.history.begin(run{job: t.Job, index: t.Index, attempt: t.Attempt, upstream: w.name, vm: w.vm(), domain: w.domain,
+		work: wanted, reserved: resource.FromProto(t.Resources), leaseHeld: t.LeaseHeld})
+	defer func() { w.cell.history.end(i) }()
+	w.cell.triggers.hit(stepStart, event{upstream: w.name})
+	if w.failing.Load() {
+		return upstream.Result{State: apiv1.ReportState_REPORT_STATE_FAILED, Detail: "this worker fails all"}
+	}
+	if wanted.runTime > runStepAfter {
+		sleepOrDone(ctx, runStepAfter)
+		w.cell.triggers.hit(stepRun, event{upstream: w.name})
+	}
+	sleepOrDone(ctx, wanted.runTime-runStepAfter)
+	w.gate.wait()
+	if ctx.Err() != nil || !t.LeaseHeld() {
+		return upstream.Result{State: apiv1.ReportState_REPORT_STATE_STOPPED}
+	}
+	return upstream.Result{State: apiv1.ReportState_REPORT_STATE_SUCCEEDED, Body: answerOf(t.Payload, t.Index)}
+}
+
+func sleepOrDone(ctx context.Context, d time.Duration) {
+	select {
+	case <-time.After(max(0, d)):
+	case <-ctx.Done():
+	}
+}
