--- a/sched/gang.go
+++ b/sched/gang.go
@@ -31,7 +31,7 @@
 // serveGang places all tasks of a gang or none: in one rack, else in one domain,
 // else anywhere.
 func (r *round) serveGang(e *entry) verdict {
-	if len(e.tasks) < len(e.job.tasks) || r.gangs >= maxGangTries {
+	if len(e.tasks) < e.job.unended() || r.gangs >= maxGangTries {
 		return incomplete
 	}
 	needs := make([]resource.Vector, len(e.tasks))
@@ -276,7 +276,7 @@
 func (r *round) expireReservations() {
 	for _, v := range slices.Clone(r.cell.reservations) {
 		switch {
-		case v.job.waiting < len(v.job.tasks):
+		case v.job.waiting < v.job.unended():
 			r.cell.endReservation(v.job)
 		case r.now.Before(v.until):
 		case !v.last:
--- a/sched/job.go
+++ b/sched/job.go
@@ -23,6 +23,17 @@
 	restUntil time.Time
 }
 
+// unended counts the tasks that still have to run; a gang starts with all of them.
+func (j *job) unended() int {
+	n := 0
+	for i := range j.tasks {
+		if j.tasks[i].phase != Ended {
+			n++
+		}
+	}
+	return n
+}
+
 func (j *job) team(c *Cell) *team { return c.teams[j.Team] }
 
 // task is one task with what it holds.
--- a/sched/policy_test.go
+++ b/sched/policy_test.go
@@ -142,6 +142,19 @@
 	h.equal("too much for what is free", len(h.decide(0).Placements), 0)
 }
 
+// TestGangStartsAgainWithoutItsEndedTasks ends one task of a gang, interrupts the others,
+// and expects just these to start again, together.
+func TestGangStartsAgainWithoutItsEndedTasks(t *testing.T) {
+	h := newHarness(t, 4, "d")
+	h.add(Job{Policy: Gang}, 3, half)
+	first := h.decide(0).Placements
+	h.end(first[0], Succeeded, time.Second)
+	h.requeue(first[1].Task)
+	h.equal("while one task still runs", len(h.decide(time.Second).Placements), 0)
+	h.requeue(first[2].Task)
+	h.equal("tasks that start again", len(h.decide(time.Second).Placements), 2)
+}
+
 func TestGangReservationIsBackfilledAndBounded(t *testing.T) {
 	h := newHarness(t, 2, "d")
 	h.add(Job{Expected: 20 * time.Second}, 2, half)
