--- /dev/null
+++ b/state/capture_test.go
@@ -0,0 +1,90 @@
+package state
+
+import (
+	"bytes"
+	"fmt"
+	"io"
+	"testing"
+	"time"
+
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	"github.com/pkg/errors"
+)
+
+// TestCaptureWhileApplying encodes in another goroutine, with jobs that end, begin and are
+// swept meanwhile, and makes a second capture before the first is done.
+func TestCaptureWhileApplying(t *testing.T) {
+	w := newWorld(t)
+	for i := range 3 * jobsPerPage {
+		w.batch(fmt.Sprint("job-", i))
+	}
+	want := w.s.Snapshot()
+	write := w.s.Capture()
+	pr, pw := io.Pipe()
+	go func() { pw.CloseWithError(write(pw)) }()
+	var got bytes.Buffer
+	for i := range 3 * jobsPerPage {
+		w.cancel(fmt.Sprint("job-", i))
+		w.submitAs("caller-a", request(fmt.Sprint("later-", i), batchPolicy, 1, true))
+		if i == jobsPerPage {
+			w.now = w.now.Add(w.s.settings.Retention)
+			w.sweep()
+			second, state := w.s.Capture(), w.s.Snapshot()
+			var b bytes.Buffer
+			if err := second(&b); err != nil || !bytes.Equal(b.Bytes(), state) {
+				t.Errorf("second capture: %v", err)
+			}
+		}
+		if _, err := io.CopyN(&got, pr, 64); err != nil && !errors.Is(err, io.EOF) {
+			t.Fatal(err)
+		}
+	}
+	if _, err := io.Copy(&got, pr); err != nil {
+		t.Fatal(err)
+	}
+	if !bytes.Equal(got.Bytes(), want) {
+		t.Error("a capture holds later changes")
+	}
+	w.recount()
+}
+
+// TestDamagedSnapshot cuts and alters a snapshot; the state must refuse it or be empty, and
+// never panic.
+func TestDamagedSnapshot(t *testing.T) {
+	w := newWorld(t)
+	w.report(w.run(w.batch("done")), succeeded)
+	w.run(w.batch("live"))
+	data := w.s.Snapshot()
+	for i := range data {
+		s := New(Settings{})
+		if err := s.Restore(bytes.NewReader(data[:i])); err != nil && len(s.teams)+s.jobs.count != 0 {
+			t.Fatalf("cut at %d: state left behind", i)
+		}
+		altered := bytes.Clone(data)
+		altered[i] ^= 0x15
+		_ = s.Restore(bytes.NewReader(altered))
+	}
+}
+
+// TestFailedCaptureDoesNotBlockTheNext lets the writer of a capture fail.
+func TestFailedCaptureDoesNotBlockTheNext(t *testing.T) {
+	w := newWorld(t)
+	w.batch("job")
+	if err := w.s.Capture()(failingWriter{}); err == nil {
+		t.Fatal("a failed write was not told")
+	}
+	w.cancel("job")
+	w.now = w.now.Add(time.Second)
+	want := w.s.Snapshot()
+	var b bytes.Buffer
+	if err := w.s.Capture()(&b); err != nil || !bytes.Equal(b.Bytes(), want) {
+		t.Errorf("the next capture: %v", err)
+	}
+	if w.s.Job(1).Outcome.GetKind() != apiv1.OutcomeKind_OUTCOME_KIND_CANCELLED {
+		t.Error("the job lives")
+	}
+}
+
+type failingWriter struct{}
+
+func (failingWriter) Write([]byte) (int, error) { return 0, errors.New("disk full") }
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"cmp"
 	"encoding/binary"
 	"io"
@@ -98,7 +99,7 @@
 }
 
 func (s *State) restoreAll(r *bufio.Reader) error {
-	var buffer []byte
+	var buffer bytes.Buffer
 	for {
 		size, err := binary.ReadUvarint(r)
 		if err == io.EOF {
@@ -107,12 +108,13 @@
 		if err != nil || size > maxRecordBytes {
 			return errors.New("damaged length of a record")
 		}
-		buffer = slices.Grow(buffer[:0], int(size))[:size]
-		if _, err := io.ReadFull(r, buffer); err != nil {
+		// The buffer grows with what is there, not with what a damaged length claims.
+		buffer.Reset()
+		if _, err := io.CopyN(&buffer, r, int64(size)); err != nil {
 			return errors.Wrap(err, "record is cut short")
 		}
 		record := &peerv1.StateRecord{}
-		if err := proto.Unmarshal(buffer, record); err != nil {
+		if err := proto.Unmarshal(buffer.Bytes(), record); err != nil {
 			return err
 		}
 		if err := s.restoreRecord(record); err != nil {
