Carry raft traffic over streams that are given up when silent

One unary call per batch waited for its answer before the next batch could leave. A stream keeps the order without that wait. Each batch is acknowledged; a batch without acknowledgement for 2 s closes the stream and its connection.

--- a/daemon/peer_service.go
+++ b/daemon/peer_service.go
@@ -15,20 +15,26 @@
 	d *Daemon
 }
 
-// Raft implements PeerService. Messages of another group are ignored.
-func (s *peerService) Raft(_ context.Context, req *connect.Request[peerv1.RaftBatch]) (*connect.Response[peerv1.RaftAck], error) {
-	if r := s.d.currentReplica(); r != nil && r.group == req.Msg.GetGroup() {
-		r.transport.Learn(raft.ID(req.Msg.GetSenderId()), req.Msg.GetSenderAddress())
-		var messages []raft.Message
-		for _, m := range req.Msg.GetMessages() {
-			// Snapshots come by SendSnapshot only, which stores them first.
-			if out := peer.MessageFromProto(m); out.Type != raft.MsgSnapshot {
-				messages = append(messages, out)
-			}
+// Raft implements PeerService.
+func (s *peerService) Raft(_ context.Context, stream *connect.BidiStream[peerv1.RaftBatch, peerv1.RaftAck]) error {
+	return peer.ServeRaftStream(stream, s.receive)
+}
+
+// receive hands messages to the replica. Those of another group are ignored.
+func (s *peerService) receive(batch *peerv1.RaftBatch) {
+	r := s.d.currentReplica()
+	if r == nil || r.group != batch.GetGroup() {
+		return
+	}
+	r.transport.Learn(raft.ID(batch.GetSenderId()), batch.GetSenderAddress())
+	var messages []raft.Message
+	for _, m := range batch.GetMessages() {
+		// Snapshots come by SendSnapshot only, which stores them first.
+		if out := peer.MessageFromProto(m); out.Type != raft.MsgSnapshot {
+			messages = append(messages, out)
 		}
-		r.node.Receive(messages)
 	}
-	return connect.NewResponse(&peerv1.RaftAck{}), nil
+	r.node.Receive(messages)
 }
 
 // SendSnapshot implements PeerService.
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -5,16 +5,12 @@
 	"sync"
 	"time"
 
-	"connectrpc.com/connect"
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
 	"github.com/bulrushwinch/bulrushwinch/raft"
 )
 
-const (
-	// sendQueueLength bounds batches that wait for one replica.
-	sendQueueLength = 256
-	sendTimeout     = 2 * time.Second
-)
+// sendQueueLength bounds batches that wait for one replica.
+const sendQueueLength = 256
 
 // Transport sends raft messages to other replicas, in order and without blocking the
 // sender, and snapshots. It implements replica.Transport.
@@ -27,12 +23,14 @@
 	// learned holds addresses of senders, for a learner without a membership.
 	learned map[raft.ID]string
 	self    raft.Member
-	wg      sync.WaitGroup
+	// ackTimeout is how long a stream may leave a batch unacknowledged.
+	ackTimeout time.Duration
+	wg         sync.WaitGroup
 }
 
 // NewTransport returns a transport for a group that works until ctx ends.
 func NewTransport(ctx context.Context, pool *Pool, group uint64, self raft.Member) *Transport {
-	return &Transport{pool: pool, group: group, ctx: ctx, self: self,
+	return &Transport{pool: pool, group: group, ctx: ctx, self: self, ackTimeout: defaultAckTimeout,
 		queues: make(map[string]chan []raft.Message), learned: make(map[raft.ID]string)}
 }
 
@@ -77,14 +75,21 @@
 	return q
 }
 
+// sendLoop keeps a stream open to one replica while there is something to send.
 func (t *Transport) sendLoop(address string, queue chan []raft.Message) {
 	defer t.wg.Done()
+	var s *raftStream
+	defer func() { s.close() }()
 	for {
 		select {
 		case <-t.ctx.Done():
 			return
 		case messages := <-queue:
-			t.sendOne(address, gather(messages, queue))
+			if s.ended() {
+				s.close()
+				s = openRaftStream(t.ctx, t.pool.Get(address), t.ackTimeout)
+			}
+			s.send(t.batch(gather(messages, queue)))
 		}
 	}
 }
@@ -101,17 +106,12 @@
 	}
 }
 
-func (t *Transport) sendOne(address string, messages []raft.Message) {
-	batch := &peerv1.RaftBatch{Group: t.group, SenderId: uint64(t.self.ID), SenderAddress: t.self.Address}
+func (t *Transport) batch(messages []raft.Message) *peerv1.RaftBatch {
+	out := &peerv1.RaftBatch{Group: t.group, SenderId: uint64(t.self.ID), SenderAddress: t.self.Address}
 	for _, m := range messages {
-		batch.Messages = append(batch.Messages, MessageToProto(m))
-	}
-	ctx, cancel := context.WithTimeout(t.ctx, sendTimeout)
-	defer cancel()
-	c, began := t.pool.Get(address), time.Now()
-	if _, err := c.Raft(ctx, connect.NewRequest(batch)); err != nil && ctx.Err() != nil {
-		c.TimedOut(began)
+		out.Messages = append(out.Messages, MessageToProto(m))
 	}
+	return out
 }
 
 // Wait returns when all sending has ended, after the context of NewTransport has.
--- a/peer/v1/peerv1connect/peer.connect.go
+++ b/peer/v1/peerv1connect/peer.connect.go
@@ -53,8 +53,9 @@
 
 // PeerServiceClient is a client for the peer.v1.PeerService service.
 type PeerServiceClient interface {
-	// Raft carries messages between replicas, in order of sending.
-	Raft(context.Context, *connect.Request[v1.RaftBatch]) (*connect.Response[v1.RaftAck], error)
+	// Raft carries batches of messages between replicas, in order of sending; each batch is
+	// acknowledged.
+	Raft(context.Context) *connect.BidiStreamForClient[v1.RaftBatch, v1.RaftAck]
 	// SendSnapshot carries a snapshot to a replica that lags, in parts. The first part holds
 	// the message, the last one the checksum. The answer comes once it is stored.
 	SendSnapshot(context.Context) *connect.ClientStreamForClient[v1.SnapshotPart, v1.RaftAck]
@@ -129,8 +130,8 @@
 }
 
 // Raft calls peer.v1.PeerService.Raft.
-func (c *peerServiceClient) Raft(ctx context.Context, req *connect.Request[v1.RaftBatch]) (*connect.Response[v1.RaftAck], error) {
-	return c.raft.CallUnary(ctx, req)
+func (c *peerServiceClient) Raft(ctx context.Context) *connect.BidiStreamForClient[v1.RaftBatch, v1.RaftAck] {
+	return c.raft.CallBidiStream(ctx)
 }
 
 // SendSnapshot calls peer.v1.PeerService.SendSnapshot.
@@ -160,8 +161,9 @@
 
 // PeerServiceHandler is an implementation of the peer.v1.PeerService service.
 type PeerServiceHandler interface {
-	// Raft carries messages between replicas, in order of sending.
-	Raft(context.Context, *connect.Request[v1.RaftBatch]) (*connect.Response[v1.RaftAck], error)
+	// Raft carries batches of messages between replicas, in order of sending; each batch is
+	// acknowledged.
+	Raft(context.Context, *connect.BidiStream[v1.RaftBatch, v1.RaftAck]) error
 	// SendSnapshot carries a snapshot to a replica that lags, in parts. The first part holds
 	// the message, the last one the checksum. The answer comes once it is stored.
 	SendSnapshot(context.Context, *connect.ClientStream[v1.SnapshotPart]) (*connect.Response[v1.RaftAck], error)
@@ -182,7 +184,7 @@
 // and JSON codecs. They also support gzip compression.
 func NewPeerServiceHandler(svc PeerServiceHandler, opts ...connect.HandlerOption) (string, http.Handler) {
 	peerServiceMethods := v1.File_peer_v1_peer_proto.Services().ByName("PeerService").Methods()
-	peerServiceRaftHandler := connect.NewUnaryHandler(
+	peerServiceRaftHandler := connect.NewBidiStreamHandler(
 		PeerServiceRaftProcedure,
 		svc.Raft,
 		connect.WithSchema(peerServiceMethods.ByName("Raft")),
@@ -241,8 +243,8 @@
 // UnimplementedPeerServiceHandler returns CodeUnimplemented from all methods.
 type UnimplementedPeerServiceHandler struct{}
 
-func (UnimplementedPeerServiceHandler) Raft(context.Context, *connect.Request[v1.RaftBatch]) (*connect.Response[v1.RaftAck], error) {
-	return nil, connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.Raft is not implemented"))
+func (UnimplementedPeerServiceHandler) Raft(context.Context, *connect.BidiStream[v1.RaftBatch, v1.RaftAck]) error {
+	return connect.NewError(connect.CodeUnimplemented, errors.New("peer.v1.PeerService.Raft is not implemented"))
 }
 
 func (UnimplementedPeerServiceHandler) SendSnapshot(context.Context, *connect.ClientStream[v1.SnapshotPart]) (*connect.Response[v1.RaftAck], error) {
--- a/replica/bench_test.go
+++ b/replica/bench_test.go
@@ -64,9 +64,8 @@
 	log   *wal.Log
 }
 
-func (r *benchReplica) Raft(_ context.Context, req *connect.Request[peerv1.RaftBatch]) (*connect.Response[peerv1.RaftAck], error) {
-	r.receive(req.Msg)
-	return connect.NewResponse(&peerv1.RaftAck{}), nil
+func (r *benchReplica) Raft(_ context.Context, stream *connect.BidiStream[peerv1.RaftBatch, peerv1.RaftAck]) error {
+	return peer.ServeRaftStream(stream, r.receive)
 }
 
 func (r *benchReplica) receive(batch *peerv1.RaftBatch) {
