Let one of two simultaneous candidates go first, and elect sooner

Two replicas that time out together granted each other the pre-vote and then split the votes. With equal logs the lower ID now goes first. The default becomes 12 ticks: a pause or a stalled disk of less than 600 ms still costs no election.

--- a/raft/election.go
+++ b/raft/election.go
@@ -48,7 +48,7 @@
 	free := r.vote == None && r.leader == None || r.vote == m.From
 	if m.Type == MsgPreVote {
 		reply = MsgPreVoteReply
-		free = m.Term > r.term
+		free = m.Term > r.term && !r.goesFirst(m)
 	}
 	grant := free && r.log.upToDate(m.LogIndex, m.LogTerm)
 	if grant && m.Type == MsgVote {
@@ -62,6 +62,13 @@
 	r.send(Message{Type: reply, To: m.From, Term: term, Reject: !grant})
 }
 
+// goesFirst decides between two replicas that ask for pre-votes at the same time with
+// equal logs: the lower ID goes first, so that they don't split the votes.
+func (r *Raft) goesFirst(m Message) bool {
+	equal := m.LogIndex == r.log.lastIndex() && m.LogTerm == r.log.lastTerm()
+	return r.role == PreCandidate && equal && r.cfg.ID < m.From
+}
+
 func (r *Raft) handleVoteReply(m Message) {
 	waiting := r.role == PreCandidate && m.Type == MsgPreVoteReply && m.Term == r.term+1 ||
 		r.role == PreCandidate && m.Type == MsgPreVoteReply && m.Reject ||
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -127,6 +127,22 @@
 	}
 }
 
+// TestSimultaneousCandidates lets two of three replicas time out in the same tick.
+func TestSimultaneousCandidates(t *testing.T) {
+	g := newSimGroup(t, 17, testMembers(3, 0))
+	g.nodes[1].down = true
+	for _, id := range []ID{3, 2} {
+		for g.nodes[id].Role() != PreCandidate {
+			g.nodes[id].Tick()
+		}
+		g.drive(id)
+	}
+	g.settle()
+	if g.nodes[2].Role() != Leader {
+		t.Errorf("replica 2 is %s, replica 3 is %s", g.nodes[2].Role(), g.nodes[3].Role())
+	}
+}
+
 func TestCutOffLeaderStepsDown(t *testing.T) {
 	g := newSimGroup(t, 2, testMembers(3, 0))
 	old := g.elect(1)
--- a/replica/node.go
+++ b/replica/node.go
@@ -88,7 +88,7 @@
 // DefaultConfig suits replicas within a few milliseconds of each other.
 func DefaultConfig(id raft.ID, seed uint64) Config {
 	return Config{
-		Raft: raft.Config{ID: id, ElectionTicks: 20, HeartbeatTicks: 2, MaxInflight: 64,
+		Raft: raft.Config{ID: id, ElectionTicks: 12, HeartbeatTicks: 2, MaxInflight: 64,
 			MaxAppendBytes: 1 << 20, Seed: seed},
 		TickInterval:    50 * time.Millisecond,
 		SnapshotEntries: 20_000,
