--- a/replica/bench_test.go
+++ b/replica/bench_test.go
@@ -1,6 +1,7 @@
 package replica_test
 
 import (
+	"bytes"
 	"context"
 	"fmt"
 	"io"
@@ -25,6 +26,8 @@
 const (
 	benchGroup  = 7
 	benchSecret = "benchmark-secret-of-the-cluster"
+	// bytesPerTask is the size of a task in a snapshot of package state.
+	bytesPerTask = 124
 )
 
 // sizedMachine has a state of a given size and applies nothing.
@@ -68,6 +71,17 @@
 	return peer.ServeRaftStream(stream, r.receive)
 }
 
+func (r *benchReplica) SendSnapshot(_ context.Context, stream *connect.ClientStream[peerv1.SnapshotPart]) (*connect.Response[peerv1.RaftAck], error) {
+	if !stream.Receive() {
+		return nil, stream.Err()
+	}
+	m := peer.MessageFromProto(stream.Msg().GetAnnounce().GetMessages()[0])
+	if err := r.node.ReceiveSnapshot(m, peer.SnapshotContent(stream)); err != nil {
+		return nil, err
+	}
+	return connect.NewResponse(&peerv1.RaftAck{}), nil
+}
+
 func (r *benchReplica) receive(batch *peerv1.RaftBatch) {
 	var messages []raft.Message
 	for _, m := range batch.GetMessages() {
@@ -204,10 +218,26 @@
 	}
 }
 
+// BenchmarkSnapshotTransfer sends the snapshot of 280,000 tasks over loopback until it is stored.
+func BenchmarkSnapshotTransfer(b *testing.B) {
+	const size = 280_000 * bytesPerTask
+	receiver := benchCluster(b, 1, 0, func(*replica.Config) {})
+	to := receiver.node.Raft().Members()[0]
+	transport := peer.NewTransport(context.Background(), peer.NewPool(benchSecret, nil), benchGroup, raft.Member{ID: 9})
+	// The term is none that a replica follows, so that the snapshots are stored and not used.
+	m := raft.Message{Type: raft.MsgSnapshot, From: 9, To: to.ID, Snapshot: &raft.Snapshot{Index: 1 << 40}}
+	b.SetBytes(size)
+	for b.Loop() {
+		err := transport.SendSnapshot(context.Background(), to, m, bytes.NewReader(make([]byte, size)), func() {})
+		if err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 // BenchmarkSnapshotPause reports how long commits of one replica take while snapshots of a
 // state of the given tasks are written, one per 1,000 entries; without tasks none is taken.
 func BenchmarkSnapshotPause(b *testing.B) {
-	const bytesPerTask = 124
 	for _, tasks := range []int{0, 10_000, 100_000, 280_000} {
 		b.Run(fmt.Sprint("tasks=", tasks), func(b *testing.B) {
 			leader := benchCluster(b, 1, tasks*bytesPerTask, func(c *replica.Config) {
--- a/replica/node.go
+++ b/replica/node.go
@@ -312,6 +312,7 @@
 	if !rd.MustSync {
 		return nil
 	}
+	logAppends.Add(1)
 	return n.storage.Append(rd.HardState, rd.Entries)
 }
 
--- a/replica/snapshots.go
+++ b/replica/snapshots.go
@@ -99,6 +99,7 @@
 		return
 	}
 	n.snapshots.newest = s.Index
+	snapshotsStored.Add(1)
 	if err := n.raft.Compact(&s, n.cfg.KeepBytes); err != nil {
 		panic("replica: " + err.Error())
 	}
@@ -106,6 +107,7 @@
 
 // snapshotFailed stops the node if its storage has failed; without a snapshot it can go on.
 func (n *Node[R]) snapshotFailed(err error) {
+	snapshotsFailed.Add(1)
 	if errors.Is(err, wal.ErrFailed) || errors.Is(err, wal.ErrCorrupt) {
 		n.failure = err
 		return
@@ -130,7 +132,9 @@
 			if err != nil {
 				n.raft.ReportSnapshotFailed(m.To)
 				n.snapshotFailed(errors.Wrapf(err, "replica: snapshot to %s", to.Address))
+				return
 			}
+			snapshotsSent.Add(1)
 		}
 	})
 }
@@ -160,6 +164,7 @@
 			return err
 		}
 	}
+	snapshotsReceived.Add(1)
 	n.Receive([]raft.Message{m})
 	return nil
 }
