Bound polls, answers and log entries by size

Cause: several answers of the allowed size together made a poll larger than an entry takes, so that every later poll failed, the lease ended and all tasks of the upstream with it; a detail that is not UTF-8 did the same. The payloads of all starts went into one answer, and all that had gathered into one log entry, whatever its size.

Change: 4 MiB of bodies a poll, of payloads an answer, of commands an entry; the rest follows. Results of runners are made reportable.

--- a/control/controller.go
+++ b/control/controller.go
@@ -38,6 +38,9 @@
 }
 
 const (
+	// maxBatchBytes bounds one log entry, so that it passes the bounds of messages between
+	// replicas.
+	maxBatchBytes = 4 << 20
 	// maxPlacementsPerRound bounds one Place command.
 	maxPlacementsPerRound = 1024
 	// sweepInterval is the time between Sweep commands.
@@ -189,13 +192,24 @@
 	c.completes = append(c.completes, done)
 }
 
+// proposeBatch proposes what has gathered, in entries that stay below maxBatchBytes unless
+// one command alone is larger.
 func (c *Controller) proposeBatch() {
-	if len(c.commands) == 0 {
-		return
-	}
-	batch := &peerv1.Batch{NowNs: max(time.Now().UnixNano(), c.state.Now().UnixNano()), Commands: c.commands}
-	completes := c.completes
+	commands, completes := c.commands, c.completes
 	c.commands, c.completes = nil, nil
+	for len(commands) > 0 {
+		n, size := 1, proto.Size(commands[0])
+		for n < len(commands) && size < maxBatchBytes {
+			size += proto.Size(commands[n])
+			n++
+		}
+		c.proposeEntry(commands[:n], completes[:n])
+		commands, completes = commands[n:], completes[n:]
+	}
+}
+
+func (c *Controller) proposeEntry(commands []*peerv1.Command, completes []completion) {
+	batch := &peerv1.Batch{NowNs: max(time.Now().UnixNano(), c.state.Now().UnixNano()), Commands: commands}
 	data, err := proto.Marshal(batch)
 	if err != nil {
 		panic("control: batch can't be encoded: " + err.Error())
--- a/control/handout.go
+++ b/control/handout.go
@@ -10,6 +10,10 @@
 	"github.com/bulrushwinch/bulrushwinch/state"
 )
 
+// maxAnswerBytes bounds payloads and checkpoints in one answer; the others follow with the
+// next poll.
+const maxAnswerBytes = 4 << 20
+
 // mark lets the next flush look whether a held poll has something to tell.
 func (c *Controller) mark(s *session) {
 	if s.poll != nil && !s.urgent {
@@ -105,11 +109,20 @@
 		return nil
 	}
 	var out []*apiv1.Command
+	bytes := 0
 	for _, ref := range slices.SortedFunc(maps.Keys(u.Tasks), state.CompareRefs) {
 		t := u.Tasks[ref]
-		if kind := c.commandKind(s, u, t); kind != apiv1.CommandKind_COMMAND_KIND_UNSPECIFIED {
-			out = append(out, command(kind, t))
+		kind := c.commandKind(s, u, t)
+		if kind == apiv1.CommandKind_COMMAND_KIND_UNSPECIFIED {
+			continue
+		}
+		cmd := command(kind, t)
+		size := len(cmd.Payload) + len(cmd.Checkpoint)
+		if size > 0 && bytes > 0 && bytes+size > maxAnswerBytes {
+			continue
 		}
+		bytes += size
+		out = append(out, cmd)
 	}
 	for _, ref := range s.orphans {
 		if !s.attempts[ref].signalled {
--- a/control/session_test.go
+++ b/control/session_test.go
@@ -1,12 +1,15 @@
 package control
 
 import (
+	"fmt"
+	"strings"
 	"testing"
 	"time"
 
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -338,3 +341,32 @@
 		}
 	})
 }
+
+// TestLargePayloadsAreSpreadOverAnswers starts more at once than one answer may carry.
+func TestLargePayloadsAreSpreadOverAnswers(t *testing.T) {
+	inBubble(t, func(l *leader) {
+		w := l.worker("u1")
+		w.capacity = &apiv1.Resources{MilliCores: 1000, MemoryBytes: 1 << 30, Slots: 6, Connections: 6}
+		w.poll()
+		l.submit(strings.Repeat("x", 100), batch, 1, true)
+		for range 5 {
+			resp := &apiv1.SubmitResponse{}
+			l.ops++
+			l.handle(peerv1.Method_METHOD_SUBMIT, "caller", &apiv1.SubmitRequest{RequestId: fmt.Sprint(l.ops), Queue: "q", FirstSend: true,
+				FirstSentUnixMs: time.Now().UnixMilli(), Job: &apiv1.JobSpec{Policy: batch, Tasks: []*apiv1.TaskSpec{{Payload: make([]byte, 1<<20)}}}}, resp)
+		}
+		time.Sleep(100 * time.Millisecond)
+		for range 2 {
+			a := w.poll()
+			for _, c := range a.Commands {
+				w.tasks = append(w.tasks, reportOf(c.Task, running))
+			}
+			if size := proto.Size(a.PollResponse); size > maxAnswerBytes+1<<10 {
+				t.Errorf("an answer of %d bytes", size)
+			}
+		}
+		if len(w.tasks) != 6 {
+			t.Errorf("%d of 6 tasks were handed out in two answers", len(w.tasks))
+		}
+	})
+}
--- a/state/report.go
+++ b/state/report.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"crypto/sha256"
+	"strings"
 	"time"
 
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
@@ -47,6 +48,15 @@
 	return false
 }
 
+// maxDetailBytes bounds what is kept of an upstream's words about an attempt.
+const maxDetailBytes = 1 << 10
+
+// detailOf returns the bounded detail of a report.
+func detailOf(r *apiv1.TaskReport) string {
+	d := r.GetDetail()
+	return strings.ToValidUTF8(d[:min(len(d), maxDetailBytes)], "")
+}
+
 func (s *State) reportOne(t *Task, r *apiv1.TaskReport) {
 	s.touch(t.Job)
 	switch r.GetState() {
@@ -165,9 +175,9 @@
 	}
 	switch {
 	case t.Job.State == lifecycle.JobCancelling || !t.Job.Spec.GetRepeatable():
-		s.finishLive(t, failed(apiv1.Reason_REASON_TASK_FAILED, "%s", r.GetDetail()))
+		s.finishLive(t, failed(apiv1.Reason_REASON_TASK_FAILED, "%s", detailOf(r)))
 	case t.Failures >= limit:
-		s.finishLive(t, failed(apiv1.Reason_REASON_ATTEMPTS_EXHAUSTED, "failed %d times, last: %s", t.Failures, r.GetDetail()))
+		s.finishLive(t, failed(apiv1.Reason_REASON_ATTEMPTS_EXHAUSTED, "failed %d times, last: %s", t.Failures, detailOf(r)))
 	default:
 		t.NotBeforeNS = s.nowNS + int64(s.backoff(t.Failures))
 		s.release(t, lifecycle.TaskRequeue)
--- a/upstream/poll.go
+++ b/upstream/poll.go
@@ -48,10 +48,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sequence++
-	req := &apiv1.PollRequest{Upstream: a.cfg.Name, Incarnation: a.cfg.Incarnation, Sequence: a.sequence, Leaving: a.leaving}
-	for _, r := range a.tasks {
-		req.Tasks = append(req.Tasks, r.report)
-	}
+	req := &apiv1.PollRequest{Upstream: a.cfg.Name, Incarnation: a.cfg.Incarnation, Sequence: a.sequence, Leaving: a.leaving, Tasks: a.reports()}
 	return req, a.clock.Now()
 }
 
@@ -137,6 +134,7 @@
 
 // ended replaces the attempt's report by its end, to be listed until acknowledged.
 func (a *Agent) ended(r *running, result Result) {
+	result = reportable(result)
 	sum := sha256.Sum256(result.Body)
 	a.mu.Lock()
 	r.cancel(nil)
