Hold room for overdue work, make room for short work, bound a round's cost

What is here: a reservation for the first overdue entry of a team; checkpoints of long batch for short work after a second; shares evened out after one second at a gap of 2% of the cell; a search scores at most 48 upstreams, services look at the domains with the fewest of their tasks first; a round that runs out of tries parks what found no place for 250 ms; 256 placements a round.

--- a/bench/main.go
+++ b/bench/main.go
@@ -47,15 +47,10 @@
 
 func benchUser(u user, only string, seeds int) int {
 	missed := 0
-	peak := 0.0
 	for i := range loads {
 		l := loads[len(loads)-1-i]
-		results := play(u, l, seeds)
-		if l.level > 1 {
-			peak = meanUse(results)
-		}
 		if only == "" || only == l.name {
-			missed += report(os.Stdout, u, l, results, peak)
+			missed += report(os.Stdout, u, l, play(u, l, seeds))
 		}
 	}
 	return missed
--- a/bench/measure.go
+++ b/bench/measure.go
@@ -23,17 +23,21 @@
 	killed   int
 	slowed   time.Duration
 	stops    map[sched.StopReason]int
-	// work is done VM-seconds per second of the run.
-	work [horizon/time.Second + 1]float64
+	// work is the progress per second of the run in each scarce dimension, as a
+	// fraction of the cell.
+	work [horizon/time.Second + 1][len(scarce)]float64
 
 	samples  int
 	used     float64
 	full     int
 	stranded float64
-	gapSum   float64
-	gapCount int
-	gapMax   float64
-	cost     cost
+	// fullAway and strandedAway are the same while a domain is out.
+	fullAway     int
+	strandedAway float64
+	gapSum       float64
+	gapCount     int
+	gapMax       float64
+	cost         cost
 }
 
 // cost is the time spent in decisions.
@@ -49,19 +53,38 @@
 	c.placements += placements
 }
 
-func (m *measures) addWork(now time.Duration, vmSeconds float64) {
-	m.work[now/time.Second] += vmSeconds
+// scarce are the dimensions in which work is measured.
+var scarce = [...]resource.Dimension{resource.Cores, resource.Memory, resource.Slots}
+
+// addWork counts progress at full speed, or takes it back where it is negative.
+func (w *world) addWork(t *liveTask, progress time.Duration) {
+	took := resource.Vector{t.work.cores, t.work.memory, 0, 1, 0}
+	at := &w.m.work[w.now/time.Second]
+	for i, d := range scarce {
+		at[i] += float64(took[d]) / float64(w.user.capacity[d]) / workers * progress.Seconds()
+	}
 }
 
-// between returns the work done in a span of the run.
-func (m *measures) between(from, to time.Duration) float64 {
+// between returns the work done in a span of the run in one dimension.
+func (m *measures) between(from, to time.Duration, dimension int) float64 {
 	sum := 0.0
 	for _, x := range m.work[from/time.Second : to/time.Second] {
-		sum += x
+		sum += x[dimension]
 	}
 	return sum
 }
 
+// scarcest returns the dimension in which most work was done.
+func (m *measures) scarcest() int {
+	best := 0
+	for i := range scarce {
+		if m.between(0, horizon, i) > m.between(0, horizon, best) {
+			best = i
+		}
+	}
+	return best
+}
+
 // started notes how long a task waited from its submission to its first start.
 func (m *measures) started(t *liveTask, now time.Duration) {
 	m.wait(t, now-t.job.at)
@@ -124,7 +147,7 @@
 	usable, used, free := 0, 0.0, 0.0
 	var total resource.Vector
 	for _, v := range w.vms {
-		if v.Domain == w.out {
+		if v.Domain == w.out || v.broken() {
 			continue
 		}
 		usable++
@@ -139,6 +162,10 @@
 	if !w.smallWaits() {
 		return
 	}
+	if w.out != "" {
+		w.m.fullAway++
+		w.m.strandedAway += free / float64(usable)
+	}
 	w.m.full++
 	w.m.stranded += free / float64(usable)
 	w.sampleShares(total)
--- a/bench/policy.go
+++ b/bench/policy.go
@@ -1,6 +1,9 @@
 package main
 
 import (
+	"cmp"
+	"maps"
+	"slices"
 	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/resource"
@@ -154,7 +157,10 @@
 		if f.usable(u) || !f.domains[u.Domain].Out {
 			continue
 		}
-		for ref := range u.tasks {
+		refs := slices.SortedFunc(maps.Keys(u.tasks), func(a, b sched.TaskRef) int {
+			return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Index, b.Index))
+		})
+		for _, ref := range refs {
 			if j := f.jobs[ref.Job]; j.Repeatable && j.tasks[ref.Index].Phase != sched.Stopping {
 				d.Stops = append(d.Stops, sched.Stop{Task: ref, Checkpoint: true, Why: sched.StopDomainOut})
 			}
--- a/bench/vm.go
+++ b/bench/vm.go
@@ -77,15 +77,11 @@
 		t.done += progress
 		t.attemptF += progress
 		t.began = w.now
-		w.m.addWork(w.now, v.weight(t)*progress.Seconds())
+		w.addWork(t, progress)
 	}
 }
 
-// weight is the fraction of the VM that a task really takes in its scarcest dimension.
-func (v *vm) weight(t *liveTask) float64 {
-	return max(fraction(t.work.cores, v.Capacity[resource.Cores]), fraction(t.work.memory, v.Capacity[resource.Memory]), 1.0/slotsPerWorker)
-}
-
+// settledAt is when progress was last booked.
 func (v *vm) settledAt() time.Duration {
 	if len(v.running) == 0 {
 		return v.world.now
@@ -138,7 +134,7 @@
 
 // lose takes back the work of an attempt that has to begin again.
 func (v *vm) lose(t *liveTask) {
-	v.world.m.addWork(v.world.now, -v.weight(t)*t.attemptF.Seconds())
+	v.world.addWork(t, -t.attemptF)
 	t.done -= t.attemptF
 }
 
--- a/bench/world.go
+++ b/bench/world.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"fmt"
+	"runtime"
 	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/resource"
@@ -166,6 +167,8 @@
 
 // run plays the scenario to the horizon.
 func (w *world) run() *measures {
+	runtime.LockOSThread()
+	defer runtime.UnlockOSThread()
 	for _, j := range generate(w.user, w.load, w.seed) {
 		if j.at < horizon {
 			w.at(j.at, func() { w.submit(j) })
@@ -284,9 +287,9 @@
 
 func (w *world) decide() {
 	w.after(decideEvery, w.decide)
-	began := time.Now()
+	began := processorTime()
 	d := w.policy.Decide(w.clock(), decideLimit)
-	w.m.cost.add(time.Since(began), len(d.Placements))
+	w.m.cost.add(processorTime()-began, len(d.Placements))
 	for _, s := range d.Stops {
 		w.stop(s)
 	}
--- a/control/controller.go
+++ b/control/controller.go
@@ -42,7 +42,7 @@
 	// replicas.
 	maxBatchBytes = 4 << 20
 	// maxPlacementsPerRound bounds one Place command.
-	maxPlacementsPerRound = 1024
+	maxPlacementsPerRound = 256
 	// sweepInterval is the time between Sweep commands.
 	sweepInterval = time.Minute
 	// idleDecideInterval is the time between decisions when no fact has changed.
--- a/sched/cell.go
+++ b/sched/cell.go
@@ -36,6 +36,7 @@
 	blocked reasonCounts
 
 	timers timers
+	parked []parked
 	// fresh lists jobs that were not yet checked against the largest VMs; recheck
 	// is set when a size of VM has vanished.
 	fresh        []JobID
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -1,7 +1,6 @@
 package sched
 
 import (
-	"container/heap"
 	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/resource"
@@ -24,6 +23,7 @@
 		r.serve(tr)
 	}
 	r.makeRoom()
+	r.serveShort()
 	r.evenOut()
 	r.noteContent()
 	r.rollBack()
@@ -43,6 +43,7 @@
 		c.began = now
 	}
 	c.admitDue()
+	c.unpark()
 	if len(c.draining) > 0 || len(c.strained) > 0 || len(c.overLimit) > 0 || len(c.reservations) > 0 || c.ramping() {
 		c.dirty = true
 	}
@@ -68,11 +69,17 @@
 	// tries is how many more entries the tier may find no place for.
 	tries int
 	// aside are entries out of their queue, touched those with taken tasks.
-	aside   []*entry
-	touched []*entry
+	aside []*entry
+	// exhausted is set when the normal tier ran out of tries.
+	exhausted bool
+	touched   []*entry
 	// full are amounts for which no upstream has room.
 	full    []resource.Vector
 	starved []*entry
+	// short holds short work that found no room; minLeft is what work that makes
+	// room for it has yet to run.
+	short   []*entry
+	minLeft time.Duration
 	// deprived holds the first entry of each team that found no room.
 	deprived      []*entry
 	deprivedTeams map[*team]bool
@@ -83,7 +90,15 @@
 	claims  map[*upstream]resource.Vector
 	evicted map[*task]bool
 	evicts  map[*team]resource.Vector
-	gangs   int
+	// stoppers lists the upstreams on which something is being stopped.
+	stoppers   []*upstream
+	unfreeable []unfreeable
+	// richest lists teams by position, highest first, positions by team number.
+	richest   []*team
+	positions []float64
+	gangs     int
+	// domains is the order of the current search.
+	domains []*domain
 }
 
 // booking is a placement of the round.
@@ -155,9 +170,7 @@
 	for _, e := range r.touched {
 		e.taken = 0
 	}
-	for _, e := range r.aside {
-		heap.Push(&e.team.queues[e.tier], e)
-	}
+	r.returnAside()
 }
 
 // stop proposes to end a live attempt.
--- a/sched/explain.go
+++ b/sched/explain.go
@@ -100,7 +100,7 @@
 			len(c.order), c.settings.Settle)
 	default:
 		x.room(t, need)
-		x.gang()
+		x.held()
 		x.order(t)
 	}
 }
@@ -160,15 +160,17 @@
 	return Fits
 }
 
-func (x *explainer) gang() {
-	if x.job.Policy != Gang {
-		return
+// held tells what is held for the job.
+func (x *explainer) held() {
+	if x.job.Policy == Gang {
+		x.say("All %d tasks of a gang start together or not at all.", len(x.job.tasks))
 	}
-	x.say("All %d tasks of a gang start together or not at all.", len(x.job.tasks))
 	if v := x.job.reservation; v != nil {
-		x.say("%d upstreams are held for it until %s from now; they are expected to be free in %s, and shorter work may use them until then.",
+		x.say("Upstreams are held for it: %d, for at most %s more; they are expected to have room in %s, and shorter work may use them until then.",
 			len(v.held), short(v.until.Sub(x.now)), short(max(0, v.start.Sub(x.now))))
-	} else if x.now.Before(x.job.restUntil) {
+		return
+	}
+	if x.now.Before(x.job.restUntil) {
 		x.say("Upstreams held for it did not become free in time; it may hold others in %s.", short(x.job.restUntil.Sub(x.now)))
 	}
 }
--- a/sched/fair.go
+++ b/sched/fair.go
@@ -1,11 +1,15 @@
 package sched
 
-import "time"
+import (
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/resource"
+)
 
 const (
 	// fairGap is the fraction of the cell by which shares have to differ before
 	// running work is checkpointed for the team below.
-	fairGap = 0.03
+	fairGap = 0.02
 	// maxFairStops bounds the tasks checkpointed for shares in one round.
 	maxFairStops = 4
 )
@@ -65,6 +69,9 @@
 	if e.team.below.IsZero() {
 		e.team.below = r.now
 	}
+	if r.now.After(e.order) {
+		r.reserve(e.job, []resource.Vector{r.reserveFor(e.tasks[e.taken])})
+	}
 }
 
 // noteContent forgets since when teams that found room have waited.
--- /dev/null
+++ b/sched/park.go
@@ -0,0 +1,49 @@
+package sched
+
+import (
+	"container/heap"
+	"time"
+)
+
+// parkTime is how long entries that found no place stay out of the queues after a
+// round ran out of tries, so that the next rounds reach the entries behind them.
+const parkTime = 250 * time.Millisecond
+
+// parked is the entries of one round that are out of their queues.
+type parked struct {
+	until   time.Time
+	entries []*entry
+}
+
+// returnAside puts the entries that the round set aside back into their queues, or
+// parks them.
+func (r *round) returnAside() {
+	if !r.exhausted {
+		for _, e := range r.aside {
+			heap.Push(&e.team.queues[e.tier], e)
+		}
+		return
+	}
+	p := parked{until: r.now.Add(parkTime)}
+	for _, e := range r.aside {
+		if e.tier == tierNormal {
+			p.entries = append(p.entries, e)
+		} else {
+			heap.Push(&e.team.queues[e.tier], e)
+		}
+	}
+	r.cell.parked = append(r.cell.parked, p)
+}
+
+// unpark returns parked entries whose time has come.
+func (c *Cell) unpark() {
+	for len(c.parked) > 0 && !c.parked[0].until.After(c.now) {
+		for _, e := range c.parked[0].entries {
+			if len(e.tasks) > 0 {
+				heap.Push(&e.team.queues[e.tier], e)
+			}
+		}
+		c.parked = c.parked[1:]
+		c.dirty = true
+	}
+}
--- a/sched/preempt.go
+++ b/sched/preempt.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/resource"
 )
@@ -68,7 +69,7 @@
 
 // claimPending finds an upstream where enough is already being freed.
 func (r *round) claimPending(need resource.Vector) bool {
-	for _, u := range sorted(r.cell.stoppers) {
+	for _, u := range r.freeing() {
 		if u.reason != Fits {
 			continue
 		}
@@ -81,14 +82,27 @@
 	return false
 }
 
+// freeing lists the upstreams on which something is being stopped.
+func (r *round) freeing() []*upstream {
+	if r.stoppers == nil {
+		r.stoppers = sorted(r.cell.stoppers)
+	}
+	return r.stoppers
+}
+
 // cheapest returns the upstream on which the fewest and latest tasks have to leave.
 // With only set, they must be of that team.
 func (r *round) cheapest(need resource.Vector, only *team) (best *upstream, victims []*task) {
+	for i := range r.unfreeable {
+		if r.unfreeable[i].only == only && r.unfreeable[i].minLeft <= r.minLeft && r.unfreeable[i].need.Fits(need) {
+			return nil, nil
+		}
+	}
 	seen := make(map[*upstream]bool)
 	for _, tm := range r.donors(only) {
 		for i := len(tm.live) - 1; i >= 0 && len(seen) < maxVictimTries; i-- {
 			l := tm.live[i]
-			if !l.current() || !l.task.evictable() || r.evicted[l.task] {
+			if !l.current() || r.evicted[l.task] || !r.mayLeave(l.task) {
 				continue
 			}
 			u := l.task.up
@@ -105,17 +119,32 @@
 			return best, victims
 		}
 	}
+	r.unfreeable = append(r.unfreeable, unfreeable{only, r.minLeft, need})
 	return nil, nil
 }
 
-// donors lists teams by how far they are above their share.
+// unfreeable is an amount that no checkpoints would make room for: of one team's work or,
+// with only nil, of any, which has yet to run for minLeft.
+type unfreeable struct {
+	only    *team
+	minLeft time.Duration
+	need    resource.Vector
+}
+
+// donors lists teams by how far they were above their share after the placements.
 func (r *round) donors(only *team) []*team {
 	if only != nil {
 		return []*team{only}
 	}
-	list := slices.Clone(r.cell.teamOrder)
-	slices.SortStableFunc(list, func(a, b *team) int { return cmp.Compare(r.cell.position(b), r.cell.position(a)) })
-	return list
+	if r.richest != nil {
+		return r.richest
+	}
+	for _, tm := range r.cell.teamOrder {
+		r.positions = append(r.positions, r.cell.position(tm))
+	}
+	r.richest = slices.Clone(r.cell.teamOrder)
+	slices.SortStableFunc(r.richest, func(a, b *team) int { return cmp.Compare(r.positions[b.number], r.positions[a.number]) })
+	return r.richest
 }
 
 // victims returns the tasks that have to leave an upstream so that need fits there:
@@ -126,7 +155,7 @@
 	for _, t := range u.tasks {
 		if r.evicted[t] {
 			free = free.Add(t.load())
-		} else if t.evictable() && (only == nil || t.job.team(r.cell) == only) {
+		} else if r.mayLeave(t) && (only == nil || t.job.team(r.cell) == only) {
 			list = append(list, t)
 		}
 	}
--- a/sched/queue.go
+++ b/sched/queue.go
@@ -37,6 +37,7 @@
 	need resource.Vector
 	// order is the virtual start deadline: entries of a team are served in its order.
 	order time.Time
+	// pos is the place in the queue, negative while the entry is parked.
 	pos   int
 	tasks []*task
 	// taken is how many tasks the current round has given a place.
@@ -156,7 +157,7 @@
 		return
 	}
 	t.entry = nil
-	if len(e.tasks) > 1 {
+	if len(e.tasks) > 1 || e.pos < 0 {
 		e.drop(t)
 		return
 	}
--- a/sched/rank.go
+++ b/sched/rank.go
@@ -1,7 +1,9 @@
 package sched
 
 import (
+	"cmp"
 	"math"
+	"slices"
 
 	"github.com/bulrushwinch/bulrushwinch/resource"
 )
@@ -11,6 +13,8 @@
 	// those that fit.
 	maxProbes = 16
 	maxGood   = 4
+	// maxScored bounds the upstreams that are compared for one task.
+	maxScored = 48
 	// imbalanceWeight weighs unequal leftovers, which strand the larger one.
 	imbalanceWeight = 1.0
 	// domainWeight, rackWeight and hostWeight weigh the tasks of a service that are
@@ -36,6 +40,8 @@
 type ranking struct {
 	best, second           *upstream
 	bestScore, secondScore float64
+	// scored counts the upstreams that were compared.
+	scored int
 	// fitting counts the upstreams that have room, full those that have not.
 	fitting, full int
 }
@@ -50,26 +56,57 @@
 	}
 }
 
-// rank searches the index for the best upstream.
+// rank searches the index for the best upstream. In a large cell it scores a sample of
+// those that have room, starting at another place for each task; services look at
+// the domains with the fewest of their tasks first.
 func (r *round) rank(q *query) ranking {
 	var k ranking
 	want := levelsOf(q.need)
-	for _, d := range r.cell.domainOrder {
+	first := int((r.cell.settings.Seed+uint64(q.task.job.ID))%maxScored) + len(r.journal)
+	for i, d := range r.domainsFor(q, first) {
 		if q.within != nil && q.within != d || !d.open(r.now) {
 			continue
 		}
-		k.full += d.index.size
-		for _, b := range d.index.buckets {
-			if b.key.covers(want) {
-				k.fitting += len(b.members)
-				r.rankBucket(q, b, &k)
-			}
+		if i > 0 && k.best != nil && q.task.job.Policy == Service {
+			k.scored = maxScored
 		}
+		r.rankDomain(q, d, want, first, &k)
 	}
 	k.full -= k.fitting
 	return k
 }
 
+// domainsFor returns the domains in the order of the search.
+func (r *round) domainsFor(q *query, first int) []*domain {
+	list := r.domains[:0]
+	all := r.cell.domainOrder
+	for i := range all {
+		list = append(list, all[(first+i)%len(all)])
+	}
+	r.domains = list
+	if q.task.job.Policy == Service {
+		sp := &q.task.job.class.spread
+		count := func(d *domain) int { return sp.domains[d] + r.spread.domains[d] }
+		slices.SortStableFunc(list, func(a, b *domain) int { return cmp.Compare(count(a), count(b)) })
+	}
+	return list
+}
+
+func (r *round) rankDomain(q *query, d *domain, want levelKey, first int, k *ranking) {
+	n := len(d.index.buckets)
+	k.full += d.index.size
+	for i := range n {
+		b := d.index.buckets[(first+i)%n]
+		if !b.key.covers(want) {
+			continue
+		}
+		k.fitting += len(b.members)
+		if k.scored < maxScored {
+			r.rankBucket(q, b, k)
+		}
+	}
+}
+
 func (r *round) rankBucket(q *query, b *bucket, k *ranking) {
 	good := 0
 	for i, u := range b.members {
@@ -81,6 +118,7 @@
 			continue
 		}
 		good++
+		k.scored++
 		k.offer(u, r.score(q, u, free))
 	}
 }
--- /dev/null
+++ b/sched/reserve.go
@@ -0,0 +1,222 @@
+package sched
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/resource"
+)
+
+const (
+	// maxHeldFraction bounds the upstreams held for gangs and overdue tasks.
+	maxHeldFraction = 0.25
+	// maxHoldCandidates bounds the upstreams weighed for one reservation.
+	maxHoldCandidates = 512
+)
+
+// reservation holds upstreams for a gang, or one for a task that is overdue, until it
+// fits or its time is over. Work that is expected to end before start may still use them.
+type reservation struct {
+	job  *job
+	held []*upstream
+	// needs are the amounts held for, waiting the job's waiting tasks at the start.
+	needs   []resource.Vector
+	waiting int
+	start   time.Time
+	until   time.Time
+	// last is set once batch was asked to leave, at the end of the hold.
+	last bool
+}
+
+// lift makes held upstreams findable by the gang that they are held for.
+func (r *round) lift(v *reservation) {
+	if v == nil {
+		return
+	}
+	for _, u := range v.held {
+		u.heldFor = nil
+		r.cell.refresh(u)
+	}
+}
+
+// relower holds the upstreams again unless the job has found its place.
+func (r *round) relower(v *reservation) {
+	if len(r.journal) == 0 || r.journal[len(r.journal)-1].task.job != v.job {
+		r.lower(v)
+	}
+}
+
+func (r *round) lower(v *reservation) {
+	if v == nil {
+		return
+	}
+	for _, u := range v.held {
+		u.heldFor = v
+		r.cell.refresh(u)
+	}
+}
+
+// backfill tries held upstreams: for urgent work, and for work that is expected to
+// end before the gang starts there.
+func (r *round) backfill(t *task, need resource.Vector) verdict {
+	var k ranking
+	for _, v := range r.cell.reservations {
+		if !t.job.Urgent && !r.endsBefore(t, v.start) {
+			continue
+		}
+		for _, u := range v.held {
+			if u.heldFor == v && u.reason == Fits && need.Fits(u.free()) && u.domain.open(r.now) && !r.cell.avoids(t.job, u) {
+				k.fitting++
+				k.offer(u, leftover(u.free().Sub(need), u.Capacity))
+			}
+		}
+	}
+	if k.best == nil {
+		return noRoom
+	}
+	r.book(t, k.best, need, &k)
+	return placed
+}
+
+func (r *round) endsBefore(t *task, at time.Time) bool {
+	return t.job.Policy == Batch && r.now.Add(r.cell.expected(t.job.class, t.job.Expected, 0, endQuantile)).Before(at)
+}
+
+// opening is the time at which an upstream is expected to have room for one more
+// task of a gang.
+type opening struct {
+	up *upstream
+	in time.Duration
+}
+
+// reserve holds the upstreams that are expected to have room for the gang first.
+func (r *round) reserve(j *job, needs []resource.Vector) {
+	c := r.cell
+	if j.reservation != nil || r.now.Before(j.restUntil) || len(c.order) == 0 {
+		return
+	}
+	var list []opening
+	seen := 0
+	first := int((c.settings.Seed + uint64(j.ID)) % uint64(len(c.order)))
+	for i := range c.order {
+		u := c.order[(first+i)%len(c.order)]
+		if u.reason != Fits || u.heldFor != nil || seen == maxHoldCandidates {
+			continue
+		}
+		seen++
+		list = r.openings(list, u, needs[0], len(needs))
+	}
+	if len(list) < len(needs) {
+		return
+	}
+	slices.SortStableFunc(list, func(a, b opening) int { return cmp.Compare(a.in, b.in) })
+	r.hold(j, needs, list[:len(needs)])
+}
+
+// openings appends when an upstream will have room for up to n tasks.
+func (r *round) openings(list []opening, u *upstream, need resource.Vector, n int) []opening {
+	type ending struct {
+		in   time.Duration
+		load resource.Vector
+	}
+	var ends []ending
+	for _, t := range u.tasks {
+		if t.phase == Stopping {
+			ends = append(ends, ending{r.cell.settings.CheckpointTime, t.load()})
+		} else if in, ok := r.cell.remaining(t, r.now); ok {
+			ends = append(ends, ending{in, t.load()})
+		}
+	}
+	slices.SortFunc(ends, func(a, b ending) int { return cmp.Compare(a.in, b.in) })
+	free, in := u.free(), time.Duration(0)
+	for n > 0 {
+		if need.Fits(free) {
+			list = append(list, opening{u, in})
+			free = free.Sub(need)
+			n--
+			continue
+		}
+		if len(ends) == 0 {
+			return list
+		}
+		free, in = free.Add(ends[0].load), ends[0].in
+		ends = ends[1:]
+	}
+	return list
+}
+
+func (r *round) hold(j *job, needs []resource.Vector, list []opening) {
+	c := r.cell
+	v := &reservation{job: j, needs: needs, waiting: j.waiting, start: r.now.Add(list[len(list)-1].in)}
+	v.until = r.now.Add(min(c.settings.GangHold, max(2*list[len(list)-1].in, c.settings.GangHold/4)))
+	chosen := make(map[*upstream]bool)
+	for _, o := range list {
+		if !chosen[o.up] {
+			chosen[o.up] = true
+			v.held = append(v.held, o.up)
+		}
+	}
+	held := len(v.held)
+	for _, other := range c.reservations {
+		held += len(other.held)
+	}
+	if float64(held) > max(maxHeldFraction*float64(c.blocked[Fits]), float64(len(v.held))) {
+		return
+	}
+	j.reservation = v
+	c.reservations = append(c.reservations, v)
+	r.lower(v)
+}
+
+// endReservation lets go of what is held for a job.
+func (c *Cell) endReservation(j *job) {
+	v := j.reservation
+	if v == nil {
+		return
+	}
+	j.reservation = nil
+	c.reservations = slices.DeleteFunc(c.reservations, func(o *reservation) bool { return o == v })
+	for _, u := range v.held {
+		if u.heldFor == v {
+			u.heldFor = nil
+			c.refresh(u)
+		}
+	}
+	c.dirty = true
+}
+
+// expireReservations ends holds whose time is over: batch is asked to leave once, and
+// if the gang still does not fit, it waits without a hold for a while.
+func (r *round) expireReservations() {
+	for _, v := range slices.Clone(r.cell.reservations) {
+		switch {
+		case v.job.waiting < v.waiting:
+			r.cell.endReservation(v.job)
+		case r.now.Before(v.until):
+		case !v.last:
+			v.last = true
+			v.until = r.now.Add(4 * r.cell.settings.CheckpointTime)
+			r.evictFor(v)
+		default:
+			r.cell.endReservation(v.job)
+			v.job.restUntil = r.now.Add(r.cell.settings.GangRest)
+		}
+	}
+}
+
+// evictFor checkpoints as much batch on held upstreams as the gang needs.
+func (r *round) evictFor(v *reservation) {
+	for i, need := range v.needs {
+		u := v.held[i%len(v.held)]
+		claimed := r.claims[u].Add(need)
+		victims, ok := r.victims(u, claimed, nil)
+		if !ok {
+			continue
+		}
+		r.claims[u] = claimed
+		for _, t := range victims {
+			r.stop(t, true, StopForGang)
+		}
+	}
+}
--- a/sched/serve.go
+++ b/sched/serve.go
@@ -7,11 +7,11 @@
 )
 
 const (
-	// minTries bounds the searches of a round that find no place; larger cells add to it.
-	minTries = 512
-	// skipsPerTry is how many entries may be passed over without a search at the
-	// price of one search.
-	skipsPerTry = 16
+	// minTries bounds the entries of a tier that a round finds no place for; larger
+	// cells add to it.
+	minTries = 1024
+	// searchTries is what an entry costs that was searched for in vain.
+	searchTries = 8
 )
 
 // verdict is what came of trying to place a task or gang.
@@ -72,7 +72,7 @@
 		}
 	}
 	heap.Init(&h)
-	r.tries = skipsPerTry * (minTries + len(r.cell.order)/4)
+	r.tries = minTries + len(r.cell.order)/8
 	for len(h) > 0 && len(r.journal) < r.limit && r.tries > 0 {
 		x := h[0]
 		if !r.serveTeam(x.team, tr) {
@@ -101,8 +101,12 @@
 		r.tries--
 		r.noteStarved(e, v)
 		r.noteDeprived(e, v)
+		r.noteShort(e, v)
 		r.setAside(queue)
 	}
+	if tr == tierNormal && r.tries <= 0 {
+		r.exhausted = true
+	}
 	return false
 }
 
@@ -136,19 +140,21 @@
 		r.book(t, u, need, &ranking{best: u, fitting: 1})
 		return placed
 	}
-	if r.knownFull(need) {
+	if v := e.job.reservation; v != nil {
+		r.lift(v)
+		defer r.relower(v)
+	} else if r.knownFull(need) {
 		return r.backfill(t, need)
 	}
 	r.spread = r.spreads[t.job.class]
-	r.tries -= skipsPerTry
 	k := r.rank(&query{task: t, need: need})
 	if k.best == nil {
-		if len(t.job.failedOn) == 0 {
+		r.tries -= searchTries
+		if len(t.job.failedOn) == 0 && e.job.reservation == nil {
 			r.full = append(r.full, need)
 		}
 		return r.backfill(t, need)
 	}
-	r.tries += skipsPerTry
 	r.book(t, k.best, need, &k)
 	return placed
 }
--- a/sched/settings.go
+++ b/sched/settings.go
@@ -35,6 +35,8 @@
 	// SharePatience is how long a team below its share waits before work of teams
 	// above their shares is checkpointed for it.
 	SharePatience time.Duration
+	// ShortPatience is how long short work waits before long batch is checkpointed for it.
+	ShortPatience time.Duration
 	// ThrottleGrace is how long a throttle has to show in reports before tasks are stopped.
 	ThrottleGrace time.Duration
 }
@@ -54,8 +56,9 @@
 	FlapPause:       5 * time.Second,
 	QuarantinePause: 30 * time.Second,
 	MaxQuarantine:   30 * time.Minute,
-	SharePatience:   5 * time.Second,
+	SharePatience:   1 * time.Second,
 	ThrottleGrace:   10 * time.Second,
+	ShortPatience:   time.Second,
 }
 
 func (s Settings) withDefaults() Settings {
@@ -71,6 +74,7 @@
 		{&s.CheckpointTime, &d.CheckpointTime}, {&s.DrainNotice, &d.DrainNotice}, {&s.RampTime, &d.RampTime},
 		{&s.FlapWindow, &d.FlapWindow}, {&s.FlapPause, &d.FlapPause}, {&s.QuarantinePause, &d.QuarantinePause},
 		{&s.MaxQuarantine, &d.MaxQuarantine}, {&s.SharePatience, &d.SharePatience}, {&s.ThrottleGrace, &d.ThrottleGrace},
+		{&s.ShortPatience, &d.ShortPatience},
 	} {
 		if *f.field == 0 {
 			*f.field = *f.value
--- a/sched/types.go
+++ b/sched/types.go
@@ -161,6 +161,7 @@
 	StopOverLimit  StopReason = "its team is over its upper limit"
 	StopCapacity   StopReason = "its VM's capacity was lowered"
 	StopForGang    StopReason = "a gang that waited to the end of its reservation needs its place"
+	StopForShort   StopReason = "short work waited too long for its place"
 	StopForShare   StopReason = "a team below its share waited too long for its place"
 	StopGangUnable StopReason = "its gang could not start as a whole"
 )
