--- a/sched/decide.go
+++ b/sched/decide.go
@@ -124,10 +124,10 @@
 		r.touched = append(r.touched, t.entry)
 	}
 	t.entry.taken++
+	r.cell.notes[t.ref()] = r.note(t, k)
 	r.shift(t, u, need, 1)
 	r.decision.Placements = append(r.decision.Placements,
 		Placement{Task: t.ref(), Upstream: u.Name, Incarnation: u.Incarnation, Reserved: need})
-	r.cell.notes[t.ref()] = r.note(t, k)
 }
 
 func (r *round) shift(t *task, u *upstream, need resource.Vector, sign int) {
--- a/sched/explain.go
+++ b/sched/explain.go
@@ -121,9 +121,12 @@
 	for _, u := range c.order {
 		counts[c.against(t, u, need, x.now)]++
 	}
-	if counts[Fits] > 0 {
+	switch {
+	case counts[Fits] > 0 && x.job.Policy == Gang:
+		x.say("%d of %d upstreams have room for one of its tasks; the gang waits until all of them find room.", counts[Fits], len(c.order))
+	case counts[Fits] > 0:
 		x.say("%d of %d upstreams have room; the task is placed when its turn comes.", counts[Fits], len(c.order))
-	} else {
+	default:
 		x.say("It waits because none of the %d upstreams can take it now.", len(c.order))
 	}
 	if list := counts.list(); list != "" {
