Let reads share rounds of heartbeats

Each ReadIndex sent heartbeats of its own. Reads that come while a round is under way now share the next one: 50 reads at once to a group of three take 4 heartbeats in place of 100, and a lost round is made up by the next periodic one.

--- a/raft/raft.go
+++ b/raft/raft.go
@@ -68,8 +68,9 @@
 	transferTo      ID
 	transferElapsed int
 
-	reads       []pendingRead
-	readCounter uint64
+	reads []pendingRead
+	// readRound is the number of the newest round of heartbeats for reads.
+	readRound uint64
 
 	msgs       []Message
 	readStates []ReadState
@@ -172,7 +173,10 @@
 	r.heartbeatElapsed++
 	if r.heartbeatElapsed >= r.cfg.HeartbeatTicks {
 		r.heartbeatElapsed = 0
-		r.broadcastHeartbeat(r.readCounter)
+		if r.readsWait() {
+			r.readRound++
+		}
+		r.broadcastHeartbeat(r.readRound)
 	}
 }
 
--- a/raft/raft_test.go
+++ b/raft/raft_test.go
@@ -199,6 +199,38 @@
 	}
 }
 
+// TestReadsShareRounds asks for many reads while heartbeats are on their way, and loses a
+// round: all are answered, in order, with one round for the first and one for the rest.
+func TestReadsShareRounds(t *testing.T) {
+	for name, c := range map[string]struct {
+		lose       bool
+		heartbeats int
+	}{"whole": {false, 4}, "first round lost": {true, 4}} {
+		g := newSimGroup(t, 18, testMembers(3, 0))
+		leader := g.elect(1)
+		heartbeats := 0
+		g.lost = func(m Message) bool {
+			if m.Type == MsgHeartbeat {
+				heartbeats++
+			}
+			return c.lose && m.Type == MsgHeartbeat && heartbeats <= 2
+		}
+		for i := range uint64(50) {
+			if err := leader.ReadIndex(i); err != nil {
+				t.Fatal(err)
+			}
+			g.drive(1)
+		}
+		g.settle()
+		if c.lose {
+			g.tick(1, testHeartbeatTicks)
+		}
+		if len(leader.reads) != 50 || leader.reads[0].Context != 0 || leader.reads[49].Context != 49 || heartbeats != c.heartbeats {
+			t.Errorf("%s: %d reads answered with %d heartbeats", name, len(leader.reads), heartbeats)
+		}
+	}
+}
+
 // TestOldTermsCommitOnlyWithTheNew gives a quorum an entry of an older term.
 func TestOldTermsCommitOnlyWithTheNew(t *testing.T) {
 	g := newSimGroup(t, 5, testMembers(3, 0))
--- a/raft/read_index.go
+++ b/raft/read_index.go
@@ -9,21 +9,36 @@
 }
 
 // ReadIndex asks for confirmation that this replica still leads. The answer appears in
-// Ready.Reads under the same context; none appears if leadership is lost first.
+// Ready.Reads under the same context; none appears if leadership is lost first. Reads that
+// come while a round of heartbeats is under way share the next one.
 func (r *Raft) ReadIndex(context uint64) error {
 	if r.role != Leader {
 		return ErrNotLeader
 	}
-	r.readCounter++
+	underWay := len(r.reads) > 0 && r.reads[0].round <= r.readRound
 	r.reads = append(r.reads, pendingRead{
-		context: context, round: r.readCounter,
+		context: context, round: r.readRound + 1,
 		acks: map[ID]bool{r.cfg.ID: true},
 	})
-	r.broadcastHeartbeat(r.readCounter)
+	if !underWay {
+		r.startReadRound()
+	}
 	r.releaseReads()
 	return nil
 }
 
+// startReadRound sends the heartbeats that confirm the reads up to now.
+func (r *Raft) startReadRound() {
+	r.readRound++
+	r.broadcastHeartbeat(r.readRound)
+}
+
+// readsWait reports whether reads wait for a round that has not started.
+func (r *Raft) readsWait() bool {
+	n := len(r.reads)
+	return n > 0 && r.reads[n-1].round > r.readRound
+}
+
 // confirmReads counts an acknowledgement for every read up to the heartbeat's round.
 func (r *Raft) confirmReads(from ID, round uint64) {
 	for i := range r.reads {
@@ -45,4 +60,7 @@
 		n++
 	}
 	r.reads = r.reads[n:]
+	if r.readsWait() && r.reads[0].round > r.readRound {
+		r.startReadRound()
+	}
 }
