--- a/state/promises_test.go
+++ b/state/promises_test.go
@@ -431,6 +431,16 @@
 	}
 }
 
+func TestJobNumbersCarryTheGroup(t *testing.T) {
+	w := newWorld(t)
+	w.s.settings.Group = 7
+	w.s.nextJob = New(w.s.settings).nextJob
+	j := w.batch("job")
+	if w.run(j); j.ID.Group() != 7 || j.ID != 7<<jobGroupShift+1 {
+		t.Errorf("job number %d", j.ID)
+	}
+}
+
 func TestTimeNeverGoesBack(t *testing.T) {
 	w := newWorld(t)
 	w.sweep()
--- a/state/state.go
+++ b/state/state.go
@@ -105,7 +105,8 @@
 }
 
 func (s *State) clear() {
-	s.nowNS, s.revision, s.nextJob, s.lastOperation = 0, 0, 1, ""
+	s.nowNS, s.revision, s.lastOperation = 0, 0, ""
+	s.nextJob = JobID(s.settings.Group)<<jobGroupShift + 1
 	s.teams = make(map[string]*Team)
 	s.keys = make(map[string]*Key)
 	s.keyByHash = make(map[KeyHash]*Key)
--- a/state/types.go
+++ b/state/types.go
@@ -8,9 +8,15 @@
 	"github.com/bulrushwinch/bulrushwinch/resource"
 )
 
-// JobID numbers the jobs of a group, in order of acceptance.
+// JobID numbers the jobs of a group, in order of acceptance, below the group's number.
 type JobID uint64
 
+// jobGroupShift is the position of the group's number in a JobID.
+const jobGroupShift = 48
+
+// Group returns the number of the placement group that took the job.
+func (id JobID) Group() uint16 { return uint16(id >> jobGroupShift) }
+
 // KeyHash is the SHA-256 of a key.
 type KeyHash [32]byte
 
@@ -177,6 +183,9 @@
 
 // Settings bound what the state keeps. They must be equal on all replicas.
 type Settings struct {
+	// Group is the number of the placement group; zero for the only one. It is part of
+	// every job number, so that these are unique over all groups of a fleet.
+	Group uint16
 	// Retention is how long identities, answers and operations are remembered.
 	Retention time.Duration
 	// ClockMargin bounds how far a caller's clock may be off.
