Decide again while work waits, though no fact changes

Cause: a round without a decision was followed by the next only after a change of facts. What patience, deadlines and pauses of gangs allow changes with time alone: in a cell where nothing else happened, long batch never made room for short work, and entries behind more than a round's tries were not reached.

What is here: a round every 250 ms while anything finds no room, and at once after a round that ran out of tries.

--- a/sched/cell.go
+++ b/sched/cell.go
@@ -37,6 +37,8 @@
 
 	timers timers
 	parked []parked
+	// wakeAt is when a round is due without a change of facts; zero if none is.
+	wakeAt time.Time
 	// fresh lists jobs that were not yet checked against the largest VMs; recheck
 	// is set when a size of VM has vanished.
 	fresh        []JobID
--- a/sched/decide.go
+++ b/sched/decide.go
@@ -6,6 +6,10 @@
 	"github.com/bulrushwinch/bulrushwinch/resource"
 )
 
+// waitingInterval is the time between rounds while work finds no room and no fact
+// changes: what patience, deadlines and run times allow changes with time alone.
+const waitingInterval = 250 * time.Millisecond
+
 // Decide proposes at most limit placements, and stops and refusals as needed. It
 // costs next to nothing when no fact has changed and no time has come.
 func (c *Cell) Decide(now time.Time, limit int) Decision {
@@ -27,9 +31,13 @@
 	r.evenOut()
 	r.noteContent()
 	r.rollBack()
-	if !r.decision.Empty() {
+	if !r.decision.Empty() || r.exhausted {
 		c.dirty = true
 	}
+	c.wakeAt = time.Time{}
+	if r.waits {
+		c.wakeAt = now.Add(waitingInterval)
+	}
 	return r.decision
 }
 
@@ -47,6 +55,9 @@
 	if len(c.draining) > 0 || len(c.strained) > 0 || len(c.overLimit) > 0 || len(c.reservations) > 0 || c.ramping() {
 		c.dirty = true
 	}
+	if !c.wakeAt.IsZero() && !now.Before(c.wakeAt) {
+		c.dirty = true
+	}
 	if len(c.fresh) > 0 && c.settled() {
 		c.dirty = true
 	}
@@ -72,7 +83,9 @@
 	aside []*entry
 	// exhausted is set when the normal tier ran out of tries.
 	exhausted bool
-	touched   []*entry
+	// waits is set when something found no room.
+	waits   bool
+	touched []*entry
 	// full are amounts for which no upstream has room.
 	full    []resource.Vector
 	starved []*entry
--- a/sched/serve.go
+++ b/sched/serve.go
@@ -99,6 +99,7 @@
 			return true
 		}
 		r.tries--
+		r.waits = r.waits || v == noRoom
 		r.noteStarved(e, v)
 		r.noteDeprived(e, v)
 		r.noteShort(e, v)
