--- a/faults/operator_test.go
+++ b/faults/operator_test.go
@@ -24,7 +24,7 @@
 	// callLimit bounds one send of a call.
 	callLimit   = 8 * time.Second
 	resendPause = 150 * time.Millisecond
-	callTries   = 2000
+	callTries   = 200
 )
 
 func makeFolder(dir string) error { return os.MkdirAll(dir, 0o700) }
--- a/faults/path_test.go
+++ b/faults/path_test.go
@@ -34,7 +34,7 @@
 		}
 		time.Sleep(500 * time.Millisecond)
 		c.crash(c.leader())
-		l.wg.Wait()
+		c.awaitEnd(l)
 		for _, s := range c.history.submits {
 			if s.end.GetOutcome().GetKind() != apiv1.OutcomeKind_OUTCOME_KIND_ANSWERED {
 				t.Errorf("%s: %v", s.request, s.end.GetOutcome())
@@ -54,7 +54,8 @@
 		defer c.stop()
 		c.cutOff(c.leader(), true, true)
 		l := &load{c: c}
-		l.do(job{request: "batch", key: bigKey, queue: bigTeam, tasks: 20, runTime: time.Second})
+		l.goDo(0, func() { l.do(job{request: "batch", key: bigKey, queue: bigTeam, tasks: 20, runTime: time.Second}) })
+		c.awaitEnd(l)
 		c.history.finish()
 		for _, ch := range checks {
 			for _, breach := range ch.find(c.history) {
--- a/faults/process_test.go
+++ b/faults/process_test.go
@@ -11,6 +11,7 @@
 	"path/filepath"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -226,10 +227,11 @@
 	var callers sync.WaitGroup
 	var mu sync.Mutex
 	answered := 0
+	var terminated atomic.Bool
 	began := make(chan struct{}, 16)
 	for i := range cap(began) {
 		callers.Go(func() {
-			for n := 0; leader.ready(); n++ {
+			for n := 0; !terminated.Load() || leader.ready(); n++ {
 				req := withKey(&apiv1.WaitRequest{MaxWaitMs: 2000, Job: &apiv1.JobRef{RequestId: fmt.Sprintf("load-%d", i%3), Queue: bigTeam}}, bigKey)
 				_, err := api.Wait(c.ctx, req)
 				if cut(err) {
@@ -247,6 +249,7 @@
 	for range cap(began) {
 		<-began
 	}
+	terminated.Store(true)
 	c.signal(leader, syscall.SIGTERM)
 	callers.Wait()
 	<-leader.finished
