--- a/client/client.go
+++ b/client/client.go
@@ -1,6 +1,7 @@
 package client
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"net"
@@ -21,12 +22,14 @@
 	Key       string
 	// TLS is used when it is not nil.
 	TLS *tls.Config
+	// CallTimeout bounds one attempt of a call, beside the time that a Wait asks for;
+	// 0 means 10 s, which is longer than an entry tries.
+	CallTimeout time.Duration
 }
 
 const (
-	dialTimeout = time.Second
-	// callTimeout bounds one attempt of a call; it is longer than an entry tries.
-	callTimeout = 10 * time.Second
+	dialTimeout        = time.Second
+	defaultCallTimeout = 10 * time.Second
 	// callAttempts bounds the attempts of calls that may be repeated.
 	callAttempts   = 3
 	backoffMin     = 100 * time.Millisecond
@@ -50,6 +53,7 @@
 
 // New returns a client.
 func New(cfg Config) *Client {
+	cfg.CallTimeout = cmp.Or(cfg.CallTimeout, defaultCallTimeout)
 	c := &Client{cfg: cfg, transport: &http.Transport{
 		DialContext:     (&net.Dialer{Timeout: dialTimeout}).DialContext,
 		TLSClientConfig: cfg.TLS, IdleConnTimeout: idleConnection, MaxIdleConnsPerHost: 64}}
@@ -166,7 +170,7 @@
 }
 
 func (c *Client) submitOnce(ctx context.Context, req *apiv1.SubmitRequest) (*apiv1.SubmitResponse, error) {
-	return once(ctx, c, callTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.SubmitRequest]) (*connect.Response[apiv1.SubmitResponse], error) {
+	return once(ctx, c, c.cfg.CallTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.SubmitRequest]) (*connect.Response[apiv1.SubmitResponse], error) {
 		return e.caller.Submit
 	}, req)
 }
@@ -196,7 +200,7 @@
 
 // Wait waits for the end of a job, at most req.MaxWaitMs.
 func (c *Client) Wait(ctx context.Context, req *apiv1.WaitRequest) (*apiv1.WaitResponse, error) {
-	timeout := callTimeout + time.Duration(req.GetMaxWaitMs())*time.Millisecond
+	timeout := c.cfg.CallTimeout + time.Duration(req.GetMaxWaitMs())*time.Millisecond
 	return do(ctx, c, timeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.WaitRequest]) (*connect.Response[apiv1.WaitResponse], error) {
 		return e.caller.Wait
 	}, req)
@@ -204,56 +208,56 @@
 
 // Get returns a job as it stands.
 func (c *Client) Get(ctx context.Context, req *apiv1.GetRequest) (*apiv1.GetResponse, error) {
-	return do(ctx, c, callTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.GetRequest]) (*connect.Response[apiv1.GetResponse], error) {
+	return do(ctx, c, c.cfg.CallTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.GetRequest]) (*connect.Response[apiv1.GetResponse], error) {
 		return e.caller.Get
 	}, req)
 }
 
 // Cancel cancels requests.
 func (c *Client) Cancel(ctx context.Context, req *apiv1.CancelRequest) (*apiv1.CancelResponse, error) {
-	return do(ctx, c, callTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.CancelRequest]) (*connect.Response[apiv1.CancelResponse], error) {
+	return do(ctx, c, c.cfg.CallTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.CancelRequest]) (*connect.Response[apiv1.CancelResponse], error) {
 		return e.caller.Cancel
 	}, req)
 }
 
 // Explain says why a job waits or runs where it does.
 func (c *Client) Explain(ctx context.Context, req *apiv1.ExplainRequest) (*apiv1.ExplainResponse, error) {
-	return do(ctx, c, callTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.ExplainRequest]) (*connect.Response[apiv1.ExplainResponse], error) {
+	return do(ctx, c, c.cfg.CallTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.ExplainRequest]) (*connect.Response[apiv1.ExplainResponse], error) {
 		return e.caller.Explain
 	}, req)
 }
 
 // Change applies one change of configuration.
 func (c *Client) Change(ctx context.Context, req *apiv1.ChangeRequest) (*apiv1.ChangeResponse, error) {
-	return do(ctx, c, callTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.ChangeRequest]) (*connect.Response[apiv1.ChangeResponse], error) {
+	return do(ctx, c, c.cfg.CallTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.ChangeRequest]) (*connect.Response[apiv1.ChangeResponse], error) {
 		return e.operator.Change
 	}, req)
 }
 
 // Status shows the cell.
 func (c *Client) Status(ctx context.Context, req *apiv1.StatusRequest) (*apiv1.StatusResponse, error) {
-	return do(ctx, c, callTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.StatusRequest]) (*connect.Response[apiv1.StatusResponse], error) {
+	return do(ctx, c, c.cfg.CallTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.StatusRequest]) (*connect.Response[apiv1.StatusResponse], error) {
 		return e.operator.Status
 	}, req)
 }
 
 // Timeline returns merged events.
 func (c *Client) Timeline(ctx context.Context, req *apiv1.TimelineRequest) (*apiv1.TimelineResponse, error) {
-	return do(ctx, c, callTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.TimelineRequest]) (*connect.Response[apiv1.TimelineResponse], error) {
+	return do(ctx, c, c.cfg.CallTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.TimelineRequest]) (*connect.Response[apiv1.TimelineResponse], error) {
 		return e.operator.Timeline
 	}, req)
 }
 
 // Announce implements upstream.API.
 func (c *Client) Announce(ctx context.Context, req *apiv1.AnnounceRequest) (*apiv1.AnnounceResponse, error) {
-	return do(ctx, c, callTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.AnnounceRequest]) (*connect.Response[apiv1.AnnounceResponse], error) {
+	return do(ctx, c, c.cfg.CallTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.AnnounceRequest]) (*connect.Response[apiv1.AnnounceResponse], error) {
 		return e.upstream.Announce
 	}, req)
 }
 
 // Poll implements upstream.API.
 func (c *Client) Poll(ctx context.Context, req *apiv1.PollRequest) (*apiv1.PollResponse, error) {
-	return once(ctx, c, callTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.PollRequest]) (*connect.Response[apiv1.PollResponse], error) {
+	return once(ctx, c, c.cfg.CallTimeout, func(e endpoint) func(context.Context, *connect.Request[apiv1.PollRequest]) (*connect.Response[apiv1.PollResponse], error) {
 		return e.upstream.Poll
 	}, req)
 }
