Bound the closing of raft streams, and end the test relay for good

The relay of the tests could keep a connection that it took while it closed.

What is here: close ends the request first and, after 1 s, the connection, which ends the reader for sure; the relay closes late connections.

--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -20,6 +20,7 @@
 	wg       sync.WaitGroup
 	mu       sync.Mutex
 	conns    []net.Conn
+	closed   bool
 }
 
 // New starts a relay on loopback that ends with the test.
@@ -56,10 +57,9 @@
 			_ = in.Close()
 			continue
 		}
-		r.opened.Add(1)
-		r.mu.Lock()
-		r.conns = append(r.conns, in, out)
-		r.mu.Unlock()
+		if !r.keep(in, out) {
+			return
+		}
 		born := r.silenced.Load()
 		r.wg.Add(2)
 		go r.copy(out, in, born)
@@ -67,6 +67,20 @@
 	}
 }
 
+// keep remembers a pair of connections, or closes them if the relay has been closed.
+func (r *Relay) keep(in, out net.Conn) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.closed {
+		_ = in.Close()
+		_ = out.Close()
+		return false
+	}
+	r.opened.Add(1)
+	r.conns = append(r.conns, in, out)
+	return true
+}
+
 // copy carries data one way, and drops it once the connection is silenced.
 func (r *Relay) copy(to, from net.Conn, born int64) {
 	defer r.wg.Done()
@@ -92,6 +106,7 @@
 func (r *Relay) close() {
 	_ = r.listener.Close()
 	r.mu.Lock()
+	r.closed = true
 	for _, c := range r.conns {
 		_ = c.Close()
 	}
--- a/peer/raft_stream.go
+++ b/peer/raft_stream.go
@@ -81,15 +81,24 @@
 // ended reports whether a new stream is needed.
 func (s *raftStream) ended() bool { return s == nil || s.ctx.Err() != nil }
 
-// close ends the stream and returns when its goroutine has.
+// closeTimeout is how long the reader of a cancelled stream may take to return.
+const closeTimeout = time.Second
+
+// close ends the stream and returns when its goroutine has. If the end of the context
+// does not reach the reader, the connection below it is closed.
 func (s *raftStream) close() {
 	if s == nil {
 		return
 	}
 	s.cancel()
 	s.silence.Stop()
-	<-s.reading
 	_ = s.stream.CloseRequest()
+	select {
+	case <-s.reading:
+	case <-time.After(closeTimeout):
+		s.conn.guard.CloseSilent(time.Now())
+		<-s.reading
+	}
 	_ = s.stream.CloseResponse()
 }
 
--- a/peer/raft_test.go
+++ b/peer/raft_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"io"
 	"net"
+	"runtime"
 	"testing"
 	"time"
 
@@ -146,3 +147,18 @@
 type brokenReader struct{}
 
 func (brokenReader) Read([]byte) (int, error) { return 0, errors.New("damaged") }
+
+// TestAcknowledgedStreamCloses closes a stream whose other end lives on, after its first
+// batch was acknowledged, and expects the close to return.
+func TestAcknowledgedStreamCloses(t *testing.T) {
+	_, r, transport := newSink(t)
+	s := openRaftStream(t.Context(), transport.pool.Get(r.Address()), defaultAckTimeout)
+	s.send(&peerv1.RaftBatch{})
+	for acked := false; !acked; {
+		s.mu.Lock()
+		acked = s.unacked == 0
+		s.mu.Unlock()
+		runtime.Gosched()
+	}
+	s.close()
+}
