--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # Packages whose goroutines share memory are tested with the race detector as well.
 RACE_PACKAGES = ./replica ./control ./peer ./entry ./view ./upstream ./client ./timeline ./retry ./daemon
 
-.PHONY: build demo test race check generate bench
+.PHONY: build demo test check generate bench slopes
 
 build:
 	$(GO) build -o bin/ ./cmd/...
@@ -23,3 +23,7 @@
 bench:
 	$(GO) run ./bench
 	$(GO) test -run '^$$' -bench . -benchtime 1x ./...
+
+# The figures that docs/CAPACITY.md is worked out from.
+slopes:
+	./scripts/slopes.sh
--- a/control/cell.go
+++ b/control/cell.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 	"time"
 
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
@@ -134,7 +135,7 @@
 	c.cell.RemoveJob(sched.JobID(j.ID))
 	c.dropGang(j.ID)
 	c.wakeWaiters(j)
-	c.event(jobEvent("job-ended", j, fmt.Sprintf("%s %s", j.Outcome.GetKind(), j.Outcome.GetDetail())))
+	c.event(jobEvent("job-ended", j, strings.TrimSuffix(state.KindText(j.Outcome)+": "+j.Outcome.GetDetail(), ": ")))
 }
 
 // TaskChanged implements state.Observer.
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -23,7 +23,7 @@
 	calls.Add(methodSubmit.name+"."+outcomeName(resp.GetOutcome()), 1)
 	if resp.GetOutcome().GetKind() != apiv1.OutcomeKind_OUTCOME_KIND_ACCEPTED {
 		s.events.Add(&apiv1.Event{Kind: "submit-refused", RequestId: req.Msg.GetRequestId(),
-			Detail: outcomeName(resp.GetOutcome()) + ": " + resp.GetOutcome().GetDetail()})
+			Detail: state.KindText(resp.GetOutcome()) + ": " + resp.GetOutcome().GetDetail()})
 	}
 	return connect.NewResponse(resp), nil
 }
--- a/resource/resource.go
+++ b/resource/resource.go
@@ -106,6 +106,9 @@
 	const mebibyte = 1 << 20
 	switch d {
 	case Cores:
+		if amount == 1000 {
+			return "1 core"
+		}
 		return fmt.Sprintf("%g cores", float64(amount)/1000)
 	case Memory:
 		return fmt.Sprintf("%d MiB", amount/mebibyte)
--- a/state/outcome.go
+++ b/state/outcome.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strings"
 
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 )
@@ -30,3 +31,9 @@
 	accepted = &apiv1.Outcome{Kind: apiv1.OutcomeKind_OUTCOME_KIND_ACCEPTED}
 	answered = &apiv1.Outcome{Kind: apiv1.OutcomeKind_OUTCOME_KIND_ANSWERED}
 )
+
+// KindText returns an outcome's kind in words, like "not run".
+func KindText(o *apiv1.Outcome) string {
+	name := strings.TrimPrefix(o.GetKind().String(), "OUTCOME_KIND_")
+	return strings.ToLower(strings.ReplaceAll(name, "_", " "))
+}
