--- a/wal/log.go
+++ b/wal/log.go
@@ -38,6 +38,8 @@
 	failed  atomic.Bool
 	syncs   atomic.Uint64
 	scratch []byte
+	// base is the index of the received snapshot that the log follows; zero if there is none.
+	base    uint64
 	covered covered
 }
 
@@ -61,7 +63,7 @@
 	if err := p.finish(snap.origin == Received); err != nil {
 		return nil, raft.Restored{}, err
 	}
-	l := &Log{dir: dir, fs: fs, hard: p.restored.HardState, segments: p.segments, sequence: p.sequence, last: p.last()}
+	l := &Log{dir: dir, fs: fs, hard: p.restored.HardState, segments: p.segments, sequence: p.sequence, last: p.last(), base: p.resetAt}
 	if err := l.removeUnfinished(); err != nil {
 		return nil, raft.Restored{}, err
 	}
@@ -197,6 +199,9 @@
 	buf := startFrame(l.scratch)
 	if reset != 0 {
 		buf = appendIndex(buf, recordReset, reset)
+		l.base = reset
+	} else if l.base != 0 {
+		buf = appendIndex(buf, recordBase, l.base)
 	}
 	buf = appendIndex(buf, recordLast, l.last)
 	return l.write(appendHardState(buf, l.hard))
--- a/wal/record.go
+++ b/wal/record.go
@@ -18,6 +18,9 @@
 	// recordLast carries the index of the log's last entry when a segment was started, which
 	// tells whether an older segment is missing.
 	recordLast
+	// recordBase carries the index of the received snapshot that the log follows. Each segment
+	// repeats it, as the one with the reset may be removed.
+	recordBase
 )
 
 const (
--- a/wal/segment.go
+++ b/wal/segment.go
@@ -48,7 +48,7 @@
 	segments []segment
 	// sequence is that of the last frame; zero before the first.
 	sequence uint64
-	// resetAt is the index of the last reset.
+	// resetAt is the index of the received snapshot that the log follows; zero if there is none.
 	resetAt uint64
 }
 
@@ -153,6 +153,10 @@
 		p.resetAt = index
 		p.restored.Entries = nil
 		return err
+	case recordBase:
+		index, err := decodeIndex(payload)
+		p.resetAt = index
+		return err
 	case recordLast:
 		index, err := decodeIndex(payload)
 		if err == nil && index > p.last() {
