--- a/scripts/slopes.sh
+++ b/scripts/slopes.sh
@@ -7,7 +7,8 @@
 echo "== control goroutine: polls, starts, ticks, begin of a leadership"
 run ./control 'Poll|Start|Tick|Lead' 5x
 echo "== scheduler"
-run ./sched 'Churn|Memory|Idle' 100x
+run ./sched 'Churn|Idle' 100x
+run ./sched Memory 1x
 echo "== replicated state: heap, snapshot, restore"
 run ./state 'Heap|Snapshot|Restore' 3x
 echo "== log on disk and commits of three replicas"
