Check a key's role in one place, and wait for the control goroutine in one

Cause: the check of operators' and upstreams' keys stood twice, the wait for an answer of the control goroutine twice (duplicates). The fault matrix called a phase 'before it is synced' that, since appends travel before the leader's sync, may fall after followers have the entry.

The page says what the phase is.

--- a/control/handle.go
+++ b/control/handle.go
@@ -145,3 +145,18 @@
 	}
 	return func(k call) { work(k, m) }, nil
 }
+
+// onControl runs work on the control goroutine and returns what it sends on done; ok is
+// false if ctx or the node ends first.
+func onControl[T any](ctx context.Context, c *Controller, done <-chan T, work func()) (result T, ok bool) {
+	if c.node.Post(ctx, work) != nil {
+		return result, false
+	}
+	select {
+	case result = <-done:
+		return result, true
+	case <-ctx.Done():
+	case <-c.node.Done():
+	}
+	return result, false
+}
--- a/control/membership.go
+++ b/control/membership.go
@@ -172,7 +172,7 @@
 // tryJoin returns nil while the membership change is not committed.
 func (c *Controller) tryJoin(ctx context.Context, req *peerv1.JoinRequest, group uint64) *peerv1.JoinResponse {
 	done := make(chan *peerv1.JoinResponse, 1)
-	err := c.node.Post(ctx, func() {
+	r, ok := onControl(ctx, c, done, func() {
 		if !c.leading {
 			done <- &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER, LeaderAddress: c.leader.Address}
 			return
@@ -185,13 +185,8 @@
 			done <- nil
 		})
 	})
-	if err == nil {
-		select {
-		case r := <-done:
-			return r
-		case <-ctx.Done():
-		case <-c.node.Done():
-		}
+	if ok {
+		return r
 	}
 	return &peerv1.JoinResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
 }
--- a/control/operators.go
+++ b/control/operators.go
@@ -126,7 +126,7 @@
 		default:
 		}
 	}
-	err := c.node.Post(ctx, func() {
+	r, ok := onControl(ctx, c, done, func() {
 		if !c.leading {
 			answer(nil, errNotLeader)
 			return
@@ -140,13 +140,8 @@
 		}
 		c.views = append(c.views, v)
 	})
-	if err == nil {
-		select {
-		case r := <-done:
-			return r
-		case <-ctx.Done():
-		case <-c.node.Done():
-		}
+	if ok {
+		return r
 	}
 	return &peerv1.ViewResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
 }
--- a/faults/docs_test.go
+++ b/faults/docs_test.go
@@ -13,8 +13,8 @@
 
 Each cell is %d runs of the real replicas, scheduler, entries and upstream agents in virtual
 time. The fault is brought about at the step: for a step that is a log entry once before
-it is synced, once after, and once when it is applied; for other steps that are taken
-often, at three different occurrences. After each run %d checks look for breaches:
+the leader syncs it (followers may have it already), once after, and once when it is
+applied; for other steps that are taken often, at three different occurrences. After each run %d checks look for breaches:
 
 %s
 "passed" means that no run of the cell had a breach, "RED" that the cell is listed in
--- a/state/change.go
+++ b/state/change.go
@@ -73,14 +73,24 @@
 
 // AuthorizeOperator returns why a key may not act as an operator, or nil.
 func (s *State) AuthorizeOperator(keyHash []byte) *apiv1.Outcome {
+	return s.authorizeRole(keyHash, apiv1.KeyRole_KEY_ROLE_OPERATOR, "an operator's")
+}
+
+// AuthorizeUpstream returns why a key may not act as an upstream, or nil.
+func (s *State) AuthorizeUpstream(keyHash []byte) *apiv1.Outcome {
+	return s.authorizeRole(keyHash, apiv1.KeyRole_KEY_ROLE_UPSTREAM, "an upstream's")
+}
+
+// authorizeRole returns why a key may not act in a role, or nil; whose names the role.
+func (s *State) authorizeRole(keyHash []byte, role apiv1.KeyRole, whose string) *apiv1.Outcome {
 	k := s.keyOf(keyHash)
 	switch {
 	case k == nil:
 		return notRun(apiv1.Reason_REASON_KEY_UNKNOWN, "the key is not known")
 	case k.Withdrawn:
 		return notRun(apiv1.Reason_REASON_KEY_WITHDRAWN, "key %q was withdrawn", k.ID)
-	case k.Role != apiv1.KeyRole_KEY_ROLE_OPERATOR:
-		return notRun(apiv1.Reason_REASON_NOT_PERMITTED, "key %q is not an operator's key", k.ID)
+	case k.Role != role:
+		return notRun(apiv1.Reason_REASON_NOT_PERMITTED, "key %q is not %s key", k.ID, whose)
 	}
 	return nil
 }
--- a/state/upstream.go
+++ b/state/upstream.go
@@ -87,20 +87,6 @@
 
 var maxCapacity = resource.Vector{maxAmount, maxAmount, maxAmount, maxAmount, maxAmount}
 
-// AuthorizeUpstream returns why a key may not act as an upstream, or nil.
-func (s *State) AuthorizeUpstream(keyHash []byte) *apiv1.Outcome {
-	k := s.keyOf(keyHash)
-	switch {
-	case k == nil:
-		return notRun(apiv1.Reason_REASON_KEY_UNKNOWN, "the key is not known")
-	case k.Withdrawn:
-		return notRun(apiv1.Reason_REASON_KEY_WITHDRAWN, "key %q was withdrawn", k.ID)
-	case k.Role != apiv1.KeyRole_KEY_ROLE_UPSTREAM:
-		return notRun(apiv1.Reason_REASON_NOT_PERMITTED, "key %q is not an upstream's key", k.ID)
-	}
-	return nil
-}
-
 // upstreamLost declares an incarnation lost after its lease has surely run out.
 func (s *State) upstreamLost(c *peerv1.UpstreamLost) bool {
 	u := s.upstreams[c.GetUpstream()]
