Let one process at a time use a data folder

Cause: nothing kept a second daemon from the same data folder. It binds other addresses only by other settings, but then both vote under one identity, which raft takes as one replica.

Before: two claims of one folder in the new test would both have gone on. After: the second ends with ErrInUse, and works after the release.

Conclusion: the daemon claims the folder before it reads it.

--- a/daemon/replica.go
+++ b/daemon/replica.go
@@ -32,6 +32,11 @@
 
 // runReplica opens the data folder, joins or founds a group and runs until ctx ends.
 func (d *Daemon) runReplica(ctx context.Context, bootstrap bool) error {
+	claim, err := wal.ClaimFolder(d.settings.DataFolder)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = claim.Release() }()
 	f := &folder{dir: d.settings.DataFolder, log: d.log, find: d.findGroup, join: d.join,
 		self: raft.Member{Address: d.settings.PeerAddress, Domain: d.settings.FailureDomain}}
 	opened, err := f.open(ctx, bootstrap)
--- a/wal/reopen_test.go
+++ b/wal/reopen_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"io"
+	"path/filepath"
 	"testing"
 
 	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/pkg/errors"
 )
 
 // TestEntriesAfterReceivedSnapshotOutliveRestarts opens a log again and again after it took
@@ -44,3 +46,24 @@
 		t.Fatal(err)
 	}
 }
+
+func TestFolderIsClaimedOnce(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "data")
+	first, err := ClaimFolder(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ClaimFolder(dir); !errors.Is(err, ErrInUse) {
+		t.Fatalf("a second claim ended with %v", err)
+	}
+	if err := first.Release(); err != nil {
+		t.Fatal(err)
+	}
+	second, err := ClaimFolder(dir)
+	if err != nil {
+		t.Fatalf("after the release: %v", err)
+	}
+	if err := second.Release(); err != nil {
+		t.Fatal(err)
+	}
+}
