Guard what the fault matrix's actors share

Cause: under the race detector some cells of the matrix reported races, all in the test's own scaffolding: a WaitGroup of faults that have yet to end was waited for while new ones began, and the map of workers was read without its lock. None was in the product.

--- a/faults/cell_test.go
+++ b/faults/cell_test.go
@@ -105,7 +105,7 @@
 	cancel context.CancelFunc
 	wg     sync.WaitGroup
 	// healing counts faults that have yet to end.
-	healing sync.WaitGroup
+	healing atomic.Int64
 }
 
 // memReplica is one process on a VM with a data folder.
@@ -196,11 +196,22 @@
 	}()
 }
 
+// healCheck is the virtual time between looks whether all faults have ended.
+const healCheck = 10 * time.Millisecond
+
+// awaitHealing returns when no fault is left that has yet to end. A fault may begin at any
+// time meanwhile, which a WaitGroup does not allow.
+func (c *cell) awaitHealing() {
+	for c.healing.Load() > 0 {
+		time.Sleep(healCheck)
+	}
+}
+
 // heal runs f as the later part of a fault, after a delay.
 func (c *cell) heal(after time.Duration, f func()) {
 	c.healing.Add(1)
 	c.spawn(func() {
-		defer c.healing.Done()
+		defer c.healing.Add(-1)
 		time.Sleep(after)
 		f()
 	})
--- a/faults/columns_test.go
+++ b/faults/columns_test.go
@@ -98,17 +98,17 @@
 
 // workerAt returns the upstream of an event, or one that has work.
 func (c *cell) workerAt(e event) *worker {
-	if w := c.workers[e.upstream]; w != nil {
+	if w := c.worker(e.upstream); w != nil {
 		return w
 	}
 	c.history.mu.Lock()
 	defer c.history.mu.Unlock()
 	for i := len(c.history.runs) - 1; i >= 0; i-- {
 		if r := &c.history.runs[i]; r.spans[len(r.spans)-1].to.IsZero() {
-			return c.workers[r.upstream]
+			return c.worker(r.upstream)
 		}
 	}
-	return c.workers["worker-00"]
+	return c.worker("worker-00")
 }
 
 func upstreamDies(c *cell, e event) {
--- a/faults/load_test.go
+++ b/faults/load_test.go
@@ -271,7 +271,7 @@
 	c := l.c
 	l.goDo(4*time.Second, func() { c.addWorker(numWorkers) })
 	l.goDo(7*time.Second, func() {
-		w := c.workers[fmt.Sprintf("worker-%02d", numWorkers-1)]
+		w := c.worker(fmt.Sprintf("worker-%02d", numWorkers-1))
 		add(c.history, &c.history.leaves, leave{upstream: w.name, span: span{from: time.Now()}})
 		w.agent.Leave()
 	})
--- a/faults/matrix_test.go
+++ b/faults/matrix_test.go
@@ -107,7 +107,7 @@
 func (c *cell) awaitEnd(l *load) {
 	done := make(chan struct{})
 	c.spawn(func() {
-		c.healing.Wait()
+		c.awaitHealing()
 		l.wg.Wait()
 		close(done)
 	})
--- a/faults/worker_test.go
+++ b/faults/worker_test.go
@@ -33,6 +33,13 @@
 	done    chan struct{}
 }
 
+// worker returns a worker by its name, or nil.
+func (c *cell) worker(name string) *worker {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.workers[name]
+}
+
 func (c *cell) addWorker(i int) *worker {
 	w := &worker{cell: c, name: fmt.Sprintf("worker-%02d", i), domain: testDomains[i%len(testDomains)]}
 	c.mu.Lock()
