--- a/state/sweep.go
+++ b/state/sweep.go
@@ -33,31 +33,31 @@
 }
 
 func (s *State) sweepRequests(horizon int64) bool {
-	n := 0
-	for _, r := range s.requestOrder {
-		if r.DecidedNS > horizon {
-			break
-		}
+	n := countUntil(s.requestOrder, func(r *Request) bool { return r.DecidedNS > horizon })
+	for _, r := range s.requestOrder[:n] {
 		delete(s.identities, r.Key)
-		n++
 	}
 	s.requestOrder = s.requestOrder[n:]
 	return n > 0
 }
 
 func (s *State) sweepOperations(horizon int64) bool {
-	n := 0
-	for _, o := range s.operationOrder {
-		if o.DecidedNS > horizon {
-			break
-		}
+	n := countUntil(s.operationOrder, func(o *Operation) bool { return o.DecidedNS > horizon })
+	for _, o := range s.operationOrder[:n] {
 		delete(s.operations, o.ID)
-		n++
 	}
 	s.operationOrder = s.operationOrder[n:]
 	return n > 0
 }
 
+// countUntil returns how many elements stand before the first that stop holds for.
+func countUntil[T any](list []T, stop func(T) bool) int {
+	if n := slices.IndexFunc(list, stop); n >= 0 {
+		return n
+	}
+	return len(list)
+}
+
 func (s *State) sweepUpstreams(horizon int64) bool {
 	before := len(s.upstreamList)
 	s.upstreamList = slices.DeleteFunc(s.upstreamList, func(u *Upstream) bool {
