--- a/cmd/bulrushwinchd/main.go
+++ b/cmd/bulrushwinchd/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"expvar"
 	"flag"
 	"fmt"
 	"os"
@@ -12,8 +13,12 @@
 	"github.com/bulrushwinch/bulrushwinch/config"
 	"github.com/bulrushwinch/bulrushwinch/daemon"
 	"github.com/rs/zerolog"
+	"github.com/rs/zerolog/diode"
 )
 
+// logDropped counts log lines that were dropped because the output was too slow.
+var logDropped = expvar.NewInt("log_lines_dropped")
+
 // Exit codes.
 const (
 	exitOK = iota
@@ -26,6 +31,7 @@
 func run() int {
 	configPath := flag.String("config", "", "INI `file` with the settings")
 	check := flag.String("check", "", "check an INI `file` and exit")
+	called := flag.String("called", "", "run a process whose upstreams are called; `variable` names the environment variable with the path of its INI file")
 	bootstrap := flag.Bool("bootstrap", false, "found a new group in an empty data folder; use it once, on one VM")
 	dev := flag.Bool("dev", false, "run one VM's worth with stand-in upstreams in a temporary folder")
 	standin := flag.Bool("standin", false, "run stand-in upstreams")
@@ -35,6 +41,8 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	switch {
+	case *called != "":
+		return runCalled(ctx, os.Getenv(*called))
 	case *check != "":
 		return checkSettings(*check)
 	case *dev:
@@ -53,6 +61,30 @@
 	return exitUsage
 }
 
+// logQueue is the number of lines that may wait for the output; further ones are dropped and
+// counted, so that a slow reader never blocks the process.
+const logQueue = 4096
+
+// runCalled runs a process whose upstreams are called. It logs to standard output.
+func runCalled(ctx context.Context, path string) int {
+	reload := make(chan os.Signal, 1)
+	signal.Notify(reload, syscall.SIGHUP)
+	settings, err := config.LoadCalled(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return exitUsage
+	}
+	level, err := zerolog.ParseLevel(settings.LogLevel)
+	if err != nil {
+		level = zerolog.InfoLevel
+	}
+	out := diode.NewWriter(os.Stdout, logQueue, 0, func(missed int) { logDropped.Add(int64(missed)) })
+	defer func() { _ = out.Close() }()
+	zerolog.TimeFieldFormat = zerolog.TimeFormatUnixMs
+	log := zerolog.New(out).Level(level).With().Timestamp().Logger()
+	return report(daemon.NewCalled(path, settings, log).Run(ctx, reload))
+}
+
 func checkSettings(path string) int {
 	settings, err := config.Load(path)
 	if err != nil {
--- /dev/null
+++ b/config/called.go
@@ -0,0 +1,144 @@
+package config
+
+import (
+	"net/netip"
+	"os"
+	"slices"
+	"time"
+
+	"github.com/pkg/errors"
+	"gopkg.in/ini.v1"
+)
+
+// CalledSettings are the checked settings of a process whose upstreams are called instead of
+// polling.
+type CalledSettings struct {
+	Name          string
+	FailureDomain string
+	Roles         []Role
+	// DataFolder is set for replicas only.
+	DataFolder string
+	// FrontAddress serves callers, ReadinessAddress the balancer; both are set for entries.
+	FrontAddress     string
+	ReadinessAddress string
+	// ControlAddress serves the operator and the workers; it is set for replicas.
+	ControlAddress string
+	PeerAddress    string
+	AdminAddress   string
+	// Seeds are the control addresses of some replicas, SeedPeers their peer addresses.
+	Seeds     []string
+	SeedPeers []string
+	// Bootstrap is set when the whole system starts for the first time.
+	Bootstrap bool
+	// PermitAddress is that of the permit service; empty where there is none.
+	PermitAddress string
+	// MaxHold is the longest lease that a worker grants, StopGrace the longest time that it
+	// needs for a stop, DrainTime the time from the signal to end until the process is killed.
+	MaxHold   time.Duration
+	StopGrace time.Duration
+	DrainTime time.Duration
+	LogLevel  string
+}
+
+// HasRole reports whether the process plays a role.
+func (s *CalledSettings) HasRole(r Role) bool { return slices.Contains(s.Roles, r) }
+
+// Bounds of settings of processes whose upstreams are called.
+const (
+	minHold   = 500 * time.Millisecond
+	maxHold   = time.Minute
+	maxStop   = 10 * time.Second
+	minDrain  = time.Second
+	maxDrain  = 5 * time.Minute
+	maxMillis = 600_000
+)
+
+// LoadCalled reads and checks a file.
+func LoadCalled(path string) (*CalledSettings, error) {
+	data, err := os.ReadFile(path)
+	if err != nil {
+		return nil, errors.Wrap(err, "config")
+	}
+	return ParseCalled(path, data)
+}
+
+// ParseCalled checks the content of a file; the path is used in errors.
+func ParseCalled(path string, data []byte) (*CalledSettings, error) {
+	file, err := ini.LoadSources(ini.LoadOptions{AllowShadows: true, SkipUnrecognizableLines: false}, data)
+	if err != nil {
+		return nil, errors.Wrapf(err, "config: %s", path)
+	}
+	r := &reader{path: path, file: file, read: readFile, known: make(map[string]bool)}
+	s := r.calledSettings()
+	r.refuseUnknown()
+	if r.err != nil {
+		return nil, r.err
+	}
+	return s, nil
+}
+
+func (r *reader) calledSettings() *CalledSettings {
+	s := &CalledSettings{
+		Name:             r.name("node", "name"),
+		FailureDomain:    r.name("node", "failure_domain"),
+		Roles:            r.roles("node", "roles"),
+		DataFolder:       r.filePath("node", "data_folder"),
+		FrontAddress:     r.optionalAddress("listen", "front"),
+		ReadinessAddress: r.optionalAddress("listen", "readiness"),
+		ControlAddress:   r.optionalAddress("listen", "control"),
+		PeerAddress:      r.address("listen", "peer"),
+		AdminAddress:     r.address("listen", "admin"),
+		Seeds:            r.addresses("cluster", "seeds"),
+		Bootstrap:        r.choice("cluster", "bootstrap", "false", "true", "false") == "true",
+		PermitAddress:    r.optionalAddress("permits", "address"),
+		MaxHold:          r.millis("workers", "max_hold_ms", 6*time.Second, minHold, maxHold),
+		StopGrace:        r.millis("workers", "stop_ms", time.Second, 0, maxStop),
+		DrainTime:        time.Duration(r.integer("node", "grace_s", 30, int(minDrain/time.Second), int(maxDrain/time.Second))) * time.Second,
+		LogLevel:         r.choice("log", "level", "info", "debug", "info", "warn", "error"),
+	}
+	s.SeedPeers = r.seedPeers(s)
+	r.checkCalled(s)
+	return s
+}
+
+func (r *reader) optionalAddress(section, key string) string {
+	if r.text(section, key, "") == "" {
+		return ""
+	}
+	return r.address(section, key)
+}
+
+func (r *reader) millis(section, key string, fallback, low, high time.Duration) time.Duration {
+	ms := r.integer(section, key, int(fallback.Milliseconds()), 0, maxMillis)
+	d := time.Duration(ms) * time.Millisecond
+	if d < low || d > high {
+		r.fail(section, key, "is out of range", "milliseconds from "+low.String()+" to "+high.String())
+	}
+	return d
+}
+
+// seedPeers returns the seeds' peer addresses: ports are the same on all machines.
+func (r *reader) seedPeers(s *CalledSettings) []string {
+	own, err := netip.ParseAddrPort(s.PeerAddress)
+	if err != nil {
+		return nil
+	}
+	var out []string
+	for _, seed := range s.Seeds {
+		if a, err := netip.ParseAddrPort(seed); err == nil {
+			out = append(out, netip.AddrPortFrom(a.Addr(), own.Port()).String())
+		}
+	}
+	return out
+}
+
+func (r *reader) checkCalled(s *CalledSettings) {
+	switch {
+	case s.HasRole(RoleReplica) && (s.DataFolder == "" || s.ControlAddress == ""):
+		r.fail("node", "data_folder", "or the control address is missing", "both, as the roles include replica")
+	case !s.HasRole(RoleReplica) && s.DataFolder != "":
+		r.fail("node", "data_folder", "is set without the role replica", "no value")
+	case s.HasRole(RoleEntry) && (s.FrontAddress == "" || s.ReadinessAddress == ""):
+		r.fail("listen", "front", "or the readiness address is missing", "both, as the roles include entry")
+	}
+}
--- a/control/callers.go
+++ b/control/callers.go
@@ -85,7 +85,7 @@
 func (c *Controller) withJob(k call, ref *apiv1.JobRef, f func(*state.Job)) {
 	c.confirmed(func(ok bool) {
 		if !ok {
-			k.finish(nil, errNotLeader)
+			k.finish(nil, ErrNotLeader)
 			return
 		}
 		j, err := c.findJob(k.key, ref)
--- a/control/controller.go
+++ b/control/controller.go
@@ -57,6 +57,8 @@
 	cell   *sched.Cell
 	clock  lease.Clock
 	events *timeline.Recorder
+	// engine may be nil.
+	engine Engine
 
 	leading bool
 	term    uint64
@@ -121,6 +123,9 @@
 	c.gangs = make(map[state.JobID]*gang)
 	c.cell, c.opening = nil, nil
 	c.deciding, c.confirming = 0, false
+	if c.engine != nil {
+		c.engine.Reset()
+	}
 }
 
 // failAll answers everything that waits for this leadership.
@@ -138,16 +143,16 @@
 		f(false)
 	}
 	for _, s := range c.sessions {
-		s.drop(errNotLeader)
+		s.drop(ErrNotLeader)
 	}
 	for id, list := range c.waiters {
 		delete(c.waiters, id)
 		for _, w := range list {
-			w.reply(nil, errNotLeader)
+			w.reply(nil, ErrNotLeader)
 		}
 	}
 	for _, v := range c.views {
-		v.reply(nil, errNotLeader)
+		v.reply(nil, ErrNotLeader)
 	}
 	c.views = nil
 }
@@ -168,6 +173,9 @@
 	if now >= c.nextDecide {
 		c.dirty = true
 	}
+	if c.engine != nil {
+		c.engine.Tick(now)
+	}
 }
 
 // Flush implements replica.Owner: it decides, proposes what has gathered as one log
@@ -182,6 +190,9 @@
 		decisionTime.Record(time.Since(began))
 	}
 	c.answerUrgent()
+	if c.engine != nil {
+		c.engine.Flush()
+	}
 	c.proposeBatch()
 	c.confirmBatch()
 }
--- /dev/null
+++ b/control/engine.go
@@ -0,0 +1,82 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/lease"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+	"github.com/bulrushwinch/bulrushwinch/state"
+)
+
+// Engine is the leader's work on jobs of steps. All methods run on the control goroutine.
+type Engine interface {
+	// Lead begins a leadership of the given term.
+	Lead(term uint64)
+	// Reset ends a leadership: calls that wait for it are answered with an error.
+	Reset()
+	Tick(now time.Duration)
+	// Flush is called before gathered commands are proposed.
+	Flush()
+	// Handle answers a forwarded call, now or later.
+	Handle(ctx context.Context, c *pipelinev1.Call, finish func(*pipelinev1.Reply, error))
+}
+
+// SetEngine sets the engine; it must be called before the node runs.
+func (c *Controller) SetEngine(e Engine) { c.engine = e }
+
+// Propose adds a command on jobs of steps to the next log entry. done may be nil.
+func (c *Controller) Propose(cmd *pipelinev1.Command, done func(*pipeline.Result, error)) {
+	c.propose(&peerv1.Command{Command: &peerv1.Command_Pipeline{Pipeline: cmd}}, func(r state.Result, err error) {
+		if done != nil {
+			done(r.Pipeline, err)
+		}
+	})
+}
+
+// Confirmed calls f once a quorum has confirmed the leadership after this call.
+func (c *Controller) Confirmed(f func(ok bool)) { c.confirmed(f) }
+
+// Voters returns the number of voters of the group.
+func (c *Controller) Voters() int { return len(c.membership().voters()) }
+
+// Async runs work in another goroutine, and the function that it returns on the control
+// goroutine. The function does not run if the node has stopped by then.
+func (c *Controller) Async(work func() func()) {
+	go func() {
+		done := work()
+		_ = c.node.Post(context.Background(), done)
+	}()
+}
+
+// Clock returns the controller's clock.
+func (c *Controller) Clock() lease.Clock { return c.clock }
+
+// Pipelines returns the replicated state of jobs of steps.
+func (c *Controller) Pipelines() *pipeline.State { return c.state.Pipelines() }
+
+// pipelineCall hands a forwarded call to the engine.
+func (c *Controller) pipelineCall(k call, m *pipelinev1.Call) {
+	if c.engine == nil {
+		k.finish(nil, notFound("this process serves no jobs of steps"))
+		return
+	}
+	c.engine.Handle(k.ctx, m, func(r *pipelinev1.Reply, err error) {
+		if err != nil {
+			k.finish(nil, err)
+			return
+		}
+		k.finish(r, nil)
+	})
+}
+
+// ReplicaAddresses returns the peer addresses of the group's members.
+func (c *Controller) ReplicaAddresses() []string {
+	var out []string
+	for _, m := range c.node.Raft().Members() {
+		out = append(out, m.Address)
+	}
+	return out
+}
--- a/control/handle.go
+++ b/control/handle.go
@@ -14,7 +14,8 @@
 
 // Errors that end a call without an answer of its own.
 var (
-	errNotLeader     = errors.New("control: not the leader")
+	// ErrNotLeader ends a call that waited for a leadership that has ended.
+	ErrNotLeader     = errors.New("control: not the leader")
 	errAnnounceAgain = errors.New("control: upstream must announce itself again")
 	errStalePoll     = errors.New("control: a later poll has been seen")
 )
@@ -85,7 +86,7 @@
 	switch {
 	case errors.Is(r.err, raft.ErrNotLeader), errors.Is(r.err, raft.ErrTransferring):
 		return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER, LeaderAddress: leader}
-	case errors.Is(r.err, replica.ErrLost), errors.Is(r.err, errNotLeader):
+	case errors.Is(r.err, replica.ErrLost), errors.Is(r.err, ErrNotLeader):
 		return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
 	case errors.As(r.err, &refused):
 		return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_REFUSED, Refusal: refused.outcome}
@@ -127,6 +128,8 @@
 		return decodeAs(req, c.announce)
 	case peerv1.Method_METHOD_POLL:
 		return decodeAs(req, c.poll)
+	case peerv1.Method_METHOD_PIPELINE:
+		return decodeAs(req, c.pipelineCall)
 	}
 	return nil, badCall("unknown method")
 }
--- a/control/handout.go
+++ b/control/handout.go
@@ -60,7 +60,7 @@
 	c.confirmed(func(ok bool) {
 		switch {
 		case !ok:
-			p.reply(nil, errNotLeader)
+			p.reply(nil, ErrNotLeader)
 		case c.sessions[s.upstream] != s || s.highest != p.sequence || s.expiring || s.replacing > 0:
 			p.reply(nil, errStalePoll)
 		default:
--- a/control/membership.go
+++ b/control/membership.go
@@ -199,7 +199,7 @@
 	wanted := raft.Member{ID: raft.ID(m.GetId()), Address: m.GetAddress(), Domain: m.GetFailureDomain()}
 	i := slices.IndexFunc(members, func(o raft.Member) bool { return o.ID == wanted.ID })
 	if i < 0 {
-		members = append(members, wanted)
+		members = append(c.withoutPredecessor(members, wanted), wanted)
 	} else {
 		wanted.Voter = members[i].Voter
 		if members[i] == wanted {
@@ -210,3 +210,13 @@
 	_, _ = core.ProposeMembers(members)
 	return false
 }
+
+// withoutPredecessor drops the member that had the address of a new one: its disk is gone,
+// as an identity lasts as long as its disk. It stays while the group needs its vote.
+func (c *Controller) withoutPredecessor(members []raft.Member, joining raft.Member) []raft.Member {
+	i := slices.IndexFunc(members, func(o raft.Member) bool { return o.Address == joining.Address && o.ID != joining.ID })
+	if i < 0 || members[i].Voter && !c.membership().safe(members[i].ID, remove) {
+		return members
+	}
+	return slices.Delete(slices.Clone(members), i, i+1)
+}
--- a/control/opening.go
+++ b/control/opening.go
@@ -68,6 +68,9 @@
 	c.memberTimer.due = c.tendMembers
 	c.timers.set(&c.memberTimer, c.clock.Now()+membershipInterval)
 	c.state.Observe((*observer)(c))
+	if c.engine != nil {
+		c.engine.Lead(o.term)
+	}
 	c.dirty = true
 	c.nextSweep = c.clock.Now() + sweepInterval
 	c.event(&apiv1.Event{Kind: "lead", Detail: "leadership begins"})
--- a/control/operators.go
+++ b/control/operators.go
@@ -66,7 +66,7 @@
 func (c *Controller) status(k call, _ *apiv1.StatusRequest) {
 	c.confirmed(func(ok bool) {
 		if !ok {
-			k.finish(nil, errNotLeader)
+			k.finish(nil, ErrNotLeader)
 			return
 		}
 		if refusal := c.state.AuthorizeOperator(k.key); refusal != nil {
@@ -128,7 +128,7 @@
 	}
 	r, ok := onControl(ctx, c, done, func() {
 		if !c.leading {
-			answer(nil, errNotLeader)
+			answer(nil, ErrNotLeader)
 			return
 		}
 		now := c.clock.Now()
@@ -170,7 +170,7 @@
 	held := c.clock.Now() - v.arrived
 	c.confirmed(func(ok bool) {
 		if !ok {
-			v.reply(nil, errNotLeader)
+			v.reply(nil, ErrNotLeader)
 			return
 		}
 		view := c.viewNow(v.known)
--- a/control/poll.go
+++ b/control/poll.go
@@ -61,7 +61,7 @@
 			reply(nil, errAnnounceAgain)
 			return
 		}
-		reply(nil, errNotLeader)
+		reply(nil, ErrNotLeader)
 	})
 }
 
--- a/control/session.go
+++ b/control/session.go
@@ -159,7 +159,7 @@
 // expire proposes the loss of an upstream.
 func (c *Controller) expire(s *session) {
 	s.expiring = true
-	s.drop(errNotLeader)
+	s.drop(ErrNotLeader)
 	leaseExpiries.Add(1)
 	cmd := &peerv1.UpstreamLost{Upstream: s.upstream, Incarnation: s.incarnation, NeverStarted: c.neverHandedTo(s)}
 	c.propose(&peerv1.Command{Command: &peerv1.Command_UpstreamLost{UpstreamLost: cmd}}, func(_ state.Result, err error) {
--- /dev/null
+++ b/daemon/called.go
@@ -0,0 +1,313 @@
+package daemon
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"os"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/config"
+	"github.com/bulrushwinch/bulrushwinch/control"
+	"github.com/bulrushwinch/bulrushwinch/dispatch"
+	"github.com/bulrushwinch/bulrushwinch/entry"
+	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+	"github.com/bulrushwinch/bulrushwinch/platform"
+	"github.com/bulrushwinch/bulrushwinch/replica"
+	"github.com/bulrushwinch/bulrushwinch/retry"
+	"github.com/cloudwego/hertz/pkg/app/server"
+	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
+	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/protobuf/proto"
+)
+
+const (
+	// callTimeout bounds one attempt of a call at a replica. A commit takes about 20 ms; a
+	// second leaves a slow disk its time, and a caller another attempt.
+	callTimeout = 700 * time.Millisecond
+	// readyLife is how long a process counts as connected after the leader has answered it. It
+	// is twice the time that the leader holds a poll.
+	readyLife = 3 * time.Second
+	// maxCalledBody bounds a body: a configuration of 1,400 routes has 0.4 MB.
+	maxCalledBody = 8 << 20
+	// unreadyTime is how long a process that ends still takes new connections, until the
+	// balancer, which asks once a second, has missed it twice.
+	unreadyTime = 2500 * time.Millisecond
+	// settingsInterval is the time between looks at the settings file.
+	settingsInterval = time.Second
+	// snapshotBytes and keepBytes suit replicas of 280 MB with disks of 128 MB.
+	snapshotBytes = 8 << 20
+	keepBytes     = 4 << 20
+	// groupVoters is the number of voters that a group grows to: two lost disks then leave a
+	// copy of all that was acknowledged.
+	groupVoters = 5
+	// replaceAfter is how long a voter may be silent before a standby takes its place.
+	replaceAfter = 15 * time.Second
+	// permitPollTimeout bounds one poll for questions; the leader holds it for 1.5 s.
+	permitPollTimeout = 2500 * time.Millisecond
+)
+
+// Called is one process of a system whose upstreams are called.
+type Called struct {
+	*Daemon
+	called  *config.CalledSettings
+	path    string
+	permits *platform.Permits
+
+	draining atomic.Bool
+	// heard is when the leader last answered, by the daemon's clock.
+	heard atomic.Int64
+
+	mu      sync.Mutex
+	members []string
+}
+
+// NewCalled returns a process; Run starts it. The path is that of the settings file.
+func NewCalled(path string, s *config.CalledSettings, log zerolog.Logger) *Called {
+	log = log.With().Str("node", s.Name).Logger()
+	inner := &config.Settings{Name: s.Name, FailureDomain: s.FailureDomain, Roles: s.Roles, DataFolder: s.DataFolder,
+		PeerAddress: s.PeerAddress, AdminAddress: s.AdminAddress, Replicas: s.SeedPeers, Voters: groupVoters, Limits: entry.DefaultLimits}
+	c := &Called{Daemon: New(inner, log), called: s, path: path}
+	c.router = entry.NewRouter(localFirst{c.Daemon}, s.SeedPeers)
+	c.founders = founderMembers(s.SeedPeers)
+	policy := control.DefaultMembershipPolicy
+	policy.Voters, policy.Replace, policy.Forget = groupVoters, replaceAfter, 2*replaceAfter
+	c.membership = &policy
+	c.newEngine = c.engine
+	c.tuneNode = func(n *replica.Config) { n.SnapshotBytes, n.KeepBytes = snapshotBytes, keepBytes }
+	if s.PermitAddress != "" {
+		c.permits = platform.NewPermits(s.PermitAddress)
+	}
+	return c
+}
+
+func (c *Called) engine(host *control.Controller) control.Engine {
+	cfg := dispatch.Config{MaxHold: c.called.MaxHold, StopGrace: c.called.StopGrace, MinVoters: min(len(c.founders), 3),
+		HeartbeatAddress: c.called.ControlAddress, Replicas: host.ReplicaAddresses}
+	return dispatch.New(cfg, c.log, host, platform.NewWorkers())
+}
+
+// localFirst answers calls to this process without a connection.
+type localFirst struct{ d *Daemon }
+
+// Forward implements entry.Forwarder.
+func (f localFirst) Forward(ctx context.Context, address string, req *peerv1.ForwardRequest) (*peerv1.ForwardResponse, bool, error) {
+	if address == f.d.settings.PeerAddress {
+		return (&peerService{f.d}).answer(ctx, req), true, nil
+	}
+	return f.d.pool.Forward(ctx, address, req)
+}
+
+// Call implements platform.System.
+func (c *Called) Call(ctx context.Context, call *pipelinev1.Call) (*pipelinev1.Reply, error) {
+	return c.callWithin(ctx, call, callTimeout)
+}
+
+func (c *Called) callWithin(ctx context.Context, call *pipelinev1.Call, timeout time.Duration) (*pipelinev1.Reply, error) {
+	payload, err := proto.Marshal(call)
+	if err != nil {
+		return nil, errors.Wrap(entry.ErrNothingProposed, err.Error())
+	}
+	a, err := c.router.CallWithin(ctx, &peerv1.ForwardRequest{Method: peerv1.Method_METHOD_PIPELINE, Payload: payload, Process: c.settings.Name}, true, timeout)
+	if err != nil {
+		return nil, err
+	}
+	c.heard.Store(int64(c.clock.Now()))
+	if a.GetStatus() != peerv1.ForwardStatus_FORWARD_STATUS_OK {
+		return nil, errors.Wrap(entry.ErrUndetermined, a.GetRefusal().GetDetail())
+	}
+	r := &pipelinev1.Reply{}
+	if err := proto.Unmarshal(a.GetPayload(), r); err != nil {
+		return nil, errors.Wrap(entry.ErrUndetermined, err.Error())
+	}
+	if r.GetVerdict() == pipelinev1.Verdict_VERDICT_NOT_NOW && a.Uncertain {
+		return nil, errors.Wrap(entry.ErrUndetermined, "an earlier attempt may have had an effect")
+	}
+	return r, nil
+}
+
+// Ready implements platform.System.
+func (c *Called) Ready() bool {
+	at := c.heard.Load()
+	return !c.draining.Load() && at != 0 && c.clock.Now()-time.Duration(at) < readyLife
+}
+
+// Draining implements platform.System.
+func (c *Called) Draining() bool { return c.draining.Load() }
+
+// calledServer is one HTTP server and its connections.
+type calledServer struct {
+	publicServer
+}
+
+// listen opens a server at an address; add registers its paths.
+func (c *Called) listen(address string, add func(*server.Hertz)) (*calledServer, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, errors.Wrap(err, "daemon: listen")
+	}
+	s := &calledServer{publicServer{listener: newTrackingListener(l)}}
+	opts := []hertzconfig.Option{server.WithListener(s.listener), server.WithTransport(standard.NewTransporter),
+		server.WithMaxRequestBodySize(maxCalledBody), server.WithDisablePrintRoute(true), server.WithReadTimeout(readTimeout),
+		server.WithIdleTimeout(idleTimeout), server.WithExitWaitTime(c.called.DrainTime)}
+	s.hertz = server.New(opts...)
+	add(s.hertz)
+	return s, nil
+}
+
+// Run serves until ctx ends, then drains.
+func (c *Called) Run(ctx context.Context, reload <-chan os.Signal) error {
+	servers, err := c.openServers()
+	if err != nil {
+		return err
+	}
+	work, endWork := context.WithCancel(context.WithoutCancel(ctx))
+	defer endWork()
+	g, work := errgroup.WithContext(work)
+	g.Go(func() error { return c.servePeers(work) })
+	g.Go(func() error {
+		return serveHTTP(work, &http.Server{Handler: c.health.handler(), ReadHeaderTimeout: readTimeout}, c.listeners.Admin)
+	})
+	if c.called.HasRole(config.RoleReplica) {
+		g.Go(func() error { return c.runReplica(work, c.called.Bootstrap) })
+	}
+	g.Go(func() error { return c.pollPermits(work) })
+	g.Go(func() error { return c.watchSettings(work, reload) })
+	for _, s := range servers {
+		go func() {
+			if err := s.hertz.Run(); err != nil && work.Err() == nil {
+				c.log.Error().Err(err).Msg("server ended")
+			}
+		}()
+	}
+	g.Go(func() error {
+		defer endWork()
+		select {
+		case <-ctx.Done():
+			c.drainCalled(servers)
+		case <-work.Done():
+		}
+		return nil
+	})
+	c.log.Info().Str("peer", c.called.PeerAddress).Strs("seeds", c.called.SeedPeers).Bool("bootstrap", c.called.Bootstrap).
+		Dur("max_hold", c.called.MaxHold).Msg("process started")
+	err = g.Wait()
+	c.pool.Close()
+	c.log.Info().Err(err).Msg("process ended")
+	return err
+}
+
+func (c *Called) openServers() ([]*calledServer, error) {
+	adapter := platform.NewAdapter(c, c.log)
+	var servers []*calledServer
+	for _, item := range []struct {
+		address string
+		add     func(*server.Hertz)
+	}{{c.called.FrontAddress, adapter.ServeCallers}, {c.called.ReadinessAddress, adapter.ServeReadiness}, {c.called.ControlAddress, adapter.ServeControl}} {
+		if item.address == "" {
+			continue
+		}
+		s, err := c.listen(item.address, item.add)
+		if err != nil {
+			return nil, err
+		}
+		servers = append(servers, s)
+	}
+	c.listeners = &Listeners{}
+	var err error
+	if c.listeners.Peer, err = net.Listen("tcp", c.called.PeerAddress); err != nil {
+		return nil, errors.Wrap(err, "daemon: peer address")
+	}
+	if c.listeners.Admin, err = net.Listen("tcp", c.called.AdminAddress); err != nil {
+		return nil, errors.Wrap(err, "daemon: admin address")
+	}
+	return servers, nil
+}
+
+// drainCalled takes the process out of service without cutting a call: the balancer sees it
+// unready, the leadership moves, connections end after their next answer.
+func (c *Called) drainCalled(servers []*calledServer) {
+	c.log.Info().Msg("stop was asked for; draining")
+	began := time.Now()
+	c.draining.Store(true)
+	ctx, cancel := context.WithTimeout(context.Background(), c.called.DrainTime-time.Second)
+	defer cancel()
+	c.handOver(ctx)
+	if c.called.HasRole(config.RoleEntry) {
+		_ = retry.Sleep(ctx, unreadyTime)
+	}
+	for _, s := range servers {
+		_ = s.listener.Close()
+	}
+	for _, s := range servers {
+		if open := s.finish(ctx); open > 0 {
+			c.log.Warn().Int("connections", open).Msg("drain timed out; the rest is cut")
+		}
+	}
+	c.handOver(ctx)
+	c.log.Info().Dur("took", time.Since(began)).Msg("drained")
+}
+
+// watchSettings reads the settings again on a signal and whenever the file has changed.
+func (c *Called) watchSettings(ctx context.Context, reload <-chan os.Signal) error {
+	ticker := time.NewTicker(settingsInterval)
+	defer ticker.Stop()
+	last, err := os.ReadFile(c.path)
+	if err != nil {
+		c.log.Warn().Err(err).Msg("settings file can't be read")
+	}
+	for {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-reload:
+			c.log.Info().Msg("reload was asked for")
+		case <-ticker.C:
+		}
+		data, err := os.ReadFile(c.path)
+		if err != nil || string(data) == string(last) {
+			continue
+		}
+		last = data
+		c.reload(data)
+	}
+}
+
+// reload takes the seeds of changed settings; all else needs a restart.
+func (c *Called) reload(data []byte) {
+	s, err := config.ParseCalled(c.path, data)
+	if err != nil {
+		c.log.Error().Err(err).Msg("changed settings are refused; the old ones stay in force")
+		return
+	}
+	c.mu.Lock()
+	c.called.SeedPeers = s.SeedPeers
+	c.mu.Unlock()
+	c.updateReplicas(nil)
+	c.log.Info().Strs("seeds", s.SeedPeers).Msg("settings reloaded")
+}
+
+// updateReplicas looks for the leader at the seeds and at the group's members.
+func (c *Called) updateReplicas(members []string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if members != nil {
+		c.members = members
+	}
+	seen := make(map[string]bool)
+	var list []string
+	for _, address := range append(append([]string(nil), c.members...), c.called.SeedPeers...) {
+		if !seen[address] {
+			seen[address] = true
+			list = append(list, address)
+		}
+	}
+	c.router.SetReplicas(list)
+	c.setJoinAddresses(list)
+}
--- /dev/null
+++ b/daemon/called_permits.go
@@ -0,0 +1,77 @@
+package daemon
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+	"github.com/bulrushwinch/bulrushwinch/retry"
+)
+
+const (
+	pollBackoffMin = 50 * time.Millisecond
+	pollBackoffMax = 500 * time.Millisecond
+	// askTimeout bounds one question; the costliest takes 0.7 s when the service is idle.
+	askTimeout = 2500 * time.Millisecond
+	// askAgainAfter is the pause after a question that the service had no room for.
+	askAgainAfter = 50 * time.Millisecond
+)
+
+// pollPermits asks the leader for questions and puts them to the permit service, until ctx
+// ends. It keeps this process in touch with the leader as well.
+func (c *Called) pollPermits(ctx context.Context) error {
+	backoff := retry.Backoff{Min: pollBackoffMin, Max: pollBackoffMax}
+	var answer *pipelinev1.PermitAnswer
+	var known []string
+	answeredAt := time.Now()
+	connected := false
+	for ctx.Err() == nil {
+		if answer != nil {
+			answer.AgeUs = time.Since(answeredAt).Microseconds()
+		}
+		reply, err := c.pollOnce(ctx, answer)
+		answer = nil
+		if (err == nil) != connected {
+			connected = err == nil
+			c.log.Info().Bool("connected", connected).Err(err).Msg("contact with the leader changed")
+		}
+		if err != nil {
+			_ = retry.Sleep(ctx, backoff.Next())
+			continue
+		}
+		backoff.Reset()
+		if list := reply.GetReplicas(); len(list) > 0 && !slices.Equal(list, known) {
+			known = list
+			c.updateReplicas(list)
+		}
+		if q := reply.GetQuestion(); q != nil {
+			answer = c.ask(ctx, q)
+			answeredAt = time.Now()
+		}
+	}
+	return nil
+}
+
+func (c *Called) pollOnce(ctx context.Context, answer *pipelinev1.PermitAnswer) (*pipelinev1.Reply, error) {
+	ctx, cancel := context.WithTimeout(ctx, permitPollTimeout)
+	defer cancel()
+	return c.callWithin(ctx, &pipelinev1.Call{Call: &pipelinev1.Call_PermitPoll{
+		PermitPoll: &pipelinev1.PermitPoll{Process: c.settings.Name, Answer: answer, CanAsk: c.permits != nil}}}, permitPollTimeout)
+}
+
+// ask puts a question to the permit service.
+func (c *Called) ask(ctx context.Context, q *pipelinev1.PermitQuestion) *pipelinev1.PermitAnswer {
+	began := time.Now()
+	ctx, cancel := context.WithTimeout(ctx, askTimeout)
+	defer cancel()
+	permits, valid, err := c.permits.Ask(ctx, q)
+	out := &pipelinev1.PermitAnswer{Id: q.GetId(), Answered: err == nil, Permits: permits, ValidMs: valid.Milliseconds(),
+		TookUs: time.Since(began).Microseconds()}
+	if err != nil {
+		c.log.Info().Err(err).Str("request", q.GetStep().GetJob()).Int32("step", q.GetStep().GetStep()).Int("workers", len(q.GetWorkers())).
+			Dur("took", time.Since(began)).Msg("permit question failed")
+		_ = retry.Sleep(ctx, askAgainAfter)
+	}
+	return out
+}
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -9,9 +9,12 @@
 	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/config"
+	"github.com/bulrushwinch/bulrushwinch/control"
 	"github.com/bulrushwinch/bulrushwinch/entry"
 	"github.com/bulrushwinch/bulrushwinch/lease"
 	"github.com/bulrushwinch/bulrushwinch/peer"
+	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/bulrushwinch/bulrushwinch/replica"
 	"github.com/bulrushwinch/bulrushwinch/timeline"
 	"github.com/bulrushwinch/bulrushwinch/view"
 	"github.com/pkg/errors"
@@ -42,6 +45,12 @@
 	entry     *entry.Server
 	health    *health
 	listeners *Listeners
+	// founders, membership, newEngine and tuneNode are set for processes whose upstreams are
+	// called.
+	founders   []raft.Member
+	membership *control.MembershipPolicy
+	newEngine  func(*control.Controller) control.Engine
+	tuneNode   func(*replica.Config)
 
 	mu      sync.Mutex
 	replica *replicaRole
@@ -160,6 +169,19 @@
 	return nil
 }
 
+// joinAddresses are the replicas that are asked to take this one into their group.
+func (d *Daemon) joinAddresses() []string {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return d.settings.Replicas
+}
+
+func (d *Daemon) setJoinAddresses(list []string) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.settings.Replicas = list
+}
+
 func (d *Daemon) currentReplica() *replicaRole {
 	d.mu.Lock()
 	defer d.mu.Unlock()
--- a/daemon/folder.go
+++ b/daemon/folder.go
@@ -3,9 +3,12 @@
 import (
 	"context"
 	"io"
+	"slices"
+	"strings"
 
 	"github.com/bulrushwinch/bulrushwinch/raft"
 	"github.com/bulrushwinch/bulrushwinch/wal"
+	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
@@ -17,6 +20,9 @@
 	// self describes this replica; its ID is filled in from the identity.
 	self raft.Member
 	log  zerolog.Logger
+	// founders found a group together, under identities that follow from their addresses;
+	// empty where one replica founds it and the others join.
+	founders []raft.Member
 	// find asks every other replica once for a group that has taken the replica in, and
 	// returns zero if there is none.
 	find func(ctx context.Context, id wal.Identity) (group uint64)
@@ -87,12 +93,53 @@
 	if restored.Snapshot.Index > 0 || len(restored.Entries) > 0 {
 		return id, errors.Wrap(wal.ErrCorrupt, "the data folder holds a log without a group")
 	}
+	if own := f.founder(); bootstrap && own != nil {
+		id = wal.Identity{Replica: own.ID, Group: foundersGroup(f.founders)}
+		f.log.Info().Uint64("replica", uint64(id.Replica)).Uint64("group", id.Group).Msg("founding a group with the other seeds")
+		if err := f.foundWith(storage, f.founders); err != nil {
+			return id, err
+		}
+		return id, wal.SaveIdentity(f.dir, id)
+	}
 	if id.Group, err = f.chooseGroup(ctx, id, bootstrap, storage); err != nil {
 		return id, err
 	}
 	return id, wal.SaveIdentity(f.dir, id)
 }
 
+// founder returns this replica's entry among the founders, or nil.
+func (f *folder) founder() *raft.Member {
+	for i := range f.founders {
+		if f.founders[i].Address == f.self.Address {
+			return &f.founders[i]
+		}
+	}
+	return nil
+}
+
+// founderMembers derives the first membership from the founders' addresses alone, so that
+// each of them writes the same one. Failure domains are filled in later, as replicas join
+// again with theirs.
+func founderMembers(addresses []string) []raft.Member {
+	sorted := slices.Sorted(slices.Values(addresses))
+	var out []raft.Member
+	for _, address := range slices.Compact(sorted) {
+		out = append(out, raft.Member{ID: raft.ID(hashIdentity(address)), Address: address, Voter: true})
+	}
+	return out
+}
+
+func foundersGroup(members []raft.Member) uint64 {
+	var all strings.Builder
+	for _, m := range members {
+		all.WriteString(m.Address + " ")
+	}
+	return hashIdentity(all.String())
+}
+
+// hashIdentity returns a non-zero number below 2^63, like those of random identities.
+func hashIdentity(text string) uint64 { return xxhash.Sum64String(text)>>1 | 1 }
+
 // chooseGroup joins a group, or founds one if that is asked for and no other replica
 // knows a group.
 func (f *folder) chooseGroup(ctx context.Context, id wal.Identity, bootstrap bool, storage *wal.Log) (uint64, error) {
@@ -110,7 +157,12 @@
 func (f *folder) found(id wal.Identity, storage *wal.Log) error {
 	self := f.self
 	self.ID = id.Replica
-	first := raft.Bootstrap(self)
+	return f.foundWith(storage, raft.Bootstrap(self).Snapshot.Members)
+}
+
+// foundWith writes the state of a new group of the given voters.
+func (f *folder) foundWith(storage *wal.Log, voters []raft.Member) error {
+	first := raft.BootstrapGroup(voters)
 	empty := func(io.Writer) error { return nil }
 	if err := storage.StoreSnapshot(first.Snapshot, wal.Received, empty); err != nil {
 		return err
--- a/daemon/rejoin.go
+++ b/daemon/rejoin.go
@@ -22,7 +22,8 @@
 		if isMember(ctx, role, own) {
 			continue
 		}
-		address := d.settings.Replicas[next%len(d.settings.Replicas)]
+		list := d.joinAddresses()
+		address := list[next%len(list)]
 		if address != d.settings.PeerAddress && d.tryJoin(ctx, address, id.Group, own) != 0 {
 			d.log.Info().Uint64("replica", uint64(id.Replica)).Msg("replica joined its group again")
 		}
--- a/daemon/replica.go
+++ b/daemon/replica.go
@@ -38,7 +38,7 @@
 	}
 	defer func() { _ = claim.Release() }()
 	f := &folder{dir: d.settings.DataFolder, log: d.log, find: d.findGroup, join: d.join,
-		self: raft.Member{Address: d.settings.PeerAddress, Domain: d.settings.FailureDomain}}
+		self: raft.Member{Address: d.settings.PeerAddress, Domain: d.settings.FailureDomain}, founders: d.founders}
 	opened, err := f.open(ctx, bootstrap)
 	if err != nil {
 		return err
@@ -67,9 +67,18 @@
 	if d.settings.PollHold > 0 {
 		cfg.PollHold = d.settings.PollHold
 	}
+	if d.membership != nil {
+		cfg.Membership = *d.membership
+	}
 	controller := control.New(cfg, st, lease.BootClock{}, d.events)
+	if d.newEngine != nil {
+		controller.SetEngine(d.newEngine(controller))
+	}
 	transport := peer.NewTransport(ctx, d.pool, id.Group, raft.Member{ID: id.Replica, Address: d.settings.PeerAddress})
 	nodeConfig := replica.DefaultConfig(id.Replica, uint64(time.Now().UnixNano()))
+	if d.tuneNode != nil {
+		d.tuneNode(&nodeConfig)
+	}
 	nodeConfig.Warn = func(err error) { d.log.Warn().Err(err).Msg("snapshot was not completed; it is tried again later") }
 	node, err := replica.New(nodeConfig, control.Machine{State: st}, controller, storage, transport, restored)
 	if err != nil {
@@ -81,7 +90,7 @@
 
 // findGroup asks every other replica once to take this one in, and returns zero if none does.
 func (d *Daemon) findGroup(ctx context.Context, id wal.Identity) uint64 {
-	for _, address := range d.settings.Replicas {
+	for _, address := range d.joinAddresses() {
 		if address == d.settings.PeerAddress {
 			continue
 		}
@@ -96,7 +105,8 @@
 func (d *Daemon) join(ctx context.Context, id wal.Identity) (group uint64, err error) {
 	backoff := retry.Backoff{Min: joinBackoffMin, Max: joinBackoffMax}
 	for next := 0; ; next++ {
-		address := d.settings.Replicas[next%len(d.settings.Replicas)]
+		list := d.joinAddresses()
+		address := list[next%len(list)]
 		if address != d.settings.PeerAddress {
 			if group := d.tryJoin(ctx, address, 0, d.ownMember(id)); group != 0 {
 				return group, nil
--- /dev/null
+++ b/dispatch/api.go
@@ -0,0 +1,164 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/lease"
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+	"github.com/pkg/errors"
+)
+
+// ErrNotSent tells that a call to a worker surely did not reach it.
+var ErrNotSent = errors.New("dispatch: the call did not reach the worker")
+
+// Target is the incarnation of a worker that a call is meant for.
+type Target struct {
+	Worker  string
+	Address string
+}
+
+// Order is the part that starts and stops share.
+type Order struct {
+	Task   pipeline.TaskKey
+	Number int32
+	// Token fences orders of older leaders and epochs.
+	Token int64
+}
+
+// Start tells a worker to start a run.
+type Start struct {
+	Order
+	Payload string
+	// DeadlineMS is the end of the worker's lease by its own clock, in milliseconds.
+	DeadlineMS int64
+	Checkpoint string
+	// Ticket proves that the permit service allows the worker; empty where none is needed.
+	Ticket string
+}
+
+// OrderVerdict is a worker's answer to an order.
+type OrderVerdict string
+
+// Verdicts. All but Obeyed say that the worker has done nothing.
+const (
+	Obeyed           OrderVerdict = "obeyed"
+	Fenced           OrderVerdict = "a higher token was seen"
+	Obsolete         OrderVerdict = "the run is not above one that ended or was stopped"
+	TooLate          OrderVerdict = "the lease deadline has passed"
+	NoRoom           OrderVerdict = "no room"
+	BadTicket        OrderVerdict = "the ticket is not valid"
+	Malformed        OrderVerdict = "the order is malformed"
+	Unhealthy        OrderVerdict = "the worker is unhealthy"
+	OtherIncarnation OrderVerdict = "another incarnation answered"
+)
+
+// OrderReply is the answer to an order. ClockMS is the worker's clock, zero if unknown.
+type OrderReply struct {
+	Verdict OrderVerdict
+	ClockMS int64
+}
+
+// LookRequest asks for a worker's runs and may extend its lease.
+type LookRequest struct {
+	Token int64
+	// LastEnd acknowledges ends up to this number; the worker forgets them.
+	LastEnd int64
+	// DeadlineMS extends the lease; zero leaves it as it is.
+	DeadlineMS int64
+	// Wait is how long the answer may wait for an end.
+	Wait time.Duration
+}
+
+// RunningTask is a run that a worker has.
+type RunningTask struct {
+	Run        pipeline.RunKey
+	Checkpoint string
+}
+
+// EndedTask is an end that a worker lists until it is acknowledged.
+type EndedTask struct {
+	Number     int64
+	Run        pipeline.RunKey
+	Kind       pipelinev1.EndKind
+	Checkpoint string
+}
+
+// Look is the answer to a LookRequest.
+type Look struct {
+	Verdict OrderVerdict
+	ClockMS int64
+	// Born is the start of the incarnation that answered, in Unix milliseconds; zero if
+	// it did not say.
+	Born    int64
+	Running []RunningTask
+	Ended   []EndedTask
+}
+
+// Workers calls workers. Its methods run in goroutines of their own.
+type Workers interface {
+	Start(ctx context.Context, to Target, s Start) (OrderReply, error)
+	Stop(ctx context.Context, to Target, o Order) (OrderReply, error)
+	Look(ctx context.Context, to Target, r LookRequest) (Look, error)
+}
+
+// Host is what the engine needs of its replica.
+type Host interface {
+	// Propose adds a command to the next log entry; done may be nil.
+	Propose(c *pipelinev1.Command, done func(*pipeline.Result, error))
+	// Confirmed calls f once a quorum has confirmed the leadership after this call.
+	Confirmed(f func(ok bool))
+	// Async runs work elsewhere and the function that it returns on the control goroutine.
+	Async(work func() func())
+	// Voters returns the number of voters of the group.
+	Voters() int
+	Clock() lease.Clock
+	Pipelines() *pipeline.State
+}
+
+// Config holds the settings of an Engine. The bounds come from the platform's settings.
+type Config struct {
+	// MaxHold is the longest lease that a worker grants.
+	MaxHold time.Duration
+	// StopGrace is the longest time that a worker needs for a stop.
+	StopGrace time.Duration
+	// MinVoters is the number of voters below which nothing is acknowledged.
+	MinVoters int
+	// HeartbeatAddress is where workers may send their heartbeats while this process leads.
+	HeartbeatAddress string
+	// Replicas returns the peer addresses of the group's members.
+	Replicas func() []string
+}
+
+const (
+	// confirmLife is how long a confirmed leadership may extend leases and order starts. Raft
+	// elects no other leader within about 0.6 s of a quorum's last heartbeat.
+	confirmLife = 1200 * time.Millisecond
+	// confirmInterval is the time between confirmations, a third of confirmLife.
+	confirmInterval = 400 * time.Millisecond
+	// orderTimeout bounds one order or look without a wait. Workers answer in under 10 ms.
+	orderTimeout = time.Second
+	// watchWait is how long a look waits for an end; the platform allows two seconds.
+	watchWait = 1500 * time.Millisecond
+	// probeMin and probeMax bound the pauses between looks at a silent worker.
+	probeMin = 200 * time.Millisecond
+	probeMax = 2 * time.Second
+	// ackDelay lets further ends gather before an idle worker's ends are acknowledged.
+	ackDelay = 300 * time.Millisecond
+	// lapseMargin is added to the stop grace before runs of a silent worker count as lost.
+	lapseMargin = 300 * time.Millisecond
+	// slowClockPercent is how much slower a worker's clock may run, by the platform's page.
+	slowClockPercent = 2
+	// avoidTime is how long no new work goes to a worker that refused some; health changes in
+	// about a second.
+	avoidTime = time.Second
+	// heartbeatLife is how long a worker counts as alive after a heartbeat; four intervals.
+	heartbeatLife = 6 * time.Second
+	// forgetAfter is how long a silent worker without runs is remembered.
+	forgetAfter = 30 * time.Second
+	// maxEndsListed is the number of ends at which a worker's list may be cut short.
+	maxEndsListed = 500
+	// epochBits is the part of a token below the term.
+	epochBits = 16
+)
--- /dev/null
+++ b/dispatch/ask.go
@@ -0,0 +1,101 @@
+package dispatch
+
+import (
+	"math/rand/v2"
+	"slices"
+
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+)
+
+const (
+	// maxAsked bounds the workers of one question; the platform allows a hundred, and the
+	// credit of a job counts one question about thirty.
+	maxAsked = 30
+	// allowedGuess is the share of workers that a question is expected to allow: the users'
+	// small steps see 0.7, the large ones 0.35.
+	allowedGuessCheap  = 0.7
+	allowedGuessCostly = 0.35
+	// askSurplus is how much more room than needed a question asks for.
+	askSurplus = 1.3
+)
+
+// askFor asks for permits where a step has none left that would help.
+func (r *round) askFor(d demand) {
+	terms := d.queue.GetPermits()
+	if terms == nil || d.work.question != nil || !r.withinLimit(d.work.step) {
+		return
+	}
+	q := &question{work: d.work, priority: d.queue.GetPriority(), born: make(map[string]int64)}
+	guess := allowedGuessCheap
+	if terms.GetDecisionMs() > costlyMS {
+		guess = allowedGuessCostly
+	}
+	r.onWorker = make(map[string]int)
+	room, wanted := 0.0, askSurplus*float64(len(d.tasks))
+	for _, s := range r.askable(d) {
+		if room >= wanted || len(q.workers) >= maxAsked {
+			break
+		}
+		id := s.w.GetId()
+		q.workers = append(q.workers, id)
+		q.born[id] = s.w.GetBorn()
+		share := guess
+		if _, known := d.work.permits[id]; known {
+			share = 1
+		}
+		room += share * float64(r.capacity(d.work.step, s, len(d.tasks)))
+	}
+	if len(q.workers) == 0 {
+		return
+	}
+	if d.work.step.Spec.GetGang() && room < float64(len(d.tasks)) {
+		return
+	}
+	q.costMS = terms.GetDecisionMs() + terms.GetPerWorkerMs()*float64(len(q.workers))
+	d.work.question = q
+	r.e.permits.ask(q, r.now)
+}
+
+// capacity returns how many tasks of a step the worker can take now.
+func (r *round) capacity(st *pipeline.Step, s *session, most int) int {
+	n := r.free(s).Count(st.Need, most)
+	if bound := int(st.Spec.GetMaxPerWorker()); bound > 0 {
+		n = min(n, bound-s.w.RunsOf(st))
+	}
+	return max(n, 0)
+}
+
+// askable returns the workers that are worth a question: those with room, known to be allowed
+// first, then those with most room in a random order of about equal ones.
+func (r *round) askable(d demand) []*session {
+	type ranked struct {
+		s    *session
+		rank float64
+	}
+	var list []ranked
+	for id, s := range r.e.sessions {
+		p, known := d.work.permits[id]
+		if d.work.denied[id] || known && p.born == s.w.GetBorn() && r.now < p.expires || !r.fits(d.work.step, s) {
+			continue
+		}
+		rank := float64(r.capacity(d.work.step, s, len(d.tasks))) * (0.5 + rand.Float64())
+		if known {
+			rank += float64(len(d.tasks) * 2)
+		}
+		list = append(list, ranked{s, rank})
+	}
+	slices.SortFunc(list, func(a, b ranked) int {
+		switch {
+		case a.rank > b.rank:
+			return -1
+		case a.rank < b.rank:
+			return 1
+		}
+		return 0
+	})
+	out := make([]*session, len(list))
+	for i, l := range list {
+		out[i] = l.s
+	}
+	return out
+}
--- /dev/null
+++ b/dispatch/calls.go
@@ -0,0 +1,191 @@
+package dispatch
+
+import (
+	"context"
+	"crypto/sha256"
+	"regexp"
+	"strings"
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/control"
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
+)
+
+// retryAfter is when a caller may come again after a refusal that does not last: elections
+// and short bursts are over by then.
+const retryAfter = time.Second
+
+// finish answers a call; it may be called later, once.
+type finish = func(*pipelinev1.Reply, error)
+
+// jobIdentity is the form of a job's identity.
+var jobIdentity = regexp.MustCompile(`^[0-9a-f]{16}$`)
+
+// Handle implements control.Engine.
+func (e *Engine) Handle(_ context.Context, c *pipelinev1.Call, done func(*pipelinev1.Reply, error)) {
+	switch c := c.GetCall().(type) {
+	case *pipelinev1.Call_PutConfig:
+		e.putConfig(c.PutConfig.GetConfig(), done)
+	case *pipelinev1.Call_GetConfig:
+		e.getConfig(done)
+	case *pipelinev1.Call_SetDomain:
+		e.change(&pipelinev1.Command{Command: &pipelinev1.Command_SetDomain{SetDomain: c.SetDomain}}, done)
+	case *pipelinev1.Call_Job:
+		e.job(c.Job, done)
+	case *pipelinev1.Call_Heartbeat:
+		e.heartbeat(c.Heartbeat, done)
+	case *pipelinev1.Call_Leave:
+		e.leave(c.Leave, done)
+	case *pipelinev1.Call_PermitPoll:
+		e.permits.poll(e, c.PermitPoll, done)
+	default:
+		done(nil, errors.New("dispatch: unknown call"))
+	}
+}
+
+func verdict(v pipelinev1.Verdict, detail string) *pipelinev1.Reply {
+	return &pipelinev1.Reply{Verdict: v, Detail: detail}
+}
+
+func notNow(detail string) *pipelinev1.Reply {
+	return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NOT_NOW, Detail: detail, RetryAfterMs: retryAfter.Milliseconds()}
+}
+
+// change proposes a command and answers with its reply.
+func (e *Engine) change(cmd *pipelinev1.Command, done finish) {
+	if n := e.host.Voters(); n < e.cfg.MinVoters {
+		done(notNow("the group has too few voters yet"), nil)
+		return
+	}
+	e.host.Propose(cmd, func(r *pipeline.Result, err error) {
+		if err != nil {
+			done(nil, err)
+			return
+		}
+		done(r.Reply, nil)
+	})
+}
+
+// read answers from the state once a quorum has confirmed the leadership.
+func (e *Engine) read(done finish, answer func() *pipelinev1.Reply) {
+	e.host.Confirmed(func(ok bool) {
+		if !ok {
+			done(nil, control.ErrNotLeader)
+			return
+		}
+		done(answer(), nil)
+	})
+}
+
+func (e *Engine) putConfig(c *pipelinev1.Config, done finish) {
+	version := c.GetVersion()
+	e.change(&pipelinev1.Command{Command: &pipelinev1.Command_PutConfig{PutConfig: c}}, func(r *pipelinev1.Reply, err error) {
+		e.log.Info().Uint64("version", version).Str("verdict", r.GetVerdict().String()).Str("detail", r.GetDetail()).Err(err).
+			Uint64("in_force", e.state.Config().Version()).Msg("configuration was handed in")
+		done(r, err)
+	})
+}
+
+func (e *Engine) getConfig(done finish) {
+	e.read(done, func() *pipelinev1.Reply {
+		if e.state.Config() == nil {
+			return notNow("there is no configuration yet")
+		}
+		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, Document: e.state.Config().GetDocument()}
+	})
+}
+
+// job answers a caller's request on a queue.
+func (e *Engine) job(c *pipelinev1.JobCall, done finish) {
+	if e.state.Config() == nil {
+		done(notNow("there is no configuration yet"), nil)
+		return
+	}
+	q := e.state.Config().Match(c.GetHost(), c.GetPath())
+	if q == nil {
+		e.read(done, func() *pipelinev1.Reply {
+			return verdict(pipelinev1.Verdict_VERDICT_NO_QUEUE, "no queue has this host and path")
+		})
+		return
+	}
+	team := e.state.Config().TeamOfKey(c.GetKeySha256())
+	if team == nil && !q.GetOpen() {
+		e.read(done, func() *pipelinev1.Reply { return verdict(pipelinev1.Verdict_VERDICT_UNKNOWN_KEY, "the key is unknown") })
+		return
+	}
+	id := strings.TrimPrefix(c.GetPath(), q.GetPathPrefix())
+	switch {
+	case c.GetVerb() == pipelinev1.JobVerb_JOB_VERB_SUBMIT:
+		e.submit(c, q, id, done)
+	case id == "":
+		e.count(c, done)
+	default:
+		e.jobByID(c, q, team, id, done)
+	}
+}
+
+func (e *Engine) submit(c *pipelinev1.JobCall, q *pipelinev1.Queue, id string, done finish) {
+	spec := c.GetSpec()
+	if !jobIdentity.MatchString(id) {
+		done(verdict(pipelinev1.Verdict_VERDICT_INVALID, "a job's identity is 16 hexadecimal digits"), nil)
+		return
+	}
+	if problem := pipeline.CheckSpec(spec); problem != "" {
+		e.log.Info().Str("request", id).Str("queue", q.GetName()).Str("why", problem).Msg("job refused")
+		done(verdict(pipelinev1.Verdict_VERDICT_INVALID, problem), nil)
+		return
+	}
+	spec.Id, spec.Queue = id, q.GetName()
+	cmd := &pipelinev1.Submit{KeySha256: c.GetKeySha256(), Spec: spec, Digest: digestOf(spec)}
+	e.change(&pipelinev1.Command{Command: &pipelinev1.Command_Submit{Submit: cmd}}, func(r *pipelinev1.Reply, err error) {
+		e.log.Info().Str("request", id).Str("queue", q.GetName()).Str("verdict", r.GetVerdict().String()).Err(err).
+			Uint64("config_version", e.state.Config().Version()).Msg("job handed in")
+		done(r, err)
+	})
+}
+
+// digestOf tells equal jobs from different ones under one identity.
+func digestOf(spec *pipelinev1.JobSpec) []byte {
+	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(spec)
+	if err != nil {
+		panic("dispatch: job can't be encoded: " + err.Error())
+	}
+	sum := sha256.Sum256(data)
+	return sum[:]
+}
+
+func (e *Engine) count(c *pipelinev1.JobCall, done finish) {
+	e.read(done, func() *pipelinev1.Reply {
+		q := e.state.Config().Match(c.GetHost(), c.GetPath())
+		if q == nil {
+			return verdict(pipelinev1.Verdict_VERDICT_NO_QUEUE, "no queue has this host and path")
+		}
+		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, Pending: e.state.Pending(q.GetName())}
+	})
+}
+
+// jobByID shows or cancels a job of the caller's team.
+func (e *Engine) jobByID(c *pipelinev1.JobCall, q *pipelinev1.Queue, team *pipelinev1.Team, id string, done finish) {
+	allowed := func() *pipeline.Job {
+		j := e.state.Job(id)
+		if j == nil || j.Spec.GetQueue() != q.GetName() || !q.GetOpen() && j.Team != team.GetName() {
+			return nil
+		}
+		return j
+	}
+	if c.GetVerb() == pipelinev1.JobVerb_JOB_VERB_CANCEL && allowed() != nil {
+		e.log.Info().Str("request", id).Str("queue", q.GetName()).Str("state", string(allowed().State)).Msg("job is to be cancelled")
+		e.change(&pipelinev1.Command{Command: &pipelinev1.Command_Cancel{Cancel: &pipelinev1.Cancel{Job: id}}}, done)
+		return
+	}
+	e.read(done, func() *pipelinev1.Reply {
+		j := allowed()
+		if j == nil {
+			return verdict(pipelinev1.Verdict_VERDICT_NO_JOB, "no such job")
+		}
+		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(j.State)}
+	})
+}
--- /dev/null
+++ b/dispatch/decide.go
@@ -0,0 +1,296 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+)
+
+// maxRunsPerRound bounds one Place command.
+const maxRunsPerRound = 512
+
+// stepWork is a step that has tasks without a result and whose turn has come.
+type stepWork struct {
+	step    *pipeline.Step
+	readyAt time.Duration
+	// permits and denied hold the answers of the permit service by worker; they never change
+	// but for the tickets' life.
+	permits  map[string]permit
+	denied   map[string]bool
+	question *question
+}
+
+func newStepWork(st *pipeline.Step, now time.Duration) *stepWork {
+	return &stepWork{step: st, readyAt: now, permits: make(map[string]permit), denied: make(map[string]bool)}
+}
+
+// key names the step; the index of a task is zero in it.
+func (w *stepWork) key() pipeline.TaskKey {
+	return pipeline.TaskKey{Job: w.step.Job().Spec.GetId(), Occurrence: w.step.Occurrence.Index, Step: w.step.Index}
+}
+
+// waiting returns the tasks that need a run. A gang waits as a whole.
+func (w *stepWork) waiting() []*pipeline.Task {
+	var out []*pipeline.Task
+	for _, t := range w.step.Tasks {
+		if t.Waiting() {
+			out = append(out, t)
+		}
+	}
+	if w.step.Spec.GetGang() && len(out) < len(w.step.Tasks) {
+		return nil
+	}
+	return out
+}
+
+// round is one round of decisions. It keeps what the round has given away so far.
+type round struct {
+	e     *Engine
+	now   time.Duration
+	wall  int64
+	taken map[string]pipeline.Resources
+	used  map[string]pipeline.Resources
+	// onWorker counts the tasks of the step that is being placed by worker.
+	onWorker map[string]int
+	runs     []*pipelinev1.Run
+	left     []demand
+}
+
+// demand is a step with the tasks that have no place yet.
+type demand struct {
+	work  *stepWork
+	tasks []*pipeline.Task
+	queue *pipelinev1.Queue
+	// share is the team's use over its weight.
+	share float64
+}
+
+// decide places what can be placed and asks for the permits that are missing.
+func (e *Engine) decide(now time.Duration) {
+	r := &round{e: e, now: now, wall: time.Now().UnixNano(), taken: make(map[string]pipeline.Resources), used: make(map[string]pipeline.Resources)}
+	for _, d := range r.demands() {
+		if len(r.runs) >= maxRunsPerRound {
+			break
+		}
+		r.placeStep(d)
+	}
+	for _, d := range r.left {
+		r.askFor(d)
+	}
+	r.propose()
+}
+
+// demands returns the steps with waiting tasks: by the queue's priority, then the team
+// furthest below its share, then the oldest job.
+func (r *round) demands() []demand {
+	var out []demand
+	for _, w := range r.e.steps {
+		if w.step.Occurrence.DueNS > r.wall {
+			continue
+		}
+		if tasks := w.waiting(); len(tasks) > 0 {
+			q := r.e.state.Terms(w.step.Job())
+			out = append(out, demand{w, tasks, q, r.share(w.step.Job().Team)})
+		}
+	}
+	slices.SortFunc(out, func(a, b demand) int {
+		return cmp.Or(cmp.Compare(a.queue.GetPriority(), b.queue.GetPriority()), cmp.Compare(a.share, b.share),
+			cmp.Compare(a.work.step.Job().SubmittedNS, b.work.step.Job().SubmittedNS), compareKeys(a.work.key(), b.work.key()))
+	})
+	return out
+}
+
+func compareKeys(a, b pipeline.TaskKey) int {
+	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step))
+}
+
+// share returns the processor time that a team uses over its weight.
+func (r *round) share(team string) float64 {
+	weight := int64(1)
+	if t := r.e.state.Config().Team(team); t != nil {
+		weight = max(1, t.GetWeight())
+	}
+	return float64(r.e.state.Used(team).MilliCores) / float64(weight)
+}
+
+// placeStep gives the step's waiting tasks their workers.
+func (r *round) placeStep(d demand) {
+	st := d.work.step
+	r.onWorker = make(map[string]int)
+	candidates := r.candidates(d)
+	var placed []*pipelinev1.Run
+	for _, t := range d.tasks {
+		s := r.best(st, candidates)
+		if s == nil || !r.withinLimit(st) {
+			break
+		}
+		placed = append(placed, r.take(t, s))
+	}
+	rest := d.tasks[len(placed):]
+	if st.Spec.GetGang() && len(rest) > 0 {
+		r.giveBack(st, placed)
+		placed, rest = nil, d.tasks
+	}
+	for _, p := range placed {
+		r.e.tickets[pipeline.RunKey{TaskKey: pipeline.KeyOf(p.GetTask()), Number: p.GetNumber()}] = d.work.permits[p.GetWorker()].ticket
+	}
+	r.runs = append(r.runs, placed...)
+	if len(rest) > 0 {
+		d.tasks = rest
+		r.left = append(r.left, d)
+	}
+}
+
+// candidates returns the workers that may run the step now: with a valid ticket, or all
+// where none is needed.
+func (r *round) candidates(d demand) []*session {
+	var out []*session
+	if d.queue.GetPermits() == nil {
+		for _, s := range r.e.sessions {
+			if r.fits(d.work.step, s) {
+				out = append(out, s)
+			}
+		}
+	} else {
+		for id, p := range d.work.permits {
+			s := r.e.sessions[id]
+			if s != nil && p.born == s.w.GetBorn() && r.now < p.expires && r.fits(d.work.step, s) {
+				out = append(out, s)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b *session) int { return cmp.Compare(a.w.GetId(), b.w.GetId()) })
+	return out
+}
+
+// free returns the worker's room after what the round gave away.
+func (r *round) free(s *session) pipeline.Resources {
+	return s.w.Free().Minus(r.taken[s.w.GetId()])
+}
+
+// fits reports whether one more task of the step may run on the worker.
+func (r *round) fits(st *pipeline.Step, s *session) bool {
+	if !s.usable(r.now) || !st.Need.Fits(r.free(s)) || r.e.state.CheckWorker(st, s.w) != "" {
+		return false
+	}
+	bound := int(st.Spec.GetMaxPerWorker())
+	return bound == 0 || s.w.RunsOf(st)+r.onWorker[s.w.GetId()] < bound
+}
+
+// best returns the candidate with the least room left after the task, data nearby first.
+func (r *round) best(st *pipeline.Step, candidates []*session) *session {
+	var best *session
+	var bestFar bool
+	var bestLeft float64
+	for _, s := range candidates {
+		if !r.fits(st, s) {
+			continue
+		}
+		far := !s.w.HasLabel(st.Spec.GetDataRack())
+		left := roomLeft(r.free(s).Minus(st.Need), s.w.Capacity)
+		if best == nil || bestFar && !far || far == bestFar && left < bestLeft {
+			best, bestFar, bestLeft = s, far, left
+		}
+	}
+	return best
+}
+
+// roomLeft is the larger share of a worker's capacity that is left in its dimensions.
+func roomLeft(free, capacity pipeline.Resources) float64 {
+	share := func(a, b int64) float64 {
+		if b == 0 {
+			return 0
+		}
+		return float64(a) / float64(b)
+	}
+	return max(share(free.MilliCores, capacity.MilliCores), share(free.MemoryMiB, capacity.MemoryMiB))
+}
+
+func (r *round) withinLimit(st *pipeline.Step) bool {
+	team := r.e.state.Config().Team(st.Job().Team)
+	if team == nil {
+		return true
+	}
+	used := r.e.state.Used(team.GetName()).Plus(r.used[team.GetName()]).Plus(st.Need)
+	return used.Within(pipeline.ResourcesFromProto(team.GetLimit()))
+}
+
+func (r *round) take(t *pipeline.Task, s *session) *pipelinev1.Run {
+	st, id := t.Step, s.w.GetId()
+	r.taken[id] = r.taken[id].Plus(st.Need)
+	r.used[st.Job().Team] = r.used[st.Job().Team].Plus(st.Need)
+	r.onWorker[id]++
+	number := t.LastRun + 1
+	if st.Spec.GetGang() {
+		number = st.LastRun + 1
+	}
+	return &pipelinev1.Run{Task: t.Key().Proto(), Number: number, Worker: id, Born: s.w.GetBorn()}
+}
+
+func (r *round) giveBack(st *pipeline.Step, placed []*pipelinev1.Run) {
+	for _, p := range placed {
+		r.taken[p.GetWorker()] = r.taken[p.GetWorker()].Minus(st.Need)
+		r.used[st.Job().Team] = r.used[st.Job().Team].Minus(st.Need)
+	}
+}
+
+// propose puts the round's runs into the log.
+func (r *round) propose() {
+	if len(r.runs) == 0 {
+		return
+	}
+	e := r.e
+	e.placing = true
+	e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_Place{Place: &pipelinev1.Place{Runs: r.runs}}},
+		func(result *pipeline.Result, err error) {
+			e.placing, e.dirty = false, true
+			if err != nil {
+				e.log.Info().Err(err).Int("runs", len(r.runs)).Msg("placements were not committed")
+				return
+			}
+			e.placed(result)
+		})
+}
+
+// placed counts and logs what became of a Place command.
+func (e *Engine) placed(result *pipeline.Result) {
+	runsPlaced.Add(int64(len(result.Taken)))
+	for _, p := range result.Refused {
+		runsRefused.Add(string(p.Why), 1)
+		key := pipeline.RunKey{TaskKey: pipeline.KeyOf(p.Run.GetTask()), Number: p.Run.GetNumber()}
+		delete(e.tickets, key)
+		e.log.Info().Str("request", key.Job).Int32("step", key.Step).Int32("task", key.Index).Str("worker", p.Run.GetWorker()).
+			Str("why", string(p.Why)).Msg("placement was refused when it was applied")
+	}
+	for i := 0; i < len(result.Taken); {
+		n := i + 1
+		for n < len(result.Taken) && result.Taken[n].Task.Step == result.Taken[i].Task.Step {
+			n++
+		}
+		e.logPlaced(result.Taken[i:n])
+		i = n
+	}
+}
+
+func (e *Engine) logPlaced(runs []*pipeline.Run) {
+	st := runs[0].Task.Step
+	workers := make([]string, 0, len(runs))
+	first := true
+	for _, r := range runs {
+		workers = append(workers, r.Worker.GetId())
+		first = first && r.Number == 1
+	}
+	waited := time.Duration(runs[0].PlacedNS - st.Job().SubmittedNS)
+	if st.Index == 0 && first {
+		startTime.Record(waited)
+	}
+	left := 0
+	if w := e.steps[st]; w != nil {
+		left = len(w.waiting())
+	}
+	e.log.Info().Str("request", st.Job().Spec.GetId()).Int32("step", st.Index).Int32("run", runs[0].Number).Strs("workers", workers).
+		Int("tasks_left", left).Dur("since_accepted", waited).Msg("runs placed")
+}
--- /dev/null
+++ b/dispatch/heartbeat.go
@@ -0,0 +1,122 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+	"github.com/rs/zerolog"
+)
+
+// heartbeat takes what a worker says of itself. Only what is new goes into the log, and is
+// acknowledged after its commit.
+func (e *Engine) heartbeat(c *pipelinev1.HeartbeatCall, done finish) {
+	said, now := c.GetWorker(), e.now()
+	s := e.sessions[said.GetId()]
+	ok := &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, HeartbeatAddress: e.cfg.HeartbeatAddress}
+	switch {
+	case s == nil:
+		e.newWorker(said, done, ok)
+		return
+	case said.GetBorn() < s.w.GetBorn():
+		e.log.Info().Str("worker", said.GetId()).Int64("born", said.GetBorn()).Int64("known_born", s.w.GetBorn()).
+			Msg("heartbeat of an older incarnation ignored")
+		done(ok, nil)
+		return
+	}
+	s.lastBeat = now
+	if s.phase != phaseOpen && s.pause > probeMin {
+		s.pause, s.nextProbe = 0, now
+	}
+	if said.GetBorn() > s.w.GetBorn() {
+		if s.reborn == nil || s.reborn.GetBorn() < said.GetBorn() {
+			s.reborn, s.nextProbe = said, now
+			s.setPhase(phaseOpening, "a heartbeat of a newer incarnation came")
+		}
+		s.pump(now)
+		done(ok, nil)
+		return
+	}
+	if pipeline.SameWorker(s.w.Worker, said) {
+		done(ok, nil)
+		s.pump(now)
+		return
+	}
+	e.log.Info().Str("worker", said.GetId()).Bool("draining", said.GetDraining()).Str("address", said.GetAddress()).
+		Msg("worker describes itself anew")
+	e.seen(said, done, ok)
+}
+
+// newWorker takes an unknown worker, after older workers at its address are gone.
+func (e *Engine) newWorker(said *pipelinev1.Worker, done finish, ok *pipelinev1.Reply) {
+	for _, w := range e.state.Workers() {
+		if w.GetAddress() != said.GetAddress() && (said.GetMachine() == "" || w.GetMachine() != said.GetMachine()) {
+			continue
+		}
+		if w.GetBorn() > said.GetBorn() {
+			e.log.Info().Str("worker", said.GetId()).Str("newer_worker", w.GetId()).Msg("heartbeat from an address that a newer worker has; ignored")
+			done(ok, nil)
+			return
+		}
+		e.log.Info().Str("worker", w.GetId()).Str("newer_worker", said.GetId()).Msg("a newer worker has this worker's place")
+		e.gone(w)
+	}
+	e.seen(said, done, ok)
+}
+
+func (e *Engine) seen(said *pipelinev1.Worker, done finish, ok *pipelinev1.Reply) {
+	e.change(&pipelinev1.Command{Command: &pipelinev1.Command_WorkerSeen{WorkerSeen: &pipelinev1.WorkerSeen{Worker: said}}},
+		func(r *pipelinev1.Reply, err error) {
+			if err == nil && r.GetVerdict() == pipelinev1.Verdict_VERDICT_NOT_NOW {
+				done(r, nil)
+				return
+			}
+			done(ok, err)
+		})
+}
+
+// gone ends the runs of a worker that is surely gone, with their last checkpoints, and
+// forgets it.
+func (e *Engine) gone(w *pipeline.Worker) {
+	var ends []*pipelinev1.End
+	for _, r := range w.Runs {
+		ends = append(ends, &pipelinev1.End{Run: r.Proto(), Kind: pipelinev1.EndKind_END_KIND_LOST, Checkpoint: e.saved[r.Task]})
+	}
+	if len(ends) > 0 {
+		e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_Ends{Ends: &pipelinev1.Ends{Ends: ends}}}, nil)
+	}
+	e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_WorkerGone{
+		WorkerGone: &pipelinev1.WorkerGone{Id: w.GetId(), Born: w.GetBorn()}}}, nil)
+}
+
+// leave takes a worker's word that it ends now. What it was running ends with it; its last
+// ends are looked for by nobody any more.
+func (e *Engine) leave(c *pipelinev1.LeaveCall, done finish) {
+	w := e.state.Workers()[c.GetWorker()]
+	if w == nil {
+		done(verdict(pipelinev1.Verdict_VERDICT_OK, "the worker is not known"), nil)
+		return
+	}
+	if s := e.sessions[c.GetWorker()]; s != nil && !w.GetDraining() {
+		gone := drained(w)
+		s.logger(zerolog.InfoLevel).Msg("worker leaves without draining")
+		e.seen(gone, done, verdict(pipelinev1.Verdict_VERDICT_OK, ""))
+		return
+	}
+	done(verdict(pipelinev1.Verdict_VERDICT_OK, ""), nil)
+}
+
+func drained(w *pipeline.Worker) *pipelinev1.Worker {
+	return &pipelinev1.Worker{Id: w.GetId(), Born: w.GetBorn(), Service: w.GetService(), Address: w.GetAddress(),
+		FailureDomain: w.GetFailureDomain(), Rack: w.GetRack(), Labels: w.GetLabels(), Capacity: w.Worker.GetCapacity(),
+		Machine: w.GetMachine(), Draining: true}
+}
+
+// forgetWorkers drops workers that are silent for good and have no runs.
+func (e *Engine) forgetWorkers(now time.Duration) {
+	for _, s := range e.sessions {
+		if s.phase != phaseOpen && len(s.w.Runs) == 0 && now-s.lastBeat > forgetAfter {
+			e.gone(s.w)
+		}
+	}
+}
--- /dev/null
+++ b/dispatch/metrics.go
@@ -0,0 +1,42 @@
+package dispatch
+
+import (
+	"expvar"
+
+	"github.com/bulrushwinch/bulrushwinch/metrics"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+)
+
+var (
+	jobsAccepted   = expvar.NewInt("pipeline_jobs_accepted")
+	jobsEnded      = expvar.NewMap("pipeline_jobs_ended")
+	runsPlaced     = expvar.NewInt("pipeline_runs_placed")
+	runsRefused    = expvar.NewMap("pipeline_runs_refused_by_reason")
+	runsEnded      = expvar.NewMap("pipeline_runs_ended")
+	ordersSent     = expvar.NewInt("pipeline_orders_sent")
+	ordersRefused  = expvar.NewMap("pipeline_orders_refused_by_verdict")
+	ordersLost     = expvar.NewInt("pipeline_orders_unanswered")
+	looksSent      = expvar.NewInt("pipeline_looks_sent")
+	workersSilent  = expvar.NewInt("pipeline_workers_turned_silent")
+	workersLapsed  = expvar.NewInt("pipeline_workers_lapsed")
+	questionsAsked = expvar.NewInt("pipeline_permit_questions")
+	questionsLost  = expvar.NewInt("pipeline_permit_questions_unanswered")
+
+	// decisionTime is the time of one round of decisions.
+	decisionTime = metrics.NewHistogram("pipeline_decision_time")
+	// startTime is from a job's acceptance to the commit of its first run.
+	startTime = metrics.NewHistogram("pipeline_first_start_time")
+	// permitTime is from a question to its answer at the leader.
+	permitTime = metrics.NewHistogram("pipeline_permit_time")
+)
+
+var endNames = map[pipelinev1.EndKind]string{
+	pipelinev1.EndKind_END_KIND_DONE:          "done",
+	pipelinev1.EndKind_END_KIND_FAILED:        "failed",
+	pipelinev1.EndKind_END_KIND_STOPPED:       "stopped",
+	pipelinev1.EndKind_END_KIND_LAPSED:        "lapsed",
+	pipelinev1.EndKind_END_KIND_BROKEN:        "broken",
+	pipelinev1.EndKind_END_KIND_ALONE:         "alone",
+	pipelinev1.EndKind_END_KIND_NEVER_STARTED: "never started",
+	pipelinev1.EndKind_END_KIND_LOST:          "lost",
+}
--- /dev/null
+++ b/dispatch/orders.go
@@ -0,0 +1,182 @@
+package dispatch
+
+import (
+	"context"
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+)
+
+// enqueueStart puts a committed run in the worker's queue of orders.
+func (s *session) enqueueStart(r *pipeline.Run, ticket string) {
+	s.orders = append(s.orders, order{run: r, key: r.Key(), ticket: ticket})
+	s.pump(s.e.now())
+}
+
+// enqueueStop asks for the end of a run. One that was never sent ends at once.
+func (s *session) enqueueStop(r *pipeline.Run, why string) {
+	key := r.Key()
+	if s.stopping[key] {
+		return
+	}
+	s.stopping[key] = true
+	s.e.log.Debug().Str("request", key.Job).Int32("step", key.Step).Int32("task", key.Index).Int32("run", key.Number).
+		Str("worker", s.w.GetId()).Str("why", why).Msg("run is stopped")
+	if s.queued(key) && !s.sent[key] {
+		s.withdraw(key, r)
+		return
+	}
+	// Stops go before starts: the room that they free is wanted.
+	s.orders = append([]order{{run: r, key: key, stop: true}}, s.orders...)
+	s.pump(s.e.now())
+}
+
+// withdraw takes back a run whose order has not left.
+func (s *session) withdraw(key pipeline.RunKey, r *pipeline.Run) {
+	kept := s.orders[:0:0]
+	for _, o := range s.orders {
+		if o.key != key {
+			kept = append(kept, o)
+		}
+	}
+	s.orders = kept
+	s.proposeEnds([]*pipelinev1.End{{Run: r.Proto(), Kind: pipelinev1.EndKind_END_KIND_NEVER_STARTED}})
+}
+
+// stopUnknown stops a run that the state does not know on this worker.
+func (s *session) stopUnknown(key pipeline.RunKey) {
+	if s.stopping[key] {
+		return
+	}
+	s.stopping[key] = true
+	s.logger(zerolog.WarnLevel).Str("request", key.Job).Int32("step", key.Step).Int32("task", key.Index).Int32("run", key.Number).
+		Msg("worker has a run that is not in the log; it is stopped")
+	s.orders = append([]order{{key: key, stop: true}}, s.orders...)
+}
+
+// sendOrder sends the next order if none is under way.
+func (s *session) sendOrder(now time.Duration) {
+	for !s.ordering && !s.settling && len(s.orders) > 0 && s.e.mayOrder(now) {
+		o := s.orders[0]
+		s.orders = s.orders[1:]
+		if o.stop {
+			s.sendStop(o, now)
+			continue
+		}
+		if s.w.Runs[o.key] != o.run {
+			continue
+		}
+		if s.w.GetDraining() || s.e.state.DomainOut(s.w.GetFailureDomain()) {
+			s.proposeEnds([]*pipelinev1.End{{Run: o.run.Proto(), Kind: pipelinev1.EndKind_END_KIND_NEVER_STARTED}})
+			continue
+		}
+		s.sendStart(o, now)
+	}
+}
+
+func (s *session) sendStart(o order, now time.Duration) {
+	t := o.run.Task
+	start := Start{Order: Order{Task: o.key.TaskKey, Number: o.key.Number, Token: s.token()}, Payload: t.Step.Job().Spec.GetPayload(),
+		DeadlineMS: s.extend(now), Checkpoint: t.Checkpoint, Ticket: o.ticket}
+	s.ordering = true
+	s.sent[o.key] = true
+	ordersSent.Add(1)
+	to := s.target()
+	s.e.async(orderTimeout, func(ctx context.Context) func() {
+		reply, err := s.e.workers.Start(ctx, to, start)
+		return func() { s.startAnswered(o, reply, err) }
+	})
+}
+
+func (s *session) sendStop(o order, now time.Duration) {
+	stop := Order{Task: o.key.TaskKey, Number: o.key.Number, Token: s.token()}
+	s.ordering = true
+	ordersSent.Add(1)
+	to := s.target()
+	s.e.async(orderTimeout, func(ctx context.Context) func() {
+		reply, err := s.e.workers.Stop(ctx, to, stop)
+		return func() { s.stopAnswered(o, reply, err) }
+	})
+}
+
+// startAnswered handles the answer to a start. Without one, a look under a higher token finds
+// out what became of it.
+func (s *session) startAnswered(o order, reply OrderReply, err error) {
+	now := s.e.now()
+	s.ordering = false
+	switch {
+	case errors.Is(err, ErrNotSent):
+		s.neverStarted(o, err.Error())
+		s.suspect(now, err.Error())
+	case err != nil:
+		ordersLost.Add(1)
+		s.orderLog(o, zerolog.InfoLevel).Err(err).Msg("start was not answered; a look under a higher token decides")
+		s.suspect(now, "an order was not answered")
+	case reply.Verdict == Obeyed:
+		s.clock.hear(reply.ClockMS, now)
+		delete(s.sent, o.key)
+		s.answeredAt[o.key] = now
+	default:
+		s.clock.hear(reply.ClockMS, now)
+		ordersRefused.Add(string(reply.Verdict), 1)
+		s.startRefused(o, reply.Verdict, now)
+	}
+	s.pump(now)
+}
+
+// startRefused handles a worker's word that it has not started the run.
+func (s *session) startRefused(o order, v OrderVerdict, now time.Duration) {
+	s.neverStarted(o, string(v))
+	switch v {
+	case BadTicket:
+		s.e.dropPermit(o.run.Task.Step, s.w.GetId())
+	case Fenced, OtherIncarnation, TooLate:
+		s.suspect(now, string(v))
+	case Unhealthy, NoRoom:
+		s.avoidUntil = now + avoidTime
+	}
+}
+
+// neverStarted frees a run that surely isn't at the worker.
+func (s *session) neverStarted(o order, why string) {
+	s.orderLog(o, zerolog.InfoLevel).Str("why", why).Msg("run was not started")
+	s.proposeEnds([]*pipelinev1.End{{Run: o.run.Proto(), Kind: pipelinev1.EndKind_END_KIND_NEVER_STARTED}})
+}
+
+// suspect lets a look settle what the worker has before anything else is sent.
+func (s *session) suspect(now time.Duration, why string) {
+	if s.phase == phaseOpen {
+		s.silentAt = now
+		s.setPhase(phaseOpening, why)
+	}
+	s.nextProbe = now
+}
+
+func (s *session) stopAnswered(o order, reply OrderReply, err error) {
+	now := s.e.now()
+	s.ordering = false
+	if err != nil || reply.Verdict != Obeyed {
+		// A later look shows whether the run is still there, and stops it again.
+		delete(s.stopping, o.key)
+		if err == nil {
+			ordersRefused.Add(string(reply.Verdict), 1)
+			err = errors.New(string(reply.Verdict))
+		} else {
+			ordersLost.Add(1)
+		}
+		s.suspect(now, "a stop was not obeyed: "+err.Error())
+		if r := s.w.Runs[o.key]; r != nil {
+			s.enqueueStop(r, "the last stop was not obeyed")
+		}
+	} else {
+		s.clock.hear(reply.ClockMS, now)
+	}
+	s.pump(now)
+}
+
+func (s *session) orderLog(o order, level zerolog.Level) *zerolog.Event {
+	return s.logger(level).Str("request", o.key.Job).Int32("step", o.key.Step).Int32("task", o.key.Index).Int32("run", o.key.Number)
+}
--- a/entry/router.go
+++ b/entry/router.go
@@ -41,16 +41,16 @@
 // While no leader is known, one call at a time looks for it and the others wait for
 // what it finds: an election costs neither retries of the budget nor a storm of calls.
 type Router struct {
-	forward  Forwarder
-	replicas []string
-	budget   *retry.Budget
-	next     atomic.Uint32
+	forward Forwarder
+	budget  *retry.Budget
+	next    atomic.Uint32
 	// search is held by the one call that looks for the leader.
 	search chan struct{}
 
-	mu     sync.Mutex
-	leader string
-	found  chan struct{}
+	mu       sync.Mutex
+	replicas []string
+	leader   string
+	found    chan struct{}
 }
 
 // NewRouter returns a router over the addresses of the replicas.
@@ -74,13 +74,20 @@
 	searching bool
 	uncertain bool
 	hops      int
+	// timeout bounds one attempt.
+	timeout time.Duration
 }
 
 // Call carries a call to the leader, retrying within the deadline of ctx. A call whose
 // answer may still be on its way is repeated only if idempotent is set.
 func (r *Router) Call(ctx context.Context, req *peerv1.ForwardRequest, idempotent bool) (Answer, error) {
+	return r.CallWithin(ctx, req, idempotent, attemptTimeout)
+}
+
+// CallWithin is Call with a bound of its own on each attempt.
+func (r *Router) CallWithin(ctx context.Context, req *peerv1.ForwardRequest, idempotent bool, timeout time.Duration) (Answer, error) {
 	r.budget.Deposit()
-	t := &route{router: r, req: req, backoff: retry.Backoff{Min: routeBackoffMin, Max: routeBackoffMax}}
+	t := &route{router: r, req: req, timeout: timeout, backoff: retry.Backoff{Min: routeBackoffMin, Max: routeBackoffMax}}
 	defer t.endSearch()
 	for {
 		address, err := t.target(ctx)
@@ -122,7 +129,7 @@
 // attempt sends the call once. Without an answer it tells whether to pause before the
 // next attempt and how this one ended.
 func (t *route) attempt(ctx context.Context, address string) (resp *peerv1.ForwardResponse, pause bool, end ending) {
-	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
+	ctx, cancel := context.WithTimeout(ctx, t.timeout)
 	defer cancel()
 	resp, sent, err := t.router.forward.Forward(ctx, address, t.req)
 	switch {
@@ -165,7 +172,7 @@
 			return leader, nil
 		}
 		if t.searching {
-			return t.router.replicas[int(t.router.next.Add(1))%len(t.router.replicas)], nil
+			return t.router.nextReplica(), nil
 		}
 		select {
 		case t.router.search <- struct{}{}:
@@ -184,6 +191,19 @@
 	}
 }
 
+// SetReplicas replaces the addresses at which the leader is looked for.
+func (r *Router) SetReplicas(addresses []string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.replicas = addresses
+}
+
+func (r *Router) nextReplica() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.replicas[int(r.next.Add(1))%len(r.replicas)]
+}
+
 func (r *Router) current() (string, <-chan struct{}) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- /dev/null
+++ b/pipeline/config.go
@@ -0,0 +1,161 @@
+package pipeline
+
+import (
+	"bytes"
+	"crypto/sha256"
+	"fmt"
+	"strings"
+
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+)
+
+// Config is a configuration in force, with its indexes.
+type Config struct {
+	*pipelinev1.Config
+	queues   map[string]*pipelinev1.Queue
+	byHost   map[string][]*pipelinev1.Queue
+	services map[string]*pipelinev1.Service
+	teams    map[string]*pipelinev1.Team
+	byKey    map[[sha256.Size]byte]*pipelinev1.Team
+}
+
+// CheckConfig returns why a configuration is invalid, or an empty text.
+func CheckConfig(c *pipelinev1.Config) string {
+	services := make(map[string]bool)
+	for _, s := range c.GetServices() {
+		if s.GetName() == "" || services[s.GetName()] {
+			return fmt.Sprintf("service %q has no name or is named twice", s.GetName())
+		}
+		services[s.GetName()] = true
+	}
+	if problem := checkQueues(c.GetQueues(), services); problem != "" {
+		return problem
+	}
+	return checkTeams(c.GetTeams())
+}
+
+func checkQueues(queues []*pipelinev1.Queue, services map[string]bool) string {
+	type place struct{ host, prefix string }
+	places, names := make(map[place]bool), make(map[string]bool)
+	for _, q := range queues {
+		at := place{q.GetHost(), q.GetPathPrefix()}
+		switch {
+		case q.GetName() == "" || names[q.GetName()]:
+			return fmt.Sprintf("queue %q has no name or is named twice", q.GetName())
+		case !services[q.GetService()]:
+			return fmt.Sprintf("queue %q sends to the unknown service %q", q.GetName(), q.GetService())
+		case places[at]:
+			return fmt.Sprintf("queue %q shares host and path prefix with another", q.GetName())
+		case q.GetTimeoutMs() <= 0:
+			return fmt.Sprintf("queue %q has no timeout", q.GetName())
+		case !strings.HasPrefix(q.GetPathPrefix(), "/"):
+			return fmt.Sprintf("queue %q has the path prefix %q, which does not begin with a slash", q.GetName(), q.GetPathPrefix())
+		}
+		places[at], names[q.GetName()] = true, true
+	}
+	return ""
+}
+
+func checkTeams(teams []*pipelinev1.Team) string {
+	names, keys := make(map[string]bool), make(map[string]string)
+	for _, t := range teams {
+		if t.GetName() == "" || names[t.GetName()] {
+			return fmt.Sprintf("team %q has no name or is named twice", t.GetName())
+		}
+		names[t.GetName()] = true
+		for _, k := range t.GetKeySha256() {
+			if len(k) != sha256.Size {
+				return fmt.Sprintf("team %q has a key that is no SHA-256", t.GetName())
+			}
+			if other, taken := keys[string(k)]; taken && other != t.GetName() {
+				return fmt.Sprintf("teams %q and %q share a key", other, t.GetName())
+			}
+			keys[string(k)] = t.GetName()
+		}
+	}
+	return ""
+}
+
+func newConfig(c *pipelinev1.Config) *Config {
+	out := &Config{Config: c, queues: make(map[string]*pipelinev1.Queue), byHost: make(map[string][]*pipelinev1.Queue),
+		services: make(map[string]*pipelinev1.Service), teams: make(map[string]*pipelinev1.Team),
+		byKey: make(map[[sha256.Size]byte]*pipelinev1.Team)}
+	for _, q := range c.GetQueues() {
+		out.queues[q.GetName()] = q
+		out.byHost[q.GetHost()] = append(out.byHost[q.GetHost()], q)
+	}
+	for _, s := range c.GetServices() {
+		out.services[s.GetName()] = s
+	}
+	for _, t := range c.GetTeams() {
+		out.teams[t.GetName()] = t
+		for _, k := range t.GetKeySha256() {
+			out.byKey[[sha256.Size]byte(k)] = t
+		}
+	}
+	return out
+}
+
+// Match returns the queue that host and the longest path prefix select, or nil.
+func (c *Config) Match(host, path string) *pipelinev1.Queue {
+	if c == nil {
+		return nil
+	}
+	var best *pipelinev1.Queue
+	for _, q := range c.byHost[host] {
+		if strings.HasPrefix(path, q.GetPathPrefix()) && (best == nil || len(q.GetPathPrefix()) > len(best.GetPathPrefix())) {
+			best = q
+		}
+	}
+	return best
+}
+
+// Queue returns a queue by its name, or nil.
+func (c *Config) Queue(name string) *pipelinev1.Queue {
+	if c == nil {
+		return nil
+	}
+	return c.queues[name]
+}
+
+// Team returns a team by its name, or nil.
+func (c *Config) Team(name string) *pipelinev1.Team {
+	if c == nil {
+		return nil
+	}
+	return c.teams[name]
+}
+
+// TeamOfKey returns the team that holds a key, or nil.
+func (c *Config) TeamOfKey(hash []byte) *pipelinev1.Team {
+	if c == nil || len(hash) != sha256.Size {
+		return nil
+	}
+	return c.byKey[[sha256.Size]byte(hash)]
+}
+
+// putConfig takes a configuration with a higher version. One that isn't higher is
+// acknowledged without effect.
+func (s *State) putConfig(c *pipelinev1.Config) *pipelinev1.Reply {
+	if problem := CheckConfig(c); problem != "" {
+		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_INVALID, Detail: problem}
+	}
+	if s.config != nil && c.GetVersion() <= s.config.GetVersion() {
+		detail := fmt.Sprintf("version %d is in force; nothing was changed", s.config.GetVersion())
+		if c.GetVersion() == s.config.GetVersion() && bytes.Equal(c.GetDocument(), s.config.GetDocument()) {
+			detail = "this version is in force already"
+		}
+		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, Detail: detail}
+	}
+	s.config = newConfig(c)
+	s.observer.ConfigChanged()
+	return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK}
+}
+
+// Version returns the version, or zero for no configuration.
+func (c *Config) Version() uint64 {
+	if c == nil {
+		return 0
+	}
+	return c.GetVersion()
+}
--- /dev/null
+++ b/pipeline/ends.go
@@ -0,0 +1,113 @@
+package pipeline
+
+import (
+	"slices"
+
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+)
+
+// defaultMaxAttempts bounds failed runs of a task when its queue sets no bound.
+const defaultMaxAttempts = 3
+
+// ends records the ends of runs. An end of an unknown run only moves the worker's count.
+func (s *State) ends(c *pipelinev1.Ends) {
+	for _, e := range c.GetEnds() {
+		w := s.workers[e.GetRun().GetWorker()]
+		if w == nil || w.GetBorn() != e.GetRun().GetBorn() {
+			continue
+		}
+		w.LastEnd = max(w.LastEnd, e.GetListed())
+		if r := w.Runs[RunKey{KeyOf(e.GetRun().GetTask()), e.GetRun().GetNumber()}]; r != nil {
+			s.endRun(r, e)
+		}
+	}
+}
+
+// endRun frees the run's room and decides what becomes of its task.
+func (s *State) endRun(r *Run, e *pipelinev1.End) {
+	s.release(r)
+	t := r.Task
+	if e.GetCheckpoint() != "" {
+		s.keepCheckpoint(t, e.GetCheckpoint())
+	}
+	switch e.GetKind() {
+	case pipelinev1.EndKind_END_KIND_DONE:
+		s.runDone(t)
+	case pipelinev1.EndKind_END_KIND_FAILED:
+		s.runFailed(r)
+	}
+	s.observer.RunEnded(r, e.GetKind())
+}
+
+// keepCheckpoint remembers what the next run resumes from; all members of a gang carry the same.
+func (s *State) keepCheckpoint(t *Task, checkpoint string) {
+	if !t.Step.Spec.GetGang() {
+		t.Checkpoint = checkpoint
+		return
+	}
+	for _, m := range t.Step.Tasks {
+		m.Checkpoint = checkpoint
+	}
+}
+
+func (s *State) runDone(t *Task) {
+	if t.Step.Spec.GetLasting() {
+		return
+	}
+	if !t.Step.Spec.GetGang() {
+		s.taskDone(t)
+		return
+	}
+	for _, m := range t.Step.Tasks {
+		s.taskDone(m)
+	}
+}
+
+// runFailed counts a failed attempt and gives the job up after the last one.
+func (s *State) runFailed(r *Run) {
+	t, st := r.Task, r.Task.Step
+	if t.Done || st.Spec.GetLasting() {
+		return
+	}
+	failures := t.Failures + 1
+	if st.Spec.GetGang() {
+		if r.Number <= st.FailedRun {
+			return
+		}
+		st.FailedRun = r.Number
+		st.Failures++
+		failures = st.Failures
+	} else {
+		t.Failures = failures
+	}
+	if j := st.Job(); !j.Ended() && failures >= s.maxAttempts(j) {
+		s.endJob(j, Failed)
+	}
+}
+
+func (s *State) maxAttempts(j *Job) int32 {
+	if n := s.Terms(j).GetMaxAttempts(); n > 0 {
+		return n
+	}
+	return defaultMaxAttempts
+}
+
+// LiveRuns returns all runs of a job, in order of their names.
+func (j *Job) LiveRuns() []*Run {
+	var out []*Run
+	for _, o := range j.Occurrences {
+		for _, st := range o.Steps {
+			out = append(out, st.LiveRuns()...)
+		}
+	}
+	return out
+}
+
+// LiveRuns returns all runs of a step.
+func (s *Step) LiveRuns() []*Run {
+	var out []*Run
+	for _, t := range s.Tasks {
+		out = append(out, t.Live...)
+	}
+	return slices.Clip(out)
+}
--- /dev/null
+++ b/pipeline/place.go
@@ -0,0 +1,193 @@
+package pipeline
+
+import (
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+)
+
+// PlaceReason is the check that refused a run.
+type PlaceReason string
+
+// Reasons to refuse a run.
+const (
+	PlaceNoTask     PlaceReason = "the task does not wait"
+	PlaceNumber     PlaceReason = "the run's number isn't the next one"
+	PlaceOrder      PlaceReason = "an earlier step is not done"
+	PlaceEarly      PlaceReason = "the occurrence is not due"
+	PlaceNoWorker   PlaceReason = "the worker's incarnation is not known or drains"
+	PlaceDomainOut  PlaceReason = "the failure domain is out"
+	PlaceService    PlaceReason = "the queue does not send to the worker's service"
+	PlaceLabel      PlaceReason = "the worker lacks the label"
+	PlaceSpread     PlaceReason = "too many tasks of the step on one worker"
+	PlaceNoRoom     PlaceReason = "the worker's capacity would be exceeded"
+	PlaceOverLimit  PlaceReason = "the team's limit would be exceeded"
+	PlaceNotWhole   PlaceReason = "the gang is not placed as a whole"
+	PlaceNotAllowed PlaceReason = "another run of the task may exist"
+)
+
+// PlaceRefusal is a run that a check refused.
+type PlaceRefusal struct {
+	Run *pipelinev1.Run
+	Why PlaceReason
+}
+
+// place starts runs. The members of a gang come one after the other and are taken together.
+func (s *State) place(c *pipelinev1.Place) *Result {
+	out := &Result{}
+	for i := 0; i < len(c.GetRuns()); {
+		n := s.gangLength(c.GetRuns()[i:])
+		s.placeGroup(c.GetRuns()[i:i+n], out)
+		i += n
+	}
+	return out
+}
+
+// gangLength returns how many runs from the first on belong to one gang.
+func (s *State) gangLength(runs []*pipelinev1.Run) int {
+	st := s.Step(KeyOf(runs[0].GetTask()))
+	if st == nil || !st.Spec.GetGang() {
+		return 1
+	}
+	n := 1
+	for n < len(runs) && s.Step(KeyOf(runs[n].GetTask())) == st {
+		n++
+	}
+	return n
+}
+
+// placeGroup takes all runs of a group or none.
+func (s *State) placeGroup(group []*pipelinev1.Run, out *Result) {
+	why := s.checkGang(group)
+	var taken []*Run
+	for _, p := range group {
+		if why != "" {
+			break
+		}
+		var r *Run
+		if r, why = s.placeOne(p); why == "" {
+			taken = append(taken, r)
+		}
+	}
+	if why != "" {
+		for _, r := range taken {
+			s.release(r)
+		}
+		for _, p := range group {
+			out.Refused = append(out.Refused, PlaceRefusal{p, why})
+		}
+		return
+	}
+	for _, r := range taken {
+		s.commitRun(r)
+	}
+	out.Taken = append(out.Taken, taken...)
+}
+
+func (s *State) checkGang(group []*pipelinev1.Run) PlaceReason {
+	st := s.Step(KeyOf(group[0].GetTask()))
+	if st == nil || !st.Spec.GetGang() {
+		return ""
+	}
+	seen := make(map[int32]bool)
+	for _, p := range group {
+		if p.GetNumber() != st.LastRun+1 {
+			return PlaceNumber
+		}
+		seen[p.GetTask().GetIndex()] = true
+	}
+	if len(seen) != len(st.Tasks) || len(group) != len(st.Tasks) {
+		return PlaceNotWhole
+	}
+	return ""
+}
+
+// placeOne checks a run and reserves its room; nothing else is changed.
+func (s *State) placeOne(p *pipelinev1.Run) (*Run, PlaceReason) {
+	t := s.Task(KeyOf(p.GetTask()))
+	if t == nil || t.Done || t.Step.Job().Ended() {
+		return nil, PlaceNoTask
+	}
+	if why := s.checkTask(t, p); why != "" {
+		return nil, why
+	}
+	w := s.workers[p.GetWorker()]
+	if w == nil || w.GetBorn() != p.GetBorn() || w.GetDraining() {
+		return nil, PlaceNoWorker
+	}
+	if why := s.CheckWorker(t.Step, w); why != "" {
+		return nil, why
+	}
+	if team := s.config.Team(t.Step.Job().Team); team != nil {
+		if !s.used[team.GetName()].Plus(t.Step.Need).Within(ResourcesFromProto(team.GetLimit())) {
+			return nil, PlaceOverLimit
+		}
+	}
+	r := &Run{Task: t, Number: p.GetNumber(), Worker: w, Born: w.GetBorn(), PlacedNS: s.nowNS}
+	s.reserve(r)
+	return r, ""
+}
+
+func (s *State) checkTask(t *Task, p *pipelinev1.Run) PlaceReason {
+	st := t.Step
+	switch {
+	case !st.Spec.GetGang() && p.GetNumber() != t.LastRun+1:
+		return PlaceNumber
+	case len(t.Live) > 0 && !st.Spec.GetCopies():
+		return PlaceNotAllowed
+	case !st.Ready():
+		return PlaceOrder
+	case st.Occurrence.DueNS > s.nowNS:
+		return PlaceEarly
+	}
+	return ""
+}
+
+// CheckWorker returns why a worker can't take one more task of a step now, or an empty reason.
+func (s *State) CheckWorker(st *Step, w *Worker) PlaceReason {
+	switch {
+	case s.out[w.GetFailureDomain()]:
+		return PlaceDomainOut
+	case w.GetService() != s.Terms(st.Job()).GetService():
+		return PlaceService
+	case !w.HasLabel(st.Spec.GetConstraint()):
+		return PlaceLabel
+	case !w.Used.Plus(st.Need).Fits(w.Capacity):
+		return PlaceNoRoom
+	case st.Spec.GetMaxPerWorker() > 0 && w.RunsOf(st) >= int(st.Spec.GetMaxPerWorker()):
+		return PlaceSpread
+	}
+	return ""
+}
+
+func (s *State) reserve(r *Run) {
+	r.Worker.Used = r.Worker.Used.Plus(r.Task.Step.Need)
+	r.Worker.Runs[r.Key()] = r
+	team := r.Task.Step.Job().Team
+	s.used[team] = s.used[team].Plus(r.Task.Step.Need)
+	r.Task.Live = append(r.Task.Live, r)
+}
+
+func (s *State) release(r *Run) {
+	r.Worker.Used = r.Worker.Used.Minus(r.Task.Step.Need)
+	delete(r.Worker.Runs, r.Key())
+	team := r.Task.Step.Job().Team
+	s.used[team] = s.used[team].Minus(r.Task.Step.Need)
+	for i, l := range r.Task.Live {
+		if l == r {
+			r.Task.Live = append(r.Task.Live[:i:i], r.Task.Live[i+1:]...)
+			break
+		}
+	}
+}
+
+// commitRun makes a reserved run count.
+func (s *State) commitRun(r *Run) {
+	t, j := r.Task, r.Task.Step.Job()
+	t.LastRun = max(t.LastRun, r.Number)
+	t.Step.LastRun = max(t.Step.LastRun, r.Number)
+	if j.State == Queued {
+		s.pendingChanged(j, -1)
+		j.State = Running
+	}
+	j.Begun = true
+	s.observer.RunPlaced(r)
+}
--- /dev/null
+++ b/pipeline/snapshot.go
@@ -0,0 +1,134 @@
+package pipeline
+
+import (
+	"maps"
+	"slices"
+	"strings"
+
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+	"github.com/pkg/errors"
+)
+
+// Records encodes the state in an order that Restore understands. The messages share only
+// what Apply never changes in place.
+func (s *State) Records() []*pipelinev1.Record {
+	var out []*pipelinev1.Record
+	if s.config != nil {
+		out = append(out, &pipelinev1.Record{Record: &pipelinev1.Record_Config{Config: s.config.Config}})
+	}
+	for _, name := range slices.Sorted(maps.Keys(s.out)) {
+		out = append(out, &pipelinev1.Record{Record: &pipelinev1.Record_Domain{Domain: &pipelinev1.SetDomain{Name: name, Out: true}}})
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
+		w := s.workers[id]
+		out = append(out, &pipelinev1.Record{Record: &pipelinev1.Record_Worker{
+			Worker: &pipelinev1.WorkerRecord{Worker: w.Worker, LastEnd: w.LastEnd}}})
+	}
+	jobs := slices.SortedFunc(maps.Values(s.jobs), func(a, b *Job) int { return strings.Compare(a.Spec.GetId(), b.Spec.GetId()) })
+	for _, j := range s.ended {
+		out = append(out, &pipelinev1.Record{Record: &pipelinev1.Record_Job{Job: encodeJob(j)}})
+	}
+	for _, j := range jobs {
+		if !j.Ended() {
+			out = append(out, &pipelinev1.Record{Record: &pipelinev1.Record_Job{Job: encodeJob(j)}})
+		}
+	}
+	return out
+}
+
+func encodeJob(j *Job) *pipelinev1.JobRecord {
+	out := &pipelinev1.JobRecord{Spec: j.Spec, Team: j.Team, Digest: j.Digest, State: string(j.State), SubmittedNs: j.SubmittedNS,
+		EndedNs: j.EndedNS, Begun: j.Begun, Terms: j.Terms}
+	for _, o := range j.Occurrences {
+		oc := &pipelinev1.OccurrenceRecord{}
+		for _, st := range o.Steps {
+			sr := &pipelinev1.StepRecord{Failures: st.Failures, LastRun: st.LastRun, FailedRun: st.FailedRun}
+			for _, t := range st.Tasks {
+				tr := &pipelinev1.TaskRecord{Done: t.Done, Failures: t.Failures, LastRun: t.LastRun, Checkpoint: t.Checkpoint}
+				for _, r := range t.Live {
+					tr.Live = append(tr.Live, r.Proto())
+				}
+				sr.Tasks = append(sr.Tasks, tr)
+			}
+			oc.Steps = append(oc.Steps, sr)
+		}
+		out.Occurrences = append(out.Occurrences, oc)
+	}
+	return out
+}
+
+// Reset empties the state before Restore.
+func (s *State) Reset() { s.clear() }
+
+// Restore takes one record of a snapshot; workers come before jobs.
+func (s *State) Restore(r *pipelinev1.Record) error {
+	switch r := r.GetRecord().(type) {
+	case *pipelinev1.Record_Config:
+		s.config = newConfig(r.Config)
+	case *pipelinev1.Record_Domain:
+		s.out[r.Domain.GetName()] = r.Domain.GetOut()
+	case *pipelinev1.Record_Worker:
+		said := r.Worker.GetWorker()
+		s.workers[said.GetId()] = &Worker{Worker: said, Capacity: ResourcesFromProto(said.GetCapacity()),
+			Runs: make(map[RunKey]*Run), LastEnd: r.Worker.GetLastEnd()}
+	case *pipelinev1.Record_Job:
+		return s.restoreJob(r.Job)
+	default:
+		return errors.New("pipeline: unknown record; a newer version must have written it")
+	}
+	return nil
+}
+
+func (s *State) restoreJob(r *pipelinev1.JobRecord) error {
+	j := newJob(r.GetSpec(), r.GetTeam(), r.GetTerms(), r.GetDigest(), r.GetSubmittedNs())
+	j.State, j.EndedNS, j.Begun = JobState(r.GetState()), r.GetEndedNs(), r.GetBegun()
+	if len(r.GetOccurrences()) != len(j.Occurrences) {
+		return errors.New("pipeline: job record has a wrong number of occurrences")
+	}
+	for i, o := range j.Occurrences {
+		if len(r.GetOccurrences()[i].GetSteps()) != len(o.Steps) {
+			return errors.New("pipeline: job record has a wrong number of steps")
+		}
+		for k, st := range o.Steps {
+			if err := s.restoreStep(st, r.GetOccurrences()[i].GetSteps()[k]); err != nil {
+				return err
+			}
+			if st.Undone == 0 {
+				o.undone--
+			}
+		}
+		if o.undone == 0 {
+			j.undone--
+		}
+	}
+	s.jobs[j.Spec.GetId()] = j
+	if j.Ended() {
+		s.ended = append(s.ended, j)
+	}
+	if j.State == Queued {
+		s.pendingChanged(j, 1)
+	}
+	return nil
+}
+
+func (s *State) restoreStep(st *Step, r *pipelinev1.StepRecord) error {
+	if len(r.GetTasks()) != len(st.Tasks) {
+		return errors.New("pipeline: step record has a wrong number of tasks")
+	}
+	st.Failures, st.LastRun, st.FailedRun = r.GetFailures(), r.GetLastRun(), r.GetFailedRun()
+	for i, t := range st.Tasks {
+		tr := r.GetTasks()[i]
+		t.Done, t.Failures, t.LastRun, t.Checkpoint = tr.GetDone(), tr.GetFailures(), tr.GetLastRun(), tr.GetCheckpoint()
+		if t.Done {
+			st.Undone--
+		}
+		for _, l := range tr.GetLive() {
+			w := s.workers[l.GetWorker()]
+			if w == nil {
+				return errors.Errorf("pipeline: a run is on the unknown worker %q", l.GetWorker())
+			}
+			s.reserve(&Run{Task: t, Number: l.GetNumber(), Worker: w, Born: l.GetBorn()})
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/pipeline/submit.go
@@ -0,0 +1,98 @@
+package pipeline
+
+import (
+	"bytes"
+	"fmt"
+
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+)
+
+// Bounds of one job. They are far above the users' largest jobs (52 tasks, 5 steps).
+const (
+	MaxSteps       = 256
+	MaxTasks       = 20_000
+	MaxOccurrences = 10_000
+	MaxPayload     = 64 << 10
+)
+
+// CheckSpec returns why a job is malformed, or an empty text.
+func CheckSpec(j *pipelinev1.JobSpec) string {
+	switch {
+	case len(j.GetSteps()) == 0 || len(j.GetSteps()) > MaxSteps:
+		return fmt.Sprintf("a job has 1 to %d steps, not %d", MaxSteps, len(j.GetSteps()))
+	case len(j.GetPayload()) > MaxPayload:
+		return fmt.Sprintf("the payload has more than %d bytes", MaxPayload)
+	case j.GetRepeatCount() < 0 || j.GetRepeatCount() > MaxOccurrences:
+		return fmt.Sprintf("a job repeats 0 to %d times", MaxOccurrences)
+	case j.GetPeriodMs() < 0 || j.GetStartAtMs() < 0:
+		return "start time and period can't be negative"
+	}
+	tasks := 0
+	for i, s := range j.GetSteps() {
+		if problem := checkStep(i, s); problem != "" {
+			return fmt.Sprintf("step %d: %s", i, problem)
+		}
+		tasks += int(s.GetCount())
+	}
+	if tasks*int(max(1, j.GetRepeatCount())) > MaxTasks {
+		return fmt.Sprintf("a job has at most %d tasks", MaxTasks)
+	}
+	return ""
+}
+
+func checkStep(index int, s *pipelinev1.Step) string {
+	need := s.GetNeed()
+	switch {
+	case s.GetCount() < 1 || s.GetCount() > MaxTasks:
+		return fmt.Sprintf("count %d is not between 1 and %d", s.GetCount(), MaxTasks)
+	case need.GetMilliCores() < 0 || need.GetMemoryMib() < 0 || need.GetGpus() < 0:
+		return "a resource is negative"
+	case s.GetEstimateMs() < 0 || s.GetMaxPerWorker() < 0 || s.GetMissAllowed() < 0 || s.GetTargetMs() < 0:
+		return "a number is negative"
+	}
+	for _, d := range s.GetDependsOn() {
+		if d < 0 || int(d) >= index {
+			return fmt.Sprintf("depends on step %d, which isn't an earlier one", d)
+		}
+	}
+	return ""
+}
+
+// submit accepts a job once; the same job again gets the same answer.
+func (s *State) submit(c *pipelinev1.Submit) *pipelinev1.Reply {
+	spec := c.GetSpec()
+	q := s.config.Queue(spec.GetQueue())
+	if q == nil {
+		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NO_QUEUE}
+	}
+	team := s.config.TeamOfKey(c.GetKeySha256())
+	if team == nil && !q.GetOpen() {
+		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_UNKNOWN_KEY}
+	}
+	if known := s.jobs[spec.GetId()]; known != nil {
+		if !bytes.Equal(known.Digest, c.GetDigest()) || known.Spec.GetQueue() != spec.GetQueue() {
+			return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_CONFLICT, Detail: "another job has this identity"}
+		}
+		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(known.State)}
+	}
+	if problem := CheckSpec(spec); problem != "" {
+		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_INVALID, Detail: problem}
+	}
+	j := newJob(spec, team.GetName(), q, c.GetDigest(), s.nowNS)
+	s.jobs[spec.GetId()] = j
+	s.pendingChanged(j, 1)
+	s.observer.JobAdded(j)
+	return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(j.State)}
+}
+
+// cancel ends a job; its runs stay until their ends are known.
+func (s *State) cancel(id string) *pipelinev1.Reply {
+	j := s.jobs[id]
+	if j == nil {
+		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NO_JOB}
+	}
+	if !j.Ended() {
+		s.endJob(j, Cancelled)
+	}
+	return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(j.State)}
+}
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -97,8 +97,14 @@
 // Bootstrap returns the durable state of a new group with a single voter.
 func Bootstrap(first Member) Restored {
 	first.Voter = true
+	return BootstrapGroup([]Member{first})
+}
+
+// BootstrapGroup returns the durable state of a new group. All its voters must start from
+// an equal list.
+func BootstrapGroup(members []Member) Restored {
 	return Restored{
 		HardState: HardState{Term: 1, Commit: 1},
-		Snapshot:  Snapshot{Index: 1, Term: 1, Members: []Member{first}},
+		Snapshot:  Snapshot{Index: 1, Term: 1, Members: members},
 	}
 }
--- a/state/capture.go
+++ b/state/capture.go
@@ -105,6 +105,9 @@
 			OperationId: r.OperationID, DecidedNs: r.DecidedNS,
 			Change: &apiv1.ReplicaChange{ReplicaId: r.Replica, Action: r.Action}}}})
 	}
+	for _, r := range s.pipelines.Records() {
+		list = append(list, &peerv1.StateRecord{Record: &peerv1.StateRecord_Pipeline{Pipeline: r}})
+	}
 	return list
 }
 
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -152,6 +152,8 @@
 		q := r.ReplicaChange
 		s.replicaChanges = append(s.replicaChanges, ReplicaIntent{OperationID: q.OperationId, Replica: q.Change.GetReplicaId(),
 			Action: q.Change.GetAction(), DecidedNS: q.DecidedNs})
+	case *peerv1.StateRecord_Pipeline:
+		return s.pipelines.Restore(r.Pipeline)
 	default:
 		return errors.New("unknown record; a newer version must have written it")
 	}
--- a/state/state.go
+++ b/state/state.go
@@ -8,6 +8,7 @@
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
 	"github.com/bulrushwinch/bulrushwinch/resource"
 )
 
@@ -47,6 +48,9 @@
 	// replicaChanges are operators' accepted changes that are still to be carried out.
 	replicaChanges []ReplicaIntent
 
+	// pipelines holds jobs of steps on upstreams that are called.
+	pipelines *pipeline.State
+
 	// capture is the last one made, or nil; captures counts them.
 	capture  *capture
 	captures uint32
@@ -121,6 +125,10 @@
 	s.operations = make(map[string]*Operation)
 	s.endedJobs, s.requestOrder, s.operationOrder, s.replicaChanges = nil, nil, nil, nil
 	s.capture, s.stored = nil, 0
+	if s.pipelines == nil {
+		s.pipelines = pipeline.New()
+	}
+	s.pipelines.Reset()
 }
 
 // Observe sets the observer; nil removes it.
@@ -171,10 +179,15 @@
 		return Result{Applied: s.bootstrap(c.Bootstrap)}
 	case *peerv1.Command_ReplicaChangeDone:
 		return Result{Applied: s.replicaChangeDone(c.ReplicaChangeDone)}
+	case *peerv1.Command_Pipeline:
+		return Result{Pipeline: s.pipelines.Apply(s.nowNS, c.Pipeline)}
 	}
 	panic("state: log entry holds an unknown command; a newer version must have written it")
 }
 
+// Pipelines returns the state of jobs of steps.
+func (s *State) Pipelines() *pipeline.State { return s.pipelines }
+
 // Now returns the leader time of the last applied entry.
 func (s *State) Now() time.Time { return time.Unix(0, s.nowNS) }
 
--- a/state/types.go
+++ b/state/types.go
@@ -5,6 +5,7 @@
 
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	"github.com/bulrushwinch/bulrushwinch/lifecycle"
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
 	"github.com/bulrushwinch/bulrushwinch/resource"
 )
 
@@ -255,6 +256,8 @@
 	Place    *PlaceResult
 	// Acknowledged lists ends that need no further report.
 	Acknowledged []TaskRef
+	// Pipeline is the result of a command on jobs of steps.
+	Pipeline *pipeline.Result
 	// Applied tells whether a command without another result changed anything.
 	Applied bool
 }
