Let replicas that are no seeds join, and follow the leader's address when joining

A replica with an emptied disk asked followers only and never learnt where the leader was.

Ruled out: the log and its syncs; the group of three had only two disks left.

--- a/daemon/folder.go
+++ b/daemon/folder.go
@@ -143,7 +143,7 @@
 // chooseGroup joins a group, or founds one if that is asked for and no other replica
 // knows a group.
 func (f *folder) chooseGroup(ctx context.Context, id wal.Identity, bootstrap bool, storage *wal.Log) (uint64, error) {
-	if !bootstrap {
+	if !bootstrap || len(f.founders) > 0 {
 		return f.join(ctx, id)
 	}
 	if group := f.find(ctx, id); group != 0 {
--- a/daemon/folder_test.go
+++ b/daemon/folder_test.go
@@ -165,3 +165,38 @@
 		t.Errorf("opened a damaged folder without a group: %v", err)
 	}
 }
+
+// A replica that is no seed waits for the founders' group, also with bootstrap set: on its
+// own it once founded a second group, which acknowledged changes that were then lost.
+func TestBootstrapWithFoundersJoinsUnlessItIsOne(t *testing.T) {
+	founders := founderMembers([]string{"10.0.0.3:7401", "10.0.0.2:7401", "10.0.0.4:7401"})
+	outsider := newTestFolder(t, true)
+	outsider.founders = founders
+	if opened := outsider.mustOpen(t, true); opened.id.Group != existingGroup || len(outsider.joined) != 1 {
+		t.Errorf("a replica that is no seed opened group %d; joined %v", opened.id.Group, outsider.joined)
+	}
+	alone := newTestFolder(t, false)
+	alone.founders = founders
+	if _, err := alone.open(context.Background(), true); !errors.Is(err, context.DeadlineExceeded) {
+		t.Errorf("a replica that is no seed did not wait for the group: %v", err)
+	}
+}
+
+// The founders write the same first membership, each under its own identity.
+func TestFoundersFoundOneGroup(t *testing.T) {
+	addresses := []string{"10.0.0.3:7401", "10.0.0.1:7401", "10.0.0.4:7401"}
+	var first *openedFolder
+	for _, address := range addresses {
+		f := newTestFolder(t, false)
+		f.self.Address, f.founders = address, founderMembers(addresses)
+		opened := f.mustOpen(t, true)
+		if first == nil {
+			first = opened
+		} else if opened.id.Group != first.id.Group || opened.id.Replica == first.id.Replica {
+			t.Errorf("%s founded group %d as %d, another %d as %d", address, opened.id.Group, opened.id.Replica, first.id.Group, first.id.Replica)
+		}
+		if got := len(opened.restored.Snapshot.Members); got != len(addresses) {
+			t.Errorf("%s founded a group of %d members", address, got)
+		}
+	}
+}
--- a/daemon/replica.go
+++ b/daemon/replica.go
@@ -118,12 +118,26 @@
 	}
 }
 
+// tryJoin asks a replica, and the leader that it names, to take a replica in. It returns zero
+// if neither does.
 func (d *Daemon) tryJoin(ctx context.Context, address string, group uint64, member *peerv1.Member) uint64 {
+	resp := d.askToJoin(ctx, address, group, member)
+	if leader := resp.GetLeaderAddress(); leader != "" && leader != address && leader != d.settings.PeerAddress {
+		resp = d.askToJoin(ctx, leader, group, member)
+	}
+	if resp.GetStatus() != peerv1.ForwardStatus_FORWARD_STATUS_OK {
+		return 0
+	}
+	return resp.GetGroup()
+}
+
+func (d *Daemon) askToJoin(ctx context.Context, address string, group uint64, member *peerv1.Member) *peerv1.JoinResponse {
 	ctx, cancel := context.WithTimeout(ctx, joinTimeout)
 	defer cancel()
 	resp, err := d.pool.Get(address).Join(ctx, connect.NewRequest(&peerv1.JoinRequest{Group: group, Member: member}))
-	if err != nil || resp.Msg.GetStatus() != peerv1.ForwardStatus_FORWARD_STATUS_OK {
-		return 0
+	if err != nil {
+		d.log.Info().Err(err).Str("address", address).Msg("replica did not answer a request to join its group")
+		return nil
 	}
-	return resp.Msg.GetGroup()
+	return resp.Msg
 }
