Keep room for urgent work, order by time to spare, avoid bad workers

Declared run times are off; workers fail or stall what they start.

Learns run times per queue and speeds per worker; orders by slack against the objective; work with slack leaves an eighth of the cores to urgent queues; workers that fail most of what they start, and runs that use no core, are avoided. Tests: pipeline checks, dispatch against fake workers in virtual time.

--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -75,6 +75,9 @@
 type RunningTask struct {
 	Run        pipeline.RunKey
 	Checkpoint string
+	// Usage is what a task that does not serve has in use lately, in thousandths of a core.
+	Usage      int64
+	UsageKnown bool
 }
 
 // EndedTask is an end that a worker lists until it is acknowledged.
@@ -153,8 +156,11 @@
 	// avoidTime is how long no new work goes to a worker that refused some; health changes in
 	// about a second.
 	avoidTime = time.Second
-	// heartbeatLife is how long a worker counts as alive after a heartbeat; four intervals.
-	heartbeatLife = 6 * time.Second
+	// stallAfter is how long a run may use no core before it counts as standing still; workers
+	// report the last half second.
+	stallAfter = time.Second
+	// stallPause is how long a worker with such a run gets nothing new.
+	stallPause = 3 * time.Second
 	// forgetAfter is how long a silent worker without runs is remembered.
 	forgetAfter = 30 * time.Second
 	// maxEndsListed is the number of ends at which a worker's list may be cut short.
--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -22,7 +22,7 @@
 // askFor asks for permits where a step has none left that would help.
 func (r *round) askFor(d demand) {
 	terms := d.queue.GetPermits()
-	if terms == nil || d.work.question != nil || !r.withinLimit(d.work.step) {
+	if terms == nil || d.work.question != nil || !r.withinLimit(d.work.step) || r.leavesHeadroom(d) {
 		return
 	}
 	q := &question{work: d.work, priority: d.queue.GetPriority(), born: make(map[string]int64)}
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -9,8 +9,21 @@
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
 
-// maxRunsPerRound bounds one Place command.
-const maxRunsPerRound = 512
+const (
+	// maxRunsPerRound bounds one Place command.
+	maxRunsPerRound = 512
+	// overShareFactor is how far above the mean use by weight a team counts as over its share.
+	overShareFactor = 2.0
+	// headroom is the share of a service's cores that work with time to spare leaves free for
+	// urgent queues. A burst of small jobs takes about an eighth of the cell at once.
+	headroom = 0.12
+	// spareSlack is the slack, in terms of the remaining time, above which work can wait.
+	spareSlack = 0.25
+	// retryElsewhere is how long a step avoids a worker after a task failed or stalled there.
+	retryElsewhere = 3 * time.Second
+	// slowPenalty is how much room left a worker's slowness outweighs when one is chosen.
+	slowPenalty = 0.5
+)
 
 // stepWork is a step that has tasks without a result and whose turn has come.
 type stepWork struct {
@@ -21,12 +34,16 @@
 	permits  map[string]permit
 	denied   map[string]bool
 	question *question
+	// avoided holds until when a worker gets no task of the step, after one failed or stalled there.
+	avoided map[string]time.Duration
 }
 
 func newStepWork(st *pipeline.Step, now time.Duration) *stepWork {
-	return &stepWork{step: st, readyAt: now, permits: make(map[string]permit), denied: make(map[string]bool)}
+	return &stepWork{step: st, readyAt: now, permits: make(map[string]permit), denied: make(map[string]bool), avoided: make(map[string]time.Duration)}
 }
 
+func (w *stepWork) avoid(worker string, until time.Duration) { w.avoided[worker] = until }
+
 // key names the step; the index of a task is zero in it.
 func (w *stepWork) key() pipeline.TaskKey {
 	return pipeline.TaskKey{Job: w.step.Job().Spec.GetId(), Occurrence: w.step.Occurrence.Index, Step: w.step.Index}
@@ -55,22 +72,26 @@
 	used  map[string]pipeline.Resources
 	// onWorker counts the tasks of the step that is being placed by worker.
 	onWorker map[string]int
-	runs     []*pipelinev1.Run
-	left     []demand
+	// free and total are the cores of each service's usable workers.
+	freeCores, totalCores map[string]int64
+	runs                  []*pipelinev1.Run
+	left                  []demand
 }
 
 // demand is a step with the tasks that have no place yet.
 type demand struct {
-	work  *stepWork
-	tasks []*pipeline.Task
-	queue *pipelinev1.Queue
-	// share is the team's use over its weight.
-	share float64
+	work    *stepWork
+	tasks   []*pipeline.Task
+	queue   *pipelinev1.Queue
+	urgency urgency
+	// overShare is set while the team uses far more than its share.
+	overShare bool
 }
 
 // decide places what can be placed and asks for the permits that are missing.
 func (e *Engine) decide(now time.Duration) {
 	r := &round{e: e, now: now, wall: time.Now().UnixNano(), taken: make(map[string]pipeline.Resources), used: make(map[string]pipeline.Resources)}
+	r.countCores()
 	for _, d := range r.demands() {
 		if len(r.runs) >= maxRunsPerRound {
 			break
@@ -83,8 +104,9 @@
 	r.propose()
 }
 
-// demands returns the steps with waiting tasks: by the queue's priority, then the team
-// furthest below its share, then the oldest job.
+// demands returns the steps with waiting tasks: by the queue's priority; teams that use far
+// more than their share come later; then jobs that can still meet their objective, those
+// with the least time to spare first.
 func (r *round) demands() []demand {
 	var out []demand
 	for _, w := range r.e.steps {
@@ -93,16 +115,46 @@
 		}
 		if tasks := w.waiting(); len(tasks) > 0 {
 			q := r.e.state.Terms(w.step.Job())
-			out = append(out, demand{w, tasks, q, r.share(w.step.Job().Team)})
+			out = append(out, demand{work: w, tasks: tasks, queue: q, urgency: r.e.urgencyOf(w.step, q, r.wall)})
 		}
 	}
+	r.markOverShare(out)
 	slices.SortFunc(out, func(a, b demand) int {
-		return cmp.Or(cmp.Compare(a.queue.GetPriority(), b.queue.GetPriority()), cmp.Compare(a.share, b.share),
+		return cmp.Or(cmp.Compare(a.queue.GetPriority(), b.queue.GetPriority()), compareBools(a.overShare, b.overShare),
+			cmp.Compare(a.urgency.hope, b.urgency.hope), cmp.Compare(a.urgency.slack, b.urgency.slack),
 			cmp.Compare(a.work.step.Job().SubmittedNS, b.work.step.Job().SubmittedNS), compareKeys(a.work.key(), b.work.key()))
 	})
 	return out
 }
 
+func compareBools(a, b bool) int {
+	switch {
+	case a == b:
+		return 0
+	case b:
+		return -1
+	}
+	return 1
+}
+
+// markOverShare marks the demands of teams that use over overShareFactor times the mean of
+// all teams that want work, by weight.
+func (r *round) markOverShare(demands []demand) {
+	shares := make(map[string]float64)
+	sum := 0.0
+	for _, d := range demands {
+		team := d.work.step.Job().Team
+		if _, known := shares[team]; !known {
+			shares[team] = r.share(team)
+			sum += shares[team]
+		}
+	}
+	bound := overShareFactor * sum / float64(max(1, len(shares)))
+	for i := range demands {
+		demands[i].overShare = shares[demands[i].work.step.Job().Team] > bound
+	}
+}
+
 func compareKeys(a, b pipeline.TaskKey) int {
 	return cmp.Or(cmp.Compare(a.Job, b.Job), cmp.Compare(a.Occurrence, b.Occurrence), cmp.Compare(a.Step, b.Step))
 }
@@ -124,7 +176,7 @@
 	var placed []*pipelinev1.Run
 	for _, t := range d.tasks {
 		s := r.best(st, candidates)
-		if s == nil || !r.withinLimit(st) {
+		if s == nil || !r.withinLimit(st) || r.leavesHeadroom(d) {
 			break
 		}
 		placed = append(placed, r.take(t, s))
@@ -173,7 +225,7 @@
 
 // fits reports whether one more task of the step may run on the worker.
 func (r *round) fits(st *pipeline.Step, s *session) bool {
-	if !s.usable(r.now) || !st.Need.Fits(r.free(s)) || r.e.state.CheckWorker(st, s.w) != "" {
+	if !s.usable(r.now) || r.now < r.e.steps[st].avoided[s.w.GetId()] || !st.Need.Fits(r.free(s)) || r.e.state.CheckWorker(st, s.w) != "" {
 		return false
 	}
 	bound := int(st.Spec.GetMaxPerWorker())
@@ -190,7 +242,7 @@
 			continue
 		}
 		far := !s.w.HasLabel(st.Spec.GetDataRack())
-		left := roomLeft(r.free(s).Minus(st.Need), s.w.Capacity)
+		left := roomLeft(r.free(s).Minus(st.Need), s.w.Capacity) + slowPenalty*r.e.learner.slowness(s.w.GetId())
 		if best == nil || bestFar && !far || far == bestFar && left < bestLeft {
 			best, bestFar, bestLeft = s, far, left
 		}
@@ -223,6 +275,7 @@
 	r.taken[id] = r.taken[id].Plus(st.Need)
 	r.used[st.Job().Team] = r.used[st.Job().Team].Plus(st.Need)
 	r.onWorker[id]++
+	r.freeCores[s.w.GetService()] -= st.Need.MilliCores
 	number := t.LastRun + 1
 	if st.Spec.GetGang() {
 		number = st.LastRun + 1
@@ -234,7 +287,30 @@
 	for _, p := range placed {
 		r.taken[p.GetWorker()] = r.taken[p.GetWorker()].Minus(st.Need)
 		r.used[st.Job().Team] = r.used[st.Job().Team].Minus(st.Need)
+		r.freeCores[r.e.state.Terms(st.Job()).GetService()] += st.Need.MilliCores
+	}
+}
+
+func (r *round) countCores() {
+	r.freeCores, r.totalCores = make(map[string]int64), make(map[string]int64)
+	for _, s := range r.e.sessions {
+		if s.usable(r.now) && !r.e.state.DomainOut(s.w.GetFailureDomain()) {
+			r.freeCores[s.w.GetService()] += s.w.Free().MilliCores
+			r.totalCores[s.w.GetService()] += s.w.Capacity.MilliCores
+		}
+	}
+}
+
+// leavesHeadroom reports whether a demand can wait and should, so that urgent work finds room.
+func (r *round) leavesHeadroom(d demand) bool {
+	if d.queue.GetPriority() == 0 || d.work.step.Spec.GetLasting() {
+		return false
+	}
+	if d.urgency.hope == inTime && float64(d.urgency.slack) < spareSlack*float64(d.urgency.remaining) {
+		return false
 	}
+	service := d.queue.GetService()
+	return float64(r.freeCores[service]-d.work.step.Need.MilliCores) < headroom*float64(r.totalCores[service])
 }
 
 // propose puts the round's runs into the log.
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -32,6 +32,7 @@
 	sessions map[string]*session
 	steps    map[*pipeline.Step]*stepWork
 	permits  planner
+	learner  learner
 	// saved are checkpoints that workers showed and that no end has brought yet.
 	saved map[*pipeline.Task]string
 	// tickets are those of placed runs that aren't ordered yet.
@@ -54,6 +55,7 @@
 	e.steps = make(map[*pipeline.Step]*stepWork)
 	e.saved = make(map[*pipeline.Task]string)
 	e.tickets = make(map[pipeline.RunKey]string)
+	e.learner = newLearner()
 }
 
 func (e *Engine) now() time.Duration { return e.host.Clock().Now() }
@@ -265,8 +267,14 @@
 	e.dirty = true
 	runsEnded.Add(endNames[kind], 1)
 	if s := e.sessions[r.Worker.GetId()]; s != nil {
+		if at, answered := s.answeredAt[r.Key()]; answered && kind == pipelinev1.EndKind_END_KIND_DONE {
+			e.learner.ran(r, e.now()-at)
+		}
 		s.forgetRun(r.Key())
 	}
+	if kind == pipelinev1.EndKind_END_KIND_DONE || kind == pipelinev1.EndKind_END_KIND_FAILED {
+		e.noteEnd(r, kind == pipelinev1.EndKind_END_KIND_FAILED)
+	}
 	if !r.Task.Done {
 		e.log.Info().Str("request", r.Task.Step.Job().Spec.GetId()).Int32("step", r.Task.Step.Index).Int32("task", r.Task.Index).
 			Int32("run", r.Number).Str("worker", r.Worker.GetId()).Str("end", endNames[kind]).Msg("run ended without result")
@@ -289,3 +297,18 @@
 		}
 	}
 }
+
+// noteEnd tells workers that fail what they start apart from jobs that fail everywhere: a
+// failed task tries another worker, and a worker with many failures is avoided.
+func (e *Engine) noteEnd(r *pipeline.Run, failed bool) {
+	worker := r.Worker.GetId()
+	if failed && !r.Task.Step.Spec.GetLasting() {
+		if w := e.steps[r.Task.Step]; w != nil {
+			w.avoid(worker, e.now()+retryElsewhere)
+		}
+	}
+	if e.learner.ended(worker, failed, e.now()) {
+		workersAvoided.Add(1)
+		e.log.Warn().Str("worker", worker).Dur("for", failPause).Msg("worker fails most of what it starts; it gets nothing new for a while")
+	}
+}
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -18,6 +18,8 @@
 	ordersLost     = expvar.NewInt("pipeline_orders_unanswered")
 	looksSent      = expvar.NewInt("pipeline_looks_sent")
 	workersSilent  = expvar.NewInt("pipeline_workers_turned_silent")
+	workersAvoided = expvar.NewInt("pipeline_workers_avoided")
+	runsStalled    = expvar.NewInt("pipeline_runs_stalled")
 	workersLapsed  = expvar.NewInt("pipeline_workers_lapsed")
 	questionsAsked = expvar.NewInt("pipeline_permit_questions")
 	questionsLost  = expvar.NewInt("pipeline_permit_questions_unanswered")
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -43,6 +43,8 @@
 	sent map[pipeline.RunKey]bool
 	// stopping holds runs with a stop on its way or answered.
 	stopping map[pipeline.RunKey]bool
+	// idleSince holds since when the worker has shown a run without any use of its cores.
+	idleSince map[pipeline.RunKey]time.Duration
 	// endsProposed is the highest number of an end in the log's queue; ackedEnds the highest
 	// that the worker was told.
 	endsProposed, ackedEnds int64
@@ -88,7 +90,8 @@
 // openSession begins the dealings with a worker; nothing is ordered before a look.
 func (e *Engine) openSession(w *pipeline.Worker) *session {
 	s := &session{e: e, w: w, phase: phaseOpening, ackedEnds: w.LastEnd, endsProposed: w.LastEnd, lastBeat: e.now(),
-		answeredAt: make(map[pipeline.RunKey]time.Duration), sent: make(map[pipeline.RunKey]bool), stopping: make(map[pipeline.RunKey]bool)}
+		answeredAt: make(map[pipeline.RunKey]time.Duration), sent: make(map[pipeline.RunKey]bool), stopping: make(map[pipeline.RunKey]bool),
+		idleSince: make(map[pipeline.RunKey]time.Duration)}
 	e.sessions[w.GetId()] = s
 	s.logger(zerolog.InfoLevel).Str("service", w.GetService()).Str("failure_domain", w.GetFailureDomain()).
 		Int("runs", len(w.Runs)).Msg("worker session opened")
@@ -106,7 +109,7 @@
 
 // usable reports whether new work may be placed on the worker.
 func (s *session) usable(now time.Duration) bool {
-	return s.phase == phaseOpen && s.reborn == nil && !s.w.GetDraining() && now >= s.avoidUntil
+	return s.phase == phaseOpen && s.reborn == nil && !s.w.GetDraining() && now >= s.avoidUntil && !s.e.learner.failing(s.w.GetId(), now)
 }
 
 func (s *session) setPhase(p phase, why string) {
@@ -342,6 +345,7 @@
 		if r.Checkpoint != "" {
 			s.e.saved[run.Task] = r.Checkpoint
 		}
+		s.checkProgress(run, r, now)
 		if run.Task.Step.Job().Ended() {
 			s.enqueueStop(run, "the job has ended")
 		}
@@ -404,6 +408,7 @@
 	delete(s.answeredAt, key)
 	delete(s.sent, key)
 	delete(s.stopping, key)
+	delete(s.idleSince, key)
 	s.orders = slices.DeleteFunc(s.orders, func(o order) bool { return o.key == key })
 }
 
@@ -440,3 +445,30 @@
 	}
 	return s.clock.at(now) > s.deadlineMS+grace.Milliseconds()
 }
+
+// checkProgress stops a run that uses no core at all while its task should be at work, so
+// that it can go on elsewhere.
+func (s *session) checkProgress(run *pipeline.Run, shown RunningTask, now time.Duration) {
+	at, answered := s.answeredAt[shown.Run]
+	st := run.Task.Step
+	if st.Spec.GetLasting() || st.Spec.GetGang() || !shown.UsageKnown || shown.Usage > 0 || !answered || now-at < stallAfter {
+		delete(s.idleSince, shown.Run)
+		return
+	}
+	since, idle := s.idleSince[shown.Run]
+	if !idle {
+		s.idleSince[shown.Run] = now
+		return
+	}
+	if now-since < stallAfter || s.stopping[shown.Run] {
+		return
+	}
+	runsStalled.Add(1)
+	s.logger(zerolog.WarnLevel).Str("request", shown.Run.Job).Int32("step", shown.Run.Step).Int32("task", shown.Run.Index).Int32("run", shown.Run.Number).
+		Dur("idle", now-since).Msg("run stands still; it is stopped and goes on elsewhere")
+	s.avoidUntil = now + stallPause
+	if w := s.e.steps[st]; w != nil {
+		w.avoid(s.w.GetId(), now+retryElsewhere)
+	}
+	s.enqueueStop(run, "the run stands still")
+}
--- /dev/null
+++ b/dispatch/session_test.go
@@ -0,0 +1,209 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+)
+
+func TestJobRunsStepAfterStep(t *testing.T) {
+	w := newWorld(t, "w1", "w2")
+	second := oneStep(2, 1000)
+	second.DependsOn = []int32{0}
+	w.submit(jobID(1), oneStep(3, 1000), second)
+	w.run(5 * time.Second)
+	if got := w.jobState(jobID(1)); got != pipeline.Completed {
+		t.Fatalf("state %s", got)
+	}
+	w.check()
+	for id, f := range w.workers {
+		if f.acked != f.lastNumber {
+			t.Errorf("%s listed %d ends, %d were acknowledged", id, f.lastNumber, f.acked)
+		}
+	}
+}
+
+// Nothing is ordered before its commit.
+func TestNoOrderBeforeTheCommit(t *testing.T) {
+	w := newWorld(t, "w1")
+	w.submit(jobID(1), oneStep(1, 1000))
+	w.run(5 * time.Second)
+	before := w.workers["w1"].starts
+	w.submit(jobID(2), oneStep(1, 1000))
+	w.run(100 * time.Millisecond)
+	if w.workers["w1"].starts != before+1 {
+		t.Fatal("the second job did not start")
+	}
+	w.run(3 * time.Second)
+	w.holdCommits = true
+	w.engine.Handle(t.Context(), &pipelinev1.Call{}, func(*pipelinev1.Reply, error) {})
+	w.state.Apply(w.wall(), submitCommand(jobID(3)))
+	w.run(time.Second)
+	if w.workers["w1"].starts != before+1 {
+		t.Error("a run was ordered before its commit")
+	}
+	w.commit()
+	w.run(100 * time.Millisecond)
+	if w.workers["w1"].starts != before+2 {
+		t.Error("the run was not ordered after its commit")
+	}
+}
+
+func submitCommand(id string) *pipelinev1.Command {
+	key := testConfig().Teams[0].KeySha256[0]
+	return &pipelinev1.Command{Command: &pipelinev1.Command_Submit{Submit: &pipelinev1.Submit{KeySha256: key, Digest: []byte(id),
+		Spec: &pipelinev1.JobSpec{Id: id, Queue: testQueue, Steps: []*pipelinev1.Step{oneStep(1, 1000)}}}}}
+}
+
+// An end is acknowledged to the worker only once it is committed.
+func TestEndIsAcknowledgedAfterItsCommit(t *testing.T) {
+	w := newWorld(t, "w1")
+	w.submit(jobID(1), oneStep(1, 1000))
+	w.run(200 * time.Millisecond)
+	w.holdCommits = true
+	w.run(3 * time.Second)
+	f := w.workers["w1"]
+	if f.lastNumber != 1 || f.acked != 0 {
+		t.Fatalf("%d ends listed, %d acknowledged before the commit", f.lastNumber, f.acked)
+	}
+	w.commit()
+	w.run(time.Second)
+	if f.acked != 1 {
+		t.Errorf("%d acknowledged after the commit", f.acked)
+	}
+}
+
+// Faults on the way of an order: the task still runs once at a time, and gets done.
+func TestUnansweredOrders(t *testing.T) {
+	tests := map[string]func(w *world, f *fakeWorker){
+		"carried out without an answer": func(_ *world, f *fakeWorker) { f.mute = true },
+		"carried out late":              func(_ *world, f *fakeWorker) { f.late = 3 * time.Second },
+		"never arrived":                 func(_ *world, f *fakeWorker) { f.cut = true },
+	}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			w := newWorld(t, "w1", "w2")
+			f := w.workers["w1"]
+			fault(w, f)
+			w.submit(jobID(1), oneStep(6, 1000))
+			w.run(2 * time.Second)
+			f.mute, f.late, f.cut = false, 0, false
+			w.run(20 * time.Second)
+			if got := w.jobState(jobID(1)); got != pipeline.Completed {
+				t.Errorf("state %s", got)
+			}
+			w.check()
+		})
+	}
+}
+
+// A worker that is cut off keeps its runs until its lease is over; only then do they run elsewhere.
+func TestCutOffWorkerRunsOn(t *testing.T) {
+	w := newWorld(t, "w1", "w2")
+	for _, f := range w.workers {
+		f.runTime = 4 * time.Second
+	}
+	w.submit(jobID(1), oneStep(4, 4000))
+	w.run(500 * time.Millisecond)
+	w.workers["w1"].cut = true
+	w.run(30 * time.Second)
+	if got := w.jobState(jobID(1)); got != pipeline.Completed {
+		t.Errorf("state %s", got)
+	}
+	w.check()
+}
+
+// A new leader finds out what each worker has before it orders anything.
+func TestNewLeaderAdoptsRuns(t *testing.T) {
+	w := newWorld(t, "w1", "w2")
+	w.submit(jobID(1), oneStep(5, 1000))
+	w.run(300 * time.Millisecond)
+	before := w.workers["w1"].starts + w.workers["w2"].starts
+	w.lead()
+	w.run(10 * time.Second)
+	if got := w.jobState(jobID(1)); got != pipeline.Completed {
+		t.Errorf("state %s", got)
+	}
+	if after := w.workers["w1"].starts + w.workers["w2"].starts; after != before {
+		t.Errorf("%d starts, then %d", before, after)
+	}
+	w.check()
+}
+
+// Runs that an older leader committed and never ordered wait again.
+func TestNewLeaderWithdrawsUnsentRuns(t *testing.T) {
+	w := newWorld(t, "w1", "w2")
+	w.workers["w1"].cut, w.workers["w2"].cut = true, true
+	w.submit(jobID(1), oneStep(4, 1000))
+	w.run(100 * time.Millisecond)
+	w.workers["w1"].cut, w.workers["w2"].cut = false, false
+	w.lead()
+	w.run(10 * time.Second)
+	if got := w.jobState(jobID(1)); got != pipeline.Completed {
+		t.Errorf("state %s", got)
+	}
+	w.check()
+}
+
+// A worker that starts again under its old identity has lost its runs.
+func TestRebornWorker(t *testing.T) {
+	w := newWorld(t, "w1")
+	w.submit(jobID(1), oneStep(3, 1000))
+	w.run(300 * time.Millisecond)
+	w.workers["w1"].crash()
+	w.beat("w1")
+	w.run(10 * time.Second)
+	if got := w.jobState(jobID(1)); got != pipeline.Completed {
+		t.Errorf("state %s", got)
+	}
+	w.check()
+}
+
+// Without a fresh confirmation by the quorum nothing is ordered and no lease is extended.
+func TestUnconfirmedLeaderIsQuiet(t *testing.T) {
+	w := newWorld(t, "w1")
+	w.submit(jobID(1), oneStep(1, 1000))
+	w.run(5 * time.Second)
+	w.confirms = false
+	w.run(2 * time.Second)
+	f := w.workers["w1"]
+	before, deadline := f.starts, f.deadlineMS
+	w.state.Apply(w.wall(), submitCommand(jobID(2)))
+	w.run(3 * time.Second)
+	if f.starts != before || f.deadlineMS != deadline {
+		t.Errorf("%d starts and the deadline %d without confirmation, before %d and %d", f.starts, f.deadlineMS, before, deadline)
+	}
+}
+
+func TestCancelStopsRuns(t *testing.T) {
+	w := newWorld(t, "w1")
+	w.workers["w1"].runTime = time.Minute
+	w.submit(jobID(1), oneStep(3, 60000))
+	w.run(300 * time.Millisecond)
+	w.cancel(jobID(1))
+	w.run(500 * time.Millisecond)
+	if n := len(w.workers["w1"].running); n != 0 {
+		t.Errorf("%d runs half a second after the cancel", n)
+	}
+}
+
+// A draining worker or one in a domain that is out gets nothing new.
+func TestNoNewWorkOnDrainingWorkers(t *testing.T) {
+	w := newWorld(t, "w1", "w2")
+	w.workers["w1"].draining = true
+	w.beat("w1")
+	w.submit(jobID(1), oneStep(3, 1000))
+	w.run(500 * time.Millisecond)
+	if n := w.workers["w1"].starts; n != 0 {
+		t.Errorf("%d starts on a draining worker", n)
+	}
+	w.call(&pipelinev1.Call{Call: &pipelinev1.Call_SetDomain{SetDomain: &pipelinev1.SetDomain{Name: "prado", Out: true}}})
+	before := w.workers["w2"].starts
+	w.submit(jobID(2), oneStep(1, 1000))
+	w.run(5 * time.Second)
+	if n := w.workers["w2"].starts; n != before {
+		t.Errorf("%d starts in a failure domain that is out", n-before)
+	}
+}
--- /dev/null
+++ b/dispatch/world_test.go
@@ -0,0 +1,252 @@
+package dispatch
+
+import (
+	"context"
+	"crypto/sha256"
+	"fmt"
+	"testing"
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/lease"
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+	"github.com/pkg/errors"
+	"github.com/rs/zerolog"
+)
+
+const (
+	tickStep  = 50 * time.Millisecond
+	testHold  = 6 * time.Second
+	testStop  = 200 * time.Millisecond
+	testKey   = "a key"
+	testQueue = "labels"
+)
+
+var errUnanswered = errors.New("no answer")
+
+// world runs the real engine and state in virtual time, with one or more fake workers.
+type world struct {
+	t       *testing.T
+	now     time.Duration
+	state   *pipeline.State
+	engine  *Engine
+	workers map[string]*fakeWorker
+	// posted are functions for the control goroutine; delayed ones wait for their time.
+	posted  []func()
+	delayed []delayed
+	// uncommitted holds proposals while commits are held back.
+	uncommitted []func()
+	holdCommits bool
+	confirms    bool
+	term        uint64
+}
+
+type delayed struct {
+	at time.Duration
+	f  func()
+}
+
+// Now implements lease.Clock.
+func (w *world) Now() time.Duration { return w.now }
+
+// Clock implements Host.
+func (w *world) Clock() lease.Clock { return w }
+
+// Voters implements Host.
+func (w *world) Voters() int { return 3 }
+
+// Pipelines implements Host.
+func (w *world) Pipelines() *pipeline.State { return w.state }
+
+// Confirmed implements Host.
+func (w *world) Confirmed(f func(ok bool)) { w.posted = append(w.posted, func() { f(w.confirms) }) }
+
+// Propose implements Host.
+func (w *world) Propose(c *pipelinev1.Command, done func(*pipeline.Result, error)) {
+	commit := func() {
+		r := w.state.Apply(w.wall(), c)
+		if done != nil {
+			done(r, nil)
+		}
+	}
+	if w.holdCommits {
+		w.uncommitted = append(w.uncommitted, commit)
+		return
+	}
+	w.posted = append(w.posted, commit)
+}
+
+// wall is the time of the log: the same origin as time.Now, moved by the virtual clock.
+func (w *world) wall() int64 { return 1_000_000_000 + int64(w.now) }
+
+// Async implements Host. The work runs at once; a fake worker may delay the answer.
+func (w *world) Async(work func() func()) {
+	w.posted = append(w.posted, func() {
+		done := work()
+		at := w.now
+		for _, f := range w.workers {
+			at = max(at, f.takeDelay())
+		}
+		if at > w.now {
+			w.delayed = append(w.delayed, delayed{at, done})
+			return
+		}
+		w.posted = append(w.posted, done)
+	})
+}
+
+func newWorld(t *testing.T, workers ...string) *world {
+	w := &world{t: t, state: pipeline.New(), workers: make(map[string]*fakeWorker), confirms: true}
+	w.state.Apply(w.wall(), &pipelinev1.Command{Command: &pipelinev1.Command_PutConfig{PutConfig: testConfig()}})
+	for _, id := range workers {
+		w.workers[id] = newFakeWorker(w, 10)
+	}
+	w.lead()
+	for _, id := range workers {
+		w.beat(id)
+	}
+	w.run(tickStep)
+	return w
+}
+
+func testConfig() *pipelinev1.Config {
+	sum := sha256.Sum256([]byte(testKey))
+	return &pipelinev1.Config{Version: 1, Document: []byte("text"), Services: []*pipelinev1.Service{{Name: "print"}},
+		Queues: []*pipelinev1.Queue{{Name: testQueue, Host: "h", PathPrefix: "/labels/", Service: "print", MaxAttempts: 3, TimeoutMs: 1000, Stretch: 2}},
+		Teams:  []*pipelinev1.Team{{Name: "montevideo", KeySha256: [][]byte{sum[:]}, Weight: 1}}}
+}
+
+// lead begins a new leadership with an engine that knows nothing but the state.
+func (w *world) lead() {
+	if w.engine != nil {
+		w.engine.Reset()
+	}
+	w.term++
+	w.posted, w.delayed = nil, nil
+	w.engine = New(Config{MaxHold: testHold, StopGrace: testStop, MinVoters: 3, Replicas: func() []string { return nil }}, zerolog.Nop(), w, fleet{w})
+	w.engine.Lead(w.term)
+	w.drain()
+}
+
+func (w *world) drain() {
+	for len(w.posted) > 0 {
+		f := w.posted[0]
+		w.posted = w.posted[1:]
+		f()
+		w.engine.Flush()
+	}
+	w.engine.Flush()
+	if len(w.posted) > 0 {
+		w.drain()
+	}
+}
+
+// run lets virtual time pass.
+func (w *world) run(d time.Duration) {
+	for end := w.now + d; w.now < end; {
+		w.now += tickStep
+		for _, f := range w.workers {
+			f.advance()
+		}
+		due := w.delayed
+		w.delayed = nil
+		for _, x := range due {
+			if x.at > w.now {
+				w.delayed = append(w.delayed, x)
+				continue
+			}
+			w.posted = append(w.posted, x.f)
+		}
+		w.engine.Tick(w.now)
+		w.drain()
+	}
+}
+
+// commit lets held proposals through.
+func (w *world) commit() {
+	w.holdCommits = false
+	w.posted = append(w.posted, w.uncommitted...)
+	w.uncommitted = nil
+	w.drain()
+}
+
+func (w *world) call(c *pipelinev1.Call) *pipelinev1.Reply {
+	var got *pipelinev1.Reply
+	w.engine.Handle(context.Background(), c, func(r *pipelinev1.Reply, err error) {
+		if err != nil {
+			w.t.Fatal(err)
+		}
+		got = r
+	})
+	w.drain()
+	return got
+}
+
+func (w *world) beat(id string) {
+	f := w.workers[id]
+	w.call(&pipelinev1.Call{Call: &pipelinev1.Call_Heartbeat{Heartbeat: &pipelinev1.HeartbeatCall{Worker: f.describe(id)}}})
+}
+
+func (w *world) submit(id string, steps ...*pipelinev1.Step) {
+	w.t.Helper()
+	sum := sha256.Sum256([]byte(testKey))
+	r := w.call(&pipelinev1.Call{Call: &pipelinev1.Call_Job{Job: &pipelinev1.JobCall{Verb: pipelinev1.JobVerb_JOB_VERB_SUBMIT, Host: "h",
+		Path: "/labels/" + id, KeySha256: sum[:], Spec: &pipelinev1.JobSpec{Steps: steps}}}})
+	if r.GetVerdict() != pipelinev1.Verdict_VERDICT_OK {
+		w.t.Fatalf("job refused: %v", r)
+	}
+}
+
+func (w *world) cancel(id string) {
+	sum := sha256.Sum256([]byte(testKey))
+	w.call(&pipelinev1.Call{Call: &pipelinev1.Call_Job{Job: &pipelinev1.JobCall{Verb: pipelinev1.JobVerb_JOB_VERB_CANCEL, Host: "h",
+		Path: "/labels/" + id, KeySha256: sum[:]}}})
+}
+
+func (w *world) jobState(id string) pipeline.JobState { return w.state.Job(id).State }
+
+func jobID(n int) string { return fmt.Sprintf("%016x", n) }
+
+func oneStep(count int32, ms int64) *pipelinev1.Step {
+	return &pipelinev1.Step{Count: count, Need: &pipelinev1.Resources{MilliCores: 1000, MemoryMib: 1}, EstimateMs: ms}
+}
+
+// check fails if any task ran twice at the same time or again after it was done.
+func (w *world) check() {
+	w.t.Helper()
+	for _, problem := range w.problems() {
+		w.t.Error(problem)
+	}
+}
+
+func (w *world) problems() (out []string) {
+	type span struct {
+		from, to time.Duration
+		kind     pipelinev1.EndKind
+		worker   string
+		excused  bool
+	}
+	byTask := make(map[pipeline.TaskKey][]span)
+	for id, f := range w.workers {
+		for key, h := range f.history {
+			to := h.to
+			if h.kind == 0 {
+				to = w.now
+			}
+			byTask[key.TaskKey] = append(byTask[key.TaskKey], span{h.from, to, h.kind, id, h.excused})
+		}
+	}
+	for task, spans := range byTask {
+		for i, a := range spans {
+			for k, b := range spans {
+				if i < k && a.from < b.to && b.from < a.to {
+					out = append(out, fmt.Sprintf("task %v ran on %s and %s at the same time: %v, %v", task, a.worker, b.worker, a, b))
+				}
+				if a.kind == pipelinev1.EndKind_END_KIND_DONE && !a.excused && b.from > a.to {
+					out = append(out, fmt.Sprintf("task %v ran again on %s after it was done on %s", task, b.worker, a.worker))
+				}
+			}
+		}
+	}
+	return out
+}
