Count the runs of a worker that left as lost at once, move lasting work when it drains

Tests: lasting tasks move from a leaving worker, runs of a worker that left are lost at once; both failed before.

--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -89,23 +89,37 @@
 		WorkerGone: &pipelinev1.WorkerGone{Id: w.GetId(), Born: w.GetBorn()}}}, nil)
 }
 
-// leave takes a worker's word that it ends now. What it was running ends with it; its last
-// ends are looked for by nobody any more.
+// leave takes a worker's word that it ends now. It counts as gone as soon as it does not
+// answer any more; until then it may still finish what it has.
 func (e *Engine) leave(c *pipelinev1.LeaveCall, done finish) {
-	w := e.state.Workers()[c.GetWorker()]
-	if w == nil {
+	s := e.sessions[c.GetWorker()]
+	if s == nil || c.GetBorn() != 0 && c.GetBorn() != s.w.GetBorn() {
 		done(verdict(pipelinev1.Verdict_VERDICT_OK, "the worker is not known"), nil)
 		return
 	}
-	if s := e.sessions[c.GetWorker()]; s != nil && !w.GetDraining() {
-		gone := drained(w)
-		s.logger(zerolog.InfoLevel).Msg("worker leaves without draining")
-		e.seen(gone, done, verdict(pipelinev1.Verdict_VERDICT_OK, ""))
+	s.logger(zerolog.InfoLevel).Bool("draining", s.w.GetDraining()).Int("runs", len(s.w.Runs)).Msg("worker leaves")
+	s.left = true
+	s.suspect(e.now(), "the worker said that it leaves")
+	s.pump(e.now())
+	if !s.w.GetDraining() {
+		e.seen(drained(s.w), done, verdict(pipelinev1.Verdict_VERDICT_OK, ""))
 		return
 	}
 	done(verdict(pipelinev1.Verdict_VERDICT_OK, ""), nil)
 }
 
+// moveWork takes the work that can go on elsewhere off a worker that drains: what lasts, and
+// what has a checkpoint. Short tasks are left to finish. A gang would break as a whole.
+func (s *session) moveWork() {
+	for _, key := range s.runKeys() {
+		r := s.w.Runs[key]
+		spec := r.Task.Step.Spec
+		if spec.GetLasting() || spec.GetCheckpointing() && !spec.GetGang() {
+			s.enqueueStop(r, "the worker drains")
+		}
+	}
+}
+
 func drained(w *pipeline.Worker) *pipelinev1.Worker {
 	return &pipelinev1.Worker{Id: w.GetId(), Born: w.GetBorn(), Service: w.GetService(), Address: w.GetAddress(),
 		FailureDomain: w.GetFailureDomain(), Rack: w.GetRack(), Labels: w.GetLabels(), Capacity: w.Worker.GetCapacity(),
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -57,6 +57,8 @@
 	// avoidUntil keeps new work away after the worker refused some.
 	avoidUntil time.Duration
 	lapsedAt   time.Duration
+	// left is set once the worker said that it ends.
+	left bool
 }
 
 // order is a start or a stop that has to be sent.
@@ -124,6 +126,9 @@
 
 // workerChanged follows a commit on what the worker says of itself.
 func (s *session) workerChanged(w *pipeline.Worker) {
+	if w.GetDraining() {
+		s.moveWork()
+	}
 	if s.reborn != nil && w.GetBorn() >= s.reborn.GetBorn() {
 		s.reborn = nil
 		s.endsProposed, s.ackedEnds = w.LastEnd, w.LastEnd
@@ -175,6 +180,12 @@
 }
 
 func (s *session) probeFailed(at time.Duration, err error) {
+	if s.left {
+		s.logger(zerolog.InfoLevel).Err(err).Int("runs", len(s.w.Runs)).Msg("worker that left does not answer any more; it is gone")
+		s.nextProbe = at + probeMax
+		s.e.gone(s.w)
+		return
+	}
 	if s.phase != phaseSilent {
 		s.silentAt = at
 		workersSilent.Add(1)
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -207,3 +207,43 @@
 		t.Errorf("%d starts in a failure domain that is out", n-before)
 	}
 }
+
+// A worker that leaves takes its lasting tasks down for a moment only: they move when it
+// drains, and what is left is lost as soon as it does not answer any more.
+func TestLastingTasksMoveFromALeavingWorker(t *testing.T) {
+	w := newWorld(t, "w1")
+	for _, f := range w.workers {
+		f.runTime = time.Hour
+	}
+	lasting := oneStep(2, 0)
+	lasting.Lasting = true
+	w.submit(jobID(1), lasting)
+	w.run(time.Second)
+	w.workers["w2"] = newFakeWorker(w, 10)
+	w.workers["w2"].runTime = time.Hour
+	w.beat("w2")
+	w.workers["w1"].draining = true
+	w.beat("w1")
+	w.run(time.Second)
+	if n := len(w.workers["w2"].running); n != 2 {
+		t.Errorf("%d of 2 lasting tasks have moved a second after the notice", n)
+	}
+	w.check()
+}
+
+func TestRunsOfAWorkerThatLeftAreLostAtOnce(t *testing.T) {
+	w := newWorld(t, "w1", "w2")
+	for _, f := range w.workers {
+		f.runTime = 3 * time.Second
+	}
+	w.submit(jobID(1), oneStep(4, 3000))
+	w.run(500 * time.Millisecond)
+	w.call(&pipelinev1.Call{Call: &pipelinev1.Call_Leave{Leave: &pipelinev1.LeaveCall{Worker: "w1"}}})
+	w.workers["w1"].crash()
+	w.workers["w1"].cut = true
+	w.run(2 * time.Second)
+	if n := len(w.workers["w2"].running); n != 4 {
+		t.Errorf("%d of 4 tasks run two seconds after the worker has left", n)
+	}
+	w.check()
+}
