Preempt checkpointed work for urgent queues, also within a team's limit; copies of stragglers

Adds preemption of runs that keep their work, copies of runs that take far longer than expected, questions for at least ten workers, and a log line that says why a step waits.

--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -15,6 +15,9 @@
 	// small steps see 0.7, the large ones 0.35.
 	allowedGuessCheap  = 0.7
 	allowedGuessCostly = 0.35
+	// minAsked is the least number of workers of one question: naming one more costs a sixtieth
+	// of the question, and asking again costs all of it.
+	minAsked = 10
 	// askSurplus is how much more room than needed a question asks for.
 	askSurplus = 1.3
 )
@@ -33,7 +36,7 @@
 	r.onWorker = make(map[string]int)
 	room, wanted := 0.0, askSurplus*float64(len(d.tasks))
 	for _, s := range r.askable(d) {
-		if room >= wanted || len(q.workers) >= maxAsked {
+		if room >= wanted && len(q.workers) >= minAsked || len(q.workers) >= maxAsked {
 			break
 		}
 		id := s.w.GetId()
@@ -43,7 +46,7 @@
 		if _, known := d.work.permits[id]; known {
 			share = 1
 		}
-		room += share * float64(r.capacity(d.work.step, s, len(d.tasks)))
+		room += share * float64(r.capacityFor(d, s))
 	}
 	if len(q.workers) == 0 {
 		return
@@ -65,6 +68,19 @@
 	return max(n, 0)
 }
 
+// capacityFor counts preemptible room for demands that may preempt.
+func (r *round) capacityFor(d demand, s *session) int {
+	n := r.capacity(d.work.step, s, len(d.tasks))
+	if n > 0 || !r.mayPreempt(d) {
+		return n
+	}
+	n = r.roomAfterPreemption(s, d.queue.GetPriority()).Count(d.work.step.Need, len(d.tasks))
+	if bound := int(d.work.step.Spec.GetMaxPerWorker()); bound > 0 {
+		n = min(n, bound-s.w.RunsOf(d.work.step))
+	}
+	return max(n, 0)
+}
+
 // askable returns the workers that are worth a question: those with room, known to be allowed
 // first, then those with most room in a random order of about equal ones.
 func (r *round) askable(d demand) []*session {
@@ -75,7 +91,7 @@
 	var list []ranked
 	for id, s := range r.e.sessions {
 		p, known := d.work.permits[id]
-		if d.work.denied[id] || known && p.born == s.w.GetBorn() && r.now < p.expires || !r.fits(d.work.step, s) {
+		if d.work.denied[id] || known && p.born == s.w.GetBorn() && r.now < p.expires || !r.couldTake(d, s) {
 			continue
 		}
 		rank := float64(r.capacity(d.work.step, s, len(d.tasks))) * (0.5 + rand.Float64())
@@ -99,3 +115,18 @@
 	}
 	return out
 }
+
+// couldTake reports whether a worker has room for the step, or would have after a preemption.
+func (r *round) couldTake(d demand, s *session) bool {
+	if r.fits(d.work.step, s) {
+		return true
+	}
+	if !r.mayPreempt(d) || !r.suits(d.work.step, s) {
+		return false
+	}
+	switch r.e.state.CheckWorker(d.work.step, s.w) {
+	case "", pipeline.PlaceNoRoom:
+		return r.capacityFor(d, s) > 0
+	}
+	return false
+}
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -21,6 +21,13 @@
 	spareSlack = 0.25
 	// retryElsewhere is how long a step avoids a worker after a task failed or stalled there.
 	retryElsewhere = 3 * time.Second
+	// stragglerFactor and stragglerSlack say when a run takes so long that a copy pays: workers
+	// differ by a half in speed, estimates by a half as well.
+	stragglerFactor = 2.0
+	stragglerSlack  = 200 * time.Millisecond
+	// teamHeadroom is the share of a team's limit that its own work with time to spare leaves
+	// free for its urgent queues; small jobs are a fifth of the work, in bursts two.
+	teamHeadroom = 0.25
 	// slowPenalty is how much room left a worker's slowness outweighs when one is chosen.
 	slowPenalty = 0.5
 )
@@ -36,6 +43,10 @@
 	question *question
 	// avoided holds until when a worker gets no task of the step, after one failed or stalled there.
 	avoided map[string]time.Duration
+	// preemptAgain is when the step may take room from other work again.
+	preemptAgain time.Duration
+	// explainAgain is when the log may say again why the step waits.
+	explainAgain time.Duration
 }
 
 func newStepWork(st *pipeline.Step, now time.Duration) *stepWork {
@@ -84,6 +95,8 @@
 	tasks   []*pipeline.Task
 	queue   *pipelinev1.Queue
 	urgency urgency
+	// copies is set when the tasks have a run each that takes long, and get another one.
+	copies bool
 	// overShare is set while the team uses far more than its share.
 	overShare bool
 }
@@ -99,7 +112,9 @@
 		r.placeStep(d)
 	}
 	for _, d := range r.left {
+		r.preempt(d)
 		r.askFor(d)
+		r.explain(d)
 	}
 	r.propose()
 }
@@ -113,20 +128,41 @@
 		if w.step.Occurrence.DueNS > r.wall {
 			continue
 		}
-		if tasks := w.waiting(); len(tasks) > 0 {
+		tasks, copies := w.waiting(), false
+		if len(tasks) == 0 && w.step.Spec.GetCopies() {
+			tasks, copies = r.stragglers(w), true
+		}
+		if len(tasks) > 0 {
 			q := r.e.state.Terms(w.step.Job())
-			out = append(out, demand{work: w, tasks: tasks, queue: q, urgency: r.e.urgencyOf(w.step, q, r.wall)})
+			out = append(out, demand{work: w, tasks: tasks, queue: q, copies: copies, urgency: r.e.urgencyOf(w.step, q, r.wall)})
 		}
 	}
 	r.markOverShare(out)
 	slices.SortFunc(out, func(a, b demand) int {
-		return cmp.Or(cmp.Compare(a.queue.GetPriority(), b.queue.GetPriority()), compareBools(a.overShare, b.overShare),
+		return cmp.Or(cmp.Compare(a.queue.GetPriority(), b.queue.GetPriority()), compareBools(a.copies, b.copies), compareBools(a.overShare, b.overShare),
 			cmp.Compare(a.urgency.hope, b.urgency.hope), cmp.Compare(a.urgency.slack, b.urgency.slack),
 			cmp.Compare(a.work.step.Job().SubmittedNS, b.work.step.Job().SubmittedNS), compareKeys(a.work.key(), b.work.key()))
 	})
 	return out
 }
 
+// stragglers returns the tasks whose only run takes much longer than expected, or is on a
+// worker that does not answer.
+func (r *round) stragglers(w *stepWork) []*pipeline.Task {
+	var out []*pipeline.Task
+	bound := time.Duration(stragglerFactor*float64(r.e.learner.expected(w.step))) + stragglerSlack
+	for _, t := range w.step.Tasks {
+		if t.Done || len(t.Live) != 1 {
+			continue
+		}
+		s := r.e.sessions[t.Live[0].Worker.GetId()]
+		if time.Duration(r.wall-t.Live[0].PlacedNS) > bound || s == nil || s.phase == phaseSilent {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
 func compareBools(a, b bool) int {
 	switch {
 	case a == b:
@@ -175,7 +211,7 @@
 	candidates := r.candidates(d)
 	var placed []*pipelinev1.Run
 	for _, t := range d.tasks {
-		s := r.best(st, candidates)
+		s := r.best(t, candidates)
 		if s == nil || !r.withinLimit(st) || r.leavesHeadroom(d) {
 			break
 		}
@@ -225,7 +261,12 @@
 
 // fits reports whether one more task of the step may run on the worker.
 func (r *round) fits(st *pipeline.Step, s *session) bool {
-	if !s.usable(r.now) || r.now < r.e.steps[st].avoided[s.w.GetId()] || !st.Need.Fits(r.free(s)) || r.e.state.CheckWorker(st, s.w) != "" {
+	return st.Need.Fits(r.free(s)) && r.suits(st, s) && r.e.state.CheckWorker(st, s.w) == ""
+}
+
+// suits reports whether a worker may take tasks of the step when it has room.
+func (r *round) suits(st *pipeline.Step, s *session) bool {
+	if !s.usable(r.now) || r.now < r.e.steps[st].avoided[s.w.GetId()] {
 		return false
 	}
 	bound := int(st.Spec.GetMaxPerWorker())
@@ -233,12 +274,13 @@
 }
 
 // best returns the candidate with the least room left after the task, data nearby first.
-func (r *round) best(st *pipeline.Step, candidates []*session) *session {
+func (r *round) best(t *pipeline.Task, candidates []*session) *session {
+	st := t.Step
 	var best *session
 	var bestFar bool
 	var bestLeft float64
 	for _, s := range candidates {
-		if !r.fits(st, s) {
+		if !r.fits(st, s) || t.RunsOn(s.w) {
 			continue
 		}
 		far := !s.w.HasLabel(st.Spec.GetDataRack())
@@ -309,6 +351,13 @@
 	if d.urgency.hope == inTime && float64(d.urgency.slack) < spareSlack*float64(d.urgency.remaining) {
 		return false
 	}
+	if limit := r.e.state.Config().Team(d.work.step.Job().Team).GetLimit().GetMilliCores(); limit > 0 {
+		team := d.work.step.Job().Team
+		used := r.e.state.Used(team).MilliCores + r.used[team].MilliCores + d.work.step.Need.MilliCores
+		if float64(used) > (1-teamHeadroom)*float64(limit) {
+			return true
+		}
+	}
 	service := d.queue.GetService()
 	return float64(r.freeCores[service]-d.work.step.Need.MilliCores) < headroom*float64(r.totalCores[service])
 }
--- /dev/null
+++ b/dispatch/explain.go
@@ -0,0 +1,51 @@
+package dispatch
+
+import "time"
+
+const (
+	// explainAfter is how long a step waits before the log says why, and explainEvery the time
+	// between two such lines for one step.
+	explainAfter = time.Second
+	explainEvery = 2 * time.Second
+)
+
+// waitReason is why a step's tasks have no place.
+type waitReason string
+
+// Reasons to wait, in the order in which they are looked at.
+const (
+	waitTeamLimit waitReason = "the team's limit is reached"
+	waitHeadroom  waitReason = "room is kept free for urgent queues"
+	waitPermits   waitReason = "permits are asked for"
+	waitRoom      waitReason = "no worker that may run the step has room"
+	waitGang      waitReason = "not all members of the gang have room at once"
+)
+
+// explain logs why a step waits.
+func (r *round) explain(d demand) {
+	w := d.work
+	if d.copies || r.now-w.readyAt < explainAfter || r.now < w.explainAgain {
+		return
+	}
+	w.explainAgain = r.now + explainEvery
+	team := w.step.Job().Team
+	r.e.log.Info().Str("request", w.step.Job().Spec.GetId()).Int32("step", w.step.Index).Str("team", team).Int("tasks", len(d.tasks)).
+		Str("why", string(r.waitReason(d))).Dur("waits", r.now-w.readyAt).Int("permitted", len(w.permits)).Int("denied", len(w.denied)).
+		Int64("team_used", r.e.state.Used(team).MilliCores).Int64("team_limit", r.e.state.Config().Team(team).GetLimit().GetMilliCores()).
+		Int64("free", r.freeCores[d.queue.GetService()]).Int64("total", r.totalCores[d.queue.GetService()]).
+		Dur("slack", d.urgency.slack).Bool("over_share", d.overShare).Msg("step waits")
+}
+
+func (r *round) waitReason(d demand) waitReason {
+	switch {
+	case !r.withinLimit(d.work.step):
+		return waitTeamLimit
+	case r.leavesHeadroom(d):
+		return waitHeadroom
+	case d.work.question != nil:
+		return waitPermits
+	case d.work.step.Spec.GetGang():
+		return waitGang
+	}
+	return waitRoom
+}
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -19,6 +19,7 @@
 	looksSent      = expvar.NewInt("pipeline_looks_sent")
 	workersSilent  = expvar.NewInt("pipeline_workers_turned_silent")
 	workersAvoided = expvar.NewInt("pipeline_workers_avoided")
+	runsPreempted  = expvar.NewInt("pipeline_runs_preempted")
 	runsStalled    = expvar.NewInt("pipeline_runs_stalled")
 	workersLapsed  = expvar.NewInt("pipeline_workers_lapsed")
 	questionsAsked = expvar.NewInt("pipeline_permit_questions")
--- /dev/null
+++ b/dispatch/preempt.go
@@ -0,0 +1,158 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+)
+
+const (
+	// preemptPause is the time between two preemptions for one step: a stop takes up to the
+	// stop grace, its end a look and a commit.
+	preemptPause = 400 * time.Millisecond
+	// preemptAfter is how long a step waits for room before it takes some.
+	preemptAfter = 100 * time.Millisecond
+)
+
+// preempt stops checkpointed work of less urgent queues on workers that may run the step, as
+// much as its waiting tasks need. The room is used once the ends are committed.
+func (r *round) preempt(d demand) {
+	w := d.work
+	if !r.mayPreempt(d) || r.now-w.readyAt < preemptAfter || r.now < w.preemptAgain {
+		return
+	}
+	if !r.withinLimit(w.step) {
+		r.preemptWithinTeam(d)
+		return
+	}
+	missing := len(d.tasks)
+	for _, s := range r.permitted(d) {
+		if missing <= 0 {
+			break
+		}
+		victims, freed := r.victims(d, s, missing)
+		for _, v := range victims {
+			s.stopVictim(v, w)
+		}
+		missing -= freed
+		if freed > 0 {
+			w.preemptAgain = r.now + preemptPause
+		}
+	}
+}
+
+// preemptWithinTeam stops less urgent work of the demand's own team, where the team's limit
+// is what binds.
+func (r *round) preemptWithinTeam(d demand) {
+	team := d.work.step.Job().Team
+	limit := pipeline.ResourcesFromProto(r.e.state.Config().Team(team).GetLimit())
+	wanted := r.e.state.Used(team).Plus(r.used[team]).Plus(d.work.step.Need.Times(int64(len(d.tasks))))
+	var list []*pipeline.Run
+	for _, s := range r.e.sessions {
+		for key, run := range s.w.Runs {
+			switch {
+			case run.Task.Step.Job().Team != team:
+			case s.stopping[key]:
+				wanted = wanted.Minus(run.Task.Step.Need)
+			case s.phase == phaseOpen && r.preemptible(run, d.queue.GetPriority()):
+				list = append(list, run)
+			}
+		}
+	}
+	slices.SortFunc(list, func(a, b *pipeline.Run) int {
+		return cmp.Or(cmp.Compare(b.PlacedNS, a.PlacedNS), compareKeys(a.Key().TaskKey, b.Key().TaskKey))
+	})
+	for _, run := range list {
+		if wanted.Within(limit) {
+			break
+		}
+		wanted = wanted.Minus(run.Task.Step.Need)
+		r.e.sessions[run.Worker.GetId()].stopVictim(run, d.work)
+		d.work.preemptAgain = r.now + preemptPause
+	}
+}
+
+func (s *session) stopVictim(v *pipeline.Run, w *stepWork) {
+	runsPreempted.Add(1)
+	key := v.Key()
+	s.e.log.Info().Str("request", key.Job).Int32("step", key.Step).Int32("task", key.Index).Int32("run", key.Number).
+		Str("worker", s.w.GetId()).Str("for_request", w.step.Job().Spec.GetId()).Msg("run is preempted; it resumes from its checkpoint")
+	s.enqueueStop(v, "a more urgent queue needs the room")
+}
+
+// mayPreempt reports whether a demand is worth the stop of other work.
+func (r *round) mayPreempt(d demand) bool {
+	return d.queue.GetPriority() == 0 && !d.copies && !d.overShare && d.urgency.hope != pastUse && !d.work.step.Spec.GetGang()
+}
+
+// permitted returns the workers with a valid ticket for the step, by identity.
+func (r *round) permitted(d demand) []*session {
+	var out []*session
+	for id, p := range d.work.permits {
+		s := r.e.sessions[id]
+		if s != nil && s.usable(r.now) && p.born == s.w.GetBorn() && r.now+preemptPause < p.expires && !r.e.state.DomainOut(s.w.GetFailureDomain()) {
+			out = append(out, s)
+		}
+	}
+	slices.SortFunc(out, func(a, b *session) int { return cmp.Compare(a.w.GetId(), b.w.GetId()) })
+	return out
+}
+
+// victims returns runs of a worker whose stop makes room for up to most more tasks, and for how
+// many. Runs that are being stopped already count as room that comes.
+func (r *round) victims(d demand, s *session, most int) (out []*pipeline.Run, freed int) {
+	room := r.free(s)
+	need := d.work.step.Need
+	var list []*pipeline.Run
+	for _, run := range s.w.Runs {
+		switch {
+		case s.stopping[run.Key()]:
+			room = room.Plus(run.Task.Step.Need)
+		case r.preemptible(run, d.queue.GetPriority()):
+			list = append(list, run)
+		}
+	}
+	slices.SortFunc(list, func(a, b *pipeline.Run) int {
+		return cmp.Or(cmp.Compare(b.PlacedNS, a.PlacedNS), cmp.Compare(a.Key().Index, b.Key().Index))
+	})
+	for _, run := range list {
+		if room.Count(need, most) >= most {
+			break
+		}
+		before := room.Count(need, most)
+		grown := room.Plus(run.Task.Step.Need)
+		if grown.Count(need, most) > before {
+			out = append(out, run)
+			room = grown
+		}
+	}
+	return out, room.Count(need, most)
+}
+
+// preemptible reports whether a run may be stopped for a more urgent queue: it keeps its work,
+// and its job has time to spare.
+func (r *round) preemptible(run *pipeline.Run, priority int32) bool {
+	spec := run.Task.Step.Spec
+	if !spec.GetCheckpointing() || spec.GetGang() || spec.GetLasting() {
+		return false
+	}
+	q := r.e.state.Terms(run.Task.Step.Job())
+	if q.GetPriority() <= priority {
+		return false
+	}
+	u := r.e.urgencyOf(run.Task.Step, q, r.wall)
+	return u.hope != inTime || float64(u.slack) > spareSlack*float64(u.remaining)
+}
+
+// roomAfterPreemption is the room that a worker would have without preemptible work.
+func (r *round) roomAfterPreemption(s *session, priority int32) pipeline.Resources {
+	room := r.free(s)
+	for _, run := range s.w.Runs {
+		if s.stopping[run.Key()] || r.preemptible(run, priority) {
+			room = room.Plus(run.Task.Step.Need)
+		}
+	}
+	return room
+}
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -247,3 +247,24 @@
 	}
 	w.check()
 }
+
+// A step that allows copies gets one for a run that takes far longer than expected; the
+// other run is stopped when one is done.
+func TestCopyOfAStraggler(t *testing.T) {
+	w := newWorld(t, "w1", "w2")
+	w.workers["w1"].runTime, w.workers["w2"].runTime = time.Hour, time.Second
+	step := oneStep(1, 1000)
+	step.Copies = true
+	w.workers["w2"].cut = true
+	w.beat("w2")
+	w.submit(jobID(1), step)
+	w.run(time.Second)
+	w.workers["w2"].cut = false
+	w.run(10 * time.Second)
+	if got := w.jobState(jobID(1)); got != pipeline.Completed {
+		t.Errorf("state %s", got)
+	}
+	if n := len(w.workers["w1"].running) + len(w.workers["w2"].running); n != 0 {
+		t.Errorf("%d runs are left", n)
+	}
+}
--- a/pipeline/job.go
+++ b/pipeline/job.go
@@ -118,6 +118,16 @@
 	return true
 }
 
+// RunsOn reports whether a run of the task may be on a worker.
+func (t *Task) RunsOn(w *Worker) bool {
+	for _, r := range t.Live {
+		if r.Worker == w {
+			return true
+		}
+	}
+	return false
+}
+
 // Key names the task.
 func (t *Task) Key() TaskKey {
 	return TaskKey{t.Step.Job().Spec.GetId(), t.Step.Occurrence.Index, t.Step.Index, t.Index}
