--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -140,10 +140,16 @@
 	confirmLife = 1200 * time.Millisecond
 	// confirmInterval is the time between confirmations, a third of confirmLife.
 	confirmInterval = 400 * time.Millisecond
-	// orderTimeout bounds one order or look without a wait. Workers answer in under 10 ms.
-	orderTimeout = time.Second
-	// watchWait is how long a look waits for an end; the platform allows two seconds.
-	watchWait = 1500 * time.Millisecond
+	// orderTimeout bounds one order or look without a wait. Workers answer in under 10 ms; work
+	// that is placed on a worker in the meantime is late if the worker is cut off.
+	orderTimeout = 400 * time.Millisecond
+	// watchWait is how long a look waits for an end; the platform allows two seconds. Together
+	// with orderTimeout it bounds how late a silent worker is noticed.
+	watchWait = 800 * time.Millisecond
+	// longestLease bounds the lease below what workers grant: it has to outlast a restart of
+	// all replicas (about three seconds), and the work of a worker that is cut off waits for
+	// its end.
+	longestLease = 4500 * time.Millisecond
 	// probeMin and probeMax bound the pauses between looks at a silent worker.
 	probeMin = 200 * time.Millisecond
 	probeMax = 2 * time.Second
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -210,8 +210,8 @@
 	r.onWorker = make(map[string]int)
 	candidates := r.candidates(d)
 	var placed []*pipelinev1.Run
-	for _, t := range d.tasks {
-		s := r.best(t, candidates)
+	for i, t := range d.tasks {
+		s := r.best(t, len(d.tasks)-i, candidates)
 		if s == nil || !r.withinLimit(st) || r.leavesHeadroom(d) {
 			break
 		}
@@ -273,20 +273,44 @@
 	return bound == 0 || s.w.RunsOf(st)+r.onWorker[s.w.GetId()] < bound
 }
 
-// best returns the candidate with the least room left after the task, data nearby first.
-func (r *round) best(t *pipeline.Task, candidates []*session) *session {
+// choice ranks a candidate for one task; smaller is better.
+type choice struct {
+	// far is set when the task's data is on another rack.
+	far bool
+	// holds is for how many of the step's waiting tasks the worker has room.
+	holds int
+	// left is the share of the worker that stays free, and a penalty for slow workers.
+	left float64
+}
+
+func (a choice) betterThan(b choice) bool {
+	switch {
+	case a.far != b.far:
+		return b.far
+	case a.holds != b.holds:
+		return a.holds > b.holds
+	}
+	return a.left < b.left
+}
+
+// best returns the candidate for a task: near its data first, then one with room for most of the
+// waiting tasks, then the one with the least room left. Few workers for a step mean few steps
+// that suffer when a worker is lost. What lasts is spread instead.
+func (r *round) best(t *pipeline.Task, waiting int, candidates []*session) *session {
 	st := t.Step
 	var best *session
-	var bestFar bool
-	var bestLeft float64
+	var rank choice
 	for _, s := range candidates {
 		if !r.fits(st, s) || t.RunsOn(s.w) {
 			continue
 		}
-		far := !s.w.HasLabel(st.Spec.GetDataRack())
-		left := roomLeft(r.free(s).Minus(st.Need), s.w.Capacity) + slowPenalty*r.e.learner.slowness(s.w.GetId())
-		if best == nil || bestFar && !far || far == bestFar && left < bestLeft {
-			best, bestFar, bestLeft = s, far, left
+		c := choice{far: !s.w.HasLabel(st.Spec.GetDataRack()), holds: r.capacity(st, s, waiting),
+			left: roomLeft(r.free(s).Minus(st.Need), s.w.Capacity) + slowPenalty*r.e.learner.slowness(s.w.GetId())}
+		if st.Spec.GetLasting() {
+			c.holds = -r.onWorker[s.w.GetId()]
+		}
+		if best == nil || c.betterThan(rank) {
+			best, rank = s, c
 		}
 	}
 	return best
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -44,6 +44,7 @@
 
 // New returns an engine.
 func New(cfg Config, log zerolog.Logger, host Host, workers Workers) *Engine {
+	cfg.MaxHold = min(cfg.MaxHold, longestLease)
 	e := &Engine{cfg: cfg, log: log, host: host, workers: workers, state: host.Pipelines()}
 	e.clear()
 	return e
