Carry out waves of upkeep; keep filling tasks away from serving ones

Cause: an operator's wave was answered with 404, and a task that fills could disturb one that serves under a target.

--- a/config/called.go
+++ b/config/called.go
@@ -32,6 +32,8 @@
 	Bootstrap bool
 	// PermitAddress is that of the permit service; empty where there is none.
 	PermitAddress string
+	// MachinesAddress is that of the machines' service; empty where there is none.
+	MachinesAddress string
 	// MaxHold is the longest lease that a worker grants, StopGrace the longest time that it
 	// needs for a stop, DrainTime the time from the signal to end until the process is killed.
 	MaxHold   time.Duration
@@ -91,6 +93,7 @@
 		Seeds:            r.addresses("cluster", "seeds"),
 		Bootstrap:        r.choice("cluster", "bootstrap", "false", "true", "false") == "true",
 		PermitAddress:    r.optionalAddress("permits", "address"),
+		MachinesAddress:  r.optionalAddress("machines", "address"),
 		MaxHold:          r.millis("workers", "max_hold_ms", 6*time.Second, minHold, maxHold),
 		StopGrace:        r.millis("workers", "stop_ms", time.Second, 0, maxStop),
 		DrainTime:        time.Duration(r.integer("node", "grace_s", 30, int(minDrain/time.Second), int(maxDrain/time.Second))) * time.Second,
--- a/daemon/called.go
+++ b/daemon/called.go
@@ -102,7 +102,11 @@
 func (c *Called) engine(host *control.Controller) control.Engine {
 	cfg := dispatch.Config{MaxHold: c.called.MaxHold, StopGrace: c.called.StopGrace, MinVoters: min(len(c.founders), 3),
 		HeartbeatAddress: c.called.ControlAddress, Replicas: host.ReplicaAddresses}
-	return dispatch.New(cfg, c.log, host, platform.NewWorkers())
+	var machines dispatch.Machines
+	if c.called.MachinesAddress != "" {
+		machines = platform.NewMachines(c.called.MachinesAddress, c.called.Name)
+	}
+	return dispatch.New(cfg, c.log, host, platform.NewWorkers(), machines)
 }
 
 // localFirst answers calls to this process without a connection.
--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -41,6 +41,10 @@
 		e.leave(c.Leave, done)
 	case *pipelinev1.Call_PermitPoll:
 		e.permits.poll(e, c.PermitPoll, done)
+	case *pipelinev1.Call_PutWave:
+		e.change(&pipelinev1.Command{Command: &pipelinev1.Command_PutWave{PutWave: c.PutWave}}, done)
+	case *pipelinev1.Call_GetWave:
+		e.getWave(c.GetWave.GetNumber(), done)
 	default:
 		done(nil, errors.New("dispatch: unknown call"))
 	}
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -19,7 +19,9 @@
 	log     zerolog.Logger
 	host    Host
 	workers Workers
-	state   *pipeline.State
+	// machines is nil where there is no machines' service.
+	machines Machines
+	state    *pipeline.State
 
 	leading bool
 	term    int64
@@ -33,6 +35,7 @@
 	steps    map[*pipeline.Step]*stepWork
 	permits  planner
 	learner  learner
+	upkeep   upkeep
 	// saved are checkpoints that workers showed and that no end has brought yet.
 	saved map[*pipeline.Task]string
 	// tickets are those of placed runs that aren't ordered yet.
@@ -42,10 +45,10 @@
 	dirty   bool
 }
 
-// New returns an engine.
-func New(cfg Config, log zerolog.Logger, host Host, workers Workers) *Engine {
+// New returns an engine; machines may be nil.
+func New(cfg Config, log zerolog.Logger, host Host, workers Workers, machines Machines) *Engine {
 	cfg.MaxHold = min(cfg.MaxHold, longestLease)
-	e := &Engine{cfg: cfg, log: log, host: host, workers: workers, state: host.Pipelines()}
+	e := &Engine{cfg: cfg, log: log, host: host, workers: workers, machines: machines, state: host.Pipelines()}
 	e.clear()
 	return e
 }
@@ -57,6 +60,7 @@
 	e.saved = make(map[*pipeline.Task]string)
 	e.tickets = make(map[pipeline.RunKey]string)
 	e.learner = newLearner()
+	e.upkeep = upkeep{cordoned: make(map[string]bool)}
 }
 
 func (e *Engine) now() time.Duration { return e.host.Clock().Now() }
@@ -111,6 +115,7 @@
 	}
 	e.permits.tick(e, now)
 	e.forgetWorkers(now)
+	e.tendWaves(now)
 	e.dirty = true
 }
 
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -111,7 +111,8 @@
 
 // usable reports whether new work may be placed on the worker.
 func (s *session) usable(now time.Duration) bool {
-	return s.phase == phaseOpen && s.reborn == nil && !s.w.GetDraining() && now >= s.avoidUntil && !s.e.learner.failing(s.w.GetId(), now)
+	return s.phase == phaseOpen && s.reborn == nil && !s.w.GetDraining() && now >= s.avoidUntil && !s.e.upkeep.cordoned[s.w.GetId()] &&
+		!s.e.learner.failing(s.w.GetId(), now)
 }
 
 func (s *session) setPhase(p phase, why string) {
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -39,6 +39,7 @@
 	holdCommits bool
 	confirms    bool
 	term        uint64
+	machines    Machines
 }
 
 type delayed struct {
@@ -123,7 +124,7 @@
 	}
 	w.term++
 	w.posted, w.delayed = nil, nil
-	w.engine = New(Config{MaxHold: testHold, StopGrace: testStop, MinVoters: 3, Replicas: func() []string { return nil }}, zerolog.Nop(), w, fleet{w})
+	w.engine = New(Config{MaxHold: testHold, StopGrace: testStop, MinVoters: 3, Replicas: func() []string { return nil }}, zerolog.Nop(), w, fleet{w}, w.machines)
 	w.engine.Lead(w.term)
 	w.drain()
 }
--- a/pipeline/place.go
+++ b/pipeline/place.go
@@ -21,6 +21,7 @@
 	PlaceNoRoom     PlaceReason = "the worker's capacity would be exceeded"
 	PlaceOverLimit  PlaceReason = "the team's limit would be exceeded"
 	PlaceNotWhole   PlaceReason = "the gang is not placed as a whole"
+	PlaceDisturbs   PlaceReason = "a task that fills would run beside one that serves under a target"
 	PlaceNotAllowed PlaceReason = "another run of the task may exist"
 )
 
@@ -154,10 +155,27 @@
 		return PlaceNoRoom
 	case st.Spec.GetMaxPerWorker() > 0 && w.RunsOf(st) >= int(st.Spec.GetMaxPerWorker()):
 		return PlaceSpread
+	case st.disturbs(w):
+		return PlaceDisturbs
 	}
 	return ""
 }
 
+// disturbs reports whether a task of the step and one on the worker share badly: how much a
+// filling task slows a serving one differs by image and changes within seconds.
+func (s *Step) disturbs(w *Worker) bool {
+	if !s.Spec.GetFills() && s.Spec.GetTargetMs() == 0 {
+		return false
+	}
+	for _, r := range w.Runs {
+		other := r.Task.Step.Spec
+		if s.Spec.GetFills() && other.GetTargetMs() > 0 || s.Spec.GetTargetMs() > 0 && other.GetFills() {
+			return true
+		}
+	}
+	return false
+}
+
 func (s *State) reserve(r *Run) {
 	r.Worker.Used = r.Worker.Used.Plus(r.Task.Step.Need)
 	r.Worker.Runs[r.Key()] = r
--- a/pipeline/snapshot.go
+++ b/pipeline/snapshot.go
@@ -24,6 +24,7 @@
 		out = append(out, &pipelinev1.Record{Record: &pipelinev1.Record_Worker{
 			Worker: &pipelinev1.WorkerRecord{Worker: w.Worker, LastEnd: w.LastEnd}}})
 	}
+	out = append(out, s.waveRecords()...)
 	jobs := slices.SortedFunc(maps.Values(s.jobs), func(a, b *Job) int { return strings.Compare(a.Spec.GetId(), b.Spec.GetId()) })
 	for _, j := range s.ended {
 		out = append(out, &pipelinev1.Record{Record: &pipelinev1.Record_Job{Job: encodeJob(j)}})
@@ -71,6 +72,8 @@
 		said := r.Worker.GetWorker()
 		s.workers[said.GetId()] = &Worker{Worker: said, Capacity: ResourcesFromProto(said.GetCapacity()),
 			Runs: make(map[RunKey]*Run), LastEnd: r.Worker.GetLastEnd()}
+	case *pipelinev1.Record_Wave:
+		s.restoreWave(r.Wave)
 	case *pipelinev1.Record_Job:
 		return s.restoreJob(r.Job)
 	default:
--- a/pipeline/state.go
+++ b/pipeline/state.go
@@ -23,6 +23,7 @@
 	used map[string]Resources
 	// pending counts the jobs of each queue of which no task has started.
 	pending map[string]int64
+	waves   map[int64]*Wave
 	// ended holds ended jobs in order, for Sweep.
 	ended []*Job
 }
@@ -62,6 +63,7 @@
 	s.jobs = make(map[string]*Job)
 	s.used = make(map[string]Resources)
 	s.pending = make(map[string]int64)
+	s.waves = make(map[int64]*Wave)
 }
 
 // Observe sets the observer; nil removes it.
@@ -94,6 +96,10 @@
 		s.ends(c.Ends)
 	case *pipelinev1.Command_Sweep:
 		s.sweep()
+	case *pipelinev1.Command_PutWave:
+		return &Result{Reply: s.putWave(c.PutWave)}
+	case *pipelinev1.Command_UpkeepDone:
+		s.upkeepDone(c.UpkeepDone)
 	default:
 		panic("pipeline: log entry holds an unknown command; a newer version must have written it")
 	}
