--- a/daemon/called.go
+++ b/daemon/called.go
@@ -43,6 +43,9 @@
 	// unreadyTime is how long a process that ends still takes new connections, until the
 	// balancer, which asks once a second, has missed it twice.
 	unreadyTime = 2500 * time.Millisecond
+	// endMargin is what is left of the time until a process is killed after its servers and the
+	// calls between processes had theirs.
+	endMargin = 700 * time.Millisecond
 	// settingsInterval is the time between looks at the settings file.
 	settingsInterval = time.Second
 	// snapshotBytes and keepBytes suit replicas of 280 MB with disks of 128 MB.
@@ -252,7 +255,7 @@
 	c.log.Info().Msg("stop was asked for; draining")
 	began := time.Now()
 	c.draining.Store(true)
-	ctx, cancel := context.WithTimeout(context.Background(), c.called.DrainTime-time.Second)
+	ctx, cancel := context.WithTimeout(context.Background(), c.called.DrainTime-finishTimeout-endMargin)
 	defer cancel()
 	c.handOver(ctx)
 	if c.called.HasRole(config.RoleEntry) {
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -152,7 +152,7 @@
 	var out []*pipeline.Task
 	bound := time.Duration(stragglerFactor*float64(r.e.learner.expected(w.step))) + stragglerSlack
 	for _, t := range w.step.Tasks {
-		if t.Done || len(t.Live) != 1 {
+		if t.Done || len(t.Live) != 1 || r.e.state.Exhausted(t) {
 			continue
 		}
 		s := r.e.sessions[t.Live[0].Worker.GetId()]
--- a/pipeline/ends.go
+++ b/pipeline/ends.go
@@ -36,6 +36,7 @@
 	case pipelinev1.EndKind_END_KIND_FAILED:
 		s.runFailed(r)
 	}
+	s.giveUp(t)
 	s.observer.RunEnded(r, e.GetKind())
 }
 
@@ -63,26 +64,38 @@
 	}
 }
 
-// runFailed counts a failed attempt and gives the job up after the last one.
+// runFailed counts a failed attempt; the members of a gang fail together.
 func (s *State) runFailed(r *Run) {
 	t, st := r.Task, r.Task.Step
 	if t.Done || st.Spec.GetLasting() {
 		return
 	}
-	failures := t.Failures + 1
-	if st.Spec.GetGang() {
-		if r.Number <= st.FailedRun {
-			return
-		}
+	if !st.Spec.GetGang() {
+		t.Failures++
+		return
+	}
+	if r.Number > st.FailedRun {
 		st.FailedRun = r.Number
 		st.Failures++
-		failures = st.Failures
-	} else {
-		t.Failures = failures
 	}
-	if j := st.Job(); !j.Ended() && failures >= s.maxAttempts(j) {
-		s.endJob(j, Failed)
+}
+
+// giveUp ends the job of a task that has failed as often as it may, once no copy of it is
+// left that could still be done.
+func (s *State) giveUp(t *Task) {
+	st := t.Step
+	if t.Done || st.Job().Ended() || !s.Exhausted(t) || !st.Spec.GetGang() && len(t.Live) > 0 {
+		return
+	}
+	s.endJob(st.Job(), Failed)
+}
+
+// Exhausted reports whether a task has failed as often as it may.
+func (s *State) Exhausted(t *Task) bool {
+	if t.Step.Spec.GetLasting() {
+		return false
 	}
+	return max(t.Failures, t.Step.Failures) >= s.maxAttempts(t.Step.Job())
 }
 
 func (s *State) maxAttempts(j *Job) int32 {
--- a/pipeline/jobs_test.go
+++ b/pipeline/jobs_test.go
@@ -227,3 +227,32 @@
 		t.Errorf("a kept: %t, b kept: %t", w.Job("a") != nil, w.Job("b") != nil)
 	}
 }
+
+// A job whose task has failed as often as it may ends only when no copy is left: the copy may
+// still be done.
+func TestCopyMayStillBeDoneAfterTheLastFailure(t *testing.T) {
+	for _, test := range []struct {
+		end  pipelinev1.EndKind
+		want JobState
+	}{{done, Completed}, {lost, Failed}} {
+		w := newWorld(t)
+		copies := step(1, 1)
+		copies.Copies = true
+		w.submit("j", copies)
+		w.mustPlace(run("j", 0, 0, 1, "w1"))
+		w.end(run("j", 0, 0, 1, "w1"), failed, 1)
+		w.mustPlace(run("j", 0, 0, 2, "w1"))
+		w.mustPlace(run("j", 0, 0, 3, "w2"))
+		w.end(run("j", 0, 0, 2, "w1"), failed, 2)
+		if got := w.Job("j").State; got != Running {
+			t.Fatalf("state %s with a copy left", got)
+		}
+		if got := w.place(run("j", 0, 0, 4, "w1")); len(got.Refused) != 1 || got.Refused[0].Why != PlaceExhausted {
+			t.Fatalf("placed after the last attempt: %v", got.Refused)
+		}
+		w.end(run("j", 0, 0, 3, "w2"), test.end, 1)
+		if got := w.Job("j").State; got != test.want {
+			t.Errorf("state %s after the copy's end, want %s", got, test.want)
+		}
+	}
+}
--- a/pipeline/place.go
+++ b/pipeline/place.go
@@ -22,6 +22,7 @@
 	PlaceOverLimit  PlaceReason = "the team's limit would be exceeded"
 	PlaceNotWhole   PlaceReason = "the gang is not placed as a whole"
 	PlaceDisturbs   PlaceReason = "a task that fills would run beside one that serves under a target"
+	PlaceExhausted  PlaceReason = "the task has failed as often as it may"
 	PlaceNotAllowed PlaceReason = "another run of the task may exist"
 )
 
@@ -134,6 +135,8 @@
 		return PlaceNumber
 	case len(t.Live) > 0 && !st.Spec.GetCopies():
 		return PlaceNotAllowed
+	case s.Exhausted(t):
+		return PlaceExhausted
 	case !st.Ready():
 		return PlaceOrder
 	case st.Occurrence.DueNS > s.nowNS:
