Look more often while answers of workers get lost

Ruled out: room (2 lines), permits (first start p50 112 ms).

While answers get lost looks wait 200 ms and give up after 350 ms.

--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -146,6 +146,12 @@
 	// watchWait is how long a look waits for an end; the platform allows two seconds. Together
 	// with orderTimeout it bounds how late a silent worker is noticed.
 	watchWait = 800 * time.Millisecond
+	// lossyWait and lossyTimeout bound looks, and lossyTimeout orders, while answers get lost: an
+	// end behind a lost answer is noticed that much later, and small jobs have about half a
+	// second to spare. lossyMemory is how long one lost answer counts.
+	lossyWait    = 200 * time.Millisecond
+	lossyTimeout = 150 * time.Millisecond
+	lossyMemory  = 2 * time.Second
 	// longestLease bounds the lease below what workers grant: it has to outlast a restart of
 	// all replicas (about three seconds), and the work of a worker that is cut off waits for
 	// its end.
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -30,6 +30,8 @@
 	confirmedAt time.Duration
 	confirming  bool
 	nextSweep   time.Duration
+	// lossyUntil is how long answers of workers are expected to get lost.
+	lossyUntil time.Duration
 
 	sessions map[string]*session
 	steps    map[*pipeline.Step]*stepWork
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -85,7 +85,7 @@
 	s.sent[o.key] = true
 	ordersSent.Add(1)
 	to := s.target()
-	s.e.async(orderTimeout, func(ctx context.Context) func() {
+	s.e.async(s.e.orderTimeout(now), func(ctx context.Context) func() {
 		reply, err := s.e.workers.Start(ctx, to, start)
 		return func() { s.startAnswered(o, reply, err) }
 	})
@@ -96,7 +96,7 @@
 	s.ordering = true
 	ordersSent.Add(1)
 	to := s.target()
-	s.e.async(orderTimeout, func(ctx context.Context) func() {
+	s.e.async(s.e.orderTimeout(now), func(ctx context.Context) func() {
 		reply, err := s.e.workers.Stop(ctx, to, stop)
 		return func() { s.stopAnswered(o, reply, err) }
 	})
@@ -180,3 +180,11 @@
 func (s *session) orderLog(o order, level zerolog.Level) *zerolog.Event {
 	return s.logger(level).Str("request", o.key.Job).Int32("step", o.key.Step).Int32("task", o.key.Index).Int32("run", o.key.Number)
 }
+
+// orderTimeout bounds one order at a time when answers may get lost.
+func (e *Engine) orderTimeout(now time.Duration) time.Duration {
+	if now < e.lossyUntil {
+		return lossyTimeout
+	}
+	return orderTimeout
+}
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -57,6 +57,8 @@
 	// avoidUntil keeps new work away after the worker refused some.
 	avoidUntil time.Duration
 	lapsedAt   time.Duration
+	// lookLost is set after a look without an answer, until another one is answered.
+	lookLost bool
 	// left is set once the worker said that it ends.
 	left bool
 }
@@ -205,6 +207,11 @@
 		s.otherIncarnation(l)
 		return
 	}
+	if s.lookLost {
+		// The worker answers: what was lost was one answer, and others may be.
+		s.lookLost = false
+		s.e.lossyUntil = at + lossyMemory
+	}
 	s.pause = 0
 	s.nextProbe = at + probeMin
 	s.setPhase(phaseOpen, "a look was answered")
@@ -280,7 +287,10 @@
 	if s.watching || s.settling || s.endsProposed > s.w.LastEnd || !s.e.mayOrder(now) {
 		return
 	}
-	wait := watchWait
+	wait, timeout := watchWait, orderTimeout
+	if now < s.e.lossyUntil {
+		wait, timeout = lossyWait, lossyTimeout
+	}
 	if !s.hasOrdered() {
 		if s.ackedEnds >= s.w.LastEnd {
 			return
@@ -296,11 +306,11 @@
 	s.ackAt = 0
 	s.watching = true
 	req := LookRequest{Token: s.token(), LastEnd: s.w.LastEnd, DeadlineMS: s.extend(now), Wait: wait}
-	s.look(now, req, wait+orderTimeout, func(l Look, err error, at time.Duration) {
+	s.look(now, req, wait+timeout, func(l Look, err error, at time.Duration) {
 		s.watching = false
 		switch {
 		case err != nil:
-			s.pause = 0
+			s.pause, s.lookLost = 0, true
 			s.probeFailed(at, err)
 			s.nextProbe = at
 		case l.Verdict != Obeyed:
