--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -74,7 +74,7 @@
 	if n > 0 || !r.mayPreempt(d) {
 		return n
 	}
-	n = r.roomAfterPreemption(s, d.queue.GetPriority()).Count(d.work.step.Need, len(d.tasks))
+	n = r.roomAfterPreemption(s).Count(d.work.step.Need, len(d.tasks))
 	if bound := int(d.work.step.Spec.GetMaxPerWorker()); bound > 0 {
 		n = min(n, bound-s.w.RunsOf(d.work.step))
 	}
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -85,6 +85,8 @@
 	onWorker map[string]int
 	// free and total are the cores of each service's usable workers.
 	freeCores, totalCores map[string]int64
+	urgencies             map[*pipeline.Step]urgency
+	preemptRoom           map[*session]pipeline.Resources
 	runs                  []*pipelinev1.Run
 	left                  []demand
 }
@@ -103,7 +105,8 @@
 
 // decide places what can be placed and asks for the permits that are missing.
 func (e *Engine) decide(now time.Duration) {
-	r := &round{e: e, now: now, wall: time.Now().UnixNano(), taken: make(map[string]pipeline.Resources), used: make(map[string]pipeline.Resources)}
+	r := &round{e: e, now: now, wall: time.Now().UnixNano(), taken: make(map[string]pipeline.Resources), used: make(map[string]pipeline.Resources),
+		urgencies: make(map[*pipeline.Step]urgency), preemptRoom: make(map[*session]pipeline.Resources)}
 	r.countCores()
 	for _, d := range r.demands() {
 		if len(r.runs) >= maxRunsPerRound {
@@ -134,7 +137,7 @@
 		}
 		if len(tasks) > 0 {
 			q := r.e.state.Terms(w.step.Job())
-			out = append(out, demand{work: w, tasks: tasks, queue: q, copies: copies, urgency: r.e.urgencyOf(w.step, q, r.wall)})
+			out = append(out, demand{work: w, tasks: tasks, queue: q, copies: copies, urgency: r.urgency(w.step)})
 		}
 	}
 	r.markOverShare(out)
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -10,6 +10,10 @@
 	"github.com/rs/zerolog"
 )
 
+// decidePause is how many times the length of a round passes before the next one, so that
+// decisions leave three quarters of the processor to calls and commits.
+const decidePause = 3
+
 // sweepInterval is the time between Sweep commands.
 const sweepInterval = 10 * time.Second
 
@@ -45,6 +49,9 @@
 	// placing is set while a Place command is in the log's queue.
 	placing bool
 	dirty   bool
+	// nextDecide is when the next round may begin; waking is set while a call of Flush is due.
+	nextDecide time.Duration
+	waking     bool
 }
 
 // New returns an engine; machines may be nil.
@@ -110,6 +117,7 @@
 	}
 	if now >= e.nextSweep {
 		e.nextSweep = now + sweepInterval
+		e.logLoad()
 		e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_Sweep{Sweep: &pipelinev1.Sweep{}}}, nil)
 	}
 	for _, s := range e.sessions {
@@ -149,10 +157,28 @@
 	if !e.leading || !e.dirty || e.placing {
 		return
 	}
+	now := e.now()
+	if now < e.nextDecide {
+		e.wake(e.nextDecide - now)
+		return
+	}
 	e.dirty = false
-	began := time.Now()
-	e.decide(e.now())
-	decisionTime.Record(time.Since(began))
+	e.decide(now)
+	took := e.now() - now
+	decisionTime.Record(took)
+	e.nextDecide = now + (decidePause+1)*took
+}
+
+// wake lets Flush be called again after a time.
+func (e *Engine) wake(after time.Duration) {
+	if e.waking {
+		return
+	}
+	e.waking = true
+	e.host.Async(func() func() {
+		time.Sleep(after)
+		return func() { e.waking = false }
+	})
 }
 
 // async runs a call elsewhere; its answer is dropped if the leadership has ended meanwhile.
@@ -320,3 +346,11 @@
 		e.log.Warn().Str("worker", worker).Dur("for", failPause).Msg("worker fails most of what it starts; it gets nothing new for a while")
 	}
 }
+
+// logLoad says how busy the leader is.
+func (e *Engine) logLoad() {
+	e.log.Info().Int("steps", len(e.steps)).Int("workers", len(e.sessions)).Int("callers", len(e.permits.callers)).
+		Int("questions_waiting", len(e.permits.waiting)).Dur("decision_p50", decisionTime.Quantile(50)).Dur("decision_p99", decisionTime.Quantile(99)).
+		Dur("permit_p50", permitTime.Quantile(50)).Dur("permit_p99", permitTime.Quantile(99)).Dur("first_start_p99", startTime.Quantile(99)).
+		Int64("orders", ordersSent.Value()).Int64("looks", looksSent.Value()).Msg("leader load")
+}
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -138,21 +138,34 @@
 	if !spec.GetCheckpointing() || spec.GetGang() || spec.GetLasting() {
 		return false
 	}
-	q := r.e.state.Terms(run.Task.Step.Job())
-	if q.GetPriority() <= priority {
+	if r.e.state.Terms(run.Task.Step.Job()).GetPriority() <= priority {
 		return false
 	}
-	u := r.e.urgencyOf(run.Task.Step, q, r.wall)
+	u := r.urgency(run.Task.Step)
 	return u.hope != inTime || float64(u.slack) > spareSlack*float64(u.remaining)
 }
 
-// roomAfterPreemption is the room that a worker would have without preemptible work.
-func (r *round) roomAfterPreemption(s *session, priority int32) pipeline.Resources {
-	room := r.free(s)
-	for _, run := range s.w.Runs {
-		if s.stopping[run.Key()] || r.preemptible(run, priority) {
-			room = room.Plus(run.Task.Step.Need)
+// urgency returns the step's urgency, which is worked out once a round.
+func (r *round) urgency(st *pipeline.Step) urgency {
+	u, known := r.urgencies[st]
+	if !known {
+		u = r.e.urgencyOf(st, r.e.state.Terms(st.Job()), r.wall)
+		r.urgencies[st] = u
+	}
+	return u
+}
+
+// roomAfterPreemption is the room that a worker would have without work that the most urgent
+// queues may preempt; what preemption gives is worked out once a round.
+func (r *round) roomAfterPreemption(s *session) pipeline.Resources {
+	given, known := r.preemptRoom[s]
+	if !known {
+		for _, run := range s.w.Runs {
+			if s.stopping[run.Key()] || r.preemptible(run, 0) {
+				given = given.Plus(run.Task.Step.Need)
+			}
 		}
+		r.preemptRoom[s] = given
 	}
-	return room
+	return r.free(s).Plus(given)
 }
