Add a soak of the real programs on loopback

Five replicas, three entries, four stand-in workers, callers; kills, stops, pauses, emptied disks, restarts of all. Checks: a task has one run at a time, never runs again after an acknowledged end, every accepted job is known and completed. Not in it yet: delayed, cut and silent connections, clocks, storage faults, changes of configuration under faults.

--- /dev/null
+++ b/soak/cell_test.go
@@ -0,0 +1,161 @@
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"runtime"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+)
+
+const (
+	replicas = 5
+	entries  = 3
+)
+
+// node is one process of the system; it is ended by its own process only.
+type node struct {
+	name, ip, config, log string
+	command               *exec.Cmd
+	ended                 chan struct{}
+}
+
+// cell is a whole system on loopback: each node has an address of its own, ports are the same.
+type cell struct {
+	t      *testing.T
+	binary string
+	dir    string
+	port   int
+	net    int
+	nodes  []*node
+}
+
+func newCell(t *testing.T, binary string, seed uint64) *cell {
+	rng := rand.New(rand.NewPCG(seed, 7))
+	c := &cell{t: t, binary: binary, dir: t.TempDir(), port: 21000 + rng.IntN(400)*20, net: 1 + rng.IntN(250)}
+	for i := range replicas + entries {
+		role := "entry"
+		if i < replicas {
+			role = "replica"
+		}
+		n := &node{name: fmt.Sprintf("%s-%d", role, i), ip: fmt.Sprintf("127.0.%d.%d", c.net, 10+i)}
+		n.config, n.log = filepath.Join(c.dir, n.name+".ini"), filepath.Join(c.dir, n.name+".log")
+		c.nodes = append(c.nodes, n)
+		c.write(n, true)
+	}
+	return c
+}
+
+func (c *cell) address(n *node, offset int) string { return fmt.Sprintf("%s:%d", n.ip, c.port+offset) }
+
+// write renders the settings of a node, as the deploy templates do.
+func (c *cell) write(n *node, bootstrap bool) {
+	var seeds []string
+	for _, s := range c.nodes[:min(3, len(c.nodes))] {
+		seeds = append(seeds, c.address(s, 1))
+	}
+	if len(seeds) < 3 {
+		seeds = nil
+		for i := range 3 {
+			seeds = append(seeds, fmt.Sprintf("127.0.%d.%d:%d", c.net, 10+i, c.port+1))
+		}
+	}
+	listen := "control = " + c.address(n, 1)
+	data := "data_folder = " + filepath.Join(c.dir, n.name)
+	role := "replica"
+	if strings.HasPrefix(n.name, "entry") {
+		listen = "front = " + c.address(n, 1) + "\nreadiness = " + c.address(n, 2)
+		data, role = "", "entry"
+	}
+	text := fmt.Sprintf("[node]\nname = %s\nfailure_domain = prado\nroles = %s\n%s\ngrace_s = 6\n[listen]\n%s\npeer = %s\nadmin = %s\n"+
+		"[cluster]\nseeds = %s\nbootstrap = %t\n[workers]\nmax_hold_ms = %d\nstop_ms = %d\n", n.name, role, data, listen,
+		c.address(n, 3), c.address(n, 4), strings.Join(seeds, ","), bootstrap, maxHold.Milliseconds(), stopTime.Milliseconds())
+	if err := os.WriteFile(n.config, []byte(text), 0o600); err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+func (c *cell) start(n *node) {
+	log, err := os.OpenFile(n.log, os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	n.command = exec.Command(c.binary, "-called", "SOAK_SETTINGS")
+	n.command.Env = append(os.Environ(), "SOAK_SETTINGS="+n.config)
+	n.command.Stdout, n.command.Stderr = log, log
+	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
+	ended, started := make(chan struct{}), make(chan error)
+	n.ended = ended
+	command := n.command
+	go func() {
+		// The parent-death signal is bound to the thread that starts the process.
+		runtime.LockOSThread()
+		defer close(ended)
+		err := command.Start()
+		started <- err
+		if err == nil {
+			_ = command.Wait()
+		}
+		_ = log.Close()
+	}()
+	if err := <-started; err != nil {
+		c.t.Fatal(err)
+	}
+}
+
+// end stops a process by its own id and waits for it.
+func (n *node) end(s syscall.Signal) {
+	_ = n.command.Process.Signal(syscall.SIGCONT)
+	_ = n.command.Process.Signal(s)
+	select {
+	case <-n.ended:
+	case <-time.After(10 * time.Second):
+		_ = n.command.Process.Kill()
+		<-n.ended
+	}
+}
+
+// fault is one disturbance of a run.
+type fault func(c *cell, n *node, rng *rand.Rand)
+
+var faults = map[string]fault{
+	"kill": func(c *cell, n *node, _ *rand.Rand) { n.end(syscall.SIGKILL); c.start(n) },
+	"term": func(c *cell, n *node, _ *rand.Rand) { n.end(syscall.SIGTERM); c.start(n) },
+	"hup":  func(_ *cell, n *node, _ *rand.Rand) { _ = n.command.Process.Signal(syscall.SIGHUP) },
+	"pause": func(_ *cell, n *node, rng *rand.Rand) {
+		_ = n.command.Process.Signal(syscall.SIGSTOP)
+		time.Sleep(time.Duration(500+rng.IntN(3500)) * time.Millisecond)
+		_ = n.command.Process.Signal(syscall.SIGCONT)
+	},
+	"down": func(c *cell, n *node, rng *rand.Rand) {
+		n.end(syscall.SIGKILL)
+		time.Sleep(time.Duration(rng.IntN(3000)) * time.Millisecond)
+		c.start(n)
+	},
+	"wipe": func(c *cell, n *node, _ *rand.Rand) {
+		if strings.HasPrefix(n.name, "entry") {
+			return
+		}
+		n.end(syscall.SIGKILL)
+		if err := os.RemoveAll(filepath.Join(c.dir, n.name)); err != nil {
+			c.t.Error(err)
+		}
+		c.write(n, false)
+		c.start(n)
+		// Another disk may be lost only after this one has caught up.
+		time.Sleep(4 * time.Second)
+	},
+	"all": func(c *cell, _ *node, _ *rand.Rand) {
+		for _, n := range c.nodes {
+			n.end(syscall.SIGKILL)
+		}
+		for _, n := range c.nodes {
+			c.start(n)
+		}
+	},
+}
