Ignore heartbeats that are older than what is known; split what grew

Cause: a heartbeat held up on its way could bring a draining worker back, as its number was not looked at. Test: late heartbeats, also under a new leader.

--- /dev/null
+++ b/dispatch/choose.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+)
+
+// candidates returns the workers that may run the step now: with a valid ticket, or all
+// where none is needed.
+func (r *round) candidates(d demand) []*session {
+	var out []*session
+	if d.queue.GetPermits() == nil {
+		for _, s := range r.e.sessions {
+			if r.fits(d.work.step, s) {
+				out = append(out, s)
+			}
+		}
+	} else {
+		for id, p := range d.work.permits {
+			s := r.e.sessions[id]
+			if s != nil && p.born == s.w.GetBorn() && r.now < p.expires && r.fits(d.work.step, s) {
+				out = append(out, s)
+			}
+		}
+	}
+	slices.SortFunc(out, func(a, b *session) int { return cmp.Compare(a.w.GetId(), b.w.GetId()) })
+	return out
+}
+
+// free returns the worker's room after what the round gave away.
+func (r *round) free(s *session) pipeline.Resources {
+	return s.w.Free().Minus(r.taken[s.w.GetId()])
+}
+
+// fits reports whether one more task of the step may run on the worker.
+func (r *round) fits(st *pipeline.Step, s *session) bool {
+	return st.Need.Fits(r.free(s)) && r.suits(st, s) && r.e.state.CheckWorker(st, s.w) == ""
+}
+
+// suits reports whether a worker may take tasks of the step when it has room.
+func (r *round) suits(st *pipeline.Step, s *session) bool {
+	if !s.usable(r.now) || r.now < r.e.steps[st].avoided[s.w.GetId()] {
+		return false
+	}
+	bound := int(st.Spec.GetMaxPerWorker())
+	return bound == 0 || s.w.RunsOf(st)+r.onWorker[s.w.GetId()] < bound
+}
+
+// choice ranks a candidate for one task; smaller is better.
+type choice struct {
+	// far is set when the task's data is on another rack.
+	far bool
+	// holds is for how many of the step's waiting tasks the worker has room.
+	holds int
+	// left is the share of the worker that stays free, and a penalty for slow workers.
+	left float64
+}
+
+func (a choice) betterThan(b choice) bool {
+	switch {
+	case a.far != b.far:
+		return b.far
+	case a.holds != b.holds:
+		return a.holds > b.holds
+	}
+	return a.left < b.left
+}
+
+// best returns the candidate for a task: near its data first, then one with room for most of the
+// waiting tasks, then the one with the least room left. Few workers for a step mean few steps
+// that suffer when a worker is lost. What lasts is spread instead.
+func (r *round) best(t *pipeline.Task, waiting int, candidates []*session) *session {
+	st := t.Step
+	var best *session
+	var rank choice
+	for _, s := range candidates {
+		if !r.fits(st, s) || t.RunsOn(s.w) {
+			continue
+		}
+		c := choice{far: !s.w.HasLabel(st.Spec.GetDataRack()), holds: r.capacity(st, s, waiting),
+			left: roomLeft(r.free(s).Minus(st.Need), s.w.Capacity) + slowPenalty*r.e.learner.slowness(s.w.GetId())}
+		if st.Spec.GetLasting() {
+			c.holds = -r.onWorker[s.w.GetId()]
+		}
+		if best == nil || c.betterThan(rank) {
+			best, rank = s, c
+		}
+	}
+	return best
+}
+
+// roomLeft is the larger share of a worker's capacity that is left in its dimensions.
+func roomLeft(free, capacity pipeline.Resources) float64 {
+	share := func(a, b int64) float64 {
+		if b == 0 {
+			return 0
+		}
+		return float64(a) / float64(b)
+	}
+	return max(share(free.MilliCores, capacity.MilliCores), share(free.MemoryMiB, capacity.MemoryMiB))
+}
+
+func (r *round) withinLimit(st *pipeline.Step) bool {
+	team := r.e.state.Config().Team(st.Job().Team)
+	if team == nil {
+		return true
+	}
+	used := r.e.state.Used(team.GetName()).Plus(r.used[team.GetName()]).Plus(st.Need)
+	return used.Within(pipeline.ResourcesFromProto(team.GetLimit()))
+}
+
+func (r *round) countCores() {
+	r.freeCores, r.totalCores = make(map[string]int64), make(map[string]int64)
+	for _, s := range r.e.sessions {
+		if s.usable(r.now) && !r.e.state.DomainOut(s.w.GetFailureDomain()) {
+			r.freeCores[s.w.GetService()] += s.w.Free().MilliCores
+			r.totalCores[s.w.GetService()] += s.w.Capacity.MilliCores
+		}
+	}
+}
+
+// leavesHeadroom reports whether a demand can wait and should, so that urgent work finds room.
+func (r *round) leavesHeadroom(d demand) bool {
+	if d.queue.GetPriority() == 0 || d.work.step.Spec.GetLasting() {
+		return false
+	}
+	if d.urgency.hope == inTime && float64(d.urgency.slack) < spareSlack*float64(d.urgency.remaining) {
+		return false
+	}
+	if limit := r.e.state.Config().Team(d.work.step.Job().Team).GetLimit().GetMilliCores(); limit > 0 {
+		team := d.work.step.Job().Team
+		used := r.e.state.Used(team).MilliCores + r.used[team].MilliCores + d.work.step.Need.MilliCores
+		if float64(used) > (1-teamHeadroom)*float64(limit) {
+			return true
+		}
+	}
+	service := d.queue.GetService()
+	return float64(r.freeCores[service]-d.work.step.Need.MilliCores) < headroom*float64(r.totalCores[service])
+}
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -25,6 +25,16 @@
 		return
 	}
 	s.lastBeat = now
+	if said.GetBorn() == s.w.GetBorn() && (c.GetSequence() < s.lastSequence || s.w.GetDraining() && !said.GetDraining()) {
+		// A heartbeat that was held up must not bring a draining worker back.
+		e.log.Info().Str("worker", said.GetId()).Int64("sequence", c.GetSequence()).Int64("known_sequence", s.lastSequence).
+			Bool("draining", s.w.GetDraining()).Msg("heartbeat is older than what is known; ignored")
+		done(ok, nil)
+		return
+	}
+	if said.GetBorn() == s.w.GetBorn() {
+		s.lastSequence = c.GetSequence()
+	}
 	if s.phase != phaseOpen && s.pause > probeMin {
 		s.pause, s.nextProbe = 0, now
 	}
--- /dev/null
+++ b/dispatch/observer.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+)
+
+// observer keeps the engine in step with the state.
+type observer Engine
+
+// ConfigChanged implements pipeline.Observer.
+func (o *observer) ConfigChanged() {
+	o.dirty = true
+	o.log.Info().Uint64("version", o.state.Config().GetVersion()).Int("queues", len(o.state.Config().GetQueues())).
+		Msg("configuration in force")
+}
+
+// DomainChanged implements pipeline.Observer.
+func (o *observer) DomainChanged(name string, out bool) {
+	o.dirty = true
+	o.log.Info().Str("failure_domain", name).Bool("out", out).Msg("failure domain changed")
+}
+
+// WorkerChanged implements pipeline.Observer.
+func (o *observer) WorkerChanged(w *pipeline.Worker) {
+	e := (*Engine)(o)
+	e.dirty = true
+	if s := e.sessions[w.GetId()]; s != nil {
+		s.workerChanged(w)
+		return
+	}
+	e.openSession(w)
+}
+
+// WorkerGone implements pipeline.Observer.
+func (o *observer) WorkerGone(w *pipeline.Worker) {
+	delete(o.sessions, w.GetId())
+	o.dirty = true
+	o.log.Info().Str("worker", w.GetId()).Int64("born", w.GetBorn()).Msg("worker is gone")
+}
+
+// JobAdded implements pipeline.Observer.
+func (o *observer) JobAdded(j *pipeline.Job) {
+	jobsAccepted.Add(1)
+	(*Engine)(o).addJob(j)
+}
+
+// JobEnded implements pipeline.Observer.
+func (o *observer) JobEnded(j *pipeline.Job) {
+	e := (*Engine)(o)
+	for _, oc := range j.Occurrences {
+		for _, st := range oc.Steps {
+			e.dropStep(st)
+		}
+	}
+	e.stopRuns(j.LiveRuns(), "the job has ended")
+	jobsEnded.Add(string(j.State), 1)
+	e.log.Info().Str("request", j.Spec.GetId()).Str("queue", j.Spec.GetQueue()).Str("state", string(j.State)).
+		Int64("after_ms", (j.EndedNS-j.SubmittedNS)/int64(time.Millisecond)).Msg("job ended")
+}
+
+func (e *Engine) dropStep(st *pipeline.Step) {
+	if w := e.steps[st]; w != nil {
+		e.permits.drop(w)
+		delete(e.steps, st)
+	}
+}
+
+// StepDone implements pipeline.Observer.
+func (o *observer) StepDone(st *pipeline.Step) {
+	e := (*Engine)(o)
+	e.dropStep(st)
+	for _, next := range st.Occurrence.Steps {
+		if next.Undone > 0 && next.Ready() && !st.Job().Ended() {
+			e.addStep(next)
+		}
+	}
+}
+
+// RunPlaced implements pipeline.Observer.
+func (o *observer) RunPlaced(r *pipeline.Run) {
+	e := (*Engine)(o)
+	if s := e.sessions[r.Worker.GetId()]; s != nil {
+		s.enqueueStart(r, e.tickets[r.Key()])
+	}
+	delete(e.tickets, r.Key())
+}
+
+// RunEnded implements pipeline.Observer.
+func (o *observer) RunEnded(r *pipeline.Run, kind pipelinev1.EndKind) {
+	e := (*Engine)(o)
+	e.dirty = true
+	runsEnded.Add(endNames[kind], 1)
+	if s := e.sessions[r.Worker.GetId()]; s != nil {
+		if at, answered := s.answeredAt[r.Key()]; answered && kind == pipelinev1.EndKind_END_KIND_DONE {
+			e.learner.ran(r, e.now()-at)
+		}
+		s.forgetRun(r.Key())
+	}
+	if kind == pipelinev1.EndKind_END_KIND_DONE || kind == pipelinev1.EndKind_END_KIND_FAILED {
+		e.noteEnd(r, kind == pipelinev1.EndKind_END_KIND_FAILED)
+	}
+	if !r.Task.Done {
+		e.log.Info().Str("request", r.Task.Step.Job().Spec.GetId()).Int32("step", r.Task.Step.Index).Int32("task", r.Task.Index).
+			Int32("run", r.Number).Str("worker", r.Worker.GetId()).Str("end", endNames[kind]).Msg("run ended without result")
+	} else {
+		delete(e.saved, r.Task)
+	}
+	switch {
+	case r.Task.Step.Spec.GetGang() && kind != pipelinev1.EndKind_END_KIND_DONE:
+		e.stopRuns(r.Task.Step.LiveRuns(), "another member of the gang ended")
+	case r.Task.Done && !r.Task.Step.Spec.GetGang():
+		e.stopRuns(append([]*pipeline.Run(nil), r.Task.Live...), "another copy is done")
+	}
+}
+
+// stopRuns ends runs that are not wanted any more.
+func (e *Engine) stopRuns(runs []*pipeline.Run, why string) {
+	for _, r := range runs {
+		if s := e.sessions[r.Worker.GetId()]; s != nil {
+			s.enqueueStop(r, why)
+		}
+	}
+}
+
+// noteEnd tells workers that fail what they start apart from jobs that fail everywhere: a
+// failed task tries another worker, and a worker with many failures is avoided.
+func (e *Engine) noteEnd(r *pipeline.Run, failed bool) {
+	worker := r.Worker.GetId()
+	if failed && !r.Task.Step.Spec.GetLasting() {
+		if w := e.steps[r.Task.Step]; w != nil {
+			w.avoid(worker, e.now()+retryElsewhere)
+		}
+	}
+	if e.learner.ended(worker, failed, e.now()) {
+		workersAvoided.Add(1)
+		e.log.Warn().Str("worker", worker).Dur("for", failPause).Msg("worker fails most of what it starts; it gets nothing new for a while")
+	}
+}
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -268,3 +268,27 @@
 		t.Errorf("%d runs are left", n)
 	}
 }
+
+// A heartbeat that was held up on its way does not bring a draining worker back.
+func TestLateHeartbeatDoesNotEndADrain(t *testing.T) {
+	w := newWorld(t, "w1")
+	beat := func(draining bool, sequence int64) {
+		w.workers["w1"].draining = draining
+		w.call(&pipelinev1.Call{Call: &pipelinev1.Call_Heartbeat{Heartbeat: &pipelinev1.HeartbeatCall{
+			Worker: w.workers["w1"].describe("w1"), Sequence: sequence}}})
+	}
+	beat(false, 5)
+	beat(true, 7)
+	beat(false, 6)
+	w.submit(jobID(1), oneStep(1, 1000))
+	w.run(time.Second)
+	if n := w.workers["w1"].starts; n != 0 {
+		t.Errorf("%d starts on a draining worker", n)
+	}
+	w.lead()
+	beat(false, 6)
+	w.run(time.Second)
+	if n := w.workers["w1"].starts; n != 0 {
+		t.Errorf("%d starts on a draining worker under a new leader", n)
+	}
+}
