Bound live jobs and bodies, let two voters acknowledge, elect after 450 to 900 ms

Cause: nothing bounded the jobs that a leader takes; a group of three with one emptied disk refused all changes until it was replaced, as it asked for three voters; a frozen leader cost 0.65 to 0.75 s. Test: too many live jobs.

--- a/daemon/called.go
+++ b/daemon/called.go
@@ -39,7 +39,9 @@
 	// is twice the time that the leader holds a poll.
 	readyLife = 3 * time.Second
 	// maxCalledBody bounds a body: a configuration of 1,400 routes has 0.4 MB.
-	maxCalledBody = 8 << 20
+	maxControlBody = 8 << 20
+	// maxFrontBody bounds a caller's body: the platform allows 256 KiB.
+	maxFrontBody = 512 << 10
 	// unreadyTime is how long a process that ends still takes new connections, until the
 	// balancer, which asks once a second, has missed it twice.
 	unreadyTime = 2500 * time.Millisecond
@@ -51,12 +53,18 @@
 	// snapshotBytes and keepBytes suit replicas of 280 MB with disks of 128 MB.
 	snapshotBytes = 8 << 20
 	keepBytes     = 4 << 20
+	// electionTicks is the shortest election timeout in ticks of 50 ms: 450 to 900 ms. A disk that
+	// is thirty times slower takes 180 ms a sync, which must not end a leadership.
+	electionTicks = 9
 	// firstElectionTicks lets replicas that all start again elect a leader after 150 to 300 ms
 	// instead of 600 to 1,200 ms; jobs have about a second to spare.
 	firstElectionTicks = 3
 	// groupVoters is the number of voters that a group grows to: two lost disks then leave a
 	// copy of all that was acknowledged.
 	groupVoters = 5
+	// minVoters is the number of voters below which nothing is acknowledged: a commit by two has
+	// two disks. With three seeds a group has two voters while an emptied disk comes back.
+	minVoters = 2
 	// replaceAfter is how long a voter may be silent before a standby takes its place.
 	replaceAfter = 15 * time.Second
 	// permitPollTimeout bounds one poll for questions; the leader holds it for 1.5 s.
@@ -94,7 +102,7 @@
 	c.newEngine = c.engine
 	c.tuneNode = func(n *replica.Config) {
 		n.SnapshotBytes, n.KeepBytes = snapshotBytes, keepBytes
-		n.Raft.FirstElectionTicks = firstElectionTicks
+		n.Raft.ElectionTicks, n.Raft.FirstElectionTicks = electionTicks, firstElectionTicks
 	}
 	if s.PermitAddress != "" {
 		c.permits = platform.NewPermits(s.PermitAddress)
@@ -103,7 +111,7 @@
 }
 
 func (c *Called) engine(host *control.Controller) control.Engine {
-	cfg := dispatch.Config{MaxHold: c.called.MaxHold, StopGrace: c.called.StopGrace, MinVoters: min(len(c.founders), 3),
+	cfg := dispatch.Config{MaxHold: c.called.MaxHold, StopGrace: c.called.StopGrace, MinVoters: min(len(c.founders), minVoters),
 		HeartbeatAddress: c.called.ControlAddress, Replicas: host.ReplicaAddresses}
 	var machines dispatch.Machines
 	if c.called.MachinesAddress != "" {
@@ -165,15 +173,15 @@
 	publicServer
 }
 
-// listen opens a server at an address; add registers its paths.
-func (c *Called) listen(address string, add func(*server.Hertz)) (*calledServer, error) {
+// listen opens a server at an address with a bound on bodies; add registers its paths.
+func (c *Called) listen(address string, maxBody int, add func(*server.Hertz)) (*calledServer, error) {
 	l, err := net.Listen("tcp", address)
 	if err != nil {
 		return nil, errors.Wrap(err, "daemon: listen")
 	}
 	s := &calledServer{publicServer{listener: newTrackingListener(l)}}
 	opts := []hertzconfig.Option{server.WithListener(s.listener), server.WithTransport(standard.NewTransporter),
-		server.WithMaxRequestBodySize(maxCalledBody), server.WithDisablePrintRoute(true), server.WithReadTimeout(readTimeout),
+		server.WithMaxRequestBodySize(maxBody), server.WithDisablePrintRoute(true), server.WithReadTimeout(readTimeout),
 		server.WithIdleTimeout(idleTimeout), server.WithExitWaitTime(c.called.DrainTime)}
 	s.hertz = server.New(opts...)
 	add(s.hertz)
@@ -227,12 +235,14 @@
 	var servers []*calledServer
 	for _, item := range []struct {
 		address string
+		maxBody int
 		add     func(*server.Hertz)
-	}{{c.called.FrontAddress, adapter.ServeCallers}, {c.called.ReadinessAddress, adapter.ServeReadiness}, {c.called.ControlAddress, adapter.ServeControl}} {
+	}{{c.called.FrontAddress, maxFrontBody, adapter.ServeCallers}, {c.called.ReadinessAddress, maxFrontBody, adapter.ServeReadiness},
+		{c.called.ControlAddress, maxControlBody, adapter.ServeControl}} {
 		if item.address == "" {
 			continue
 		}
-		s, err := c.listen(item.address, item.add)
+		s, err := c.listen(item.address, item.maxBody, item.add)
 		if err != nil {
 			return nil, err
 		}
--- a/dispatch/observer.go
+++ b/dispatch/observer.go
@@ -105,7 +105,8 @@
 	if !r.Task.Done {
 		e.log.Info().Str("request", r.Task.Step.Job().Spec.GetId()).Int32("step", r.Task.Step.Index).Int32("task", r.Task.Index).
 			Int32("run", r.Number).Str("worker", r.Worker.GetId()).Str("end", endNames[kind]).Msg("run ended without result")
-	} else {
+	}
+	if r.Task.Done || r.Task.Step.Job().Ended() {
 		delete(e.saved, r.Task)
 	}
 	switch {
--- a/pipeline/jobs_test.go
+++ b/pipeline/jobs_test.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"fmt"
 	"testing"
 
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
@@ -214,6 +215,26 @@
 	}
 }
 
+func TestTooManyLiveJobsAreRefused(t *testing.T) {
+	w := newWorld(t)
+	spec := func(n int) *pipelinev1.JobSpec {
+		return &pipelinev1.JobSpec{Id: fmt.Sprint(n), Queue: testQueue, Steps: []*pipelinev1.Step{step(1, 1)}}
+	}
+	for n := range MaxLiveJobs {
+		w.submitAs(testKey, fmt.Sprint(n), spec(n))
+	}
+	if got := w.submitAs(testKey, "more", spec(MaxLiveJobs)); got.Verdict != pipelinev1.Verdict_VERDICT_NOT_NOW || got.RetryAfterMs == 0 {
+		t.Errorf("one job too many: %v", got)
+	}
+	if got := w.submitAs(testKey, "0", spec(0)); got.Verdict != pipelinev1.Verdict_VERDICT_OK {
+		t.Errorf("a known job sent again: %v", got.Verdict)
+	}
+	w.cancel("0")
+	if got := w.submitAs(testKey, "more", spec(MaxLiveJobs)); got.Verdict != pipelinev1.Verdict_VERDICT_OK {
+		t.Errorf("after one has ended: %v", got.Verdict)
+	}
+}
+
 func TestSweepKeepsJobsWithRuns(t *testing.T) {
 	w := newWorld(t)
 	w.submit("a", step(1, 1))
--- a/pipeline/submit.go
+++ b/pipeline/submit.go
@@ -13,8 +13,15 @@
 	MaxTasks       = 20_000
 	MaxOccurrences = 10_000
 	MaxPayload     = 64 << 10
+	// MaxLiveJobs bounds the jobs that have not ended. One takes about 6 KB, a replica has 280 MB;
+	// the users' days have 200 at once.
+	MaxLiveJobs = 10_000
 )
 
+// fullRetryMS is when a caller may come again after a refusal because of MaxLiveJobs: jobs end
+// within seconds.
+const fullRetryMS = 2000
+
 // CheckSpec returns why a job is malformed, or an empty text.
 func CheckSpec(j *pipelinev1.JobSpec) string {
 	switch {
@@ -78,6 +85,9 @@
 	if problem := CheckSpec(spec); problem != "" {
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_INVALID, Detail: problem}
 	}
+	if len(s.jobs)-len(s.ended) >= MaxLiveJobs {
+		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NOT_NOW, Detail: "too many jobs have not ended", RetryAfterMs: fullRetryMS}
+	}
 	j := newJob(spec, team.GetName(), q, c.GetDigest(), s.nowNS)
 	s.jobs[spec.GetId()] = j
 	s.pendingChanged(j, 1)
