Let a replica with an emptied disk take its older identity's place in two changes

Now the older identity leaves first, only where the policy asks for it (the users' platform); the product's default is as it was. Refused proposals are recorded as events. Test: a join takes the place of its predecessor.

--- a/control/membership.go
+++ b/control/membership.go
@@ -199,7 +199,10 @@
 	wanted := raft.Member{ID: raft.ID(m.GetId()), Address: m.GetAddress(), Domain: m.GetFailureDomain()}
 	i := slices.IndexFunc(members, func(o raft.Member) bool { return o.ID == wanted.ID })
 	if i < 0 {
-		members = append(c.withoutPredecessor(members, wanted), wanted)
+		if c.dropPredecessor(members, wanted) {
+			return false
+		}
+		members = append(members, wanted)
 	} else {
 		wanted.Voter = members[i].Voter
 		if members[i] == wanted {
@@ -207,16 +210,30 @@
 		}
 		members[i] = wanted
 	}
-	_, _ = core.ProposeMembers(members)
+	c.proposeMembers(members, "a replica joins as a learner")
 	return false
 }
 
-// withoutPredecessor drops the member that had the address of a new one: its disk is gone,
-// as an identity lasts as long as its disk. It stays while the group needs its vote.
-func (c *Controller) withoutPredecessor(members []raft.Member, joining raft.Member) []raft.Member {
+// dropPredecessor proposes to remove the member that had the address of a joining one, and
+// reports whether there is one to remove first: its disk is gone, as an identity lasts as long
+// as its disk. It stays while the group needs its vote.
+func (c *Controller) dropPredecessor(members []raft.Member, joining raft.Member) bool {
+	if !c.cfg.Membership.ReplaceAtAddress {
+		return false
+	}
 	i := slices.IndexFunc(members, func(o raft.Member) bool { return o.Address == joining.Address && o.ID != joining.ID })
 	if i < 0 || members[i].Voter && !c.membership().safe(members[i].ID, remove) {
-		return members
+		return false
+	}
+	c.proposeMembers(slices.Delete(slices.Clone(members), i, i+1), "a member's disk was replaced at its address")
+	return true
+}
+
+// proposeMembers proposes a membership; one that can't be proposed now is tried again by the
+// caller's next attempt.
+func (c *Controller) proposeMembers(members []raft.Member, why string) {
+	if _, err := c.node.Raft().ProposeMembers(members); err != nil {
+		why += ": not proposed: " + err.Error()
 	}
-	return slices.Delete(slices.Clone(members), i, i+1)
+	c.event(&apiv1.Event{Kind: "membership", Detail: why})
 }
--- a/control/membership_test.go
+++ b/control/membership_test.go
@@ -322,3 +322,32 @@
 		})
 	})
 }
+
+// A replica with an emptied disk joins under a new identity at its old address; its older
+// identity leaves first, as the group changes one member at a time. Both in one change were
+// refused for good once, and the replica never came back.
+func TestJoinTakesThePlaceOfItsPredecessor(t *testing.T) {
+	inGroup(t, 3, func(g *group) {
+		l := g.leader()
+		var old raft.Member
+		l.do(func() {
+			l.ctl.cfg.Membership.ReplaceAtAddress = true
+			for _, m := range l.node.Raft().Members() {
+				if m.ID != l.node.Raft().LeaderID() {
+					old = m
+				}
+			}
+		})
+		join := &peerv1.JoinRequest{Member: &peerv1.Member{Id: 9, Address: old.Address, FailureDomain: old.Domain}}
+		if got := l.ctl.Join(g.ctx, join, 5).GetStatus(); got != peerv1.ForwardStatus_FORWARD_STATUS_OK {
+			t.Fatalf("join: %v", got)
+		}
+		l.do(func() {
+			for _, m := range l.node.Raft().Members() {
+				if m.ID == old.ID {
+					t.Errorf("the older identity is still a member: %+v", m)
+				}
+			}
+		})
+	})
+}
--- a/control/repair.go
+++ b/control/repair.go
@@ -19,6 +19,9 @@
 	Replace time.Duration
 	// Forget is how long a learner may be silent before it is removed.
 	Forget time.Duration
+	// ReplaceAtAddress removes the member that had a joining replica's address at once, in
+	// place of waiting until it has been silent for Replace.
+	ReplaceAtAddress bool
 	// CatchUpEntries is how far a learner's log may be behind when it becomes a voter.
 	CatchUpEntries uint64
 }
--- a/daemon/called.go
+++ b/daemon/called.go
@@ -98,6 +98,7 @@
 	c.founders = founderMembers(s.SeedPeers)
 	policy := control.DefaultMembershipPolicy
 	policy.Voters, policy.Replace, policy.Forget = groupVoters, replaceAfter, 2*replaceAfter
+	policy.ReplaceAtAddress = true
 	c.membership = &policy
 	c.newEngine = c.engine
 	c.tuneNode = func(n *replica.Config) {
