--- a/config/called.go
+++ b/config/called.go
@@ -21,7 +21,7 @@
 	// FrontAddress serves callers, ReadinessAddress the balancer; both are set for entries.
 	FrontAddress     string
 	ReadinessAddress string
-	// ControlAddress serves the operator and the workers; it is set for replicas.
+	// ControlAddress serves the operator and the upstreams; it is set for replicas.
 	ControlAddress string
 	PeerAddress    string
 	AdminAddress   string
@@ -32,9 +32,9 @@
 	Bootstrap bool
 	// PermitAddress is that of the permit service; empty where there is none.
 	PermitAddress string
-	// MachinesAddress is that of the machines' service; empty where there is none.
-	MachinesAddress string
-	// MaxHold is the longest lease that a worker grants, StopGrace the longest time that it
+	// VMsAddress is that of the VM service; empty where there is none.
+	VMsAddress string
+	// MaxHold is the longest lease that an upstream grants, StopGrace the longest time that it
 	// needs for a stop, DrainTime the time from the signal to end until the process is killed.
 	MaxHold   time.Duration
 	StopGrace time.Duration
@@ -93,9 +93,9 @@
 		Seeds:            r.addresses("cluster", "seeds"),
 		Bootstrap:        r.choice("cluster", "bootstrap", "false", "true", "false") == "true",
 		PermitAddress:    r.optionalAddress("permits", "address"),
-		MachinesAddress:  r.optionalAddress("machines", "address"),
-		MaxHold:          r.millis("workers", "max_hold_ms", 6*time.Second, minHold, maxHold),
-		StopGrace:        r.millis("workers", "stop_ms", time.Second, 0, maxStop),
+		VMsAddress:       r.optionalAddress("vms", "address"),
+		MaxHold:          r.millis("upstreams", "max_hold_ms", 6*time.Second, minHold, maxHold),
+		StopGrace:        r.millis("upstreams", "stop_ms", time.Second, 0, maxStop),
 		DrainTime:        time.Duration(r.integer("node", "grace_s", 30, int(minDrain/time.Second), int(maxDrain/time.Second))) * time.Second,
 		LogLevel:         r.choice("log", "level", "info", "debug", "info", "warn", "error"),
 	}
@@ -120,7 +120,7 @@
 	return d
 }
 
-// seedPeers returns the seeds' peer addresses: ports are the same on all machines.
+// seedPeers returns the seeds' peer addresses: ports are the same on all VMs.
 func (r *reader) seedPeers(s *CalledSettings) []string {
 	own, err := netip.ParseAddrPort(s.PeerAddress)
 	if err != nil {
--- a/daemon/called.go
+++ b/daemon/called.go
@@ -114,11 +114,11 @@
 func (c *Called) engine(host *control.Controller) control.Engine {
 	cfg := dispatch.Config{MaxHold: c.called.MaxHold, StopGrace: c.called.StopGrace, MinVoters: min(len(c.founders), minVoters),
 		HeartbeatAddress: c.called.ControlAddress, Replicas: host.ReplicaAddresses}
-	var machines dispatch.Machines
-	if c.called.MachinesAddress != "" {
-		machines = platform.NewMachines(c.called.MachinesAddress, c.called.Name)
+	var vms dispatch.VMs
+	if c.called.VMsAddress != "" {
+		vms = platform.NewVMs(c.called.VMsAddress, c.called.Name)
 	}
-	return dispatch.New(cfg, c.log, host, platform.NewWorkers(), machines)
+	return dispatch.New(cfg, c.log, host, platform.NewUpstreams(), vms)
 }
 
 // localFirst answers calls to this process without a connection.
--- a/daemon/called_permits.go
+++ b/daemon/called_permits.go
@@ -69,7 +69,7 @@
 	out := &pipelinev1.PermitAnswer{Id: q.GetId(), Answered: err == nil, Permits: permits, ValidMs: valid.Milliseconds(),
 		TookUs: time.Since(began).Microseconds()}
 	if err != nil {
-		c.log.Info().Err(err).Str("request", q.GetStep().GetJob()).Int32("step", q.GetStep().GetStep()).Int("workers", len(q.GetWorkers())).
+		c.log.Info().Err(err).Str("request", q.GetStep().GetJob()).Int32("step", q.GetStep().GetStep()).Int("upstreams", len(q.GetUpstreams())).
 			Dur("took", time.Since(began)).Msg("permit question failed")
 		_ = retry.Sleep(ctx, askAgainAfter)
 	}
--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -10,13 +10,13 @@
 	"github.com/pkg/errors"
 )
 
-// ErrNotSent tells that a call to a worker surely did not reach it.
-var ErrNotSent = errors.New("dispatch: the call did not reach the worker")
+// ErrNotSent tells that a call to an upstream surely did not reach it.
+var ErrNotSent = errors.New("dispatch: the call did not reach the upstream")
 
-// Target is the incarnation of a worker that a call is meant for.
+// Target is the incarnation of an upstream that a call is meant for.
 type Target struct {
-	Worker  string
-	Address string
+	Upstream string
+	Address  string
 }
 
 // Order is the part that starts and stops share.
@@ -27,21 +27,21 @@
 	Token int64
 }
 
-// Start tells a worker to start a run.
+// Start tells an upstream to start a run.
 type Start struct {
 	Order
 	Payload string
-	// DeadlineMS is the end of the worker's lease by its own clock, in milliseconds.
+	// DeadlineMS is the end of the upstream's lease by its own clock, in milliseconds.
 	DeadlineMS int64
 	Checkpoint string
-	// Ticket proves that the permit service allows the worker; empty where none is needed.
+	// Ticket proves that the permit service allows the upstream; empty where none is needed.
 	Ticket string
 }
 
-// OrderVerdict is a worker's answer to an order.
+// OrderVerdict is an upstream's answer to an order.
 type OrderVerdict string
 
-// Verdicts. All but Obeyed say that the worker has done nothing.
+// Verdicts. All but Obeyed say that the upstream has done nothing.
 const (
 	Obeyed           OrderVerdict = "obeyed"
 	Fenced           OrderVerdict = "a higher token was seen"
@@ -50,20 +50,20 @@
 	NoRoom           OrderVerdict = "no room"
 	BadTicket        OrderVerdict = "the ticket is not valid"
 	Malformed        OrderVerdict = "the order is malformed"
-	Unhealthy        OrderVerdict = "the worker is unhealthy"
+	Unhealthy        OrderVerdict = "the upstream is unhealthy"
 	OtherIncarnation OrderVerdict = "another incarnation answered"
 )
 
-// OrderReply is the answer to an order. ClockMS is the worker's clock, zero if unknown.
+// OrderReply is the answer to an order. ClockMS is the upstream's clock, zero if unknown.
 type OrderReply struct {
 	Verdict OrderVerdict
 	ClockMS int64
 }
 
-// LookRequest asks for a worker's runs and may extend its lease.
+// LookRequest asks for an upstream's runs and may extend its lease.
 type LookRequest struct {
 	Token int64
-	// LastEnd acknowledges ends up to this number; the worker forgets them.
+	// LastEnd acknowledges ends up to this number; the upstream forgets them.
 	LastEnd int64
 	// DeadlineMS extends the lease; zero leaves it as it is.
 	DeadlineMS int64
@@ -71,7 +71,7 @@
 	Wait time.Duration
 }
 
-// RunningTask is a run that a worker has.
+// RunningTask is a run that an upstream has.
 type RunningTask struct {
 	Run        pipeline.RunKey
 	Checkpoint string
@@ -80,7 +80,7 @@
 	UsageKnown bool
 }
 
-// EndedTask is an end that a worker lists until it is acknowledged.
+// EndedTask is an end that an upstream lists until it is acknowledged.
 type EndedTask struct {
 	Number     int64
 	Run        pipeline.RunKey
@@ -99,8 +99,8 @@
 	Ended   []EndedTask
 }
 
-// Workers calls workers. Its methods run in goroutines of their own.
-type Workers interface {
+// Upstreams calls upstreams. Its methods run in goroutines of their own.
+type Upstreams interface {
 	Start(ctx context.Context, to Target, s Start) (OrderReply, error)
 	Stop(ctx context.Context, to Target, o Order) (OrderReply, error)
 	Look(ctx context.Context, to Target, r LookRequest) (Look, error)
@@ -122,13 +122,13 @@
 
 // Config holds the settings of an Engine. The bounds come from the platform's settings.
 type Config struct {
-	// MaxHold is the longest lease that a worker grants.
+	// MaxHold is the longest lease that an upstream grants.
 	MaxHold time.Duration
-	// StopGrace is the longest time that a worker needs for a stop.
+	// StopGrace is the longest time that an upstream needs for a stop.
 	StopGrace time.Duration
 	// MinVoters is the number of voters below which nothing is acknowledged.
 	MinVoters int
-	// HeartbeatAddress is where workers may send their heartbeats while this process leads.
+	// HeartbeatAddress is where upstreams may send their heartbeats while this process leads.
 	HeartbeatAddress string
 	// Replicas returns the peer addresses of the group's members.
 	Replicas func() []string
@@ -140,11 +140,11 @@
 	confirmLife = 1200 * time.Millisecond
 	// confirmInterval is the time between confirmations, a third of confirmLife.
 	confirmInterval = 400 * time.Millisecond
-	// orderTimeout bounds one order or look without a wait. Workers answer in under 10 ms; work
-	// that is placed on a worker in the meantime is late if the worker is cut off.
+	// orderTimeout bounds one order or look without a wait. Upstreams answer in under 10 ms; work
+	// that is placed on an upstream in the meantime is late if the upstream is cut off.
 	orderTimeout = 400 * time.Millisecond
 	// watchWait is how long a look waits for an end; the platform allows two seconds. Together
-	// with orderTimeout it bounds how late a silent worker is noticed.
+	// with orderTimeout it bounds how late a silent upstream is noticed.
 	watchWait = 800 * time.Millisecond
 	// lossyWait and lossyTimeout bound looks, and lossyTimeout orders, while answers get lost: an
 	// end behind a lost answer is noticed that much later, and small jobs have about half a
@@ -152,30 +152,30 @@
 	lossyWait    = 200 * time.Millisecond
 	lossyTimeout = 150 * time.Millisecond
 	lossyMemory  = 2 * time.Second
-	// longestLease bounds the lease below what workers grant: it has to outlast a restart of
-	// all replicas (about three seconds), and the work of a worker that is cut off waits for
+	// longestLease bounds the lease below what upstreams grant: it has to outlast a restart of
+	// all replicas (about three seconds), and the work of an upstream that is cut off waits for
 	// its end.
 	longestLease = 4500 * time.Millisecond
-	// probeMin and probeMax bound the pauses between looks at a silent worker.
+	// probeMin and probeMax bound the pauses between looks at a silent upstream.
 	probeMin = 200 * time.Millisecond
 	probeMax = 2 * time.Second
-	// ackDelay lets further ends gather before an idle worker's ends are acknowledged.
+	// ackDelay lets further ends gather before an idle upstream's ends are acknowledged.
 	ackDelay = 300 * time.Millisecond
-	// lapseMargin is added to the stop grace before runs of a silent worker count as lost.
+	// lapseMargin is added to the stop grace before runs of a silent upstream count as lost.
 	lapseMargin = 300 * time.Millisecond
-	// slowClockPercent is how much slower a worker's clock may run, by the platform's page.
+	// slowClockPercent is how much slower an upstream's clock may run, by the platform's page.
 	slowClockPercent = 2
-	// avoidTime is how long no new work goes to a worker that refused some; health changes in
+	// avoidTime is how long no new work goes to an upstream that refused some; health changes in
 	// about a second.
 	avoidTime = time.Second
-	// stallAfter is how long a run may use no core before it counts as standing still; workers
+	// stallAfter is how long a run may use no core before it counts as standing still; upstreams
 	// report the last half second.
 	stallAfter = time.Second
-	// stallPause is how long a worker with such a run gets nothing new.
+	// stallPause is how long an upstream with such a run gets nothing new.
 	stallPause = 3 * time.Second
-	// forgetAfter is how long a silent worker without runs is remembered.
+	// forgetAfter is how long a silent upstream without runs is remembered.
 	forgetAfter = 30 * time.Second
-	// maxEndsListed is the number of ends at which a worker's list may be cut short.
+	// maxEndsListed is the number of ends at which an upstream's list may be cut short.
 	maxEndsListed = 500
 	// epochBits is the part of a token below the term.
 	epochBits = 16
--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -8,14 +8,14 @@
 )
 
 const (
-	// maxAsked bounds the workers of one question; the platform allows a hundred, and the
+	// maxAsked bounds the upstreams of one question; the platform allows a hundred, and the
 	// credit of a job counts one question about thirty.
 	maxAsked = 30
-	// allowedGuess is the share of workers that a question is expected to allow: the users'
+	// allowedGuess is the share of upstreams that a question is expected to allow: the users'
 	// small steps see 0.7, the large ones 0.35.
 	allowedGuessCheap  = 0.7
 	allowedGuessCostly = 0.35
-	// minAsked is the least number of workers of one question: naming one more costs a sixtieth
+	// minAsked is the least number of upstreams of one question: naming one more costs a sixtieth
 	// of the question, and asking again costs all of it.
 	minAsked = 10
 	// askSurplus is how much more room than needed a question asks for.
@@ -33,37 +33,37 @@
 	if terms.GetDecisionMs() > costlyMS {
 		guess = allowedGuessCostly
 	}
-	r.onWorker = make(map[string]int)
+	r.onUpstream = make(map[string]int)
 	room, wanted := 0.0, askSurplus*float64(len(d.tasks))
 	for _, s := range r.askable(d) {
-		if room >= wanted && len(q.workers) >= minAsked || len(q.workers) >= maxAsked {
+		if room >= wanted && len(q.upstreams) >= minAsked || len(q.upstreams) >= maxAsked {
 			break
 		}
-		id := s.w.GetId()
-		q.workers = append(q.workers, id)
-		q.born[id] = s.w.GetBorn()
+		id := s.u.GetId()
+		q.upstreams = append(q.upstreams, id)
+		q.born[id] = s.u.GetBorn()
 		share := guess
 		if _, known := d.work.permits[id]; known {
 			share = 1
 		}
 		room += share * float64(r.capacityFor(d, s))
 	}
-	if len(q.workers) == 0 {
+	if len(q.upstreams) == 0 {
 		return
 	}
 	if d.work.step.Spec.GetGang() && room < float64(len(d.tasks)) {
 		return
 	}
-	q.costMS = terms.GetDecisionMs() + terms.GetPerWorkerMs()*float64(len(q.workers))
+	q.costMS = terms.GetDecisionMs() + terms.GetPerUpstreamMs()*float64(len(q.upstreams))
 	d.work.question = q
 	r.e.permits.ask(q, r.now)
 }
 
-// capacity returns how many tasks of a step the worker can take now.
+// capacity returns how many tasks of a step the upstream can take now.
 func (r *round) capacity(st *pipeline.Step, s *session, most int) int {
 	n := r.free(s).Count(st.Need, most)
-	if bound := int(st.Spec.GetMaxPerWorker()); bound > 0 {
-		n = min(n, bound-s.w.RunsOf(st))
+	if bound := int(st.Spec.GetMaxPerUpstream()); bound > 0 {
+		n = min(n, bound-s.u.RunsOf(st))
 	}
 	return max(n, 0)
 }
@@ -75,13 +75,13 @@
 		return n
 	}
 	n = r.roomAfterPreemption(s).Count(d.work.step.Need, len(d.tasks))
-	if bound := int(d.work.step.Spec.GetMaxPerWorker()); bound > 0 {
-		n = min(n, bound-s.w.RunsOf(d.work.step))
+	if bound := int(d.work.step.Spec.GetMaxPerUpstream()); bound > 0 {
+		n = min(n, bound-s.u.RunsOf(d.work.step))
 	}
 	return max(n, 0)
 }
 
-// askable returns the workers that are worth a question: those with room, known to be allowed
+// askable returns the upstreams that are worth a question: those with room, known to be allowed
 // first, then those with most room in a random order of about equal ones.
 func (r *round) askable(d demand) []*session {
 	type ranked struct {
@@ -91,7 +91,7 @@
 	var list []ranked
 	for id, s := range r.e.sessions {
 		p, known := d.work.permits[id]
-		if d.work.denied[id] || known && p.born == s.w.GetBorn() && r.now < p.expires || !r.couldTake(d, s) {
+		if d.work.denied[id] || known && p.born == s.u.GetBorn() && r.now < p.expires || !r.couldTake(d, s) {
 			continue
 		}
 		rank := float64(r.capacity(d.work.step, s, len(d.tasks))) * (0.5 + rand.Float64())
@@ -116,7 +116,7 @@
 	return out
 }
 
-// couldTake reports whether a worker has room for the step, or would have after a preemption.
+// couldTake reports whether an upstream has room for the step, or would have after a preemption.
 func (r *round) couldTake(d demand, s *session) bool {
 	if r.fits(d.work.step, s) {
 		return true
@@ -124,7 +124,7 @@
 	if !r.mayPreempt(d) || !r.suits(d.work.step, s) {
 		return false
 	}
-	switch r.e.state.CheckWorker(d.work.step, s.w) {
+	switch r.e.state.CheckUpstream(d.work.step, s.u) {
 	case "", pipeline.PlaceNoRoom:
 		return r.capacityFor(d, s) > 0
 	}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -7,7 +7,7 @@
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 )
 
-// candidates returns the workers that may run the step now: with a valid ticket, or all
+// candidates returns the upstreams that may run the step now: with a valid ticket, or all
 // where none is needed.
 func (r *round) candidates(d demand) []*session {
 	var out []*session
@@ -20,41 +20,41 @@
 	} else {
 		for id, p := range d.work.permits {
 			s := r.e.sessions[id]
-			if s != nil && p.born == s.w.GetBorn() && r.now < p.expires && r.fits(d.work.step, s) {
+			if s != nil && p.born == s.u.GetBorn() && r.now < p.expires && r.fits(d.work.step, s) {
 				out = append(out, s)
 			}
 		}
 	}
-	slices.SortFunc(out, func(a, b *session) int { return cmp.Compare(a.w.GetId(), b.w.GetId()) })
+	slices.SortFunc(out, func(a, b *session) int { return cmp.Compare(a.u.GetId(), b.u.GetId()) })
 	return out
 }
 
-// free returns the worker's room after what the round gave away.
+// free returns the upstream's room after what the round gave away.
 func (r *round) free(s *session) pipeline.Resources {
-	return s.w.Free().Minus(r.taken[s.w.GetId()])
+	return s.u.Free().Minus(r.taken[s.u.GetId()])
 }
 
-// fits reports whether one more task of the step may run on the worker.
+// fits reports whether one more task of the step may run on the upstream.
 func (r *round) fits(st *pipeline.Step, s *session) bool {
-	return st.Need.Fits(r.free(s)) && r.suits(st, s) && r.e.state.CheckWorker(st, s.w) == ""
+	return st.Need.Fits(r.free(s)) && r.suits(st, s) && r.e.state.CheckUpstream(st, s.u) == ""
 }
 
-// suits reports whether a worker may take tasks of the step when it has room.
+// suits reports whether an upstream may take tasks of the step when it has room.
 func (r *round) suits(st *pipeline.Step, s *session) bool {
-	if !s.usable(r.now) || r.now < r.e.steps[st].avoided[s.w.GetId()] {
+	if !s.usable(r.now) || r.now < r.e.steps[st].avoided[s.u.GetId()] {
 		return false
 	}
-	bound := int(st.Spec.GetMaxPerWorker())
-	return bound == 0 || s.w.RunsOf(st)+r.onWorker[s.w.GetId()] < bound
+	bound := int(st.Spec.GetMaxPerUpstream())
+	return bound == 0 || s.u.RunsOf(st)+r.onUpstream[s.u.GetId()] < bound
 }
 
 // choice ranks a candidate for one task; smaller is better.
 type choice struct {
 	// far is set when the task's data is on another rack.
 	far bool
-	// holds is for how many of the step's waiting tasks the worker has room.
+	// holds is for how many of the step's waiting tasks the upstream has room.
 	holds int
-	// left is the share of the worker that stays free, and a penalty for slow workers.
+	// left is the share of the upstream that stays free, and a penalty for slow upstreams.
 	left float64
 }
 
@@ -69,20 +69,20 @@
 }
 
 // best returns the candidate for a task: near its data first, then one with room for most of the
-// waiting tasks, then the one with the least room left. Few workers for a step mean few steps
-// that suffer when a worker is lost. What lasts is spread instead.
+// waiting tasks, then the one with the least room left. Few upstreams for a step mean few steps
+// that suffer when an upstream is lost. What lasts is spread instead.
 func (r *round) best(t *pipeline.Task, waiting int, candidates []*session) *session {
 	st := t.Step
 	var best *session
 	var rank choice
 	for _, s := range candidates {
-		if !r.fits(st, s) || t.RunsOn(s.w) {
+		if !r.fits(st, s) || t.RunsOn(s.u) {
 			continue
 		}
-		c := choice{far: !s.w.HasLabel(st.Spec.GetDataRack()), holds: r.capacity(st, s, waiting),
-			left: roomLeft(r.free(s).Minus(st.Need), s.w.Capacity) + slowPenalty*r.e.learner.slowness(s.w.GetId())}
+		c := choice{far: !s.u.HasLabel(st.Spec.GetDataRack()), holds: r.capacity(st, s, waiting),
+			left: roomLeft(r.free(s).Minus(st.Need), s.u.Capacity) + slowPenalty*r.e.learner.slowness(s.u.GetId())}
 		if st.Spec.GetLasting() {
-			c.holds = -r.onWorker[s.w.GetId()]
+			c.holds = -r.onUpstream[s.u.GetId()]
 		}
 		if best == nil || c.betterThan(rank) {
 			best, rank = s, c
@@ -91,7 +91,7 @@
 	return best
 }
 
-// roomLeft is the larger share of a worker's capacity that is left in its dimensions.
+// roomLeft is the larger share of an upstream's capacity that is left in its dimensions.
 func roomLeft(free, capacity pipeline.Resources) float64 {
 	share := func(a, b int64) float64 {
 		if b == 0 {
@@ -114,9 +114,9 @@
 func (r *round) countCores() {
 	r.freeCores, r.totalCores = make(map[string]int64), make(map[string]int64)
 	for _, s := range r.e.sessions {
-		if s.usable(r.now) && !r.e.state.DomainOut(s.w.GetFailureDomain()) {
-			r.freeCores[s.w.GetService()] += s.w.Free().MilliCores
-			r.totalCores[s.w.GetService()] += s.w.Capacity.MilliCores
+		if s.usable(r.now) && !r.e.state.DomainOut(s.u.GetFailureDomain()) {
+			r.freeCores[s.u.GetService()] += s.u.Free().MilliCores
+			r.totalCores[s.u.GetService()] += s.u.Capacity.MilliCores
 		}
 	}
 }
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -17,16 +17,16 @@
 	headroom = 0.12
 	// spareSlack is the slack, in terms of the remaining time, above which work can wait.
 	spareSlack = 0.25
-	// retryElsewhere is how long a step avoids a worker after a task failed or stalled there.
+	// retryElsewhere is how long a step avoids an upstream after a task failed or stalled there.
 	retryElsewhere = 3 * time.Second
-	// stragglerFactor and stragglerSlack say when a run takes so long that a copy pays: workers
+	// stragglerFactor and stragglerSlack say when a run takes so long that a copy pays: upstreams
 	// differ by a half in speed, estimates by a half as well.
 	stragglerFactor = 2.0
 	stragglerSlack  = 200 * time.Millisecond
 	// teamHeadroom is the share of a team's limit that its own work with time to spare leaves
 	// free for its urgent queues; small jobs are a fifth of the work, in bursts two.
 	teamHeadroom = 0.25
-	// slowPenalty is how much room left a worker's slowness outweighs when one is chosen.
+	// slowPenalty is how much room left an upstream's slowness outweighs when one is chosen.
 	slowPenalty = 0.5
 )
 
@@ -37,9 +37,9 @@
 	wall  int64
 	taken map[string]pipeline.Resources
 	used  map[string]pipeline.Resources
-	// onWorker counts the tasks of the step that is being placed by worker.
-	onWorker map[string]int
-	// free and total are the cores of each service's usable workers.
+	// onUpstream counts the tasks of the step that is being placed by upstream.
+	onUpstream map[string]int
+	// free and total are the cores of each service's usable upstreams.
 	freeCores, totalCores map[string]int64
 	urgencies             map[*pipeline.Step]urgency
 	preemptRoom           map[*session]pipeline.Resources
@@ -66,10 +66,10 @@
 	r.propose()
 }
 
-// placeStep gives the step's waiting tasks their workers.
+// placeStep gives the step's waiting tasks their upstreams.
 func (r *round) placeStep(d demand) {
 	st := d.work.step
-	r.onWorker = make(map[string]int)
+	r.onUpstream = make(map[string]int)
 	candidates := r.candidates(d)
 	var placed []*pipelinev1.Run
 	for i, t := range d.tasks {
@@ -85,7 +85,7 @@
 		placed, rest = nil, d.tasks
 	}
 	for _, p := range placed {
-		r.e.tickets[pipeline.RunKey{TaskKey: pipeline.KeyOf(p.GetTask()), Number: p.GetNumber()}] = d.work.permits[p.GetWorker()].ticket
+		r.e.tickets[pipeline.RunKey{TaskKey: pipeline.KeyOf(p.GetTask()), Number: p.GetNumber()}] = d.work.permits[p.GetUpstream()].ticket
 	}
 	r.runs = append(r.runs, placed...)
 	if len(rest) > 0 {
@@ -95,21 +95,21 @@
 }
 
 func (r *round) take(t *pipeline.Task, s *session) *pipelinev1.Run {
-	st, id := t.Step, s.w.GetId()
+	st, id := t.Step, s.u.GetId()
 	r.taken[id] = r.taken[id].Plus(st.Need)
 	r.used[st.Job().Team] = r.used[st.Job().Team].Plus(st.Need)
-	r.onWorker[id]++
-	r.freeCores[s.w.GetService()] -= st.Need.MilliCores
+	r.onUpstream[id]++
+	r.freeCores[s.u.GetService()] -= st.Need.MilliCores
 	number := t.LastRun + 1
 	if st.Spec.GetGang() {
 		number = st.LastRun + 1
 	}
-	return &pipelinev1.Run{Task: t.Key().Proto(), Number: number, Worker: id, Born: s.w.GetBorn()}
+	return &pipelinev1.Run{Task: t.Key().Proto(), Number: number, Upstream: id, Born: s.u.GetBorn()}
 }
 
 func (r *round) giveBack(st *pipeline.Step, placed []*pipelinev1.Run) {
 	for _, p := range placed {
-		r.taken[p.GetWorker()] = r.taken[p.GetWorker()].Minus(st.Need)
+		r.taken[p.GetUpstream()] = r.taken[p.GetUpstream()].Minus(st.Need)
 		r.used[st.Job().Team] = r.used[st.Job().Team].Minus(st.Need)
 		r.freeCores[r.e.state.Terms(st.Job()).GetService()] += st.Need.MilliCores
 	}
@@ -140,7 +140,7 @@
 		runsRefused.Add(string(p.Why), 1)
 		key := pipeline.RunKey{TaskKey: pipeline.KeyOf(p.Run.GetTask()), Number: p.Run.GetNumber()}
 		delete(e.tickets, key)
-		e.log.Info().Str("request", key.Job).Int32("step", key.Step).Int32("task", key.Index).Str("worker", p.Run.GetWorker()).
+		e.log.Info().Str("request", key.Job).Int32("step", key.Step).Int32("task", key.Index).Str("upstream", p.Run.GetUpstream()).
 			Str("why", string(p.Why)).Msg("placement was refused when it was applied")
 	}
 	for i := 0; i < len(result.Taken); {
@@ -155,10 +155,10 @@
 
 func (e *Engine) logPlaced(runs []*pipeline.Run) {
 	st := runs[0].Task.Step
-	workers := make([]string, 0, len(runs))
+	upstreams := make([]string, 0, len(runs))
 	first := true
 	for _, r := range runs {
-		workers = append(workers, r.Worker.GetId())
+		upstreams = append(upstreams, r.Upstream.GetId())
 		first = first && r.Number == 1
 	}
 	waited := time.Duration(runs[0].PlacedNS - st.Job().SubmittedNS)
@@ -169,6 +169,6 @@
 	if w := e.steps[st]; w != nil {
 		left = len(w.waiting())
 	}
-	e.log.Info().Str("request", st.Job().Spec.GetId()).Int32("step", st.Index).Int32("run", runs[0].Number).Strs("workers", workers).
+	e.log.Info().Str("request", st.Job().Spec.GetId()).Int32("step", st.Index).Int32("run", runs[0].Number).Strs("upstreams", upstreams).
 		Int("tasks_left", left).Dur("since_accepted", waited).Msg("runs placed")
 }
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -13,12 +13,12 @@
 type stepWork struct {
 	step    *pipeline.Step
 	readyAt time.Duration
-	// permits and denied hold the answers of the permit service by worker; they never change
+	// permits and denied hold the answers of the permit service by upstream; they never change
 	// but for the tickets' life.
 	permits  map[string]permit
 	denied   map[string]bool
 	question *question
-	// avoided holds until when a worker gets no task of the step, after one failed or stalled there.
+	// avoided holds until when an upstream gets no task of the step, after one failed or stalled there.
 	avoided map[string]time.Duration
 	// preemptAgain is when the step may take room from other work again.
 	preemptAgain time.Duration
@@ -30,7 +30,7 @@
 	return &stepWork{step: st, readyAt: now, permits: make(map[string]permit), denied: make(map[string]bool), avoided: make(map[string]time.Duration)}
 }
 
-func (w *stepWork) avoid(worker string, until time.Duration) { w.avoided[worker] = until }
+func (w *stepWork) avoid(upstream string, until time.Duration) { w.avoided[upstream] = until }
 
 // key names the step; the index of a task is zero in it.
 func (w *stepWork) key() pipeline.TaskKey {
@@ -91,7 +91,7 @@
 }
 
 // stragglers returns the tasks whose only run takes much longer than expected, or is on a
-// worker that does not answer.
+// upstream that does not answer.
 func (r *round) stragglers(w *stepWork) []*pipeline.Task {
 	var out []*pipeline.Task
 	bound := time.Duration(stragglerFactor*float64(r.e.learner.expected(w.step))) + stragglerSlack
@@ -99,7 +99,7 @@
 		if t.Done || len(t.Live) != 1 || r.e.state.Exhausted(t) {
 			continue
 		}
-		s := r.e.sessions[t.Live[0].Worker.GetId()]
+		s := r.e.sessions[t.Live[0].Upstream.GetId()]
 		if time.Duration(r.wall-t.Live[0].PlacedNS) > bound || s == nil || s.phase == phaseSilent {
 			out = append(out, t)
 		}
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -19,13 +19,13 @@
 
 // Engine implements control.Engine.
 type Engine struct {
-	cfg     Config
-	log     zerolog.Logger
-	host    Host
-	workers Workers
-	// machines is nil where there is no machines' service.
-	machines Machines
-	state    *pipeline.State
+	cfg       Config
+	log       zerolog.Logger
+	host      Host
+	upstreams Upstreams
+	// VMs is nil where there is no VM service.
+	vms   VMs
+	state *pipeline.State
 
 	leading bool
 	term    int64
@@ -34,7 +34,7 @@
 	confirmedAt time.Duration
 	confirming  bool
 	nextSweep   time.Duration
-	// lossyUntil is how long answers of workers are expected to get lost.
+	// lossyUntil is how long answers of upstreams are expected to get lost.
 	lossyUntil time.Duration
 
 	sessions map[string]*session
@@ -42,7 +42,7 @@
 	permits  planner
 	learner  learner
 	upkeep   upkeep
-	// saved are checkpoints that workers showed and that no end has brought yet.
+	// saved are checkpoints that upstreams showed and that no end has brought yet.
 	saved map[*pipeline.Task]string
 	// tickets are those of placed runs that aren't ordered yet.
 	tickets map[pipeline.RunKey]string
@@ -54,10 +54,10 @@
 	waking     bool
 }
 
-// New returns an engine; machines may be nil.
-func New(cfg Config, log zerolog.Logger, host Host, workers Workers, machines Machines) *Engine {
+// New returns an engine; VMs may be nil.
+func New(cfg Config, log zerolog.Logger, host Host, upstreams Upstreams, vms VMs) *Engine {
 	cfg.MaxHold = min(cfg.MaxHold, longestLease)
-	e := &Engine{cfg: cfg, log: log, host: host, workers: workers, machines: machines, state: host.Pipelines()}
+	e := &Engine{cfg: cfg, log: log, host: host, upstreams: upstreams, vms: vms, state: host.Pipelines()}
 	e.clear()
 	return e
 }
@@ -82,7 +82,7 @@
 	e.confirmedAt = e.leadAt
 	e.nextSweep = e.leadAt + sweepInterval
 	e.state.Observe((*observer)(e))
-	for _, w := range e.state.Workers() {
+	for _, w := range e.state.Upstreams() {
 		e.openSession(w)
 	}
 	for _, j := range e.state.Jobs() {
@@ -93,7 +93,7 @@
 		e.stopRuns(j.LiveRuns(), "the job has ended")
 	}
 	e.dirty = true
-	e.log.Info().Uint64("term", term).Int("workers", len(e.sessions)).Int("steps", len(e.steps)).
+	e.log.Info().Uint64("term", term).Int("upstreams", len(e.sessions)).Int("steps", len(e.steps)).
 		Uint64("config_version", e.state.Config().Version()).Msg("leadership begins")
 }
 
@@ -124,7 +124,7 @@
 		s.pump(now)
 	}
 	e.permits.tick(e, now)
-	e.forgetWorkers(now)
+	e.forgetUpstreams(now)
 	e.tendWaves(now)
 	e.dirty = true
 }
@@ -216,7 +216,7 @@
 
 // logLoad says how busy the leader is.
 func (e *Engine) logLoad() {
-	e.log.Info().Int("steps", len(e.steps)).Int("workers", len(e.sessions)).Int("callers", len(e.permits.callers)).
+	e.log.Info().Int("steps", len(e.steps)).Int("upstreams", len(e.sessions)).Int("callers", len(e.permits.callers)).
 		Int("questions_waiting", len(e.permits.waiting)).Dur("decision_p50", decisionTime.Quantile(50)).Dur("decision_p99", decisionTime.Quantile(99)).
 		Dur("permit_p50", permitTime.Quantile(50)).Dur("permit_p99", permitTime.Quantile(99)).Dur("first_start_p99", startTime.Quantile(99)).
 		Int64("orders", ordersSent.Value()).Int64("looks", looksSent.Value()).Msg("leader load")
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -17,7 +17,7 @@
 	waitTeamLimit waitReason = "the team's limit is reached"
 	waitHeadroom  waitReason = "room is kept free for urgent queues"
 	waitPermits   waitReason = "permits are asked for"
-	waitRoom      waitReason = "no worker that may run the step has room"
+	waitRoom      waitReason = "no upstream that may run the step has room"
 	waitGang      waitReason = "not all members of the gang have room at once"
 )
 
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -8,37 +8,37 @@
 	"github.com/rs/zerolog"
 )
 
-// heartbeat takes what a worker says of itself. Only what is new goes into the log, and is
+// heartbeat takes what an upstream says of itself. Only what is new goes into the log, and is
 // acknowledged after its commit.
 func (e *Engine) heartbeat(c *pipelinev1.HeartbeatCall, done finish) {
-	said, now := c.GetWorker(), e.now()
+	said, now := c.GetUpstream(), e.now()
 	s := e.sessions[said.GetId()]
 	ok := &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, HeartbeatAddress: e.cfg.HeartbeatAddress}
 	switch {
 	case s == nil:
-		e.newWorker(said, done, ok)
+		e.newUpstream(said, done, ok)
 		return
-	case said.GetBorn() < s.w.GetBorn():
-		e.log.Info().Str("worker", said.GetId()).Int64("born", said.GetBorn()).Int64("known_born", s.w.GetBorn()).
+	case said.GetBorn() < s.u.GetBorn():
+		e.log.Info().Str("upstream", said.GetId()).Int64("born", said.GetBorn()).Int64("known_born", s.u.GetBorn()).
 			Msg("heartbeat of an older incarnation ignored")
 		done(ok, nil)
 		return
 	}
 	s.lastBeat = now
-	if said.GetBorn() == s.w.GetBorn() && (c.GetSequence() < s.lastSequence || s.w.GetDraining() && !said.GetDraining()) {
-		// A heartbeat that was held up must not bring a draining worker back.
-		e.log.Info().Str("worker", said.GetId()).Int64("sequence", c.GetSequence()).Int64("known_sequence", s.lastSequence).
-			Bool("draining", s.w.GetDraining()).Msg("heartbeat is older than what is known; ignored")
+	if said.GetBorn() == s.u.GetBorn() && (c.GetSequence() < s.lastSequence || s.u.GetDraining() && !said.GetDraining()) {
+		// A heartbeat that was held up must not bring a draining upstream back.
+		e.log.Info().Str("upstream", said.GetId()).Int64("sequence", c.GetSequence()).Int64("known_sequence", s.lastSequence).
+			Bool("draining", s.u.GetDraining()).Msg("heartbeat is older than what is known; ignored")
 		done(ok, nil)
 		return
 	}
-	if said.GetBorn() == s.w.GetBorn() {
+	if said.GetBorn() == s.u.GetBorn() {
 		s.lastSequence = c.GetSequence()
 	}
 	if s.phase != phaseOpen && s.pause > probeMin {
 		s.pause, s.nextProbe = 0, now
 	}
-	if said.GetBorn() > s.w.GetBorn() {
+	if said.GetBorn() > s.u.GetBorn() {
 		if s.reborn == nil || s.reborn.GetBorn() < said.GetBorn() {
 			s.reborn, s.nextProbe = said, now
 			s.setPhase(phaseOpening, "a heartbeat of a newer incarnation came")
@@ -47,35 +47,35 @@
 		done(ok, nil)
 		return
 	}
-	if pipeline.SameWorker(s.w.Worker, said) {
+	if pipeline.SameUpstream(s.u.Upstream, said) {
 		done(ok, nil)
 		s.pump(now)
 		return
 	}
-	e.log.Info().Str("worker", said.GetId()).Bool("draining", said.GetDraining()).Str("address", said.GetAddress()).
-		Msg("worker describes itself anew")
+	e.log.Info().Str("upstream", said.GetId()).Bool("draining", said.GetDraining()).Str("address", said.GetAddress()).
+		Msg("upstream describes itself anew")
 	e.seen(said, done, ok)
 }
 
-// newWorker takes an unknown worker, after older workers at its address are gone.
-func (e *Engine) newWorker(said *pipelinev1.Worker, done finish, ok *pipelinev1.Reply) {
-	for _, w := range e.state.Workers() {
-		if w.GetAddress() != said.GetAddress() && (said.GetMachine() == "" || w.GetMachine() != said.GetMachine()) {
+// newUpstream takes an unknown upstream, after older upstreams at its address are gone.
+func (e *Engine) newUpstream(said *pipelinev1.Upstream, done finish, ok *pipelinev1.Reply) {
+	for _, w := range e.state.Upstreams() {
+		if w.GetAddress() != said.GetAddress() && (said.GetVm() == "" || w.GetVm() != said.GetVm()) {
 			continue
 		}
 		if w.GetBorn() > said.GetBorn() {
-			e.log.Info().Str("worker", said.GetId()).Str("newer_worker", w.GetId()).Msg("heartbeat from an address that a newer worker has; ignored")
+			e.log.Info().Str("upstream", said.GetId()).Str("newer_upstream", w.GetId()).Msg("heartbeat from an address that a newer upstream has; ignored")
 			done(ok, nil)
 			return
 		}
-		e.log.Info().Str("worker", w.GetId()).Str("newer_worker", said.GetId()).Msg("a newer worker has this worker's place")
+		e.log.Info().Str("upstream", w.GetId()).Str("newer_upstream", said.GetId()).Msg("a newer upstream has this upstream's place")
 		e.gone(w)
 	}
 	e.seen(said, done, ok)
 }
 
-func (e *Engine) seen(said *pipelinev1.Worker, done finish, ok *pipelinev1.Reply) {
-	e.change(&pipelinev1.Command{Command: &pipelinev1.Command_WorkerSeen{WorkerSeen: &pipelinev1.WorkerSeen{Worker: said}}},
+func (e *Engine) seen(said *pipelinev1.Upstream, done finish, ok *pipelinev1.Reply) {
+	e.change(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamSeen{UpstreamSeen: &pipelinev1.UpstreamSeen{Upstream: said}}},
 		func(r *pipelinev1.Reply, err error) {
 			if err == nil && r.GetVerdict() == pipelinev1.Verdict_VERDICT_NOT_NOW {
 				done(r, nil)
@@ -85,9 +85,9 @@
 		})
 }
 
-// gone ends the runs of a worker that is surely gone, with their last checkpoints, and
+// gone ends the runs of an upstream that is surely gone, with their last checkpoints, and
 // forgets it.
-func (e *Engine) gone(w *pipeline.Worker) {
+func (e *Engine) gone(w *pipeline.Upstream) {
 	var ends []*pipelinev1.End
 	for _, r := range w.Runs {
 		ends = append(ends, &pipelinev1.End{Run: r.Proto(), Kind: pipelinev1.EndKind_END_KIND_LOST, Checkpoint: e.saved[r.Task]})
@@ -95,52 +95,52 @@
 	if len(ends) > 0 {
 		e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_Ends{Ends: &pipelinev1.Ends{Ends: ends}}}, nil)
 	}
-	e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_WorkerGone{
-		WorkerGone: &pipelinev1.WorkerGone{Id: w.GetId(), Born: w.GetBorn()}}}, nil)
+	e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamGone{
+		UpstreamGone: &pipelinev1.UpstreamGone{Id: w.GetId(), Born: w.GetBorn()}}}, nil)
 }
 
-// leave takes a worker's word that it ends now. It counts as gone as soon as it does not
+// leave takes an upstream's word that it ends now. It counts as gone as soon as it does not
 // answer any more; until then it may still finish what it has.
 func (e *Engine) leave(c *pipelinev1.LeaveCall, done finish) {
-	s := e.sessions[c.GetWorker()]
-	if s == nil || c.GetBorn() != 0 && c.GetBorn() != s.w.GetBorn() {
-		done(verdict(pipelinev1.Verdict_VERDICT_OK, "the worker is not known"), nil)
+	s := e.sessions[c.GetUpstream()]
+	if s == nil || c.GetBorn() != 0 && c.GetBorn() != s.u.GetBorn() {
+		done(verdict(pipelinev1.Verdict_VERDICT_OK, "the upstream is not known"), nil)
 		return
 	}
-	s.logger(zerolog.InfoLevel).Bool("draining", s.w.GetDraining()).Int("runs", len(s.w.Runs)).Msg("worker leaves")
+	s.logger(zerolog.InfoLevel).Bool("draining", s.u.GetDraining()).Int("runs", len(s.u.Runs)).Msg("upstream leaves")
 	s.left = true
-	s.suspect(e.now(), "the worker said that it leaves")
+	s.suspect(e.now(), "the upstream said that it leaves")
 	s.pump(e.now())
-	if !s.w.GetDraining() {
-		e.seen(drained(s.w), done, verdict(pipelinev1.Verdict_VERDICT_OK, ""))
+	if !s.u.GetDraining() {
+		e.seen(drained(s.u), done, verdict(pipelinev1.Verdict_VERDICT_OK, ""))
 		return
 	}
 	done(verdict(pipelinev1.Verdict_VERDICT_OK, ""), nil)
 }
 
-// moveWork takes the work that can go on elsewhere off a worker that drains: what lasts, and
+// moveWork takes the work that can go on elsewhere off an upstream that drains: what lasts, and
 // what has a checkpoint. Short tasks are left to finish. A gang would break as a whole.
 func (s *session) moveWork() {
 	for _, key := range s.runKeys() {
-		r := s.w.Runs[key]
+		r := s.u.Runs[key]
 		spec := r.Task.Step.Spec
 		if spec.GetLasting() || spec.GetCheckpointing() && !spec.GetGang() {
-			s.enqueueStop(r, "the worker drains")
+			s.enqueueStop(r, "the upstream drains")
 		}
 	}
 }
 
-func drained(w *pipeline.Worker) *pipelinev1.Worker {
-	return &pipelinev1.Worker{Id: w.GetId(), Born: w.GetBorn(), Service: w.GetService(), Address: w.GetAddress(),
-		FailureDomain: w.GetFailureDomain(), Rack: w.GetRack(), Labels: w.GetLabels(), Capacity: w.Worker.GetCapacity(),
-		Machine: w.GetMachine(), Draining: true}
+func drained(w *pipeline.Upstream) *pipelinev1.Upstream {
+	return &pipelinev1.Upstream{Id: w.GetId(), Born: w.GetBorn(), Service: w.GetService(), Address: w.GetAddress(),
+		FailureDomain: w.GetFailureDomain(), Rack: w.GetRack(), Labels: w.GetLabels(), Capacity: w.Upstream.GetCapacity(),
+		Vm: w.GetVm(), Draining: true}
 }
 
-// forgetWorkers drops workers that are silent for good and have no runs.
-func (e *Engine) forgetWorkers(now time.Duration) {
+// forgetUpstreams drops upstreams that are silent for good and have no runs.
+func (e *Engine) forgetUpstreams(now time.Duration) {
 	for _, s := range e.sessions {
-		if s.phase != phaseOpen && len(s.w.Runs) == 0 && now-s.lastBeat > forgetAfter {
-			e.gone(s.w)
+		if s.phase != phaseOpen && len(s.u.Runs) == 0 && now-s.lastBeat > forgetAfter {
+			e.gone(s.u)
 		}
 	}
 }
--- a/dispatch/lapse.go
+++ b/dispatch/lapse.go
@@ -7,27 +7,27 @@
 	"github.com/rs/zerolog"
 )
 
-// workerClock bounds a worker's clock from below.
-type workerClock struct {
+// upstreamClock bounds an upstream's clock from below.
+type upstreamClock struct {
 	ms      int64
 	heardAt time.Duration
 }
 
-func (c *workerClock) hear(ms int64, now time.Duration) {
+func (c *upstreamClock) hear(ms int64, now time.Duration) {
 	if ms > 0 && ms >= c.at(now) {
 		c.ms, c.heardAt = ms, now
 	}
 }
 
-// at returns the least that the worker's clock can show now; zero if it was never heard.
-func (c *workerClock) at(now time.Duration) int64 {
+// at returns the least that the upstream's clock can show now; zero if it was never heard.
+func (c *upstreamClock) at(now time.Duration) int64 {
 	if c.ms == 0 {
 		return 0
 	}
 	return c.ms + (now-c.heardAt).Milliseconds()*(100-slowClockPercent)/100
 }
 
-// extend returns a new deadline by the worker's clock, or zero if the lease may not be extended.
+// extend returns a new deadline by the upstream's clock, or zero if the lease may not be extended.
 func (s *session) extend(now time.Duration) int64 {
 	at := s.clock.at(now)
 	if at == 0 || !s.e.mayOrder(now) {
@@ -37,23 +37,23 @@
 	return s.deadlineMS
 }
 
-// checkLapse declares the runs of a silent worker lost once its lease has surely ended.
+// checkLapse declares the runs of a silent upstream lost once its lease has surely ended.
 func (s *session) checkLapse(now time.Duration) {
-	if s.phase == phaseOpen || len(s.w.Runs) == 0 || now-s.lapsedAt < orderTimeout || !s.leaseOver(now) {
+	if s.phase == phaseOpen || len(s.u.Runs) == 0 || now-s.lapsedAt < orderTimeout || !s.leaseOver(now) {
 		return
 	}
 	var ends []*pipelinev1.End
 	for _, key := range s.runKeys() {
-		r := s.w.Runs[key]
+		r := s.u.Runs[key]
 		if s.queued(key) && !s.sent[key] {
 			ends = append(ends, &pipelinev1.End{Run: r.Proto(), Kind: pipelinev1.EndKind_END_KIND_NEVER_STARTED})
 			continue
 		}
 		ends = append(ends, &pipelinev1.End{Run: r.Proto(), Kind: pipelinev1.EndKind_END_KIND_LOST, Checkpoint: s.e.saved[r.Task]})
 	}
-	workersLapsed.Add(1)
-	s.logger(zerolog.WarnLevel).Int("runs", len(ends)).Int64("worker_clock_ms", s.clock.at(now)).Int64("deadline_ms", s.deadlineMS).
-		Dur("silent", now-s.silentAt).Msg("lease of a silent worker has ended; its runs are lost")
+	upstreamsLapsed.Add(1)
+	s.logger(zerolog.WarnLevel).Int("runs", len(ends)).Int64("upstream_clock_ms", s.clock.at(now)).Int64("deadline_ms", s.deadlineMS).
+		Dur("silent", now-s.silentAt).Msg("lease of a silent upstream has ended; its runs are lost")
 	s.proposeEnds(ends)
 	s.lapsedAt = now
 }
--- a/dispatch/learn.go
+++ b/dispatch/learn.go
@@ -9,12 +9,12 @@
 const (
 	// learnRate is the weight of one more run in a moving average over about twenty runs.
 	learnRate = 0.05
-	// workerRate is that of a worker's speed, which may change within seconds.
-	workerRate = 0.25
+	// upstreamRate is that of an upstream's speed, which may change within seconds.
+	upstreamRate = 0.25
 	// ratioMin and ratioMax bound one run's ratio, so that a single run can't spoil an average.
 	ratioMin, ratioMax = 0.1, 10.0
-	// failRate is the weight of one more end in a worker's share of failures; failBound is the
-	// share above which a worker is avoided for failPause. Jobs fail 0.5 to 5% of their runs
+	// failRate is the weight of one more end in an upstream's share of failures; failBound is the
+	// share above which an upstream is avoided for failPause. Jobs fail 0.5 to 5% of their runs
 	// and services a tenth, so that half of the last ends is no chance.
 	failRate  = 0.3
 	failBound = 0.5
@@ -24,12 +24,12 @@
 )
 
 // learner knows how run times compare to what jobs declare. Declared times are off by half
-// to nine tenths, workers differ in speed, and some turn slow.
+// to nine tenths, upstreams differ in speed, and some turn slow.
 type learner struct {
-	queues   map[string]*average
-	workers  map[string]*average
-	failures map[string]*average
-	// avoided holds until when workers that fail what they start get nothing new.
+	queues    map[string]*average
+	upstreams map[string]*average
+	failures  map[string]*average
+	// avoided holds until when upstreams that fail what they start get nothing new.
 	avoided map[string]time.Duration
 }
 
@@ -39,7 +39,7 @@
 }
 
 func newLearner() learner {
-	return learner{queues: make(map[string]*average), workers: make(map[string]*average),
+	return learner{queues: make(map[string]*average), upstreams: make(map[string]*average),
 		failures: make(map[string]*average), avoided: make(map[string]time.Duration)}
 }
 
@@ -66,7 +66,7 @@
 	return defaultEstimate
 }
 
-// expected is the run time that is expected of one task of the step on a common worker.
+// expected is the run time that is expected of one task of the step on a common upstream.
 func (l *learner) expected(st *pipeline.Step) time.Duration {
 	ratio := 1.0
 	if a := l.queues[st.Job().Spec.GetQueue()]; a != nil {
@@ -75,9 +75,9 @@
 	return time.Duration(float64(declared(st)) * ratio)
 }
 
-// slowness is how much longer than expected the worker's last runs took.
-func (l *learner) slowness(worker string) float64 {
-	if a := l.workers[worker]; a != nil {
+// slowness is how much longer than expected the upstream's last runs took.
+func (l *learner) slowness(upstream string) float64 {
+	if a := l.upstreams[upstream]; a != nil {
 		return a.value
 	}
 	return 1
@@ -90,17 +90,17 @@
 		return
 	}
 	sample := min(max(float64(took)/float64(l.expected(st)), ratioMin), ratioMax)
-	averageOf(l.workers, r.Worker.GetId()).add(sample, workerRate)
+	averageOf(l.upstreams, r.Upstream.GetId()).add(sample, upstreamRate)
 	ratio := min(max(float64(took)/float64(declared(st)), ratioMin), ratioMax)
 	averageOf(l.queues, st.Job().Spec.GetQueue()).add(ratio, learnRate)
 }
 
-// ended takes whether a run on a worker failed, and reports whether the worker is avoided now.
-func (l *learner) ended(worker string, failed bool, now time.Duration) bool {
-	a := l.failures[worker]
+// ended takes whether a run on an upstream failed, and reports whether the upstream is avoided now.
+func (l *learner) ended(upstream string, failed bool, now time.Duration) bool {
+	a := l.failures[upstream]
 	if a == nil {
 		a = &average{}
-		l.failures[worker] = a
+		l.failures[upstream] = a
 	}
 	sample := 0.0
 	if failed {
@@ -112,9 +112,9 @@
 	}
 	// The next few ends decide anew after the pause.
 	a.value = 0
-	l.avoided[worker] = now + failPause
+	l.avoided[upstream] = now + failPause
 	return true
 }
 
-// failing reports whether a worker is avoided.
-func (l *learner) failing(worker string, now time.Duration) bool { return now < l.avoided[worker] }
+// failing reports whether an upstream is avoided.
+func (l *learner) failing(upstream string, now time.Duration) bool { return now < l.avoided[upstream] }
--- a/dispatch/looks.go
+++ b/dispatch/looks.go
@@ -10,7 +10,7 @@
 	"github.com/rs/zerolog"
 )
 
-// settle looks without a wait. Its answer says which runs the worker has; as it is sent under
+// settle looks without a wait. Its answer says which runs the upstream has; as it is sent under
 // a token above that of all unanswered orders, those that it does not list never start.
 func (s *session) settle(now time.Duration) {
 	if s.settling || s.ordering {
@@ -18,7 +18,7 @@
 	}
 	s.settling = true
 	s.epoch++
-	req := LookRequest{Token: s.token(), LastEnd: s.w.LastEnd}
+	req := LookRequest{Token: s.token(), LastEnd: s.u.LastEnd}
 	if s.reborn != nil {
 		req.LastEnd = 0
 	}
@@ -34,14 +34,14 @@
 
 func (s *session) probeFailed(at time.Duration, err error) {
 	if s.left {
-		s.logger(zerolog.InfoLevel).Err(err).Int("runs", len(s.w.Runs)).Msg("worker that left does not answer any more; it is gone")
+		s.logger(zerolog.InfoLevel).Err(err).Int("runs", len(s.u.Runs)).Msg("upstream that left does not answer any more; it is gone")
 		s.nextProbe = at + probeMax
-		s.e.gone(s.w)
+		s.e.gone(s.u)
 		return
 	}
 	if s.phase != phaseSilent {
 		s.silentAt = at
-		workersSilent.Add(1)
+		upstreamsSilent.Add(1)
 	}
 	s.setPhase(phaseSilent, err.Error())
 	s.pause = min(max(s.pause*2, probeMin), probeMax)
@@ -53,12 +53,12 @@
 		s.refused(l.Verdict, at)
 		return
 	}
-	if l.Born != 0 && l.Born != s.w.GetBorn() {
+	if l.Born != 0 && l.Born != s.u.GetBorn() {
 		s.otherIncarnation(l)
 		return
 	}
 	if s.lookLost {
-		// The worker answers: what was lost was one answer, and others may be.
+		// The upstream answers: what was lost was one answer, and others may be.
 		s.lookLost = false
 		s.e.lossyUntil = at + lossyMemory
 	}
@@ -81,20 +81,20 @@
 		s.probeFailed(s.e.now(), errors.New("another incarnation answered; waiting for its heartbeat"))
 		return
 	}
-	seen := &pipelinev1.WorkerSeen{Worker: s.reborn}
+	seen := &pipelinev1.UpstreamSeen{Upstream: s.reborn}
 	for _, r := range l.Running {
-		if run := s.w.Runs[r.Run]; run != nil {
+		if run := s.u.Runs[r.Run]; run != nil {
 			seen.Kept = append(seen.Kept, run.Proto())
 		}
 	}
 	for _, ended := range l.Ended {
-		if run := s.w.Runs[ended.Run]; run != nil {
+		if run := s.u.Runs[ended.Run]; run != nil {
 			seen.Kept = append(seen.Kept, run.Proto())
 		}
 	}
-	s.logger(zerolog.InfoLevel).Int64("new_born", l.Born).Int("kept", len(seen.Kept)).Int("runs", len(s.w.Runs)).Msg("worker was born again")
-	s.clock, s.deadlineMS, s.lastSequence = workerClock{}, 0, 0
-	s.e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_WorkerSeen{WorkerSeen: seen}}, nil)
+	s.logger(zerolog.InfoLevel).Int64("new_born", l.Born).Int("kept", len(seen.Kept)).Int("runs", len(s.u.Runs)).Msg("upstream was born again")
+	s.clock, s.deadlineMS, s.lastSequence = upstreamClock{}, 0, 0
+	s.e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamSeen{UpstreamSeen: seen}}, nil)
 	s.nextProbe = s.e.now() + probeMin
 }
 
@@ -109,7 +109,7 @@
 	}
 	var ends []*pipelinev1.End
 	for _, key := range s.runKeys() {
-		r := s.w.Runs[key]
+		r := s.u.Runs[key]
 		_, answered := s.answeredAt[key]
 		if answered || listed[key] || s.queued(key) || len(l.Ended) >= maxEndsListed {
 			continue
@@ -120,9 +120,9 @@
 	clear(s.sent)
 }
 
-// watch keeps one waiting look at a worker that has runs or ends to acknowledge.
+// watch keeps one waiting look at an upstream that has runs or ends to acknowledge.
 func (s *session) watch(now time.Duration) {
-	if s.watching || s.settling || s.endsProposed > s.w.LastEnd || !s.e.mayOrder(now) {
+	if s.watching || s.settling || s.endsProposed > s.u.LastEnd || !s.e.mayOrder(now) {
 		return
 	}
 	wait, timeout := watchWait, orderTimeout
@@ -130,7 +130,7 @@
 		wait, timeout = lossyWait, lossyTimeout
 	}
 	if !s.hasOrdered() {
-		if s.ackedEnds >= s.w.LastEnd {
+		if s.ackedEnds >= s.u.LastEnd {
 			return
 		}
 		if s.ackAt == 0 {
@@ -143,7 +143,7 @@
 	}
 	s.ackAt = 0
 	s.watching = true
-	req := LookRequest{Token: s.token(), LastEnd: s.w.LastEnd, DeadlineMS: s.extend(now), Wait: wait}
+	req := LookRequest{Token: s.token(), LastEnd: s.u.LastEnd, DeadlineMS: s.extend(now), Wait: wait}
 	s.look(now, req, wait+timeout, func(l Look, err error, at time.Duration) {
 		s.watching = false
 		switch {
@@ -153,7 +153,7 @@
 			s.nextProbe = at
 		case l.Verdict != Obeyed:
 			s.refused(l.Verdict, at)
-		case l.Born != 0 && l.Born != s.w.GetBorn():
+		case l.Born != 0 && l.Born != s.u.GetBorn():
 			s.otherIncarnation(l)
 		default:
 			s.ackedEnds = max(s.ackedEnds, req.LastEnd)
@@ -163,7 +163,7 @@
 	})
 }
 
-// hasOrdered reports whether the worker may have a run.
+// hasOrdered reports whether the upstream may have a run.
 func (s *session) hasOrdered() bool {
 	return len(s.answeredAt) > 0 || len(s.sent) > 0
 }
@@ -171,18 +171,18 @@
 // look sends a look and hands the answer to done on the control goroutine.
 func (s *session) look(began time.Duration, req LookRequest, timeout time.Duration, done func(Look, error, time.Duration)) {
 	looksSent.Add(1)
-	to, born := s.target(), s.w.GetBorn()
+	to, born := s.target(), s.u.GetBorn()
 	if s.reborn != nil {
 		to.Address = s.reborn.GetAddress()
 	}
 	s.e.async(timeout, func(ctx context.Context) func() {
-		l, err := s.e.workers.Look(ctx, to, req)
+		l, err := s.e.upstreams.Look(ctx, to, req)
 		return func() {
 			now := s.e.now()
-			if err == nil && (l.Born == 0 || l.Born == born) && born == s.w.GetBorn() {
+			if err == nil && (l.Born == 0 || l.Born == born) && born == s.u.GetBorn() {
 				s.clock.hear(l.ClockMS, now)
 			}
-			if s.e.sessions[s.w.GetId()] == s {
+			if s.e.sessions[s.u.GetId()] == s {
 				done(l, err, now)
 			}
 		}
@@ -194,7 +194,7 @@
 	running := make(map[pipeline.RunKey]bool, len(l.Running))
 	for _, r := range l.Running {
 		running[r.Run] = true
-		run := s.w.Runs[r.Run]
+		run := s.u.Runs[r.Run]
 		if run == nil {
 			s.stopUnknown(r.Run)
 			continue
@@ -226,8 +226,8 @@
 			continue
 		}
 		e := &pipelinev1.End{Kind: x.Kind, Listed: x.Number, Checkpoint: x.Checkpoint,
-			Run: &pipelinev1.Run{Task: x.Run.Proto(), Number: x.Run.Number, Worker: s.w.GetId(), Born: s.w.GetBorn()}}
-		if run := s.w.Runs[x.Run]; run != nil && e.Checkpoint == "" {
+			Run: &pipelinev1.Run{Task: x.Run.Proto(), Number: x.Run.Number, Upstream: s.u.GetId(), Born: s.u.GetBorn()}}
+		if run := s.u.Runs[x.Run]; run != nil && e.Checkpoint == "" {
 			e.Checkpoint = s.e.saved[run.Task]
 		}
 		ends = append(ends, e)
@@ -236,16 +236,16 @@
 	return ends, ended
 }
 
-// vanished returns lost ends of runs that the worker had before the look began and that it
+// vanished returns lost ends of runs that the upstream had before the look began and that it
 // lists nowhere.
 func (s *session) vanished(running, ended map[pipeline.RunKey]bool, began time.Duration) (ends []*pipelinev1.End) {
 	for key, at := range s.answeredAt {
-		r := s.w.Runs[key]
+		r := s.u.Runs[key]
 		if r == nil || at >= began || running[key] || ended[key] {
 			continue
 		}
 		s.logger(zerolog.WarnLevel).Str("request", key.Job).Int32("step", key.Step).Int32("task", key.Index).Int32("run", key.Number).
-			Msg("worker lists a run neither as running nor as ended; it counts as lost")
+			Msg("upstream lists a run neither as running nor as ended; it counts as lost")
 		ends = append(ends, &pipelinev1.End{Run: r.Proto(), Kind: pipelinev1.EndKind_END_KIND_LOST, Checkpoint: s.e.saved[r.Task]})
 	}
 	return ends
--- a/dispatch/observer.go
+++ b/dispatch/observer.go
@@ -23,22 +23,22 @@
 	o.log.Info().Str("failure_domain", name).Bool("out", out).Msg("failure domain changed")
 }
 
-// WorkerChanged implements pipeline.Observer.
-func (o *observer) WorkerChanged(w *pipeline.Worker) {
+// UpstreamChanged implements pipeline.Observer.
+func (o *observer) UpstreamChanged(w *pipeline.Upstream) {
 	e := (*Engine)(o)
 	e.dirty = true
 	if s := e.sessions[w.GetId()]; s != nil {
-		s.workerChanged(w)
+		s.upstreamChanged(w)
 		return
 	}
 	e.openSession(w)
 }
 
-// WorkerGone implements pipeline.Observer.
-func (o *observer) WorkerGone(w *pipeline.Worker) {
+// UpstreamGone implements pipeline.Observer.
+func (o *observer) UpstreamGone(w *pipeline.Upstream) {
 	delete(o.sessions, w.GetId())
 	o.dirty = true
-	o.log.Info().Str("worker", w.GetId()).Int64("born", w.GetBorn()).Msg("worker is gone")
+	o.log.Info().Str("upstream", w.GetId()).Int64("born", w.GetBorn()).Msg("upstream is gone")
 }
 
 // JobAdded implements pipeline.Observer.
@@ -82,7 +82,7 @@
 // RunPlaced implements pipeline.Observer.
 func (o *observer) RunPlaced(r *pipeline.Run) {
 	e := (*Engine)(o)
-	if s := e.sessions[r.Worker.GetId()]; s != nil {
+	if s := e.sessions[r.Upstream.GetId()]; s != nil {
 		s.enqueueStart(r, e.tickets[r.Key()])
 	}
 	delete(e.tickets, r.Key())
@@ -93,7 +93,7 @@
 	e := (*Engine)(o)
 	e.dirty = true
 	runsEnded.Add(endNames[kind], 1)
-	if s := e.sessions[r.Worker.GetId()]; s != nil {
+	if s := e.sessions[r.Upstream.GetId()]; s != nil {
 		if at, answered := s.answeredAt[r.Key()]; answered && kind == pipelinev1.EndKind_END_KIND_DONE {
 			e.learner.ran(r, e.now()-at)
 		}
@@ -104,7 +104,7 @@
 	}
 	if !r.Task.Done {
 		e.log.Info().Str("request", r.Task.Step.Job().Spec.GetId()).Int32("step", r.Task.Step.Index).Int32("task", r.Task.Index).
-			Int32("run", r.Number).Str("worker", r.Worker.GetId()).Str("end", endNames[kind]).Msg("run ended without result")
+			Int32("run", r.Number).Str("upstream", r.Upstream.GetId()).Str("end", endNames[kind]).Msg("run ended without result")
 	}
 	if r.Task.Done || r.Task.Step.Job().Ended() {
 		delete(e.saved, r.Task)
@@ -120,23 +120,23 @@
 // stopRuns ends runs that are not wanted any more.
 func (e *Engine) stopRuns(runs []*pipeline.Run, why string) {
 	for _, r := range runs {
-		if s := e.sessions[r.Worker.GetId()]; s != nil {
+		if s := e.sessions[r.Upstream.GetId()]; s != nil {
 			s.enqueueStop(r, why)
 		}
 	}
 }
 
-// noteEnd tells workers that fail what they start apart from jobs that fail everywhere: a
-// failed task tries another worker, and a worker with many failures is avoided.
+// noteEnd tells upstreams that fail what they start apart from jobs that fail everywhere: a
+// failed task tries another upstream, and an upstream with many failures is avoided.
 func (e *Engine) noteEnd(r *pipeline.Run, failed bool) {
-	worker := r.Worker.GetId()
+	upstream := r.Upstream.GetId()
 	if failed && !r.Task.Step.Spec.GetLasting() {
 		if w := e.steps[r.Task.Step]; w != nil {
-			w.avoid(worker, e.now()+retryElsewhere)
+			w.avoid(upstream, e.now()+retryElsewhere)
 		}
 	}
-	if e.learner.ended(worker, failed, e.now()) {
-		workersAvoided.Add(1)
-		e.log.Warn().Str("worker", worker).Dur("for", failPause).Msg("worker fails most of what it starts; it gets nothing new for a while")
+	if e.learner.ended(upstream, failed, e.now()) {
+		upstreamsAvoided.Add(1)
+		e.log.Warn().Str("upstream", upstream).Dur("for", failPause).Msg("upstream fails most of what it starts; it gets nothing new for a while")
 	}
 }
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -10,7 +10,7 @@
 	"github.com/rs/zerolog"
 )
 
-// enqueueStart puts a committed run in the worker's queue of orders.
+// enqueueStart puts a committed run in the upstream's queue of orders.
 func (s *session) enqueueStart(r *pipeline.Run, ticket string) {
 	s.orders = append(s.orders, order{run: r, key: r.Key(), ticket: ticket})
 	s.pump(s.e.now())
@@ -24,7 +24,7 @@
 	}
 	s.stopping[key] = true
 	s.e.log.Debug().Str("request", key.Job).Int32("step", key.Step).Int32("task", key.Index).Int32("run", key.Number).
-		Str("worker", s.w.GetId()).Str("why", why).Msg("run is stopped")
+		Str("upstream", s.u.GetId()).Str("why", why).Msg("run is stopped")
 	if s.queued(key) && !s.sent[key] {
 		s.withdraw(key, r)
 		return
@@ -46,14 +46,14 @@
 	s.proposeEnds([]*pipelinev1.End{{Run: r.Proto(), Kind: pipelinev1.EndKind_END_KIND_NEVER_STARTED}})
 }
 
-// stopUnknown stops a run that the state does not know on this worker.
+// stopUnknown stops a run that the state does not know on this upstream.
 func (s *session) stopUnknown(key pipeline.RunKey) {
 	if s.stopping[key] {
 		return
 	}
 	s.stopping[key] = true
 	s.logger(zerolog.WarnLevel).Str("request", key.Job).Int32("step", key.Step).Int32("task", key.Index).Int32("run", key.Number).
-		Msg("worker has a run that is not in the log; it is stopped")
+		Msg("upstream has a run that is not in the log; it is stopped")
 	s.orders = append([]order{{key: key, stop: true}}, s.orders...)
 }
 
@@ -66,10 +66,10 @@
 			s.sendStop(o, now)
 			continue
 		}
-		if s.w.Runs[o.key] != o.run {
+		if s.u.Runs[o.key] != o.run {
 			continue
 		}
-		if s.w.GetDraining() || s.e.state.DomainOut(s.w.GetFailureDomain()) {
+		if s.u.GetDraining() || s.e.state.DomainOut(s.u.GetFailureDomain()) {
 			s.proposeEnds([]*pipelinev1.End{{Run: o.run.Proto(), Kind: pipelinev1.EndKind_END_KIND_NEVER_STARTED}})
 			continue
 		}
@@ -86,7 +86,7 @@
 	ordersSent.Add(1)
 	to := s.target()
 	s.e.async(s.e.orderTimeout(now), func(ctx context.Context) func() {
-		reply, err := s.e.workers.Start(ctx, to, start)
+		reply, err := s.e.upstreams.Start(ctx, to, start)
 		return func() { s.startAnswered(o, reply, err) }
 	})
 }
@@ -97,7 +97,7 @@
 	ordersSent.Add(1)
 	to := s.target()
 	s.e.async(s.e.orderTimeout(now), func(ctx context.Context) func() {
-		reply, err := s.e.workers.Stop(ctx, to, stop)
+		reply, err := s.e.upstreams.Stop(ctx, to, stop)
 		return func() { s.stopAnswered(o, reply, err) }
 	})
 }
@@ -127,12 +127,12 @@
 	s.pump(now)
 }
 
-// startRefused handles a worker's word that it has not started the run.
+// startRefused handles an upstream's word that it has not started the run.
 func (s *session) startRefused(o order, v OrderVerdict, now time.Duration) {
 	s.neverStarted(o, string(v))
 	switch v {
 	case BadTicket:
-		s.e.dropPermit(o.run.Task.Step, s.w.GetId())
+		s.e.dropPermit(o.run.Task.Step, s.u.GetId())
 	case Fenced, OtherIncarnation, TooLate:
 		s.suspect(now, string(v))
 	case Unhealthy, NoRoom:
@@ -140,13 +140,13 @@
 	}
 }
 
-// neverStarted frees a run that surely isn't at the worker.
+// neverStarted frees a run that surely isn't at the upstream.
 func (s *session) neverStarted(o order, why string) {
 	s.orderLog(o, zerolog.InfoLevel).Str("why", why).Msg("run was not started")
 	s.proposeEnds([]*pipelinev1.End{{Run: o.run.Proto(), Kind: pipelinev1.EndKind_END_KIND_NEVER_STARTED}})
 }
 
-// suspect lets a look settle what the worker has before anything else is sent.
+// suspect lets a look settle what the upstream has before anything else is sent.
 func (s *session) suspect(now time.Duration, why string) {
 	if s.phase == phaseOpen {
 		s.silentAt = now
@@ -168,7 +168,7 @@
 			ordersLost.Add(1)
 		}
 		s.suspect(now, "a stop was not obeyed: "+err.Error())
-		if r := s.w.Runs[o.key]; r != nil {
+		if r := s.u.Runs[o.key]; r != nil {
 			s.enqueueStop(r, "the last stop was not obeyed")
 		}
 	} else {
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -18,24 +18,24 @@
 	costlyMS = 150
 	// costlyShare is the share of the callers that costly questions may occupy.
 	costlyShare = 0.75
-	// ticketMargin is taken off a ticket's life for the order's way to the worker.
+	// ticketMargin is taken off a ticket's life for the order's way to the upstream.
 	ticketMargin = 250 * time.Millisecond
 	// questionSlack is added to three times a question's cost before it counts as lost.
 	questionSlack = time.Second
 )
 
-// permit is a worker's permission to run a step.
+// permit is an upstream's permission to run a step.
 type permit struct {
 	ticket  string
 	born    int64
 	expires time.Duration
 }
 
-// question asks which of some workers may run a step.
+// question asks which of some upstreams may run a step.
 type question struct {
-	id      uint64
-	work    *stepWork
-	workers []string
+	id        uint64
+	work      *stepWork
+	upstreams []string
 	// born holds the incarnations at the time of asking.
 	born     map[string]int64
 	costMS   float64
@@ -168,7 +168,7 @@
 		held := c.held
 		c.held = nil
 		held(&pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, Question: &pipelinev1.PermitQuestion{
-			Id: q.id, Step: q.work.key().Proto(), Workers: q.workers}}, nil)
+			Id: q.id, Step: q.work.key().Proto(), Upstreams: q.upstreams}}, nil)
 	}
 }
 
@@ -196,7 +196,7 @@
 	p.assign(now)
 }
 
-// permitAnswered records which workers may run the step.
+// permitAnswered records which upstreams may run the step.
 func (e *Engine) permitAnswered(q *question, a *pipelinev1.PermitAnswer, now time.Duration) {
 	w := q.work
 	if w.question == q {
@@ -211,23 +211,23 @@
 	good := make(map[string]bool, len(a.GetPermits()))
 	life := time.Duration(a.GetValidMs())*time.Millisecond - time.Duration(a.GetAgeUs())*time.Microsecond - ticketMargin
 	for _, p := range a.GetPermits() {
-		good[p.GetWorker()] = true
-		w.permits[p.GetWorker()] = permit{ticket: p.GetTicket(), born: q.born[p.GetWorker()], expires: now + life}
+		good[p.GetUpstream()] = true
+		w.permits[p.GetUpstream()] = permit{ticket: p.GetTicket(), born: q.born[p.GetUpstream()], expires: now + life}
 	}
-	for _, id := range q.workers {
+	for _, id := range q.upstreams {
 		if !good[id] {
 			w.denied[id] = true
 		}
 	}
-	e.log.Debug().Str("request", w.step.Job().Spec.GetId()).Int32("step", w.step.Index).Int("asked", len(q.workers)).Int("allowed", len(good)).
+	e.log.Debug().Str("request", w.step.Job().Spec.GetId()).Int32("step", w.step.Index).Int("asked", len(q.upstreams)).Int("allowed", len(good)).
 		Int64("took_us", a.GetTookUs()).Dur("waited", now-q.askedAt).Str("caller", q.caller).Msg("permits came")
 }
 
-// dropPermit forgets a ticket that a worker refused.
-func (e *Engine) dropPermit(st *pipeline.Step, worker string) {
+// dropPermit forgets a ticket that an upstream refused.
+func (e *Engine) dropPermit(st *pipeline.Step, upstream string) {
 	if w := e.steps[st]; w != nil {
-		p := w.permits[worker]
+		p := w.permits[upstream]
 		p.expires = 0
-		w.permits[worker] = p
+		w.permits[upstream] = p
 	}
 }
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -16,7 +16,7 @@
 	preemptAfter = 100 * time.Millisecond
 )
 
-// preempt stops checkpointed work of less urgent queues on workers that may run the step, as
+// preempt stops checkpointed work of less urgent queues on upstreams that may run the step, as
 // much as its waiting tasks need. The room is used once the ends are committed.
 func (r *round) preempt(d demand) {
 	w := d.work
@@ -51,7 +51,7 @@
 	wanted := r.e.state.Used(team).Plus(r.used[team]).Plus(d.work.step.Need.Times(int64(len(d.tasks))))
 	var list []*pipeline.Run
 	for _, s := range r.e.sessions {
-		for key, run := range s.w.Runs {
+		for key, run := range s.u.Runs {
 			switch {
 			case run.Task.Step.Job().Team != team:
 			case s.stopping[key]:
@@ -69,7 +69,7 @@
 			break
 		}
 		wanted = wanted.Minus(run.Task.Step.Need)
-		r.e.sessions[run.Worker.GetId()].stopVictim(run, d.work)
+		r.e.sessions[run.Upstream.GetId()].stopVictim(run, d.work)
 		d.work.preemptAgain = r.now + preemptPause
 	}
 }
@@ -78,7 +78,7 @@
 	runsPreempted.Add(1)
 	key := v.Key()
 	s.e.log.Info().Str("request", key.Job).Int32("step", key.Step).Int32("task", key.Index).Int32("run", key.Number).
-		Str("worker", s.w.GetId()).Str("for_request", w.step.Job().Spec.GetId()).Msg("run is preempted; it resumes from its checkpoint")
+		Str("upstream", s.u.GetId()).Str("for_request", w.step.Job().Spec.GetId()).Msg("run is preempted; it resumes from its checkpoint")
 	s.enqueueStop(v, "a more urgent queue needs the room")
 }
 
@@ -87,26 +87,26 @@
 	return d.queue.GetPriority() == 0 && !d.copies && !d.overShare && d.urgency.hope != pastUse && !d.work.step.Spec.GetGang()
 }
 
-// permitted returns the workers with a valid ticket for the step, by identity.
+// permitted returns the upstreams with a valid ticket for the step, by identity.
 func (r *round) permitted(d demand) []*session {
 	var out []*session
 	for id, p := range d.work.permits {
 		s := r.e.sessions[id]
-		if s != nil && s.usable(r.now) && p.born == s.w.GetBorn() && r.now+preemptPause < p.expires && !r.e.state.DomainOut(s.w.GetFailureDomain()) {
+		if s != nil && s.usable(r.now) && p.born == s.u.GetBorn() && r.now+preemptPause < p.expires && !r.e.state.DomainOut(s.u.GetFailureDomain()) {
 			out = append(out, s)
 		}
 	}
-	slices.SortFunc(out, func(a, b *session) int { return cmp.Compare(a.w.GetId(), b.w.GetId()) })
+	slices.SortFunc(out, func(a, b *session) int { return cmp.Compare(a.u.GetId(), b.u.GetId()) })
 	return out
 }
 
-// victims returns runs of a worker whose stop makes room for up to most more tasks, and for how
+// victims returns runs of an upstream whose stop makes room for up to most more tasks, and for how
 // many. Runs that are being stopped already count as room that comes.
 func (r *round) victims(d demand, s *session, most int) (out []*pipeline.Run, freed int) {
 	room := r.free(s)
 	need := d.work.step.Need
 	var list []*pipeline.Run
-	for _, run := range s.w.Runs {
+	for _, run := range s.u.Runs {
 		switch {
 		case s.stopping[run.Key()]:
 			room = room.Plus(run.Task.Step.Need)
@@ -155,12 +155,12 @@
 	return u
 }
 
-// roomAfterPreemption is the room that a worker would have without work that the most urgent
+// roomAfterPreemption is the room that an upstream would have without work that the most urgent
 // queues may preempt; what preemption gives is worked out once a round.
 func (r *round) roomAfterPreemption(s *session) pipeline.Resources {
 	given, known := r.preemptRoom[s]
 	if !known {
-		for _, run := range s.w.Runs {
+		for _, run := range s.u.Runs {
 			if s.stopping[run.Key()] || r.preemptible(run, 0) {
 				given = given.Plus(run.Task.Step.Need)
 			}
--- a/dispatch/progress.go
+++ b/dispatch/progress.go
@@ -29,7 +29,7 @@
 		Dur("idle", now-since).Msg("run stands still; it is stopped and goes on elsewhere")
 	s.avoidUntil = now + stallPause
 	if w := s.e.steps[st]; w != nil {
-		w.avoid(s.w.GetId(), now+retryElsewhere)
+		w.avoid(s.u.GetId(), now+retryElsewhere)
 	}
 	s.enqueueStop(run, "the run stands still")
 }
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -18,7 +18,7 @@
 		t.Fatalf("state %s", got)
 	}
 	w.check()
-	for id, f := range w.workers {
+	for id, f := range w.upstreams {
 		if f.acked != f.lastNumber {
 			t.Errorf("%s listed %d ends, %d were acknowledged", id, f.lastNumber, f.acked)
 		}
@@ -30,10 +30,10 @@
 	w := newWorld(t, "w1")
 	w.submit(jobID(1), oneStep(1, 1000))
 	w.run(5 * time.Second)
-	before := w.workers["w1"].starts
+	before := w.upstreams["w1"].starts
 	w.submit(jobID(2), oneStep(1, 1000))
 	w.run(100 * time.Millisecond)
-	if w.workers["w1"].starts != before+1 {
+	if w.upstreams["w1"].starts != before+1 {
 		t.Fatal("the second job did not start")
 	}
 	w.run(3 * time.Second)
@@ -41,12 +41,12 @@
 	w.engine.Handle(t.Context(), &pipelinev1.Call{}, func(*pipelinev1.Reply, error) {})
 	w.state.Apply(w.wall(), submitCommand(jobID(3)))
 	w.run(time.Second)
-	if w.workers["w1"].starts != before+1 {
+	if w.upstreams["w1"].starts != before+1 {
 		t.Error("a run was ordered before its commit")
 	}
 	w.commit()
 	w.run(100 * time.Millisecond)
-	if w.workers["w1"].starts != before+2 {
+	if w.upstreams["w1"].starts != before+2 {
 		t.Error("the run was not ordered after its commit")
 	}
 }
@@ -57,14 +57,14 @@
 		Spec: &pipelinev1.JobSpec{Id: id, Queue: testQueue, Steps: []*pipelinev1.Step{oneStep(1, 1000)}}}}}
 }
 
-// An end is acknowledged to the worker only once it is committed.
+// An end is acknowledged to the upstream only once it is committed.
 func TestEndIsAcknowledgedAfterItsCommit(t *testing.T) {
 	w := newWorld(t, "w1")
 	w.submit(jobID(1), oneStep(1, 1000))
 	w.run(200 * time.Millisecond)
 	w.holdCommits = true
 	w.run(3 * time.Second)
-	f := w.workers["w1"]
+	f := w.upstreams["w1"]
 	if f.lastNumber != 1 || f.acked != 0 {
 		t.Fatalf("%d ends listed, %d acknowledged before the commit", f.lastNumber, f.acked)
 	}
@@ -77,15 +77,15 @@
 
 // Faults on the way of an order: the task still runs once at a time, and gets done.
 func TestUnansweredOrders(t *testing.T) {
-	tests := map[string]func(w *world, f *fakeWorker){
-		"carried out without an answer": func(_ *world, f *fakeWorker) { f.mute = true },
-		"carried out late":              func(_ *world, f *fakeWorker) { f.late = 3 * time.Second },
-		"never arrived":                 func(_ *world, f *fakeWorker) { f.cut = true },
+	tests := map[string]func(w *world, f *fakeUpstream){
+		"carried out without an answer": func(_ *world, f *fakeUpstream) { f.mute = true },
+		"carried out late":              func(_ *world, f *fakeUpstream) { f.late = 3 * time.Second },
+		"never arrived":                 func(_ *world, f *fakeUpstream) { f.cut = true },
 	}
 	for name, fault := range tests {
 		t.Run(name, func(t *testing.T) {
 			w := newWorld(t, "w1", "w2")
-			f := w.workers["w1"]
+			f := w.upstreams["w1"]
 			fault(w, f)
 			w.submit(jobID(1), oneStep(6, 1000))
 			w.run(2 * time.Second)
@@ -99,15 +99,15 @@
 	}
 }
 
-// A worker that is cut off keeps its runs until its lease is over; only then do they run elsewhere.
-func TestCutOffWorkerRunsOn(t *testing.T) {
+// An upstream that is cut off keeps its runs until its lease is over; only then do they run elsewhere.
+func TestCutOffUpstreamRunsOn(t *testing.T) {
 	w := newWorld(t, "w1", "w2")
-	for _, f := range w.workers {
+	for _, f := range w.upstreams {
 		f.runTime = 4 * time.Second
 	}
 	w.submit(jobID(1), oneStep(4, 4000))
 	w.run(500 * time.Millisecond)
-	w.workers["w1"].cut = true
+	w.upstreams["w1"].cut = true
 	w.run(30 * time.Second)
 	if got := w.jobState(jobID(1)); got != pipeline.Completed {
 		t.Errorf("state %s", got)
@@ -115,18 +115,18 @@
 	w.check()
 }
 
-// A new leader finds out what each worker has before it orders anything.
+// A new leader finds out what each upstream has before it orders anything.
 func TestNewLeaderAdoptsRuns(t *testing.T) {
 	w := newWorld(t, "w1", "w2")
 	w.submit(jobID(1), oneStep(5, 1000))
 	w.run(300 * time.Millisecond)
-	before := w.workers["w1"].starts + w.workers["w2"].starts
+	before := w.upstreams["w1"].starts + w.upstreams["w2"].starts
 	w.lead()
 	w.run(10 * time.Second)
 	if got := w.jobState(jobID(1)); got != pipeline.Completed {
 		t.Errorf("state %s", got)
 	}
-	if after := w.workers["w1"].starts + w.workers["w2"].starts; after != before {
+	if after := w.upstreams["w1"].starts + w.upstreams["w2"].starts; after != before {
 		t.Errorf("%d starts, then %d", before, after)
 	}
 	w.check()
@@ -135,10 +135,10 @@
 // Runs that an older leader committed and never ordered wait again.
 func TestNewLeaderWithdrawsUnsentRuns(t *testing.T) {
 	w := newWorld(t, "w1", "w2")
-	w.workers["w1"].cut, w.workers["w2"].cut = true, true
+	w.upstreams["w1"].cut, w.upstreams["w2"].cut = true, true
 	w.submit(jobID(1), oneStep(4, 1000))
 	w.run(100 * time.Millisecond)
-	w.workers["w1"].cut, w.workers["w2"].cut = false, false
+	w.upstreams["w1"].cut, w.upstreams["w2"].cut = false, false
 	w.lead()
 	w.run(10 * time.Second)
 	if got := w.jobState(jobID(1)); got != pipeline.Completed {
@@ -147,12 +147,12 @@
 	w.check()
 }
 
-// A worker that starts again under its old identity has lost its runs.
-func TestRebornWorker(t *testing.T) {
+// An upstream that starts again under its old identity has lost its runs.
+func TestRebornUpstream(t *testing.T) {
 	w := newWorld(t, "w1")
 	w.submit(jobID(1), oneStep(3, 1000))
 	w.run(300 * time.Millisecond)
-	w.workers["w1"].crash()
+	w.upstreams["w1"].crash()
 	w.beat("w1")
 	w.run(10 * time.Second)
 	if got := w.jobState(jobID(1)); got != pipeline.Completed {
@@ -168,7 +168,7 @@
 	w.run(5 * time.Second)
 	w.confirms = false
 	w.run(2 * time.Second)
-	f := w.workers["w1"]
+	f := w.upstreams["w1"]
 	before, deadline := f.starts, f.deadlineMS
 	w.state.Apply(w.wall(), submitCommand(jobID(2)))
 	w.run(3 * time.Second)
@@ -179,71 +179,71 @@
 
 func TestCancelStopsRuns(t *testing.T) {
 	w := newWorld(t, "w1")
-	w.workers["w1"].runTime = time.Minute
+	w.upstreams["w1"].runTime = time.Minute
 	w.submit(jobID(1), oneStep(3, 60000))
 	w.run(300 * time.Millisecond)
 	w.cancel(jobID(1))
 	w.run(500 * time.Millisecond)
-	if n := len(w.workers["w1"].running); n != 0 {
+	if n := len(w.upstreams["w1"].running); n != 0 {
 		t.Errorf("%d runs half a second after the cancel", n)
 	}
 }
 
-// A draining worker or one in a domain that is out gets nothing new.
-func TestNoNewWorkOnDrainingWorkers(t *testing.T) {
+// A draining upstream or one in a domain that is out gets nothing new.
+func TestNoNewWorkOnDrainingUpstreams(t *testing.T) {
 	w := newWorld(t, "w1", "w2")
-	w.workers["w1"].draining = true
+	w.upstreams["w1"].draining = true
 	w.beat("w1")
 	w.submit(jobID(1), oneStep(3, 1000))
 	w.run(500 * time.Millisecond)
-	if n := w.workers["w1"].starts; n != 0 {
-		t.Errorf("%d starts on a draining worker", n)
+	if n := w.upstreams["w1"].starts; n != 0 {
+		t.Errorf("%d starts on a draining upstream", n)
 	}
 	w.call(&pipelinev1.Call{Call: &pipelinev1.Call_SetDomain{SetDomain: &pipelinev1.SetDomain{Name: "prado", Out: true}}})
-	before := w.workers["w2"].starts
+	before := w.upstreams["w2"].starts
 	w.submit(jobID(2), oneStep(1, 1000))
 	w.run(5 * time.Second)
-	if n := w.workers["w2"].starts; n != before {
+	if n := w.upstreams["w2"].starts; n != before {
 		t.Errorf("%d starts in a failure domain that is out", n-before)
 	}
 }
 
-// A worker that leaves takes its lasting tasks down for a moment only: they move when it
+// An upstream that leaves takes its lasting tasks down for a moment only: they move when it
 // drains, and what is left is lost as soon as it does not answer any more.
-func TestLastingTasksMoveFromALeavingWorker(t *testing.T) {
+func TestLastingTasksMoveFromALeavingUpstream(t *testing.T) {
 	w := newWorld(t, "w1")
-	for _, f := range w.workers {
+	for _, f := range w.upstreams {
 		f.runTime = time.Hour
 	}
 	lasting := oneStep(2, 0)
 	lasting.Lasting = true
 	w.submit(jobID(1), lasting)
 	w.run(time.Second)
-	w.workers["w2"] = newFakeWorker(w, 10)
-	w.workers["w2"].runTime = time.Hour
+	w.upstreams["w2"] = newFakeUpstream(w, 10)
+	w.upstreams["w2"].runTime = time.Hour
 	w.beat("w2")
-	w.workers["w1"].draining = true
+	w.upstreams["w1"].draining = true
 	w.beat("w1")
 	w.run(time.Second)
-	if n := len(w.workers["w2"].running); n != 2 {
+	if n := len(w.upstreams["w2"].running); n != 2 {
 		t.Errorf("%d of 2 lasting tasks have moved a second after the notice", n)
 	}
 	w.check()
 }
 
-func TestRunsOfAWorkerThatLeftAreLostAtOnce(t *testing.T) {
+func TestRunsOfAnUpstreamThatLeftAreLostAtOnce(t *testing.T) {
 	w := newWorld(t, "w1", "w2")
-	for _, f := range w.workers {
+	for _, f := range w.upstreams {
 		f.runTime = 3 * time.Second
 	}
 	w.submit(jobID(1), oneStep(4, 3000))
 	w.run(500 * time.Millisecond)
-	w.call(&pipelinev1.Call{Call: &pipelinev1.Call_Leave{Leave: &pipelinev1.LeaveCall{Worker: "w1"}}})
-	w.workers["w1"].crash()
-	w.workers["w1"].cut = true
+	w.call(&pipelinev1.Call{Call: &pipelinev1.Call_Leave{Leave: &pipelinev1.LeaveCall{Upstream: "w1"}}})
+	w.upstreams["w1"].crash()
+	w.upstreams["w1"].cut = true
 	w.run(2 * time.Second)
-	if n := len(w.workers["w2"].running); n != 4 {
-		t.Errorf("%d of 4 tasks run two seconds after the worker has left", n)
+	if n := len(w.upstreams["w2"].running); n != 4 {
+		t.Errorf("%d of 4 tasks run two seconds after the upstream has left", n)
 	}
 	w.check()
 }
@@ -252,43 +252,43 @@
 // other run is stopped when one is done.
 func TestCopyOfAStraggler(t *testing.T) {
 	w := newWorld(t, "w1", "w2")
-	w.workers["w1"].runTime, w.workers["w2"].runTime = time.Hour, time.Second
+	w.upstreams["w1"].runTime, w.upstreams["w2"].runTime = time.Hour, time.Second
 	step := oneStep(1, 1000)
 	step.Copies = true
-	w.workers["w2"].cut = true
+	w.upstreams["w2"].cut = true
 	w.beat("w2")
 	w.submit(jobID(1), step)
 	w.run(time.Second)
-	w.workers["w2"].cut = false
+	w.upstreams["w2"].cut = false
 	w.run(10 * time.Second)
 	if got := w.jobState(jobID(1)); got != pipeline.Completed {
 		t.Errorf("state %s", got)
 	}
-	if n := len(w.workers["w1"].running) + len(w.workers["w2"].running); n != 0 {
+	if n := len(w.upstreams["w1"].running) + len(w.upstreams["w2"].running); n != 0 {
 		t.Errorf("%d runs are left", n)
 	}
 }
 
-// A heartbeat that was held up on its way does not bring a draining worker back.
+// A heartbeat that was held up on its way does not bring a draining upstream back.
 func TestLateHeartbeatDoesNotEndADrain(t *testing.T) {
 	w := newWorld(t, "w1")
 	beat := func(draining bool, sequence int64) {
-		w.workers["w1"].draining = draining
+		w.upstreams["w1"].draining = draining
 		w.call(&pipelinev1.Call{Call: &pipelinev1.Call_Heartbeat{Heartbeat: &pipelinev1.HeartbeatCall{
-			Worker: w.workers["w1"].describe("w1"), Sequence: sequence}}})
+			Upstream: w.upstreams["w1"].describe("w1"), Sequence: sequence}}})
 	}
 	beat(false, 5)
 	beat(true, 7)
 	beat(false, 6)
 	w.submit(jobID(1), oneStep(1, 1000))
 	w.run(time.Second)
-	if n := w.workers["w1"].starts; n != 0 {
-		t.Errorf("%d starts on a draining worker", n)
+	if n := w.upstreams["w1"].starts; n != 0 {
+		t.Errorf("%d starts on a draining upstream", n)
 	}
 	w.lead()
 	beat(false, 6)
 	w.run(time.Second)
-	if n := w.workers["w1"].starts; n != 0 {
-		t.Errorf("%d starts on a draining worker under a new leader", n)
+	if n := w.upstreams["w1"].starts; n != 0 {
+		t.Errorf("%d starts on a draining upstream under a new leader", n)
 	}
 }
--- a/dispatch/upkeep_test.go
+++ b/dispatch/upkeep_test.go
@@ -10,65 +10,65 @@
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
 
-// fakeMachines is a machines' service: an upkeep ends what runs on the machine and takes two
-// seconds; then another worker joins.
-type fakeMachines struct {
-	w      *world
-	worker map[string]string
-	downAt map[string]time.Duration
-	most   int
-	orders int
-	killed int
+// fakeVMs is a VM service: an upkeep ends what runs on the VM and takes two
+// seconds; then another upstream joins.
+type fakeVMs struct {
+	w        *world
+	upstream map[string]string
+	downAt   map[string]time.Duration
+	most     int
+	orders   int
+	killed   int
 }
 
-// List implements Machines.
-func (f *fakeMachines) List(context.Context) ([]Machine, error) {
-	var out []Machine
+// List implements VMs.
+func (f *fakeVMs) List(context.Context) ([]VM, error) {
+	var out []VM
 	for _, name := range []string{"m1", "m2", "m3"} {
 		at, ordered := f.downAt[name]
 		if ordered && f.w.now-at >= 2*time.Second {
 			delete(f.downAt, name)
 			ordered = false
-			f.worker[name] += "x"
-			f.w.workers[f.worker[name]] = newFakeWorker(f.w, 20)
+			f.upstream[name] += "x"
+			f.w.upstreams[f.upstream[name]] = newFakeUpstream(f.w, 20)
 		}
-		out = append(out, Machine{Name: name, Up: !ordered, Worker: f.worker[name]})
+		out = append(out, VM{Name: name, Up: !ordered, Upstream: f.upstream[name]})
 	}
 	return out, nil
 }
 
-// Upkeep implements Machines.
-func (f *fakeMachines) Upkeep(_ context.Context, machine string, _, _ int64) (UpkeepVerdict, error) {
+// Upkeep implements VMs.
+func (f *fakeVMs) Upkeep(_ context.Context, vm string, _, _ int64) (UpkeepVerdict, error) {
 	f.orders++
-	old := f.w.workers[f.worker[machine]]
+	old := f.w.upstreams[f.upstream[vm]]
 	f.killed += len(old.running)
 	old.crash()
 	old.cut = true
-	f.downAt[machine] = f.w.now
+	f.downAt[vm] = f.w.now
 	f.most = max(f.most, len(f.downAt))
 	return UpkeepBegun, nil
 }
 
-func newUpkeepWorld(t *testing.T) (*world, *fakeMachines) {
+func newUpkeepWorld(t *testing.T) (*world, *fakeVMs) {
 	w := newWorld(t, "w1", "w2", "w3")
-	f := &fakeMachines{w: w, worker: map[string]string{"m1": "w1", "m2": "w2", "m3": "w3"}, downAt: make(map[string]time.Duration)}
-	w.machines = f
-	w.engine.machines = f
+	f := &fakeVMs{w: w, upstream: map[string]string{"m1": "w1", "m2": "w2", "m3": "w3"}, downAt: make(map[string]time.Duration)}
+	w.vms = f
+	w.engine.vms = f
 	return w, f
 }
 
-// A wave takes no more machines down at once than allowed, moves lasting work first, and is
-// completed when every machine has had its upkeep.
+// A wave takes no more VMs down at once than allowed, moves lasting work first, and is
+// completed when every VM has had its upkeep.
 func TestWave(t *testing.T) {
 	w, f := newUpkeepWorld(t)
-	for _, x := range w.workers {
+	for _, x := range w.upstreams {
 		x.runTime = time.Hour
 	}
 	lasting := oneStep(3, 0)
 	lasting.Lasting, lasting.MissAllowed = true, 1
 	w.submit(jobID(1), lasting)
 	w.run(2 * time.Second)
-	w.call(&pipelinev1.Call{Call: &pipelinev1.Call_PutWave{PutWave: &pipelinev1.Wave{Number: 1, Machines: []string{"m1", "m2"}, DurationMs: 60000, AtOnce: 1}}})
+	w.call(&pipelinev1.Call{Call: &pipelinev1.Call_PutWave{PutWave: &pipelinev1.Wave{Number: 1, Vms: []string{"m1", "m2"}, DurationMs: 60000, AtOnce: 1}}})
 	completed := func() bool {
 		return w.call(&pipelinev1.Call{Call: &pipelinev1.Call_GetWave{GetWave: &pipelinev1.GetWaveCall{Number: 1}}}).GetWaveCompleted()
 	}
@@ -77,9 +77,9 @@
 	}
 	for range 40 {
 		w.run(500 * time.Millisecond)
-		for name, id := range f.worker {
-			if len(id) > 2 && f.w.workers[id] != nil {
-				w.workers[id].runTime = time.Hour
+		for name, id := range f.upstream {
+			if len(id) > 2 && f.w.upstreams[id] != nil {
+				w.upstreams[id].runTime = time.Hour
 				w.beat(id)
 				_ = name
 			}
@@ -95,7 +95,7 @@
 	for _, fillsFirst := range []bool{false, true} {
 		t.Run(fmt.Sprint(fillsFirst), func(t *testing.T) {
 			w := newWorld(t, "w1")
-			w.workers["w1"].runTime = time.Hour
+			w.upstreams["w1"].runTime = time.Hour
 			serving, filling := oneStep(1, 0), oneStep(1, 60000)
 			serving.Lasting, serving.TargetMs, filling.Fills = true, 100, true
 			steps := []*pipelinev1.Step{serving, filling}
--- a/dispatch/worker_test.go
+++ b/dispatch/upstream_test.go
@@ -8,9 +8,9 @@
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
 
-// fakeWorker behaves as workers are described: it fences orders by token, keeps leases by its
+// fakeUpstream behaves as upstreams are described: it fences orders by token, keeps leases by its
 // own clock, lists ends until they are acknowledged.
-type fakeWorker struct {
+type fakeUpstream struct {
 	w          *world
 	born       int64
 	bornAt     time.Duration
@@ -36,31 +36,31 @@
 type ranTask struct {
 	from, to time.Duration
 	kind     pipelinev1.EndKind
-	// excused is set when the worker's lease ended before the end was acknowledged: the platform
+	// excused is set when the upstream's lease ended before the end was acknowledged: the platform
 	// then allows another run.
 	excused bool
 }
 
-func newFakeWorker(w *world, born int64) *fakeWorker {
-	return &fakeWorker{w: w, born: born, bornAt: w.now, running: make(map[pipeline.RunKey]time.Duration), barred: make(map[pipeline.TaskKey]int32),
+func newFakeUpstream(w *world, born int64) *fakeUpstream {
+	return &fakeUpstream{w: w, born: born, bornAt: w.now, running: make(map[pipeline.RunKey]time.Duration), barred: make(map[pipeline.TaskKey]int32),
 		history: make(map[pipeline.RunKey]*ranTask), runTime: time.Second}
 }
 
-func (f *fakeWorker) describe(id string) *pipelinev1.Worker {
-	return &pipelinev1.Worker{Id: id, Born: f.born, Service: "print", Address: id, FailureDomain: "prado",
+func (f *fakeUpstream) describe(id string) *pipelinev1.Upstream {
+	return &pipelinev1.Upstream{Id: id, Born: f.born, Service: "print", Address: id, FailureDomain: "prado",
 		Capacity: &pipelinev1.Resources{MilliCores: 4000, MemoryMib: 1000}, Draining: f.draining}
 }
 
-func (f *fakeWorker) clockMS() int64 { return 1000 + (f.w.now - f.bornAt).Milliseconds() }
+func (f *fakeUpstream) clockMS() int64 { return 1000 + (f.w.now - f.bornAt).Milliseconds() }
 
-func (f *fakeWorker) takeDelay() time.Duration {
+func (f *fakeUpstream) takeDelay() time.Duration {
 	d := f.delay
 	f.delay = 0
 	return d
 }
 
 // advance ends what is finished or has lost its lease.
-func (f *fakeWorker) advance() {
+func (f *fakeUpstream) advance() {
 	for _, e := range f.ended {
 		if h := f.history[e.Run]; f.clockMS() > f.deadlineMS && e.Number > f.acked {
 			h.excused = true
@@ -76,7 +76,7 @@
 	}
 }
 
-func (f *fakeWorker) end(key pipeline.RunKey, kind pipelinev1.EndKind) {
+func (f *fakeUpstream) end(key pipeline.RunKey, kind pipelinev1.EndKind) {
 	delete(f.running, key)
 	f.barred[key.TaskKey] = max(f.barred[key.TaskKey], key.Number)
 	f.lastNumber++
@@ -84,8 +84,8 @@
 	f.history[key].to, f.history[key].kind = f.w.now, kind
 }
 
-// crash restarts the worker under the same identity; everything on it is gone.
-func (f *fakeWorker) crash() {
+// crash restarts the upstream under the same identity; everything on it is gone.
+func (f *fakeUpstream) crash() {
 	for key := range f.running {
 		f.history[key].to, f.history[key].kind = f.w.now, pipelinev1.EndKind_END_KIND_LOST
 	}
@@ -96,12 +96,12 @@
 	clear(f.barred)
 }
 
-// fleet implements Workers over the world's fake workers.
+// fleet implements Upstreams over the world's fake upstreams.
 type fleet struct{ w *world }
 
-// reach returns the worker that a call arrives at, or an error if it is lost.
-func (c fleet) reach(to Target) (*fakeWorker, error) {
-	f := c.w.workers[to.Worker]
+// reach returns the upstream that a call arrives at, or an error if it is lost.
+func (c fleet) reach(to Target) (*fakeUpstream, error) {
+	f := c.w.upstreams[to.Upstream]
 	if f == nil || f.cut {
 		if f != nil {
 			f.delay = c.w.now + orderTimeout
@@ -111,7 +111,7 @@
 	return f, nil
 }
 
-// Start implements Workers.
+// Start implements Upstreams.
 func (c fleet) Start(_ context.Context, to Target, s Start) (OrderReply, error) {
 	f, err := c.reach(to)
 	if err != nil {
@@ -130,7 +130,7 @@
 	return OrderReply{Verdict: v, ClockMS: f.clockMS()}, nil
 }
 
-func (f *fakeWorker) start(s Start) OrderVerdict {
+func (f *fakeUpstream) start(s Start) OrderVerdict {
 	key := pipeline.RunKey{TaskKey: s.Task, Number: s.Number}
 	if s.Token < f.token {
 		return Fenced
@@ -151,7 +151,7 @@
 	return Obeyed
 }
 
-// Stop implements Workers.
+// Stop implements Upstreams.
 func (c fleet) Stop(_ context.Context, to Target, o Order) (OrderReply, error) {
 	f, err := c.reach(to)
 	if err != nil {
@@ -169,7 +169,7 @@
 	return OrderReply{Verdict: Obeyed, ClockMS: f.clockMS()}, nil
 }
 
-// Look implements Workers. It answers at once, whatever the wait.
+// Look implements Upstreams. It answers at once, whatever the wait.
 func (c fleet) Look(_ context.Context, to Target, r LookRequest) (Look, error) {
 	f, err := c.reach(to)
 	if err != nil {
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -10,7 +10,7 @@
 const (
 	// lateFactor is how many objectives a job may take and still be worth something.
 	lateFactor = 3
-	// permitAllowance is the number of workers of one question that a job's objective counts.
+	// permitAllowance is the number of upstreams of one question that a job's objective counts.
 	permitAllowance = 30
 )
 
@@ -61,7 +61,7 @@
 func (e *Engine) chains(o *pipeline.Occurrence, q *pipelinev1.Queue) (whole, left time.Duration) {
 	permit := time.Duration(0)
 	if p := q.GetPermits(); p != nil {
-		permit = time.Duration((p.GetDecisionMs() + permitAllowance*p.GetPerWorkerMs()) * float64(time.Millisecond))
+		permit = time.Duration((p.GetDecisionMs() + permitAllowance*p.GetPerUpstreamMs()) * float64(time.Millisecond))
 	}
 	wholeTo := make([]time.Duration, len(o.Steps))
 	leftTo := make([]time.Duration, len(o.Steps))
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -24,13 +24,13 @@
 
 var errUnanswered = errors.New("no answer")
 
-// world runs the real engine and state in virtual time, with one or more fake workers.
+// world runs the real engine and state in virtual time, with one or more fake upstreams.
 type world struct {
-	t       *testing.T
-	now     time.Duration
-	state   *pipeline.State
-	engine  *Engine
-	workers map[string]*fakeWorker
+	t         *testing.T
+	now       time.Duration
+	state     *pipeline.State
+	engine    *Engine
+	upstreams map[string]*fakeUpstream
 	// posted are functions for the control goroutine; delayed ones wait for their time.
 	posted  []func()
 	delayed []delayed
@@ -39,7 +39,7 @@
 	holdCommits bool
 	confirms    bool
 	term        uint64
-	machines    Machines
+	vms         VMs
 }
 
 type delayed struct {
@@ -80,12 +80,12 @@
 // wall is the time of the log: the same origin as time.Now, moved by the virtual clock.
 func (w *world) wall() int64 { return 1_000_000_000 + int64(w.now) }
 
-// Async implements Host. The work runs at once; a fake worker may delay the answer.
+// Async implements Host. The work runs at once; a fake upstream may delay the answer.
 func (w *world) Async(work func() func()) {
 	w.posted = append(w.posted, func() {
 		done := work()
 		at := w.now
-		for _, f := range w.workers {
+		for _, f := range w.upstreams {
 			at = max(at, f.takeDelay())
 		}
 		if at > w.now {
@@ -96,14 +96,14 @@
 	})
 }
 
-func newWorld(t *testing.T, workers ...string) *world {
-	w := &world{t: t, state: pipeline.New(), workers: make(map[string]*fakeWorker), confirms: true}
+func newWorld(t *testing.T, upstreams ...string) *world {
+	w := &world{t: t, state: pipeline.New(), upstreams: make(map[string]*fakeUpstream), confirms: true}
 	w.state.Apply(w.wall(), &pipelinev1.Command{Command: &pipelinev1.Command_PutConfig{PutConfig: testConfig()}})
-	for _, id := range workers {
-		w.workers[id] = newFakeWorker(w, 10)
+	for _, id := range upstreams {
+		w.upstreams[id] = newFakeUpstream(w, 10)
 	}
 	w.lead()
-	for _, id := range workers {
+	for _, id := range upstreams {
 		w.beat(id)
 	}
 	w.run(tickStep)
@@ -124,7 +124,7 @@
 	}
 	w.term++
 	w.posted, w.delayed = nil, nil
-	w.engine = New(Config{MaxHold: testHold, StopGrace: testStop, MinVoters: 3, Replicas: func() []string { return nil }}, zerolog.Nop(), w, fleet{w}, w.machines)
+	w.engine = New(Config{MaxHold: testHold, StopGrace: testStop, MinVoters: 3, Replicas: func() []string { return nil }}, zerolog.Nop(), w, fleet{w}, w.vms)
 	w.engine.Lead(w.term)
 	w.drain()
 }
@@ -146,7 +146,7 @@
 func (w *world) run(d time.Duration) {
 	for end := w.now + d; w.now < end; {
 		w.now += tickStep
-		for _, f := range w.workers {
+		for _, f := range w.upstreams {
 			f.advance()
 		}
 		due := w.delayed
@@ -184,8 +184,8 @@
 }
 
 func (w *world) beat(id string) {
-	f := w.workers[id]
-	w.call(&pipelinev1.Call{Call: &pipelinev1.Call_Heartbeat{Heartbeat: &pipelinev1.HeartbeatCall{Worker: f.describe(id)}}})
+	f := w.upstreams[id]
+	w.call(&pipelinev1.Call{Call: &pipelinev1.Call_Heartbeat{Heartbeat: &pipelinev1.HeartbeatCall{Upstream: f.describe(id)}}})
 }
 
 func (w *world) submit(id string, steps ...*pipelinev1.Step) {
@@ -224,11 +224,11 @@
 	type span struct {
 		from, to time.Duration
 		kind     pipelinev1.EndKind
-		worker   string
+		upstream string
 		excused  bool
 	}
 	byTask := make(map[pipeline.TaskKey][]span)
-	for id, f := range w.workers {
+	for id, f := range w.upstreams {
 		for key, h := range f.history {
 			to := h.to
 			if h.kind == 0 {
@@ -241,10 +241,10 @@
 		for i, a := range spans {
 			for k, b := range spans {
 				if i < k && a.from < b.to && b.from < a.to {
-					out = append(out, fmt.Sprintf("task %v ran on %s and %s at the same time: %v, %v", task, a.worker, b.worker, a, b))
+					out = append(out, fmt.Sprintf("task %v ran on %s and %s at the same time: %v, %v", task, a.upstream, b.upstream, a, b))
 				}
 				if a.kind == pipelinev1.EndKind_END_KIND_DONE && !a.excused && b.from > a.to {
-					out = append(out, fmt.Sprintf("task %v ran again on %s after it was done on %s", task, b.worker, a.worker))
+					out = append(out, fmt.Sprintf("task %v ran again on %s after it was done on %s", task, b.upstream, a.upstream))
 				}
 			}
 		}
--- a/pipeline/ends.go
+++ b/pipeline/ends.go
@@ -9,15 +9,15 @@
 // defaultMaxAttempts bounds failed runs of a task when its queue sets no bound.
 const defaultMaxAttempts = 3
 
-// ends records the ends of runs. An end of an unknown run only moves the worker's count.
+// ends records the ends of runs. An end of an unknown run only moves the upstream's count.
 func (s *State) ends(c *pipelinev1.Ends) {
 	for _, e := range c.GetEnds() {
-		w := s.workers[e.GetRun().GetWorker()]
-		if w == nil || w.GetBorn() != e.GetRun().GetBorn() {
+		u := s.upstreams[e.GetRun().GetUpstream()]
+		if u == nil || u.GetBorn() != e.GetRun().GetBorn() {
 			continue
 		}
-		w.LastEnd = max(w.LastEnd, e.GetListed())
-		if r := w.Runs[RunKey{KeyOf(e.GetRun().GetTask()), e.GetRun().GetNumber()}]; r != nil {
+		u.LastEnd = max(u.LastEnd, e.GetListed())
+		if r := u.Runs[RunKey{KeyOf(e.GetRun().GetTask()), e.GetRun().GetNumber()}]; r != nil {
 			s.endRun(r, e)
 		}
 	}
--- a/pipeline/job.go
+++ b/pipeline/job.go
@@ -68,16 +68,16 @@
 	Failures   int32
 	LastRun    int32
 	Checkpoint string
-	// Live are the runs that may exist at a worker.
+	// Live are the runs that may exist at an upstream.
 	Live []*Run
 }
 
-// Run is one start of a task that may exist at a worker.
+// Run is one start of a task that may exist at an upstream.
 type Run struct {
-	Task   *Task
-	Number int32
-	Worker *Worker
-	// Born is the worker's incarnation.
+	Task     *Task
+	Number   int32
+	Upstream *Upstream
+	// Born is the upstream's incarnation.
 	Born int64
 	// PlacedNS is the leader time of its commit.
 	PlacedNS int64
@@ -118,10 +118,10 @@
 	return true
 }
 
-// RunsOn reports whether a run of the task may be on a worker.
-func (t *Task) RunsOn(w *Worker) bool {
+// RunsOn reports whether a run of the task may be on an upstream.
+func (t *Task) RunsOn(w *Upstream) bool {
 	for _, r := range t.Live {
-		if r.Worker == w {
+		if r.Upstream == w {
 			return true
 		}
 	}
@@ -141,7 +141,7 @@
 
 // Proto converts to the message.
 func (r *Run) Proto() *pipelinev1.Run {
-	return &pipelinev1.Run{Task: r.Task.Key().Proto(), Number: r.Number, Worker: r.Worker.GetId(), Born: r.Born}
+	return &pipelinev1.Run{Task: r.Task.Key().Proto(), Number: r.Number, Upstream: r.Upstream.GetId(), Born: r.Born}
 }
 
 // Ended reports whether the job needs nothing any more.
--- a/pipeline/jobs_test.go
+++ b/pipeline/jobs_test.go
@@ -91,7 +91,7 @@
 	}
 	// A delayed heartbeat of the older incarnation changes nothing.
 	w.reborn("w1", 10)
-	if w.workers["w1"].GetBorn() != 20 || len(tasks[1].Live) != 1 {
+	if w.upstreams["w1"].GetBorn() != 20 || len(tasks[1].Live) != 1 {
 		t.Error("an older incarnation came back")
 	}
 }
--- a/pipeline/place.go
+++ b/pipeline/place.go
@@ -13,12 +13,12 @@
 	PlaceNumber     PlaceReason = "the run's number isn't the next one"
 	PlaceOrder      PlaceReason = "an earlier step is not done"
 	PlaceEarly      PlaceReason = "the occurrence is not due"
-	PlaceNoWorker   PlaceReason = "the worker's incarnation is not known or drains"
+	PlaceNoUpstream PlaceReason = "the upstream's incarnation is not known or drains"
 	PlaceDomainOut  PlaceReason = "the failure domain is out"
-	PlaceService    PlaceReason = "the queue does not send to the worker's service"
-	PlaceLabel      PlaceReason = "the worker lacks the label"
-	PlaceSpread     PlaceReason = "too many tasks of the step on one worker"
-	PlaceNoRoom     PlaceReason = "the worker's capacity would be exceeded"
+	PlaceService    PlaceReason = "the queue does not send to the upstream's service"
+	PlaceLabel      PlaceReason = "the upstream lacks the label"
+	PlaceSpread     PlaceReason = "too many tasks of the step on one upstream"
+	PlaceNoRoom     PlaceReason = "the upstream's capacity would be exceeded"
 	PlaceOverLimit  PlaceReason = "the team's limit would be exceeded"
 	PlaceNotWhole   PlaceReason = "the gang is not placed as a whole"
 	PlaceDisturbs   PlaceReason = "a task that fills would run beside one that serves under a target"
@@ -111,11 +111,11 @@
 	if why := s.checkTask(t, p); why != "" {
 		return nil, why
 	}
-	w := s.workers[p.GetWorker()]
-	if w == nil || w.GetBorn() != p.GetBorn() || w.GetDraining() {
-		return nil, PlaceNoWorker
+	u := s.upstreams[p.GetUpstream()]
+	if u == nil || u.GetBorn() != p.GetBorn() || u.GetDraining() {
+		return nil, PlaceNoUpstream
 	}
-	if why := s.CheckWorker(t.Step, w); why != "" {
+	if why := s.CheckUpstream(t.Step, u); why != "" {
 		return nil, why
 	}
 	if team := s.config.Team(t.Step.Job().Team); team != nil {
@@ -123,7 +123,7 @@
 			return nil, PlaceOverLimit
 		}
 	}
-	r := &Run{Task: t, Number: p.GetNumber(), Worker: w, Born: w.GetBorn(), PlacedNS: s.nowNS}
+	r := &Run{Task: t, Number: p.GetNumber(), Upstream: u, Born: u.GetBorn(), PlacedNS: s.nowNS}
 	s.reserve(r)
 	return r, ""
 }
@@ -145,32 +145,32 @@
 	return ""
 }
 
-// CheckWorker returns why a worker can't take one more task of a step now, or an empty reason.
-func (s *State) CheckWorker(st *Step, w *Worker) PlaceReason {
+// CheckUpstream returns why an upstream can't take one more task of a step now, or an empty reason.
+func (s *State) CheckUpstream(st *Step, u *Upstream) PlaceReason {
 	switch {
-	case s.out[w.GetFailureDomain()]:
+	case s.out[u.GetFailureDomain()]:
 		return PlaceDomainOut
-	case w.GetService() != s.Terms(st.Job()).GetService():
+	case u.GetService() != s.Terms(st.Job()).GetService():
 		return PlaceService
-	case !w.HasLabel(st.Spec.GetConstraint()):
+	case !u.HasLabel(st.Spec.GetConstraint()):
 		return PlaceLabel
-	case !w.Used.Plus(st.Need).Fits(w.Capacity):
+	case !u.Used.Plus(st.Need).Fits(u.Capacity):
 		return PlaceNoRoom
-	case st.Spec.GetMaxPerWorker() > 0 && w.RunsOf(st) >= int(st.Spec.GetMaxPerWorker()):
+	case st.Spec.GetMaxPerUpstream() > 0 && u.RunsOf(st) >= int(st.Spec.GetMaxPerUpstream()):
 		return PlaceSpread
-	case st.disturbs(w):
+	case st.disturbs(u):
 		return PlaceDisturbs
 	}
 	return ""
 }
 
-// disturbs reports whether a task of the step and one on the worker share badly: how much a
+// disturbs reports whether a task of the step and one on the upstream share badly: how much a
 // filling task slows a serving one differs by image and changes within seconds.
-func (s *Step) disturbs(w *Worker) bool {
+func (s *Step) disturbs(u *Upstream) bool {
 	if !s.Spec.GetFills() && s.Spec.GetTargetMs() == 0 {
 		return false
 	}
-	for _, r := range w.Runs {
+	for _, r := range u.Runs {
 		other := r.Task.Step.Spec
 		if s.Spec.GetFills() && other.GetTargetMs() > 0 || s.Spec.GetTargetMs() > 0 && other.GetFills() {
 			return true
@@ -180,16 +180,16 @@
 }
 
 func (s *State) reserve(r *Run) {
-	r.Worker.Used = r.Worker.Used.Plus(r.Task.Step.Need)
-	r.Worker.Runs[r.Key()] = r
+	r.Upstream.Used = r.Upstream.Used.Plus(r.Task.Step.Need)
+	r.Upstream.Runs[r.Key()] = r
 	team := r.Task.Step.Job().Team
 	s.used[team] = s.used[team].Plus(r.Task.Step.Need)
 	r.Task.Live = append(r.Task.Live, r)
 }
 
 func (s *State) release(r *Run) {
-	r.Worker.Used = r.Worker.Used.Minus(r.Task.Step.Need)
-	delete(r.Worker.Runs, r.Key())
+	r.Upstream.Used = r.Upstream.Used.Minus(r.Task.Step.Need)
+	delete(r.Upstream.Runs, r.Key())
 	team := r.Task.Step.Job().Team
 	s.used[team] = s.used[team].Minus(r.Task.Step.Need)
 	for i, l := range r.Task.Live {
--- a/pipeline/place_test.go
+++ b/pipeline/place_test.go
@@ -15,7 +15,7 @@
 // Every promise is checked again at the moment of commit, whatever the scheduler proposed.
 func TestPlaceChecks(t *testing.T) {
 	spread := step(3, 1)
-	spread.MaxPerWorker = 1
+	spread.MaxPerUpstream = 1
 	labelled := step(1, 1)
 	labelled.Constraint = "b"
 	gang := step(2, 1)
@@ -34,9 +34,9 @@
 		{"already running", []*pipelinev1.Step{step(1, 1)}, func(w *world) { w.mustPlace(run("j", 0, 0, 1, "w1")) },
 			[]*pipelinev1.Run{run("j", 0, 0, 2, "w2")}, PlaceNotAllowed},
 		{"step out of turn", []*pipelinev1.Step{step(1, 1), step(1, 1, 0)}, nil, []*pipelinev1.Run{run("j", 1, 0, 1, "w1")}, PlaceOrder},
-		{"unknown worker", []*pipelinev1.Step{step(1, 1)}, nil, []*pipelinev1.Run{run("j", 0, 0, 1, "w9")}, PlaceNoWorker},
+		{"unknown upstream", []*pipelinev1.Step{step(1, 1)}, nil, []*pipelinev1.Run{run("j", 0, 0, 1, "w9")}, PlaceNoUpstream},
 		{"older incarnation", []*pipelinev1.Step{step(1, 1)}, func(w *world) { w.reborn("w1", 11) },
-			[]*pipelinev1.Run{run("j", 0, 0, 1, "w1")}, PlaceNoWorker},
+			[]*pipelinev1.Run{run("j", 0, 0, 1, "w1")}, PlaceNoUpstream},
 		{"domain out", []*pipelinev1.Step{step(1, 1)}, func(w *world) { w.setDomain(&pipelinev1.SetDomain{Name: "prado", Out: true}) },
 			[]*pipelinev1.Run{run("j", 0, 0, 1, "w1")}, PlaceDomainOut},
 		{"label", []*pipelinev1.Step{labelled}, nil, []*pipelinev1.Run{run("j", 0, 0, 1, "w1")}, PlaceLabel},
@@ -66,7 +66,7 @@
 }
 
 func (w *world) reborn(id string, born int64, kept ...*pipelinev1.Run) {
-	w.apply(&pipelinev1.Command{Command: &pipelinev1.Command_WorkerSeen{WorkerSeen: &pipelinev1.WorkerSeen{Worker: w.worker(id, born), Kept: kept}}})
+	w.apply(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamSeen{UpstreamSeen: &pipelinev1.UpstreamSeen{Upstream: w.upstream(id, born), Kept: kept}}})
 }
 
 // A gang that does not fit as a whole leaves nothing reserved.
@@ -78,8 +78,8 @@
 	if got := w.place(run("j", 0, 0, 1, "w1"), run("j", 0, 1, 1, "w1")); len(got.Refused) != 2 || len(got.Taken) != 0 {
 		t.Fatalf("taken %d, refused %d", len(got.Taken), len(got.Refused))
 	}
-	if used := w.workers["w1"].Used; used != (Resources{}) || w.Used(testTeam) != (Resources{}) {
-		t.Errorf("still reserved: worker %v, team %v", used, w.Used(testTeam))
+	if used := w.upstreams["w1"].Used; used != (Resources{}) || w.Used(testTeam) != (Resources{}) {
+		t.Errorf("still reserved: upstream %v, team %v", used, w.Used(testTeam))
 	}
 	w.mustPlace(run("j", 0, 0, 1, "w1"), run("j", 0, 1, 1, "w2"))
 }
--- a/pipeline/resources.go
+++ b/pipeline/resources.go
@@ -2,7 +2,7 @@
 
 import pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 
-// Resources is an amount in each dimension that a worker offers.
+// Resources is an amount in each dimension that an upstream offers.
 type Resources struct {
 	MilliCores int64
 	MemoryMiB  int64
--- a/pipeline/snapshot.go
+++ b/pipeline/snapshot.go
@@ -19,10 +19,10 @@
 	for _, name := range slices.Sorted(maps.Keys(s.out)) {
 		out = append(out, &pipelinev1.Record{Record: &pipelinev1.Record_Domain{Domain: &pipelinev1.SetDomain{Name: name, Out: true}}})
 	}
-	for _, id := range slices.Sorted(maps.Keys(s.workers)) {
-		w := s.workers[id]
-		out = append(out, &pipelinev1.Record{Record: &pipelinev1.Record_Worker{
-			Worker: &pipelinev1.WorkerRecord{Worker: w.Worker, LastEnd: w.LastEnd}}})
+	for _, id := range slices.Sorted(maps.Keys(s.upstreams)) {
+		w := s.upstreams[id]
+		out = append(out, &pipelinev1.Record{Record: &pipelinev1.Record_Upstream{
+			Upstream: &pipelinev1.UpstreamRecord{Upstream: w.Upstream, LastEnd: w.LastEnd}}})
 	}
 	out = append(out, s.waveRecords()...)
 	jobs := slices.SortedFunc(maps.Values(s.jobs), func(a, b *Job) int { return strings.Compare(a.Spec.GetId(), b.Spec.GetId()) })
@@ -61,17 +61,17 @@
 // Reset empties the state before Restore.
 func (s *State) Reset() { s.clear() }
 
-// Restore takes one record of a snapshot; workers come before jobs.
+// Restore takes one record of a snapshot; upstreams come before jobs.
 func (s *State) Restore(r *pipelinev1.Record) error {
 	switch r := r.GetRecord().(type) {
 	case *pipelinev1.Record_Config:
 		s.config = newConfig(r.Config)
 	case *pipelinev1.Record_Domain:
 		s.out[r.Domain.GetName()] = r.Domain.GetOut()
-	case *pipelinev1.Record_Worker:
-		said := r.Worker.GetWorker()
-		s.workers[said.GetId()] = &Worker{Worker: said, Capacity: ResourcesFromProto(said.GetCapacity()),
-			Runs: make(map[RunKey]*Run), LastEnd: r.Worker.GetLastEnd()}
+	case *pipelinev1.Record_Upstream:
+		said := r.Upstream.GetUpstream()
+		s.upstreams[said.GetId()] = &Upstream{Upstream: said, Capacity: ResourcesFromProto(said.GetCapacity()),
+			Runs: make(map[RunKey]*Run), LastEnd: r.Upstream.GetLastEnd()}
 	case *pipelinev1.Record_Wave:
 		s.restoreWave(r.Wave)
 	case *pipelinev1.Record_Job:
@@ -126,11 +126,11 @@
 			st.Undone--
 		}
 		for _, l := range tr.GetLive() {
-			w := s.workers[l.GetWorker()]
+			w := s.upstreams[l.GetUpstream()]
 			if w == nil {
-				return errors.Errorf("pipeline: a run is on the unknown worker %q", l.GetWorker())
+				return errors.Errorf("pipeline: a run is on the unknown upstream %q", l.GetUpstream())
 			}
-			s.reserve(&Run{Task: t, Number: l.GetNumber(), Worker: w, Born: l.GetBorn()})
+			s.reserve(&Run{Task: t, Number: l.GetNumber(), Upstream: w, Born: l.GetBorn()})
 		}
 	}
 	return nil
--- a/pipeline/state.go
+++ b/pipeline/state.go
@@ -16,9 +16,9 @@
 	nowNS    int64
 	config   *Config
 	// out holds the failure domains that take no work.
-	out     map[string]bool
-	workers map[string]*Worker
-	jobs    map[string]*Job
+	out       map[string]bool
+	upstreams map[string]*Upstream
+	jobs      map[string]*Job
 	// used is what each team has running.
 	used map[string]Resources
 	// pending counts the jobs of each queue of which no task has started.
@@ -32,8 +32,8 @@
 type Observer interface {
 	ConfigChanged()
 	DomainChanged(name string, out bool)
-	WorkerChanged(w *Worker)
-	WorkerGone(w *Worker)
+	UpstreamChanged(w *Upstream)
+	UpstreamGone(w *Upstream)
 	JobAdded(j *Job)
 	JobEnded(j *Job)
 	StepDone(s *Step)
@@ -59,7 +59,7 @@
 func (s *State) clear() {
 	s.config, s.ended = nil, nil
 	s.out = make(map[string]bool)
-	s.workers = make(map[string]*Worker)
+	s.upstreams = make(map[string]*Upstream)
 	s.jobs = make(map[string]*Job)
 	s.used = make(map[string]Resources)
 	s.pending = make(map[string]int64)
@@ -86,10 +86,10 @@
 		return &Result{Reply: s.submit(c.Submit)}
 	case *pipelinev1.Command_Cancel:
 		return &Result{Reply: s.cancel(c.Cancel.GetJob())}
-	case *pipelinev1.Command_WorkerSeen:
-		s.workerSeen(c.WorkerSeen)
-	case *pipelinev1.Command_WorkerGone:
-		s.workerGone(c.WorkerGone)
+	case *pipelinev1.Command_UpstreamSeen:
+		s.upstreamSeen(c.UpstreamSeen)
+	case *pipelinev1.Command_UpstreamGone:
+		s.upstreamGone(c.UpstreamGone)
 	case *pipelinev1.Command_Place:
 		return s.place(c.Place)
 	case *pipelinev1.Command_Ends:
@@ -157,8 +157,8 @@
 // DomainOut reports whether a failure domain takes no work.
 func (s *State) DomainOut(name string) bool { return s.out[name] }
 
-// Workers returns all workers by identity. The caller must not change the map.
-func (s *State) Workers() map[string]*Worker { return s.workers }
+// Upstreams returns all upstreams by identity. The caller must not change the map.
+func (s *State) Upstreams() map[string]*Upstream { return s.upstreams }
 
 // Jobs returns all remembered jobs by identity. The caller must not change the map.
 func (s *State) Jobs() map[string]*Job { return s.jobs }
@@ -206,8 +206,8 @@
 
 func (nopObserver) ConfigChanged()                    {}
 func (nopObserver) DomainChanged(string, bool)        {}
-func (nopObserver) WorkerChanged(*Worker)             {}
-func (nopObserver) WorkerGone(*Worker)                {}
+func (nopObserver) UpstreamChanged(*Upstream)         {}
+func (nopObserver) UpstreamGone(*Upstream)            {}
 func (nopObserver) JobAdded(*Job)                     {}
 func (nopObserver) JobEnded(*Job)                     {}
 func (nopObserver) StepDone(*Step)                    {}
--- a/pipeline/submit.go
+++ b/pipeline/submit.go
@@ -54,7 +54,7 @@
 		return fmt.Sprintf("count %d is not between 1 and %d", s.GetCount(), MaxTasks)
 	case need.GetMilliCores() < 0 || need.GetMemoryMib() < 0 || need.GetGpus() < 0:
 		return "a resource is negative"
-	case s.GetEstimateMs() < 0 || s.GetMaxPerWorker() < 0 || s.GetMissAllowed() < 0 || s.GetTargetMs() < 0:
+	case s.GetEstimateMs() < 0 || s.GetMaxPerUpstream() < 0 || s.GetMissAllowed() < 0 || s.GetTargetMs() < 0:
 		return "a number is negative"
 	}
 	for _, d := range s.GetDependsOn() {
--- a/pipeline/wave.go
+++ b/pipeline/wave.go
@@ -9,35 +9,35 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// maxWaveMachines bounds one wave; the plan's largest service has 17,000 workers.
-const maxWaveMachines = 20_000
+// maxWaveVMs bounds one wave; the plan's largest service has 17,000 upstreams.
+const maxWaveVMs = 20_000
 
-// Wave is an operator's order that machines have their upkeep.
+// Wave is an operator's order that VMs have their upkeep.
 type Wave struct {
 	*pipelinev1.Wave
 	// BegunNS is the leader time at which the wave was accepted.
 	BegunNS int64
-	// Done holds the machines that have had their upkeep or have left.
+	// Done holds the VMs that have had their upkeep or have left.
 	Done map[string]bool
 }
 
-// Completed reports whether every machine has had its upkeep.
-func (w *Wave) Completed() bool { return len(w.Done) >= len(w.GetMachines()) }
+// Completed reports whether every VM has had its upkeep.
+func (w *Wave) Completed() bool { return len(w.Done) >= len(w.GetVms()) }
 
 // CheckWave returns why a wave is malformed, or an empty text.
 func CheckWave(w *pipelinev1.Wave) string {
 	seen := make(map[string]bool)
-	for _, m := range w.GetMachines() {
+	for _, m := range w.GetVms() {
 		if m == "" || seen[m] {
-			return fmt.Sprintf("machine %q is empty or named twice", m)
+			return fmt.Sprintf("VM %q is empty or named twice", m)
 		}
 		seen[m] = true
 	}
 	switch {
-	case len(seen) == 0 || len(seen) > maxWaveMachines:
-		return fmt.Sprintf("a wave has 1 to %d machines", maxWaveMachines)
+	case len(seen) == 0 || len(seen) > maxWaveVMs:
+		return fmt.Sprintf("a wave has 1 to %d VMs", maxWaveVMs)
 	case w.GetAtOnce() < 1 || w.GetDurationMs() < 0:
-		return "a wave takes at least one machine at once, in no negative time"
+		return "a wave takes at least one VM at once, in no negative time"
 	}
 	return ""
 }
@@ -58,8 +58,8 @@
 }
 
 func (s *State) upkeepDone(c *pipelinev1.UpkeepDone) {
-	if w := s.waves[c.GetWave()]; w != nil && slices.Contains(w.GetMachines(), c.GetMachine()) {
-		w.Done[c.GetMachine()] = true
+	if w := s.waves[c.GetWave()]; w != nil && slices.Contains(w.GetVms(), c.GetVm()) {
+		w.Done[c.GetVm()] = true
 	}
 }
 
--- a/pipeline/world_test.go
+++ b/pipeline/world_test.go
@@ -13,7 +13,7 @@
 	testKey   = "a key"
 )
 
-// world is a state with one queue, one team and two workers of four cores.
+// world is a state with one queue, one team and two upstreams of four cores.
 type world struct {
 	*State
 	t   *testing.T
@@ -24,7 +24,7 @@
 	w := &world{State: New(), t: t, now: 1}
 	w.put(w.config(1))
 	for _, id := range []string{"w1", "w2"} {
-		w.apply(&pipelinev1.Command{Command: &pipelinev1.Command_WorkerSeen{WorkerSeen: &pipelinev1.WorkerSeen{Worker: w.worker(id, 10)}}})
+		w.apply(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamSeen{UpstreamSeen: &pipelinev1.UpstreamSeen{Upstream: w.upstream(id, 10)}}})
 	}
 	return w
 }
@@ -43,8 +43,8 @@
 			Limit: &pipelinev1.Resources{MilliCores: 6000}}}}
 }
 
-func (w *world) worker(id string, born int64) *pipelinev1.Worker {
-	return &pipelinev1.Worker{Id: id, Born: born, Service: "print", Address: "10.0.0.1:80", FailureDomain: "prado",
+func (w *world) upstream(id string, born int64) *pipelinev1.Upstream {
+	return &pipelinev1.Upstream{Id: id, Born: born, Service: "print", Address: "10.0.0.1:80", FailureDomain: "prado",
 		Labels: []string{"a", "r1"}, Capacity: &pipelinev1.Resources{MilliCores: 4000, MemoryMib: 1000}}
 }
 
@@ -70,8 +70,8 @@
 		KeySha256: hashOf(key), Spec: spec, Digest: []byte(id)}}}).Reply
 }
 
-func run(job string, step, index, number int32, worker string) *pipelinev1.Run {
-	return &pipelinev1.Run{Task: &pipelinev1.TaskRef{Job: job, Step: step, Index: index}, Number: number, Worker: worker, Born: 10}
+func run(job string, step, index, number int32, upstream string) *pipelinev1.Run {
+	return &pipelinev1.Run{Task: &pipelinev1.TaskRef{Job: job, Step: step, Index: index}, Number: number, Upstream: upstream, Born: 10}
 }
 
 func (w *world) place(runs ...*pipelinev1.Run) *Result {
--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -73,7 +73,7 @@
 		data, role = "", "entry"
 	}
 	text := fmt.Sprintf("[node]\nname = %s\nfailure_domain = prado\nroles = %s\n%s\ngrace_s = 6\n[listen]\n%s\npeer = %s\nadmin = %s\n"+
-		"[cluster]\nseeds = %s\nbootstrap = %t\n[workers]\nmax_hold_ms = %d\nstop_ms = %d\n", n.name, role, data, listen,
+		"[cluster]\nseeds = %s\nbootstrap = %t\n[upstreams]\nmax_hold_ms = %d\nstop_ms = %d\n", n.name, role, data, listen,
 		c.address(n, 3), c.address(n, 4), strings.Join(seeds, ","), bootstrap, maxHold.Milliseconds(), stopTime.Milliseconds())
 	if err := os.WriteFile(n.config, []byte(text), 0o600); err != nil {
 		c.t.Fatal(err)
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -1,5 +1,5 @@
 // Package soak runs the real programs as separate processes on loopback, with stand-ins for
-// workers, permit service and callers, and kills, pauses and restarts them while it checks the
+// upstreams, permit service and callers, and kills, pauses and restarts them while it checks the
 // promises from what the stand-ins see:
 //
 //	go test ./soak -run Soak -seeds 50 -first 1000
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -29,8 +29,8 @@
 var regressions = map[uint64]string{}
 
 const (
-	workers = 4
-	key     = "soak-key-0123456789"
+	upstreams = 4
+	key       = "soak-key-0123456789"
 	// settle is the time after the last fault in which everything accepted has to be done:
 	// leases end after three seconds, the longest job has two steps of 0.8 s.
 	settle = 30 * time.Second
@@ -56,7 +56,7 @@
 	}
 }
 
-// run is one seed: a system, its workers, its callers and what was accepted.
+// run is one seed: a system, its upstreams, its callers and what was accepted.
 type run struct {
 	*cell
 	ledger   *ledger
@@ -78,7 +78,7 @@
 			r.keepLogs(seed)
 		}
 	})
-	r.startWorkers()
+	r.startUpstreams()
 	r.configure()
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
@@ -95,13 +95,13 @@
 	t.Logf("seed %d: %d jobs accepted", seed, len(r.accepted))
 }
 
-func (r *run) startWorkers() {
+func (r *run) startUpstreams() {
 	var controls []string
 	for _, n := range r.nodes[:replicas] {
 		controls = append(controls, r.address(n, 1))
 	}
-	for i := range workers {
-		w, err := newWorker(fmt.Sprintf("i-%d", i), "127.0.0.1", r.ledger)
+	for i := range upstreams {
+		w, err := newUpstream(fmt.Sprintf("i-%d", i), "127.0.0.1", r.ledger)
 		if err != nil {
 			r.t.Fatal(err)
 		}
--- a/soak/worker_test.go
+++ b/soak/upstream_test.go
@@ -16,8 +16,8 @@
 	stopTime = 20 * time.Millisecond
 )
 
-// worker is a stand-in that behaves as the platform's page on workers says.
-type worker struct {
+// upstream is a stand-in that behaves as the platform's page on upstreams says.
+type upstream struct {
 	id, address string
 	born        int64
 	server      *http.Server
@@ -40,12 +40,12 @@
 	timer *time.Timer
 }
 
-func newWorker(id, ip string, l *ledger) (*worker, error) {
+func newUpstream(id, ip string, l *ledger) (*upstream, error) {
 	listener, err := net.Listen("tcp", ip+":0")
 	if err != nil {
 		return nil, err
 	}
-	w := &worker{id: id, address: listener.Addr().String(), born: time.Now().UnixMilli(), ledger: l, running: make(map[string]*running),
+	w := &upstream{id: id, address: listener.Addr().String(), born: time.Now().UnixMilli(), ledger: l, running: make(map[string]*running),
 		barred: make(map[string]int), changed: make(chan struct{})}
 	mux := http.NewServeMux()
 	mux.HandleFunc("POST /api/run-start", w.start)
@@ -57,7 +57,7 @@
 	return w, nil
 }
 
-func (w *worker) clockMS() int64 { return time.Now().UnixMilli() - w.born + 1 }
+func (w *upstream) clockMS() int64 { return time.Now().UnixMilli() - w.born + 1 }
 
 type order struct {
 	Task         string `json:"task"`
@@ -70,7 +70,7 @@
 }
 
 // accept reads an order under the lock; false means that it was answered already.
-func (w *worker) accept(rw http.ResponseWriter, r *http.Request) (o order, ok bool) {
+func (w *upstream) accept(rw http.ResponseWriter, r *http.Request) (o order, ok bool) {
 	if json.NewDecoder(r.Body).Decode(&o) != nil {
 		http.Error(rw, "bad order", http.StatusBadRequest)
 		return o, false
@@ -87,12 +87,12 @@
 	return o, true
 }
 
-func (w *worker) reply(rw http.ResponseWriter, status int, reason string) {
+func (w *upstream) reply(rw http.ResponseWriter, status int, reason string) {
 	rw.WriteHeader(status)
 	_ = json.NewEncoder(rw).Encode(map[string]any{"clockMs": w.clockMS(), "reason": reason})
 }
 
-func (w *worker) start(rw http.ResponseWriter, r *http.Request) {
+func (w *upstream) start(rw http.ResponseWriter, r *http.Request) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	o, ok := w.accept(rw, r)
@@ -124,7 +124,7 @@
 }
 
 // end lists the end of a run; the lock is held.
-func (w *worker) end(key, how string) {
+func (w *upstream) end(key, how string) {
 	run := w.running[key]
 	if run == nil {
 		return
@@ -139,7 +139,7 @@
 	w.changed = make(chan struct{})
 }
 
-func (w *worker) stop(rw http.ResponseWriter, r *http.Request) {
+func (w *upstream) stop(rw http.ResponseWriter, r *http.Request) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	if o, ok := w.accept(rw, r); ok {
@@ -149,7 +149,7 @@
 	}
 }
 
-func (w *worker) hold(rw http.ResponseWriter, r *http.Request) {
+func (w *upstream) hold(rw http.ResponseWriter, r *http.Request) {
 	w.mu.Lock()
 	defer w.mu.Unlock()
 	o, ok := w.accept(rw, r)
@@ -181,7 +181,7 @@
 }
 
 // lapse ends everything when the lease is over.
-func (w *worker) lapse() {
+func (w *upstream) lapse() {
 	for range time.Tick(20 * time.Millisecond) {
 		w.mu.Lock()
 		if w.clockMS() > w.deadlineMS {
@@ -196,8 +196,8 @@
 	}
 }
 
-// beat announces the worker to one of the control addresses after the other.
-func (w *worker) beat(controls []string, client *http.Client) {
+// beat announces the upstream to one of the control addresses after the other.
+func (w *upstream) beat(controls []string, client *http.Client) {
 	for n := 0; ; n++ {
 		w.seq++
 		body, _ := json.Marshal(map[string]any{"service": "print", "address": w.address, "zone": "prado", "state": "ready", "slots": 8,
@@ -210,7 +210,7 @@
 	}
 }
 
-// ledger records what the workers saw and finds broken promises.
+// ledger records what the upstreams saw and finds broken promises.
 type ledger struct {
 	mu       sync.Mutex
 	at       map[string]map[string]bool
@@ -224,44 +224,44 @@
 	return &ledger{at: make(map[string]map[string]bool), done: make(map[string]bool), excused: make(map[string]bool), pending: make(map[string]bool)}
 }
 
-func place(run int, worker string) string { return fmt.Sprintf("%d on %s", run, worker) }
+func place(run int, upstream string) string { return fmt.Sprintf("%d on %s", run, upstream) }
 
-func (l *ledger) started(task string, run int, worker string) {
+func (l *ledger) started(task string, run int, upstream string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if len(l.at[task]) > 0 {
-		l.problems = append(l.problems, fmt.Sprintf("task %s: run %s starts beside %v", task, place(run, worker), l.at[task]))
+		l.problems = append(l.problems, fmt.Sprintf("task %s: run %s starts beside %v", task, place(run, upstream), l.at[task]))
 	}
 	if l.done[task] {
-		l.problems = append(l.problems, fmt.Sprintf("task %s: run %s starts after an acknowledged end", task, place(run, worker)))
+		l.problems = append(l.problems, fmt.Sprintf("task %s: run %s starts after an acknowledged end", task, place(run, upstream)))
 	}
 	if l.at[task] == nil {
 		l.at[task] = make(map[string]bool)
 	}
-	l.at[task][place(run, worker)] = true
+	l.at[task][place(run, upstream)] = true
 }
 
-func (l *ledger) ended(task string, run int, worker, how string) {
+func (l *ledger) ended(task string, run int, upstream, how string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	delete(l.at[task], place(run, worker))
+	delete(l.at[task], place(run, upstream))
 	if how == "done" {
-		l.pending[task+" "+place(run, worker)] = true
+		l.pending[task+" "+place(run, upstream)] = true
 	}
 }
 
 // excuse notes that a lease ended before a listed end was acknowledged: the platform then
 // allows another run.
-func (l *ledger) excuse(task string, run int, worker string) {
+func (l *ledger) excuse(task string, run int, upstream string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	l.excused[task+" "+place(run, worker)] = true
+	l.excused[task+" "+place(run, upstream)] = true
 }
 
-func (l *ledger) acknowledged(task string, run int, worker string) {
+func (l *ledger) acknowledged(task string, run int, upstream string) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	key := task + " " + place(run, worker)
+	key := task + " " + place(run, upstream)
 	if l.pending[key] && !l.excused[key] {
 		l.done[task] = true
 	}
