--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
@@ -10,7 +11,7 @@
 	"github.com/rs/zerolog"
 )
 
-// enqueueStart puts a committed run in the worker's queue of orders.
+// enqueueStart puts a committed run in the upstream's queue of orders.
 func (s *session) enqueueStart(r *pipeline.Run, ticket string) {
 	s.orders = append(s.orders, order{run: r, key: r.Key(), ticket: ticket})
 	s.pump(s.e.now())
@@ -24,7 +25,7 @@
 	}
 	s.stopping[key] = true
 	s.e.log.Debug().Str("request", key.Job).Int32("step", key.Step).Int32("task", key.Index).Int32("run", key.Number).
-		Str("worker", s.w.GetId()).Str("why", why).Msg("run is stopped")
+		Str("upstream", s.u.GetId()).Str("why", why).Msg("run is stopped")
 	if s.queued(key) && !s.sent[key] {
 		s.withdraw(key, r)
 		return
@@ -46,33 +47,39 @@
 	s.proposeEnds([]*pipelinev1.End{{Run: r.Proto(), Kind: pipelinev1.EndKind_END_KIND_NEVER_STARTED}})
 }
 
-// stopUnknown stops a run that the state does not know on this worker.
+// stopUnknown stops a run that the state does not know on this upstream.
 func (s *session) stopUnknown(key pipeline.RunKey) {
 	if s.stopping[key] {
 		return
 	}
 	s.stopping[key] = true
 	s.logger(zerolog.WarnLevel).Str("request", key.Job).Int32("step", key.Step).Int32("task", key.Index).Int32("run", key.Number).
-		Msg("worker has a run that is not in the log; it is stopped")
+		Msg("upstream has a run that is not in the log; it is stopped")
 	s.orders = append([]order{{key: key, stop: true}}, s.orders...)
 }
 
-// sendOrder sends the next order if none is under way.
-func (s *session) sendOrder(now time.Duration) {
-	for !s.ordering && !s.settling && len(s.orders) > 0 && s.e.mayOrder(now) {
-		o := s.orders[0]
-		s.orders = s.orders[1:]
-		if o.stop {
-			s.sendStop(o, now)
-			continue
-		}
-		if s.w.Runs[o.key] != o.run {
-			continue
-		}
-		if s.w.GetDraining() || s.e.state.DomainOut(s.w.GetFailureDomain()) {
-			s.proposeEnds([]*pipelinev1.End{{Run: o.run.Proto(), Kind: pipelinev1.EndKind_END_KIND_NEVER_STARTED}})
-			continue
+// sendOrders sends orders in their turn, up to maxOrders at a time.
+func (s *session) sendOrders(now time.Duration) {
+	for s.ordering < maxOrders && !s.settling && s.e.mayOrder(now) {
+		// A stop waits for the answer to its run's start, so that it can't overtake it.
+		at := slices.IndexFunc(s.orders, func(o order) bool { return !o.stop || !s.sent[o.key] })
+		if at < 0 {
+			return
 		}
+		o := s.orders[at]
+		s.orders = slices.Delete(s.orders, at, at+1)
+		s.sendOrder(o, now)
+	}
+}
+
+func (s *session) sendOrder(o order, now time.Duration) {
+	switch {
+	case o.stop:
+		s.sendStop(o, now)
+	case s.u.Runs[o.key] != o.run:
+	case s.u.GetDraining() || s.e.state.DomainOut(s.u.GetFailureDomain()):
+		s.proposeEnds([]*pipelinev1.End{{Run: o.run.Proto(), Kind: pipelinev1.EndKind_END_KIND_NEVER_STARTED}})
+	default:
 		s.sendStart(o, now)
 	}
 }
@@ -81,23 +88,23 @@
 	t := o.run.Task
 	start := Start{Order: Order{Task: o.key.TaskKey, Number: o.key.Number, Token: s.token()}, Payload: t.Step.Job().Spec.GetPayload(),
 		DeadlineMS: s.extend(now), Checkpoint: t.Checkpoint, Ticket: o.ticket}
-	s.ordering = true
+	s.ordering++
 	s.sent[o.key] = true
 	ordersSent.Add(1)
 	to := s.target()
 	s.e.async(s.e.orderTimeout(now), func(ctx context.Context) func() {
-		reply, err := s.e.workers.Start(ctx, to, start)
+		reply, err := s.e.upstreams.Start(ctx, to, start)
 		return func() { s.startAnswered(o, reply, err) }
 	})
 }
 
 func (s *session) sendStop(o order, now time.Duration) {
 	stop := Order{Task: o.key.TaskKey, Number: o.key.Number, Token: s.token()}
-	s.ordering = true
+	s.ordering++
 	ordersSent.Add(1)
 	to := s.target()
 	s.e.async(s.e.orderTimeout(now), func(ctx context.Context) func() {
-		reply, err := s.e.workers.Stop(ctx, to, stop)
+		reply, err := s.e.upstreams.Stop(ctx, to, stop)
 		return func() { s.stopAnswered(o, reply, err) }
 	})
 }
@@ -106,7 +113,7 @@
 // out what became of it.
 func (s *session) startAnswered(o order, reply OrderReply, err error) {
 	now := s.e.now()
-	s.ordering = false
+	s.ordering--
 	switch {
 	case errors.Is(err, ErrNotSent):
 		s.neverStarted(o, err.Error())
@@ -117,8 +124,7 @@
 		s.suspect(now, "an order was not answered")
 	case reply.Verdict == Obeyed:
 		s.clock.hear(reply.ClockMS, now)
-		delete(s.sent, o.key)
-		s.answeredAt[o.key] = now
+		s.started(o, now)
 	default:
 		s.clock.hear(reply.ClockMS, now)
 		ordersRefused.Add(string(reply.Verdict), 1)
@@ -127,12 +133,22 @@
 	s.pump(now)
 }
 
-// startRefused handles a worker's word that it has not started the run.
+// started notes that the upstream has a run. One that the state has given up meanwhile is stopped.
+func (s *session) started(o order, now time.Duration) {
+	delete(s.sent, o.key)
+	if s.u.Runs[o.key] != o.run {
+		s.stopUnknown(o.key)
+		return
+	}
+	s.answeredAt[o.key] = now
+}
+
+// startRefused handles an upstream's word that it has not started the run.
 func (s *session) startRefused(o order, v OrderVerdict, now time.Duration) {
 	s.neverStarted(o, string(v))
 	switch v {
 	case BadTicket:
-		s.e.dropPermit(o.run.Task.Step, s.w.GetId())
+		s.e.dropPermit(o.run.Task.Step, s.u.GetId())
 	case Fenced, OtherIncarnation, TooLate:
 		s.suspect(now, string(v))
 	case Unhealthy, NoRoom:
@@ -140,13 +156,13 @@
 	}
 }
 
-// neverStarted frees a run that surely isn't at the worker.
+// neverStarted frees a run that surely isn't at the upstream.
 func (s *session) neverStarted(o order, why string) {
 	s.orderLog(o, zerolog.InfoLevel).Str("why", why).Msg("run was not started")
 	s.proposeEnds([]*pipelinev1.End{{Run: o.run.Proto(), Kind: pipelinev1.EndKind_END_KIND_NEVER_STARTED}})
 }
 
-// suspect lets a look settle what the worker has before anything else is sent.
+// suspect lets a look settle what the upstream has before anything else is sent.
 func (s *session) suspect(now time.Duration, why string) {
 	if s.phase == phaseOpen {
 		s.silentAt = now
@@ -157,7 +173,7 @@
 
 func (s *session) stopAnswered(o order, reply OrderReply, err error) {
 	now := s.e.now()
-	s.ordering = false
+	s.ordering--
 	if err != nil || reply.Verdict != Obeyed {
 		// A later look shows whether the run is still there, and stops it again.
 		delete(s.stopping, o.key)
@@ -168,7 +184,7 @@
 			ordersLost.Add(1)
 		}
 		s.suspect(now, "a stop was not obeyed: "+err.Error())
-		if r := s.w.Runs[o.key]; r != nil {
+		if r := s.u.Runs[o.key]; r != nil {
 			s.enqueueStop(r, "the last stop was not obeyed")
 		}
 	} else {
