Ask for the next step's permits ahead, and let large gangs start

Cheap questions are asked once all tasks of the step before are placed and its end is less than a second away. A gang explores first, then asks once for tickets of those that hold all members; these are held for it meanwhile. A gang that waits for two seconds gets upstreams reserved (at most a third of the service's cores, 5 s, then a pause). Tests, each failing before: TestPermitsOfTheNextStepAreAskedAhead, TestLargeGangIsAskedForInSeveralQuestions, TestGangDoesNotStarve.

--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -5,6 +5,7 @@
 	"slices"
 
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
 
 const (
@@ -28,35 +29,49 @@
 	if terms == nil || d.work.question != nil || !r.withinLimit(d.work.step) || r.leavesHeadroom(d) {
 		return
 	}
-	q := &question{work: d.work, priority: d.queue.GetPriority(), born: make(map[string]int64)}
+	r.onUpstream = make(map[string]int)
+	named := r.worthAsking
+	if d.work.step.Spec.GetGang() {
+		named = r.gangQuestion
+	}
+	list := named(d)
+	if len(list) == 0 {
+		return
+	}
+	q := &question{work: d.work, priority: d.queue.GetPriority(), born: make(map[string]int64), costMS: costMS(terms, len(list))}
+	for _, s := range list {
+		q.upstreams = append(q.upstreams, s.u.GetId())
+		q.born[s.u.GetId()] = s.u.GetBorn()
+	}
+	d.work.question = q
+	r.e.permits.ask(q, r.now)
+}
+
+// worthAsking returns the upstreams that the step should ask about: enough room for its tasks by the
+// share that questions are expected to allow.
+func (r *round) worthAsking(d demand) (out []*session) {
 	guess := allowedGuessCheap
-	if terms.GetDecisionMs() > costlyMS {
+	if d.queue.GetPermits().GetDecisionMs() > costlyMS {
 		guess = allowedGuessCostly
 	}
-	r.onUpstream = make(map[string]int)
 	room, wanted := 0.0, askSurplus*float64(len(d.tasks))
 	for _, s := range r.askable(d) {
-		if room >= wanted && len(q.upstreams) >= minAsked || len(q.upstreams) >= maxAsked {
+		if room >= wanted && len(out) >= minAsked || len(out) >= maxAsked {
 			break
 		}
-		id := s.u.GetId()
-		q.upstreams = append(q.upstreams, id)
-		q.born[id] = s.u.GetBorn()
+		out = append(out, s)
 		share := guess
-		if _, known := d.work.permits[id]; known {
+		if _, known := d.work.permits[s.u.GetId()]; known {
 			share = 1
 		}
 		room += share * float64(r.capacityFor(d, s))
 	}
-	if len(q.upstreams) == 0 {
-		return
-	}
-	if d.work.step.Spec.GetGang() && room < float64(len(d.tasks)) {
-		return
-	}
-	q.costMS = terms.GetDecisionMs() + terms.GetPerUpstreamMs()*float64(len(q.upstreams))
-	d.work.question = q
-	r.e.permits.ask(q, r.now)
+	return out
+}
+
+// costMS is the time that a question about some upstreams takes, in milliseconds.
+func costMS(terms *pipelinev1.PermitTerms, upstreams int) float64 {
+	return terms.GetDecisionMs() + terms.GetPerUpstreamMs()*float64(upstreams)
 }
 
 // capacity returns how many tasks of a step the upstream can take now.
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -41,7 +41,7 @@
 
 // suits reports whether an upstream may take tasks of the step when it has room.
 func (r *round) suits(st *pipeline.Step, s *session) bool {
-	if !s.usable(r.now) || r.now < r.e.steps[st].avoided[s.u.GetId()] {
+	if !s.usable(r.now) || s.held(st, r.now) || r.now < r.e.work(st).avoided[s.u.GetId()] {
 		return false
 	}
 	bound := int(st.Spec.GetMaxPerUpstream())
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -63,6 +63,7 @@
 		r.askFor(d)
 		r.explain(d)
 	}
+	r.askAhead()
 	r.propose()
 }
 
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -30,6 +30,14 @@
 	return &stepWork{step: st, readyAt: now, permits: make(map[string]permit), denied: make(map[string]bool), avoided: make(map[string]time.Duration)}
 }
 
+// work returns what is kept of a step, or nil.
+func (e *Engine) work(st *pipeline.Step) *stepWork {
+	if w := e.steps[st]; w != nil {
+		return w
+	}
+	return e.ahead[st]
+}
+
 func (w *stepWork) avoid(upstream string, until time.Duration) { w.avoided[upstream] = until }
 
 // key names the step; the index of a task is zero in it.
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -39,8 +39,11 @@
 
 	sessions map[string]*session
 	steps    map[*pipeline.Step]*stepWork
+	// ahead holds steps whose turn comes soon and whose permits are asked for already.
+	ahead    map[*pipeline.Step]*stepWork
 	permits  planner
 	learner  learner
+	reserved reservation
 	upkeep   upkeep
 	// saved are checkpoints that upstreams showed and that no end has brought yet.
 	saved map[*pipeline.Task]string
@@ -66,9 +69,11 @@
 	e.leading, e.placing, e.confirming = false, false, false
 	e.sessions = make(map[string]*session)
 	e.steps = make(map[*pipeline.Step]*stepWork)
+	e.ahead = make(map[*pipeline.Step]*stepWork)
 	e.saved = make(map[*pipeline.Task]string)
 	e.tickets = make(map[pipeline.RunKey]string)
 	e.learner = newLearner()
+	e.reserved = reservation{}
 	e.upkeep = upkeep{cordoned: make(map[string]bool)}
 }
 
@@ -208,10 +213,17 @@
 }
 
 func (e *Engine) addStep(st *pipeline.Step) {
-	if e.steps[st] == nil {
-		e.steps[st] = newStepWork(st, e.now())
-	}
 	e.dirty = true
+	if e.steps[st] != nil {
+		return
+	}
+	w := e.ahead[st]
+	delete(e.ahead, st)
+	if w == nil {
+		w = newStepWork(st, e.now())
+	}
+	w.readyAt = e.now()
+	e.steps[st] = w
 }
 
 // logLoad says how busy the leader is.
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -20,6 +20,7 @@
 	upstreamsSilent  = expvar.NewInt("pipeline_upstreams_turned_silent")
 	upstreamsAvoided = expvar.NewInt("pipeline_upstreams_avoided")
 	runsPreempted    = expvar.NewInt("pipeline_runs_preempted")
+	gangsReserved    = expvar.NewInt("pipeline_gangs_reserved")
 	runsStalled      = expvar.NewInt("pipeline_runs_stalled")
 	upstreamsLapsed  = expvar.NewInt("pipeline_upstreams_lapsed")
 	questionsAsked   = expvar.NewInt("pipeline_permit_questions")
--- a/dispatch/observer.go
+++ b/dispatch/observer.go
@@ -62,9 +62,11 @@
 }
 
 func (e *Engine) dropStep(st *pipeline.Step) {
-	if w := e.steps[st]; w != nil {
-		e.permits.drop(w)
-		delete(e.steps, st)
+	for _, list := range []map[*pipeline.Step]*stepWork{e.steps, e.ahead} {
+		if w := list[st]; w != nil {
+			e.permits.drop(w)
+			delete(list, st)
+		}
 	}
 }
 
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -225,7 +225,7 @@
 
 // dropPermit forgets a ticket that an upstream refused.
 func (e *Engine) dropPermit(st *pipeline.Step, upstream string) {
-	if w := e.steps[st]; w != nil {
+	if w := e.work(st); w != nil {
 		p := w.permits[upstream]
 		p.expires = 0
 		w.permits[upstream] = p
--- /dev/null
+++ b/dispatch/permit_test.go
@@ -0,0 +1,140 @@
+package dispatch
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+)
+
+// fakeCaller is a process that asks the permit service. A question takes some time; some
+// upstreams are never allowed.
+type fakeCaller struct {
+	w       *world
+	process string
+	takes   time.Duration
+	denied  map[string]bool
+	// asked are the questions in their order.
+	asked []*pipelinev1.PermitQuestion
+}
+
+const ticketLife = 2 * time.Second
+
+func (c *fakeCaller) pollAs(process string, takes time.Duration) {
+	c.process, c.takes = process, takes
+	c.poll(nil)
+}
+
+// poll hands in an answer and waits for the next question.
+func (c *fakeCaller) poll(answer *pipelinev1.PermitAnswer) {
+	call := &pipelinev1.Call{Call: &pipelinev1.Call_PermitPoll{PermitPoll: &pipelinev1.PermitPoll{Process: c.process, Answer: answer, CanAsk: true}}}
+	c.w.engine.Handle(context.Background(), call, func(r *pipelinev1.Reply, err error) {
+		q := r.GetQuestion()
+		if err != nil || q == nil {
+			return
+		}
+		c.asked = append(c.asked, q)
+		c.w.delayed = append(c.w.delayed, delayed{c.w.now + c.takes, func() { c.poll(c.answer(q)) }})
+	})
+}
+
+func (c *fakeCaller) answer(q *pipelinev1.PermitQuestion) *pipelinev1.PermitAnswer {
+	out := &pipelinev1.PermitAnswer{Id: q.GetId(), Answered: true, ValidMs: ticketLife.Milliseconds()}
+	for _, id := range q.GetUpstreams() {
+		if !c.denied[id] {
+			out.Permits = append(out.Permits, &pipelinev1.Permit{Upstream: id, Ticket: "ticket"})
+		}
+	}
+	return out
+}
+
+// withPermits makes the test queue one whose upstreams a permit service allows.
+func withPermits(w *world, decisionMS, perUpstreamMS float64) *fakeCaller {
+	c := testConfig()
+	c.Version = 2
+	c.Queues[0].Permits = &pipelinev1.PermitTerms{DecisionMs: decisionMS, PerUpstreamMs: perUpstreamMS, ValidMs: ticketLife.Milliseconds()}
+	w.call(&pipelinev1.Call{Call: &pipelinev1.Call_PutConfig{PutConfig: &pipelinev1.PutConfigCall{Config: c}}})
+	return &fakeCaller{w: w, process: "entry-1", takes: 3 * tickStep, denied: make(map[string]bool)}
+}
+
+// The permits of the next step are asked for while the one before it still runs.
+func TestPermitsOfTheNextStepAreAskedAhead(t *testing.T) {
+	w := newWorld(t, "w1", "w2")
+	c := withPermits(w, 20, 0.3)
+	c.poll(nil)
+	second := oneStep(2, 1000)
+	second.DependsOn = []int32{0}
+	w.submit(jobID(1), oneStep(2, 1000), second)
+	job := w.state.Job(jobID(1))
+	for job.Occurrences[0].Steps[0].Undone > 0 && w.now < 10*time.Second {
+		w.run(tickStep)
+	}
+	if len(c.asked) != 2 || c.asked[1].GetStep().GetStep() != 1 {
+		t.Fatalf("%d questions before the first step was done", len(c.asked))
+	}
+	w.run(tickStep)
+	if got := len(job.Occurrences[0].Steps[1].LiveRuns()); got != 2 {
+		t.Errorf("%d of 2 tasks of the second step run right after the first one", got)
+	}
+	w.run(3 * time.Second)
+	if got := w.jobState(jobID(1)); got != pipeline.Completed {
+		t.Errorf("state %s", got)
+	}
+	if len(c.asked) != 2 {
+		t.Errorf("%d questions were asked for two steps", len(c.asked))
+	}
+}
+
+// A gang that needs more upstreams than one question names is asked for in several ones.
+func TestLargeGangIsAskedForInSeveralQuestions(t *testing.T) {
+	var names []string
+	for i := range 60 {
+		names = append(names, string(rune('a'+i/26))+string(rune('a'+i%26)))
+	}
+	w := newWorld(t, names...)
+	c := withPermits(w, 420, 6)
+	for i, id := range names {
+		c.denied[id] = i%3 != 0
+	}
+	c.poll(nil)
+	gang := oneStep(20, 1000)
+	gang.Gang, gang.Need.MilliCores = true, 3000
+	w.submit(jobID(1), gang)
+	w.run(10 * time.Second)
+	if got := w.jobState(jobID(1)); got != pipeline.Completed {
+		t.Errorf("state %s after %d questions", got, len(c.asked))
+	}
+	w.check()
+}
+
+// A gang finds room in a cell that small steps keep full.
+func TestGangDoesNotStarve(t *testing.T) {
+	w := newWorld(t, "w1", "w2", "w3", "w4", "w5", "w6")
+	for _, name := range []string{"entry-1", "entry-2", "entry-3", "entry-4", "entry-5", "entry-6"} {
+		withPermits(w, 420, 6).pollAs(name, tickStep)
+	}
+	for _, f := range w.upstreams {
+		f.uneven = 450 * time.Millisecond
+	}
+	next := 10
+	small := func(rounds int) {
+		for range rounds {
+			for range 2 {
+				w.submit(jobID(next), oneStep(2, 100))
+				next++
+			}
+			w.run(2 * tickStep)
+		}
+	}
+	small(15)
+	gang := oneStep(2, 1000)
+	gang.Gang, gang.Need.MilliCores = true, 4000
+	w.submit(jobID(1), gang)
+	small(90)
+	if job := w.state.Job(jobID(1)); job.State == pipeline.Queued {
+		t.Error("the gang has not started within nine seconds")
+	}
+	w.check()
+}
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -59,6 +59,9 @@
 	// avoidUntil keeps new work away after the upstream refused some.
 	avoidUntil time.Duration
 	lapsedAt   time.Duration
+	// heldFor is the gang whose tickets are on their way, heldUntil when the hold ends.
+	heldFor   *pipeline.Step
+	heldUntil time.Duration
 	// lookLost is set after a look without an answer, until another one is answered.
 	lookLost bool
 	// left is set once the upstream said that it ends.
--- a/dispatch/upstream_test.go
+++ b/dispatch/upstream_test.go
@@ -22,8 +22,10 @@
 	barred     map[pipeline.TaskKey]int32
 	history    map[pipeline.RunKey]*ranTask
 	runTime    time.Duration
-	draining   bool
-	delay      time.Duration
+	// uneven is how much longer each task of a step runs than the one before it.
+	uneven   time.Duration
+	draining bool
+	delay    time.Duration
 
 	// cut loses all calls before they arrive; mute carries calls out without an answer; late
 	// carries starts out after a time, without an answer.
@@ -71,7 +73,7 @@
 		switch {
 		case f.clockMS() > f.deadlineMS:
 			f.end(key, pipelinev1.EndKind_END_KIND_LAPSED)
-		case f.w.now-from >= f.runTime:
+		case f.w.now-from >= f.runTime+time.Duration(key.Index)*f.uneven:
 			f.end(key, pipelinev1.EndKind_END_KIND_DONE)
 		}
 	}
