Run tasks near their data and together, and ask permits ahead of a due time

Cause: the rack of a step's data was a preference among upstreams that happened to have permits, tasks that belong on one rack were spread, and an occurrence's first question went out when it was due. A step asks its rack first and runs elsewhere only where nothing near may take it. Tests: TestTasksRunNearTheirData, TestTasksThatBelongTogetherShareARack, TestOccurrenceStartsWhenItIsDue fail without, TestTasksRunFarWhereNothingNearIsAllowed guards the other side. The engine takes the log's time from its host.

--- a/control/controller.go
+++ b/control/controller.go
@@ -220,7 +220,7 @@
 }
 
 func (c *Controller) proposeEntry(commands []*peerv1.Command, completes []completion) {
-	batch := &peerv1.Batch{NowNs: max(time.Now().UnixNano(), c.state.Now().UnixNano()), Commands: commands}
+	batch := &peerv1.Batch{NowNs: c.WallNS(), Commands: commands}
 	data, err := proto.Marshal(batch)
 	if err != nil {
 		panic("control: batch can't be encoded: " + err.Error())
--- a/control/engine.go
+++ b/control/engine.go
@@ -54,6 +54,10 @@
 // Clock returns the controller's clock.
 func (c *Controller) Clock() lease.Clock { return c.clock }
 
+// WallNS returns the Unix time that the next entry of the log would have. It never goes back,
+// whatever the time of day does.
+func (c *Controller) WallNS() int64 { return max(time.Now().UnixNano(), c.state.Now().UnixNano()) }
+
 // Pipelines returns the replicated state of jobs of steps.
 func (c *Controller) Pipelines() *pipeline.State { return c.state.Pipelines() }
 
--- a/dispatch/ahead.go
+++ b/dispatch/ahead.go
@@ -11,12 +11,15 @@
 // for. Tickets live for 2 to 2.5 s, a question for a small step takes about 60 ms.
 const aheadTime = time.Second
 
-// askAhead asks for the permits of steps whose turn comes soon, so that they start without
+// askAhead asks for the permits of steps whose turn or due time comes soon, so that they start without
 // waiting for the answer. Costly questions are left until the step's turn: declared run times
 // of large jobs are too far off to hit the life of a ticket.
 func (r *round) askAhead() {
 	for _, w := range r.e.steps {
 		q := r.e.state.Terms(w.step.Job())
+		if q.GetPermits() != nil && r.dueSoon(w.step.Occurrence, aheadTime) && !w.hasTicket(r.now) {
+			r.askFor(demand{work: w, tasks: w.waiting(), queue: q, urgency: r.urgency(w.step)})
+		}
 		if q.GetPermits() == nil || costMS(q.GetPermits(), minAsked) > costlyMS || !r.endsSoon(w.step) {
 			continue
 		}
--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -117,6 +117,8 @@
 	// Voters returns the number of voters of the group.
 	Voters() int
 	Clock() lease.Clock
+	// WallNS is the Unix time of the log, in nanoseconds.
+	WallNS() int64
 	Pipelines() *pipeline.State
 }
 
--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -96,8 +96,8 @@
 	return max(n, 0)
 }
 
-// askable returns the upstreams that are worth a question: those with room, known to be allowed
-// first, then those with most room in a random order of about equal ones.
+// askable returns the upstreams that are worth a question: those with room, on the step's rack
+// first, then those known to be allowed, then those with most room in a random order of about equal ones.
 func (r *round) askable(d demand) []*session {
 	type ranked struct {
 		s    *session
@@ -105,14 +105,17 @@
 	}
 	var list []ranked
 	for id, s := range r.e.sessions {
-		p, known := d.work.permits[id]
-		if d.work.denied[id] || known && p.born == s.u.GetBorn() && r.now < p.expires || !r.couldTake(d, s) {
+		_, known := d.work.permits[id]
+		if d.work.denied[id] || d.work.hasPermit(s, r.now) || !r.couldTake(d, s) {
 			continue
 		}
 		rank := float64(r.capacity(d.work.step, s, len(d.tasks))) * (0.5 + rand.Float64())
 		if known {
 			rank += float64(len(d.tasks) * 2)
 		}
+		if r.far(d.work, s) {
+			rank -= float64(len(d.tasks) * 4)
+		}
 		list = append(list, ranked{s, rank})
 	}
 	slices.SortFunc(list, func(a, b ranked) int {
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -18,9 +18,9 @@
 			}
 		}
 	} else {
-		for id, p := range d.work.permits {
+		for id := range d.work.permits {
 			s := r.e.sessions[id]
-			if s != nil && p.born == s.u.GetBorn() && r.now < p.expires && r.fits(d.work.step, s) {
+			if s != nil && d.work.hasPermit(s, r.now) && r.fits(d.work.step, s) {
 				out = append(out, s)
 			}
 		}
@@ -50,7 +50,7 @@
 
 // choice ranks a candidate for one task; smaller is better.
 type choice struct {
-	// far is set when the task's data is on another rack.
+	// far is set when the task belongs on another rack.
 	far bool
 	// holds is for how many of the step's waiting tasks the upstream has room.
 	holds int
@@ -79,7 +79,7 @@
 		if !r.fits(st, s) || t.RunsOn(s.u) {
 			continue
 		}
-		c := choice{far: !s.u.HasLabel(st.Spec.GetDataRack()), holds: r.capacity(st, s, waiting),
+		c := choice{far: r.far(r.e.work(st), s), holds: r.capacity(st, s, waiting),
 			left: roomLeft(r.free(s).Minus(st.Need), s.u.Capacity) + slowPenalty*r.e.learner.slowness(s.u.GetId())}
 		if st.Spec.GetLasting() {
 			c.holds = -r.onUpstream[s.u.GetId()]
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -49,7 +49,7 @@
 
 // decide places what can be placed and asks for the permits that are missing.
 func (e *Engine) decide(now time.Duration) {
-	r := &round{e: e, now: now, wall: time.Now().UnixNano(), taken: make(map[string]pipeline.Resources), used: make(map[string]pipeline.Resources),
+	r := &round{e: e, now: now, wall: e.host.WallNS(), taken: make(map[string]pipeline.Resources), used: make(map[string]pipeline.Resources),
 		urgencies: make(map[*pipeline.Step]urgency), preemptRoom: make(map[*session]pipeline.Resources)}
 	r.countCores()
 	for _, d := range r.demands() {
@@ -71,11 +71,11 @@
 func (r *round) placeStep(d demand) {
 	st := d.work.step
 	r.onUpstream = make(map[string]int)
-	candidates := r.candidates(d)
+	candidates, nearer := r.candidates(d), r.nearerToAsk(d)
 	var placed []*pipelinev1.Run
 	for i, t := range d.tasks {
 		s := r.best(t, len(d.tasks)-i, candidates)
-		if s == nil || !r.withinLimit(st) || r.leavesHeadroom(d) {
+		if s == nil || r.far(d.work, s) && nearer || !r.withinLimit(st) || r.leavesHeadroom(d) {
 			break
 		}
 		placed = append(placed, r.take(t, s))
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -18,6 +18,9 @@
 	permits  map[string]permit
 	denied   map[string]bool
 	question *question
+	// home is the rack chosen for tasks that belong together, until homeUntil.
+	home      string
+	homeUntil time.Duration
 	// avoided holds until when an upstream gets no task of the step, after one failed or stalled there.
 	avoided map[string]time.Duration
 	// preemptAgain is when the step may take room from other work again.
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -46,6 +46,9 @@
 		}
 		unknown = append(unknown, c)
 	}
+	home := r.home(d.work)
+	allowed = onRack(allowed, home, len(d.tasks), func(c gangChoice) int { return c.now })
+	unknown = onRack(unknown, home, len(d.tasks), func(c gangChoice) int { return c.ever })
 	if roomNow >= len(d.tasks) {
 		return r.hold(d, enoughFor(allowed, len(d.tasks)))
 	}
--- /dev/null
+++ b/dispatch/locality_test.go
@@ -0,0 +1,95 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+)
+
+// racks puts upstreams on racks and lets them say so.
+func (w *world) racks(of map[string]string) {
+	for id, rack := range of {
+		w.upstreams[id].rack = rack
+		w.beat(id)
+	}
+}
+
+// ranOn returns the upstreams that a job's tasks have run on, with the number of tasks.
+func (w *world) ranOn(job string) map[string]int {
+	out := make(map[string]int)
+	for id, f := range w.upstreams {
+		for key := range f.history {
+			if key.Job == job {
+				out[id]++
+			}
+		}
+	}
+	return out
+}
+
+// Tasks run on the rack of their data, although others have more room and are asked about too.
+func TestTasksRunNearTheirData(t *testing.T) {
+	w := newWorld(t, "a1", "b1", "b2")
+	w.racks(map[string]string{"a1": "r1", "b1": "r2", "b2": "r2"})
+	withPermits(w, 20, 0.3).pollAs("entry-1", tickStep)
+	w.submit(jobID(1), oneStep(2, 1000))
+	w.run(tickStep)
+	near := oneStep(2, 1000)
+	near.DataRack = "r1"
+	w.submit(jobID(2), near)
+	w.run(3 * time.Second)
+	if got := w.ranOn(jobID(2)); got["a1"] != 2 {
+		t.Errorf("tasks with data on r1 ran on %v", got)
+	}
+	w.check()
+}
+
+// Where the rack of the data has no upstream that may run the step, it runs elsewhere.
+func TestTasksRunFarWhereNothingNearIsAllowed(t *testing.T) {
+	w := newWorld(t, "a1", "b1")
+	w.racks(map[string]string{"a1": "r1", "b1": "r2"})
+	c := withPermits(w, 20, 0.3)
+	c.denied["a1"] = true
+	c.pollAs("entry-1", tickStep)
+	near := oneStep(2, 1000)
+	near.DataRack = "r1"
+	w.submit(jobID(1), near)
+	w.run(3 * time.Second)
+	if got := w.jobState(jobID(1)); got != pipeline.Completed {
+		t.Errorf("state %s", got)
+	}
+}
+
+// Tasks that belong together run on one rack.
+func TestTasksThatBelongTogetherShareARack(t *testing.T) {
+	w := newWorld(t, "a1", "b1", "b2")
+	w.racks(map[string]string{"a1": "r1", "b1": "r2", "b2": "r2"})
+	withPermits(w, 20, 0.3).pollAs("entry-1", tickStep)
+	step := oneStep(6, 1000)
+	step.CoLocated = true
+	w.submit(jobID(1), step)
+	w.run(3 * time.Second)
+	if got := w.ranOn(jobID(1)); got["a1"] != 0 || got["b1"]+got["b2"] != 6 {
+		t.Errorf("six tasks that belong together ran on %v", got)
+	}
+	w.check()
+}
+
+// The permits of an occurrence are there when it is due.
+func TestOccurrenceStartsWhenItIsDue(t *testing.T) {
+	w := newWorld(t, "w1")
+	withPermits(w, 420, 6).pollAs("entry-1", 8*tickStep)
+	due := w.wall() + int64(3*time.Second)
+	w.submitSpec(jobID(1), &pipelinev1.JobSpec{RepeatCount: 1, StartAtMs: due / int64(time.Millisecond), PeriodMs: 1000,
+		Steps: []*pipelinev1.Step{oneStep(1, 500)}})
+	w.run(3*time.Second - tickStep)
+	if w.upstreams["w1"].starts != 0 {
+		t.Fatal("the occurrence has started before it was due")
+	}
+	w.run(3 * tickStep)
+	if w.upstreams["w1"].starts != 1 {
+		t.Error("the occurrence has not started when it was due")
+	}
+}
--- a/dispatch/permit_test.go
+++ b/dispatch/permit_test.go
@@ -32,7 +32,11 @@
 	call := &pipelinev1.Call{Call: &pipelinev1.Call_PermitPoll{PermitPoll: &pipelinev1.PermitPoll{Process: c.process, Answer: answer, CanAsk: true}}}
 	c.w.engine.Handle(context.Background(), call, func(r *pipelinev1.Reply, err error) {
 		q := r.GetQuestion()
-		if err != nil || q == nil {
+		if err != nil {
+			return
+		}
+		if q == nil {
+			c.w.delayed = append(c.w.delayed, delayed{c.w.now + tickStep, func() { c.poll(nil) }})
 			return
 		}
 		c.asked = append(c.asked, q)
--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -139,7 +139,7 @@
 	}
 	ends := time.Duration(w.BegunNS) + time.Duration(w.GetDurationMs())*time.Millisecond
 	needed := upkeepTime * time.Duration((left+int(w.GetAtOnce())-1)/int(w.GetAtOnce()))
-	return !protected && time.Duration(time.Now().UnixNano())+needed > ends
+	return !protected && time.Duration(e.host.WallNS())+needed > ends
 }
 
 // away counts the tasks of a lasting step that are not surely at work.
--- a/dispatch/upstream_test.go
+++ b/dispatch/upstream_test.go
@@ -25,6 +25,7 @@
 	// uneven is how much longer each task of a step runs than the one before it.
 	uneven   time.Duration
 	draining bool
+	rack     string
 	delay    time.Duration
 
 	// cut loses all calls before they arrive; mute carries calls out without an answer; late
@@ -50,7 +51,7 @@
 }
 
 func (f *fakeUpstream) describe(id string) *pipelinev1.Upstream {
-	return &pipelinev1.Upstream{Id: id, Born: f.born, Service: "print", Address: id, FailureDomain: "prado",
+	return &pipelinev1.Upstream{Id: id, Born: f.born, Service: "print", Address: id, FailureDomain: "prado", Rack: f.rack,
 		Capacity: &pipelinev1.Resources{MilliCores: 4000, MemoryMib: 1000}, Draining: f.draining}
 }
 
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -77,7 +77,10 @@
 	w.posted = append(w.posted, commit)
 }
 
-// wall is the time of the log: the same origin as time.Now, moved by the virtual clock.
+// WallNS implements Host.
+func (w *world) WallNS() int64 { return w.wall() }
+
+// wall is the time of the log, moved by the virtual clock.
 func (w *world) wall() int64 { return 1_000_000_000 + int64(w.now) }
 
 // Async implements Host. The work runs at once; a fake upstream may delay the answer.
@@ -189,10 +192,15 @@
 }
 
 func (w *world) submit(id string, steps ...*pipelinev1.Step) {
+	w.t.Helper()
+	w.submitSpec(id, &pipelinev1.JobSpec{Steps: steps})
+}
+
+func (w *world) submitSpec(id string, spec *pipelinev1.JobSpec) {
 	w.t.Helper()
 	sum := sha256.Sum256([]byte(testKey))
 	r := w.call(&pipelinev1.Call{Call: &pipelinev1.Call_Job{Job: &pipelinev1.JobCall{Verb: pipelinev1.JobVerb_JOB_VERB_SUBMIT, Host: "h",
-		Path: "/labels/" + id, KeySha256: sum[:], Spec: &pipelinev1.JobSpec{Steps: steps}}}})
+		Path: "/labels/" + id, KeySha256: sum[:], Spec: spec}}})
 	if r.GetVerdict() != pipelinev1.Verdict_VERDICT_OK {
 		w.t.Fatalf("job refused: %v", r)
 	}
