--- a/dispatch/locality_test.go
+++ b/dispatch/locality_test.go
@@ -31,8 +31,8 @@
 
 // Tasks run on the rack of their data, although others have more room and are asked about too.
 func TestTasksRunNearTheirData(t *testing.T) {
-	w := newWorld(t, "a1", "b1", "b2")
-	w.racks(map[string]string{"a1": "r1", "b1": "r2", "b2": "r2"})
+	w := newWorld(t, "a1", "b1", "z1")
+	w.racks(map[string]string{"a1": "r2", "b1": "r2", "z1": "r1"})
 	withPermits(w, 20, 0.3).pollAs("entry-1", tickStep)
 	w.submit(jobID(1), oneStep(2, 1000))
 	w.run(tickStep)
@@ -40,7 +40,7 @@
 	near.DataRack = "r1"
 	w.submit(jobID(2), near)
 	w.run(3 * time.Second)
-	if got := w.ranOn(jobID(2)); got["a1"] != 2 {
+	if got := w.ranOn(jobID(2)); got["z1"] != 2 {
 		t.Errorf("tasks with data on r1 ran on %v", got)
 	}
 	w.check()
