Learn upstreams' speeds from the other tasks of a step, and keep urgent tasks off slow ones

Cause: an upstream's speed was a moving average over about four runs, each against an estimate that is off by up to a half: its spread (0.2) hid the library's speeds of 0.8, 1.0 and 1.25, and it only broke ties. Runs are compared with their step's finished tasks; a lasting speed (25 runs) and the last runs are kept apart. Urgent tasks ask and use slow upstreams last.

--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -19,6 +19,8 @@
 	// minAsked is the least number of upstreams of one question: naming one more costs a sixtieth
 	// of the question, and asking again costs all of it.
 	minAsked = 10
+	// slowRank is what slow upstreams count for in an urgent step's question.
+	slowRank = 0.3
 	// askSurplus is how much more room than needed a question asks for.
 	askSurplus = 1.3
 )
@@ -104,12 +106,16 @@
 		rank float64
 	}
 	var list []ranked
+	urgent := r.e.isUrgent(d.work.step)
 	for id, s := range r.e.sessions {
 		_, known := d.work.permits[id]
 		if d.work.denied[id] || d.work.hasPermit(s, r.now) || !r.couldTake(d, s) {
 			continue
 		}
 		rank := float64(r.capacity(d.work.step, s, len(d.tasks))) * (0.5 + rand.Float64())
+		if urgent && r.e.learner.slow(id) {
+			rank *= slowRank
+		}
 		if known {
 			rank += float64(len(d.tasks) * 2)
 		}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -52,6 +52,8 @@
 type choice struct {
 	// far is set when the task belongs on another rack.
 	far bool
+	// slow is set for urgent tasks on an upstream that takes longer than others.
+	slow bool
 	// holds is for how many of the step's waiting tasks the upstream has room.
 	holds int
 	// left is the share of the upstream that stays free, and a penalty for slow upstreams.
@@ -62,24 +64,27 @@
 	switch {
 	case a.far != b.far:
 		return b.far
+	case a.slow != b.slow:
+		return b.slow
 	case a.holds != b.holds:
 		return a.holds > b.holds
 	}
 	return a.left < b.left
 }
 
-// best returns the candidate for a task: near its data first, then one with room for most of the
+// best returns the candidate for a task: near its data first, then a fast one if it is urgent, then one with room for most of the
 // waiting tasks, then the one with the least room left. Few upstreams for a step mean few steps
 // that suffer when an upstream is lost. What lasts is spread instead.
 func (r *round) best(t *pipeline.Task, waiting int, candidates []*session) *session {
 	st := t.Step
+	urgent := r.e.isUrgent(st)
 	var best *session
 	var rank choice
 	for _, s := range candidates {
 		if !r.fits(st, s) || t.RunsOn(s.u) {
 			continue
 		}
-		c := choice{far: r.far(r.e.work(st), s), holds: r.capacity(st, s, waiting),
+		c := choice{far: r.far(r.e.work(st), s), slow: urgent && r.e.learner.slow(s.u.GetId()), holds: r.capacity(st, s, waiting),
 			left: roomLeft(r.free(s).Minus(st.Need), s.u.Capacity) + slowPenalty*r.e.learner.slowness(s.u.GetId())}
 		if st.Spec.GetLasting() {
 			c.holds = -r.onUpstream[s.u.GetId()]
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -23,6 +23,8 @@
 	homeUntil time.Duration
 	// avoided holds until when an upstream gets no task of the step, after one failed or stalled there.
 	avoided map[string]time.Duration
+	// typical is the run time of the step's finished tasks on a common upstream.
+	typical average
 	// preemptAgain is when the step may take room from other work again.
 	preemptAgain time.Duration
 	// explainAgain is when the log may say again why the step waits.
--- a/dispatch/learn.go
+++ b/dispatch/learn.go
@@ -9,8 +9,23 @@
 const (
 	// learnRate is the weight of one more run in a moving average over about twenty runs.
 	learnRate = 0.05
-	// upstreamRate is that of an upstream's speed, which may change within seconds.
-	upstreamRate = 0.25
+	// steadyRate is that of an upstream's lasting speed: tasks of one step differ by a third, so
+	// that 25 runs tell 0.8 from 1.0. recentRate is that of its last runs, which show that it has
+	// turned slow.
+	steadyRate, recentRate = 0.04, 0.3
+	// steadyMin and steadyMax bound a run's share in the lasting speed: upstreams differ by
+	// less, and what a slow time adds has to wear off.
+	steadyMin, steadyMax = 0.5, 2.0
+	// turnedSlow is how much longer than the lasting speed lets expect the last runs take when an
+	// upstream has turned slow; those that do run four to seven times slower.
+	turnedSlow = 1.8
+	// trustRuns is the number of runs that weighs as much as the assumption of a common speed.
+	trustRuns = 4
+	// slowBound is the slowness above which urgent tasks go elsewhere if they can: the slow third of
+	// the library's upstreams has 1.25.
+	slowBound = 1.12
+	// minSiblings is the number of finished tasks of a step that tell more than its estimate.
+	minSiblings = 2
 	// ratioMin and ratioMax bound one run's ratio, so that a single run can't spoil an average.
 	ratioMin, ratioMax = 0.1, 10.0
 	// failRate is the weight of one more end in an upstream's share of failures; failBound is the
@@ -27,7 +42,7 @@
 // to nine tenths, upstreams differ in speed, and some turn slow.
 type learner struct {
 	queues    map[string]*average
-	upstreams map[string]*average
+	upstreams map[string]*speed
 	failures  map[string]*average
 	// avoided holds until when upstreams that fail what they start get nothing new.
 	avoided map[string]time.Duration
@@ -39,7 +54,7 @@
 }
 
 func newLearner() learner {
-	return learner{queues: make(map[string]*average), upstreams: make(map[string]*average),
+	return learner{queues: make(map[string]*average), upstreams: make(map[string]*speed),
 		failures: make(map[string]*average), avoided: make(map[string]time.Duration)}
 }
 
@@ -75,24 +90,61 @@
 	return time.Duration(float64(declared(st)) * ratio)
 }
 
-// slowness is how much longer than expected the upstream's last runs took.
+// speed is how long an upstream's runs take, in terms of a common one's.
+type speed struct {
+	steady, recent average
+}
+
+// slowness is how much longer than on a common upstream runs are expected to take.
 func (l *learner) slowness(upstream string) float64 {
-	if a := l.upstreams[upstream]; a != nil {
-		return a.value
+	s := l.upstreams[upstream]
+	if s == nil {
+		return 1
+	}
+	trust := float64(s.steady.count) / float64(s.steady.count+trustRuns)
+	lasting := 1 + (s.steady.value-1)*trust
+	if s.recent.count >= minSiblings && s.recent.value > turnedSlow*lasting {
+		return s.recent.value
 	}
-	return 1
+	return lasting
 }
 
-// ran takes the time of a run that ended with its result.
-func (l *learner) ran(r *pipeline.Run, took time.Duration) {
+// slow reports whether urgent tasks should go elsewhere.
+func (l *learner) slow(upstream string) bool { return l.slowness(upstream) > slowBound }
+
+// ran takes the time of a run that ended with its result. Other tasks of its step tell better than
+// its estimate how long it takes elsewhere; w may be nil.
+func (l *learner) ran(r *pipeline.Run, took time.Duration, w *stepWork) {
 	st := r.Task.Step
 	if st.Spec.GetLasting() || st.Spec.GetGang() || r.Task.Checkpoint != "" {
 		return
 	}
-	sample := min(max(float64(took)/float64(l.expected(st)), ratioMin), ratioMax)
-	averageOf(l.upstreams, r.Upstream.GetId()).add(sample, upstreamRate)
-	ratio := min(max(float64(took)/float64(declared(st)), ratioMin), ratioMax)
-	averageOf(l.queues, st.Job().Spec.GetQueue()).add(ratio, learnRate)
+	base := float64(l.expected(st))
+	if w != nil && w.typical.count >= minSiblings {
+		base = w.typical.value
+	}
+	id := r.Upstream.GetId()
+	if w != nil {
+		w.typical.add(float64(took)/l.slowness(id), 0)
+	}
+	l.speedOf(id).add(bounded(float64(took)/base, ratioMin, ratioMax))
+	averageOf(l.queues, st.Job().Spec.GetQueue()).add(bounded(float64(took)/float64(declared(st)), ratioMin, ratioMax), learnRate)
+}
+
+func bounded(x, least, most float64) float64 { return min(max(x, least), most) }
+
+func (l *learner) speedOf(upstream string) *speed {
+	s := l.upstreams[upstream]
+	if s == nil {
+		s = &speed{}
+		l.upstreams[upstream] = s
+	}
+	return s
+}
+
+func (s *speed) add(sample float64) {
+	s.steady.add(bounded(sample, steadyMin, steadyMax), steadyRate)
+	s.recent.add(sample, recentRate)
 }
 
 // ended takes whether a run on an upstream failed, and reports whether the upstream is avoided now.
--- a/dispatch/observer.go
+++ b/dispatch/observer.go
@@ -97,7 +97,7 @@
 	runsEnded.Add(endNames[kind], 1)
 	if s := e.sessions[r.Upstream.GetId()]; s != nil {
 		if at, answered := s.answeredAt[r.Key()]; answered && kind == pipelinev1.EndKind_END_KIND_DONE {
-			e.learner.ran(r, e.now()-at)
+			e.learner.ran(r, e.now()-at, e.work(r.Task.Step))
 		}
 		s.forgetRun(r.Key())
 	}
