Refuse callers at once when there has been no leader for longer than an election

Calls still wait through an election: 1.2 s after the last leader was lost; then 503 with Retry-After, as nothing was proposed. Test: TestLeaderlessTimeEndsWithAnAnswer.

--- a/daemon/called.go
+++ b/daemon/called.go
@@ -31,6 +31,9 @@
 	// callTimeout bounds one attempt of a call at a replica. A commit takes about 20 ms; a
 	// second leaves a slow disk its time, and a caller another attempt.
 	callTimeout = 700 * time.Millisecond
+	// leaderPatience is how long after the loss of a leader calls of callers wait for the next
+	// one. An election takes 0.5 to 1 s; after that a wait would end at the caller's deadline.
+	leaderPatience = 1200 * time.Millisecond
 	// searchPause bounds the pauses of a search for the leader, and peerDialTimeout the opening
 	// of a connection to a replica that may have just come back; links take milliseconds.
 	searchPause     = 80 * time.Millisecond
@@ -132,8 +135,12 @@
 	return f.d.pool.Forward(ctx, address, req)
 }
 
-// Call implements platform.System.
+// Call implements platform.System. A caller's job call is refused at once when there has been no
+// leader for longer than an election takes: it has not run, and the caller can come again.
 func (c *Called) Call(ctx context.Context, call *pipelinev1.Call) (*pipelinev1.Reply, error) {
+	if lost := c.router.LeaderlessFor(); call.GetJob() != nil && lost > leaderPatience {
+		return nil, errors.Wrapf(entry.ErrNothingProposed, "no leader has answered for %v", lost.Round(time.Millisecond))
+	}
 	return c.callWithin(ctx, call, callTimeout)
 }
 
--- a/entry/entry_test.go
+++ b/entry/entry_test.go
@@ -180,6 +180,36 @@
 	})
 }
 
+// A leader counts as lost until one answers, whatever hints say.
+func TestLeaderlessTimeEndsWithAnAnswer(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		f := &script{steps: []step{reply(&apiv1.Outcome{}), broken(true), status(peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER, "a"), broken(true), reply(&apiv1.Outcome{})}}
+		r := NewRouter(f, []string{"a", "b"})
+		call := func(d time.Duration) {
+			ctx, cancel := context.WithTimeout(t.Context(), d)
+			defer cancel()
+			_, _ = r.Call(ctx, &peerv1.ForwardRequest{}, true)
+		}
+		time.Sleep(time.Second)
+		if got := r.LeaderlessFor(); got != time.Second {
+			t.Errorf("leaderless for %v after a second without any call", got)
+		}
+		call(time.Second)
+		if got := r.LeaderlessFor(); got != 0 {
+			t.Errorf("leaderless for %v after an answer", got)
+		}
+		call(time.Nanosecond)
+		time.Sleep(time.Second)
+		if got := r.LeaderlessFor(); got < time.Second {
+			t.Errorf("leaderless for %v a second after the last answer was lost", got)
+		}
+		call(time.Minute)
+		if got := r.LeaderlessFor(); got != 0 {
+			t.Errorf("leaderless for %v after another answer", got)
+		}
+	})
+}
+
 func TestHintsAreFollowedWithoutPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		start := time.Now()
--- a/entry/router.go
+++ b/entry/router.go
@@ -52,13 +52,15 @@
 	mu       sync.Mutex
 	replicas []string
 	leader   string
-	found    chan struct{}
+	// lostAt is since when no leader has answered; zero while one does.
+	lostAt time.Time
+	found  chan struct{}
 }
 
 // NewRouter returns a router over the addresses of the replicas.
 func NewRouter(f Forwarder, replicas []string) *Router {
 	return &Router{forward: f, replicas: replicas, budget: retry.NewBudget(retryPerCall, retryReserve),
-		backoffMax: routeBackoffMax, search: make(chan struct{}, 1), found: make(chan struct{})}
+		backoffMax: routeBackoffMax, search: make(chan struct{}, 1), lostAt: time.Now(), found: make(chan struct{})}
 }
 
 // Answer is a leader's response to a call.
@@ -139,7 +141,7 @@
 		end = unheard
 	case err != nil:
 	case resp.GetStatus() == peerv1.ForwardStatus_FORWARD_STATUS_OK, resp.GetStatus() == peerv1.ForwardStatus_FORWARD_STATUS_REFUSED:
-		t.router.SetLeader(address)
+		t.router.answered(address)
 		return resp, false, unsent
 	case resp.GetStatus() == peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER:
 		return nil, !t.follow(address, resp.GetLeaderAddress()), unsent
@@ -235,4 +237,26 @@
 	if r.leader == address {
 		r.leader = ""
 	}
+	if r.lostAt.IsZero() {
+		r.lostAt = time.Now()
+	}
+}
+
+// answered notes that a replica has acted as the leader.
+func (r *Router) answered(address string) {
+	r.SetLeader(address)
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.lostAt = time.Time{}
+}
+
+// LeaderlessFor returns how long ago the last leader was lost, zero while one answers. Hints that
+// other replicas give do not count as a leader.
+func (r *Router) LeaderlessFor() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.lostAt.IsZero() {
+		return 0
+	}
+	return time.Since(r.lostAt)
 }
