Bound orders by the round trips that upstreams show

Cause: an order without an answer kept its task waiting for 400 ms, 150 ms while looks got lost too, though answers take 5 ms. The bound follows mean and deviation as TCP's does (60 to 400 ms, doubled while nothing answers). A bound that is too short costs a look, which finds the run. Tests: TestRoundTripTimeout, TestLostOrderIsNoticedSoon.

--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -146,8 +146,8 @@
 	// upstreams; one order after the other took 50 ms in the median and 200 ms at the ninth decile
 	// until the last of them was answered. An upstream takes 64 connections.
 	maxOrders = 8
-	// orderTimeout bounds one order or look without a wait. Upstreams answer in under 10 ms; work
-	// that is placed on an upstream in the meantime is late if the upstream is cut off.
+	// orderTimeout bounds one order or look without a wait, whatever round trips say. Upstreams answer
+	// in under 10 ms; work that is placed on an upstream in the meantime is late if it is cut off.
 	orderTimeout = 400 * time.Millisecond
 	// watchWait is how long a look waits for an end; the platform allows two seconds. Together
 	// with orderTimeout it bounds how late a silent upstream is noticed.
@@ -159,12 +159,11 @@
 	// urgent step: closingTasks or fewer of its tasks are left.
 	lookPause    = 150 * time.Millisecond
 	closingTasks = 2
-	// lossyWait and lossyTimeout bound looks, and lossyTimeout orders, while answers get lost: an
-	// end behind a lost answer is noticed that much later, and small jobs have about half a
-	// second to spare. lossyMemory is how long one lost answer counts.
-	lossyWait    = 200 * time.Millisecond
-	lossyTimeout = 150 * time.Millisecond
-	lossyMemory  = 2 * time.Second
+	// lossyWait bounds looks while answers get lost: an end behind a lost answer is noticed that
+	// much later, and small jobs have about half a second to spare. lossyMemory is how long one
+	// lost answer counts.
+	lossyWait   = 200 * time.Millisecond
+	lossyMemory = 2 * time.Second
 	// longestLease bounds the lease below what upstreams grant: it has to outlast a restart of
 	// all replicas (about three seconds), and the work of an upstream that is cut off waits for
 	// its end.
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -34,6 +34,8 @@
 	confirmedAt time.Duration
 	confirming  bool
 	nextSweep   time.Duration
+	// roundTrip tells how long answers of upstreams take.
+	roundTrip roundTrip
 	// lossyUntil is how long answers of upstreams are expected to get lost.
 	lossyUntil time.Duration
 
@@ -74,6 +76,7 @@
 	e.tickets = make(map[pipeline.RunKey]string)
 	e.learner = newLearner()
 	e.reserved = reservation{}
+	e.roundTrip = roundTrip{}
 	e.upkeep = upkeep{cordoned: make(map[string]bool)}
 }
 
--- a/dispatch/looks.go
+++ b/dispatch/looks.go
@@ -24,6 +24,7 @@
 	}
 	s.look(now, req, orderTimeout, func(l Look, err error, at time.Duration) {
 		s.settling = false
+		s.e.timed(at-now, err)
 		if err != nil {
 			s.probeFailed(at, err)
 			return
@@ -125,9 +126,9 @@
 	if s.watching || s.settling || s.endsProposed > s.u.LastEnd || now < s.nextLook || !s.e.mayOrder(now) {
 		return
 	}
-	wait, timeout := s.patience(), orderTimeout
+	wait := s.patience()
 	if now < s.e.lossyUntil {
-		wait, timeout = lossyWait, lossyTimeout
+		wait = lossyWait
 	}
 	if !s.hasOrdered() {
 		if s.ackedEnds >= s.u.LastEnd {
@@ -144,7 +145,7 @@
 	s.ackAt = 0
 	s.watching = true
 	req := LookRequest{Token: s.token(), LastEnd: s.u.LastEnd, DeadlineMS: s.extend(now), Wait: wait}
-	s.look(now, req, wait+timeout, func(l Look, err error, at time.Duration) {
+	s.look(now, req, wait+s.e.roundTrip.timeout(), func(l Look, err error, at time.Duration) {
 		s.watching = false
 		switch {
 		case err != nil:
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -75,7 +75,7 @@
 func (s *session) sendOrder(o order, now time.Duration) {
 	switch {
 	case o.stop:
-		s.sendStop(o, now)
+		s.sendStop(o)
 	case s.u.Runs[o.key] != o.run:
 	case s.u.GetDraining() || s.e.state.DomainOut(s.u.GetFailureDomain()):
 		s.proposeEnds([]*pipelinev1.End{{Run: o.run.Proto(), Kind: pipelinev1.EndKind_END_KIND_NEVER_STARTED}})
@@ -92,23 +92,42 @@
 	s.sent[o.key] = true
 	ordersSent.Add(1)
 	to := s.target()
-	s.e.async(s.e.orderTimeout(now), func(ctx context.Context) func() {
-		reply, err := s.e.upstreams.Start(ctx, to, start)
-		return func() { s.startAnswered(o, reply, err) }
-	})
+	s.order(func(ctx context.Context) (OrderReply, error) { return s.e.upstreams.Start(ctx, to, start) },
+		func(reply OrderReply, err error) { s.startAnswered(o, reply, err) })
 }
 
-func (s *session) sendStop(o order, now time.Duration) {
+func (s *session) sendStop(o order) {
 	stop := Order{Task: o.key.TaskKey, Number: o.key.Number, Token: s.token()}
 	s.ordering++
 	ordersSent.Add(1)
 	to := s.target()
-	s.e.async(s.e.orderTimeout(now), func(ctx context.Context) func() {
-		reply, err := s.e.upstreams.Stop(ctx, to, stop)
-		return func() { s.stopAnswered(o, reply, err) }
+	s.order(func(ctx context.Context) (OrderReply, error) { return s.e.upstreams.Stop(ctx, to, stop) },
+		func(reply OrderReply, err error) { s.stopAnswered(o, reply, err) })
+}
+
+// order sends an order and hands its answer to done on the control goroutine.
+func (s *session) order(send func(context.Context) (OrderReply, error), done func(OrderReply, error)) {
+	clock := s.e.host.Clock()
+	s.e.async(s.e.roundTrip.timeout(), func(ctx context.Context) func() {
+		began := clock.Now()
+		reply, err := send(ctx)
+		took := clock.Now() - began
+		return func() {
+			s.e.timed(took, err)
+			done(reply, err)
+		}
 	})
 }
 
+// timed learns from the time of a call to an upstream.
+func (e *Engine) timed(took time.Duration, err error) {
+	if err != nil {
+		e.roundTrip.expired()
+		return
+	}
+	e.roundTrip.add(took)
+}
+
 // startAnswered handles the answer to a start. Without one, a look under a higher token finds
 // out what became of it.
 func (s *session) startAnswered(o order, reply OrderReply, err error) {
@@ -196,11 +215,3 @@
 func (s *session) orderLog(o order, level zerolog.Level) *zerolog.Event {
 	return s.logger(level).Str("request", o.key.Job).Int32("step", o.key.Step).Int32("task", o.key.Index).Int32("run", o.key.Number)
 }
-
-// orderTimeout bounds one order at a time when answers may get lost.
-func (e *Engine) orderTimeout(now time.Duration) time.Duration {
-	if now < e.lossyUntil {
-		return lossyTimeout
-	}
-	return orderTimeout
-}
--- /dev/null
+++ b/dispatch/roundtrip_test.go
@@ -0,0 +1,54 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+)
+
+func TestRoundTripTimeout(t *testing.T) {
+	var r roundTrip
+	if got := r.timeout(); got != orderTimeout {
+		t.Errorf("%v before the first answer", got)
+	}
+	for range 50 {
+		r.add(4 * time.Millisecond)
+	}
+	if got := r.timeout(); got != timeoutMin {
+		t.Errorf("%v after answers within 4 ms", got)
+	}
+	r.expired()
+	r.expired()
+	if got := r.timeout(); got != 4*timeoutMin {
+		t.Errorf("%v after two calls without an answer", got)
+	}
+	for range 10 {
+		r.expired()
+	}
+	if got := r.timeout(); got != orderTimeout {
+		t.Errorf("%v after twelve calls without an answer", got)
+	}
+	for i := range 100 {
+		r.add(time.Duration(50+100*(i%2)) * time.Millisecond)
+	}
+	if got := r.timeout(); got < 150*time.Millisecond || got > orderTimeout {
+		t.Errorf("%v after answers within 50 and 150 ms", got)
+	}
+}
+
+// An order without an answer is settled soon, so that its task runs elsewhere.
+func TestLostOrderIsNoticedSoon(t *testing.T) {
+	w := newWorld(t, "w1", "w2")
+	w.submit(jobID(1), oneStep(8, 500))
+	w.run(3 * time.Second)
+	w.upstreams["w1"].late, w.upstreams["w2"].late = 3*time.Second, 3*time.Second
+	w.submit(jobID(2), oneStep(1, 500))
+	w.run(tickStep)
+	w.upstreams["w1"].late, w.upstreams["w2"].late = 0, 0
+	w.run(4 * tickStep)
+	running := len(w.upstreams["w1"].running) + len(w.upstreams["w2"].running)
+	if running != 1 {
+		t.Errorf("%d runs 200 ms after an order was lost", running)
+	}
+	w.run(5 * time.Second)
+	w.check()
+}
--- a/dispatch/upstream_test.go
+++ b/dispatch/upstream_test.go
@@ -104,25 +104,31 @@
 type fleet struct{ w *world }
 
 // reach returns the upstream that a call arrives at, or an error if it is lost.
-func (c fleet) reach(to Target) (*fakeUpstream, error) {
+func (c fleet) reach(ctx context.Context, to Target) (*fakeUpstream, error) {
 	f := c.w.upstreams[to.Upstream]
 	if f == nil || f.cut {
 		if f != nil {
-			f.delay = c.w.now + orderTimeout
+			f.delay = c.w.now + timeLeft(ctx)
 		}
 		return nil, errUnanswered
 	}
 	return f, nil
 }
 
+// timeLeft is when a call without an answer is given up.
+func timeLeft(ctx context.Context) time.Duration {
+	deadline, _ := ctx.Deadline()
+	return time.Until(deadline)
+}
+
 // Start implements Upstreams.
-func (c fleet) Start(_ context.Context, to Target, s Start) (OrderReply, error) {
-	f, err := c.reach(to)
+func (c fleet) Start(ctx context.Context, to Target, s Start) (OrderReply, error) {
+	f, err := c.reach(ctx, to)
 	if err != nil {
 		return OrderReply{}, err
 	}
 	if f.late > 0 {
-		f.delay = c.w.now + orderTimeout
+		f.delay = c.w.now + timeLeft(ctx)
 		c.w.delayed = append(c.w.delayed, delayed{c.w.now + f.late, func() { f.start(s) }})
 		return OrderReply{}, errUnanswered
 	}
@@ -131,7 +137,7 @@
 		f.delay = c.w.now + f.slow
 	}
 	if f.mute {
-		f.delay = c.w.now + orderTimeout
+		f.delay = c.w.now + timeLeft(ctx)
 		return OrderReply{}, errUnanswered
 	}
 	return OrderReply{Verdict: v, ClockMS: f.clockMS()}, nil
@@ -159,8 +165,8 @@
 }
 
 // Stop implements Upstreams.
-func (c fleet) Stop(_ context.Context, to Target, o Order) (OrderReply, error) {
-	f, err := c.reach(to)
+func (c fleet) Stop(ctx context.Context, to Target, o Order) (OrderReply, error) {
+	f, err := c.reach(ctx, to)
 	if err != nil {
 		return OrderReply{}, err
 	}
@@ -177,8 +183,8 @@
 }
 
 // Look implements Upstreams. It answers at once, whatever the wait.
-func (c fleet) Look(_ context.Context, to Target, r LookRequest) (Look, error) {
-	f, err := c.reach(to)
+func (c fleet) Look(ctx context.Context, to Target, r LookRequest) (Look, error) {
+	f, err := c.reach(ctx, to)
 	if err != nil {
 		return Look{}, err
 	}
