Let the leader go on while its entries are synced

A leader's entries are written by another goroutine now; one entry gathers all that comes meanwhile. Tests: TestLeaderGoesOnWhileItSyncs, failing before; raft, replica, control green, raft and replica with the race detector.

--- a/control/controller.go
+++ b/control/controller.go
@@ -206,6 +206,10 @@
 // proposeBatch proposes what has gathered, in entries that stay below maxBatchBytes unless
 // one command alone is larger.
 func (c *Controller) proposeBatch() {
+	if c.node.Writing() {
+		// One entry for all that comes meanwhile: an entry costs as much as dozens of commands.
+		return
+	}
 	commands, completes := c.commands, c.completes
 	c.commands, c.completes = nil, nil
 	for len(commands) > 0 {
--- /dev/null
+++ b/dispatch/bench_test.go
@@ -0,0 +1,48 @@
+package dispatch
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+)
+
+// BenchmarkDecide measures a round of decisions at the grown deployments' size: 350 upstreams, 250
+// steps that run, and 40 that wait for room.
+func BenchmarkDecide(b *testing.B) {
+	w := benchWorld(b)
+	b.ReportAllocs()
+	for b.Loop() {
+		w.engine.decide(w.now)
+	}
+}
+
+func benchWorld(b *testing.B) *world {
+	var names []string
+	for i := range 350 {
+		names = append(names, fmt.Sprintf("i-%03d", i))
+	}
+	w := newWorld(b, names...)
+	for _, f := range w.upstreams {
+		f.runTime = time.Hour
+	}
+	c := withPermits(w, 20, 0.3)
+	for i := range 40 {
+		caller := &fakeCaller{w: w, process: fmt.Sprint("entry-", i), takes: tickStep, denied: c.denied}
+		for k, id := range names {
+			caller.denied[id] = k%3 == 0
+		}
+		caller.poll(nil)
+	}
+	for i := range 290 {
+		step, next := oneStep(5, 800), oneStep(5, 800)
+		next.DependsOn = []int32{0}
+		w.submitSpec(jobID(i), &pipelinev1.JobSpec{Steps: []*pipelinev1.Step{step, next}})
+		if i%10 == 0 {
+			w.run(tickStep)
+		}
+	}
+	w.run(time.Second)
+	return w
+}
--- a/dispatch/world_test.go
+++ b/dispatch/world_test.go
@@ -26,7 +26,7 @@
 
 // world runs the real engine and state in virtual time, with one or more fake upstreams.
 type world struct {
-	t         *testing.T
+	t         testing.TB
 	now       time.Duration
 	state     *pipeline.State
 	engine    *Engine
@@ -99,7 +99,7 @@
 	})
 }
 
-func newWorld(t *testing.T, upstreams ...string) *world {
+func newWorld(t testing.TB, upstreams ...string) *world {
 	w := &world{t: t, state: pipeline.New(), upstreams: make(map[string]*fakeUpstream), confirms: true}
 	w.state.Apply(w.wall(), &pipelinev1.Command{Command: &pipelinev1.Command_PutConfig{PutConfig: testConfig()}})
 	for _, id := range upstreams {
--- a/raft/log.go
+++ b/raft/log.go
@@ -13,8 +13,9 @@
 	committed uint64
 	// applied is the last index handed to the owner in Ready.Committed.
 	applied uint64
-	// stable is the last index known to be durable here.
-	stable uint64
+	// stable is the last index known to be durable here, written the last that was handed out to
+	// be made durable; it is above stable only while a leader's write is under way.
+	stable, written uint64
 }
 
 func (l *log) lastIndex() uint64 {
@@ -72,13 +73,22 @@
 		if e.Index <= l.lastIndex() {
 			keep := e.Index - l.snapIndex - 1
 			l.entries = append([]Entry(nil), l.entries[:keep]...)
-			l.stable = min(l.stable, e.Index-1)
+			l.stable, l.written = min(l.stable, e.Index-1), min(l.written, e.Index-1)
 		}
 		l.entries = append(l.entries, entries[i:]...)
 		return
 	}
 }
 
+// unwritten returns the entries that have to be made durable next. There are none while a write is
+// under way.
+func (l *log) unwritten() []Entry {
+	if l.written > l.stable {
+		return nil
+	}
+	return l.slice(l.stable, l.lastIndex(), 1<<62)
+}
+
 func (l *log) commitTo(i uint64) {
 	if i > l.committed {
 		l.committed = min(i, l.lastIndex())
@@ -121,5 +131,5 @@
 func (l *log) restore(s *Snapshot) {
 	l.entries = nil
 	l.snapIndex, l.snapTerm = s.Index, s.Term
-	l.committed, l.applied, l.stable = s.Index, s.Index, s.Index
+	l.committed, l.applied, l.stable, l.written = s.Index, s.Index, s.Index, s.Index
 }
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -115,7 +115,7 @@
 		r.latest = &Snapshot{Index: from.Snapshot.Index, Term: from.Snapshot.Term, Members: from.Snapshot.Members}
 	}
 	r.log.entries = slices.Clone(from.Entries)
-	r.log.stable = r.log.lastIndex()
+	r.log.stable, r.log.written = r.log.lastIndex(), r.log.lastIndex()
 	r.log.commitTo(from.HardState.Commit)
 	if last := r.log.lastTerm(); last > r.term {
 		// A crash kept the entries of a write but not the hard state that followed them.
@@ -128,6 +128,9 @@
 	return r, nil
 }
 
+// Leads reports whether the replica leads in a term.
+func (r *Raft) Leads(term uint64) bool { return r.role == Leader && r.term == term }
+
 // Role returns the replica's role.
 func (r *Raft) Role() Role { return r.role }
 
--- a/raft/ready.go
+++ b/raft/ready.go
@@ -10,15 +10,14 @@
 		Term:      r.term,
 		Leader:    r.leader,
 	}
-	if r.log.stable < r.log.lastIndex() {
-		rd.Entries = r.log.slice(r.log.stable, r.log.lastIndex(), 1<<62)
-	}
+	rd.Entries = r.log.unwritten()
 	if r.log.applied < r.log.committed {
 		rd.Committed = r.log.slice(r.log.applied, r.log.committed, 1<<62)
 	}
 	newTerm := rd.HardState.Term != r.savedHard.Term || rd.HardState.Vote != r.savedHard.Vote
 	rd.MustSync = len(rd.Entries) > 0 || rd.Snapshot != nil || newTerm
 	rd.Early, rd.Messages = r.splitMessages(newTerm)
+	rd.Overlaps = r.role == Leader && !newTerm && rd.Snapshot == nil && len(rd.Entries) > 0
 	return rd
 }
 
@@ -44,17 +43,38 @@
 func (r *Raft) HasReady() bool {
 	hard := HardState{Term: r.term, Vote: r.vote, Commit: r.log.committed}
 	return len(r.msgs) > 0 || len(r.readStates) > 0 || r.pendSnap != nil || hard != r.savedHard ||
-		r.log.stable < r.log.lastIndex() || r.log.applied < r.log.committed
+		len(r.log.unwritten()) > 0 || r.log.applied < r.log.committed
 }
 
 // Advance tells that everything in rd is durable, sent and applied.
 // The replica must not be stepped between Ready and Advance.
 func (r *Raft) Advance(rd Ready) {
-	r.savedHard = rd.HardState
-	r.msgs, r.readStates, r.pendSnap = nil, nil, nil
 	if n := len(rd.Entries); n > 0 {
-		r.log.stable = rd.Entries[n-1].Index
+		r.log.stable, r.log.written = rd.Entries[n-1].Index, rd.Entries[n-1].Index
 	}
+	r.advance(rd)
+}
+
+// AdvanceWriting is Advance for a Ready that overlaps: its entries are still being made durable.
+// Until Written, no further Ready has entries.
+func (r *Raft) AdvanceWriting(rd Ready) {
+	r.log.written = rd.Entries[len(rd.Entries)-1].Index
+	r.advance(rd)
+}
+
+// Written tells that the entries of the last AdvanceWriting are durable, as far as they were not
+// replaced in the meantime.
+func (r *Raft) Written() {
+	r.log.stable = r.log.written
+	if r.role == Leader && r.advanceCommit() {
+		r.broadcastCommit()
+	}
+	r.stepDownIfRemoved()
+}
+
+func (r *Raft) advance(rd Ready) {
+	r.savedHard = rd.HardState
+	r.msgs, r.readStates, r.pendSnap = nil, nil, nil
 	if n := len(rd.Committed); n > 0 {
 		r.log.applied = rd.Committed[n-1].Index
 	}
--- a/raft/replication.go
+++ b/raft/replication.go
@@ -193,7 +193,9 @@
 		return false
 	}
 	slices.Sort(held)
-	index := held[(len(held)-1)/2]
+	// Nothing is committed here before it is durable here: what is applied, or covered by a
+	// snapshot, is always in the own log.
+	index := min(held[(len(held)-1)/2], r.log.stable)
 	if t, ok := r.log.term(index); !ok || t != r.term || index <= r.log.committed {
 		return false
 	}
--- a/raft/types.go
+++ b/raft/types.go
@@ -126,7 +126,10 @@
 	Early     []Message
 	HardState HardState
 	// MustSync is set when HardState, Entries or Snapshot have to be synced.
-	MustSync  bool
+	MustSync bool
+	// Overlaps is set when a leader may be stepped on while Entries are made durable: the owner
+	// may call AdvanceWriting at once, and Written later.
+	Overlaps  bool
 	Entries   []Entry
 	Snapshot  *Snapshot
 	Messages  []Message
--- a/replica/node.go
+++ b/replica/node.go
@@ -131,6 +131,11 @@
 	// leadIndex is the first entry of this leadership; Lead is called when it is applied.
 	leadIndex uint64
 	failure   error
+	// writing is set while a leader's entries are made durable by another goroutine, in writeTerm;
+	// written brings the end of the write.
+	writing   bool
+	writeTerm uint64
+	written   chan error
 	// ctx is that of Run; background counts the goroutines that it has to wait for.
 	ctx        context.Context
 	background sync.WaitGroup
@@ -149,7 +154,8 @@
 	}
 	n := &Node[R]{cfg: cfg, raft: r, machine: m, owner: o, storage: s, transport: t,
 		calls: make(chan func(), cfg.QueueLength), inbox: make(chan []raft.Message, cfg.QueueLength),
-		done: make(chan struct{}), proposals: make(map[uint64]proposal[R]), confirms: make(map[uint64]func(bool)),
+		written: make(chan error, 1),
+		done:    make(chan struct{}), proposals: make(map[uint64]proposal[R]), confirms: make(map[uint64]func(bool)),
 		snapshots: snapshots{sending: make(map[raft.ID]bool)},
 	}
 	if from.Snapshot.Index == 0 {
@@ -212,6 +218,8 @@
 		case messages := <-n.inbox:
 			n.step(messages)
 			n.drainInbox()
+		case err := <-n.written:
+			n.endWrite(err)
 		}
 		n.owner.Flush()
 		n.process()
@@ -279,6 +287,12 @@
 // process persists, sends and applies until nothing is left to do.
 func (n *Node[R]) process() {
 	for n.failure == nil && n.raft.HasReady() {
+		if n.writing && !n.raft.Leads(n.writeTerm) {
+			// Whatever another leader wants written comes after the write that is under way.
+			if n.awaitWrite(); n.failure != nil {
+				return
+			}
+		}
 		rd := n.raft.Ready()
 		n.sendAll(rd.Early)
 		if n.failure = n.persist(rd); n.failure != nil {
@@ -292,7 +306,7 @@
 			}
 		}
 		results := n.applyAll(rd.Committed)
-		n.raft.Advance(rd)
+		n.advance(rd)
 		n.beginLeading()
 		for _, complete := range results {
 			complete()
@@ -303,7 +317,13 @@
 	}
 }
 
+// persist makes a Ready durable, or begins to if a leader may go on meanwhile: a sync takes as long
+// as hundreds of calls.
 func (n *Node[R]) persist(rd raft.Ready) error {
+	if rd.Overlaps {
+		n.beginWrite(rd)
+		return nil
+	}
 	if rd.Snapshot != nil {
 		if err := n.storage.UseSnapshot(*rd.Snapshot, wal.Received); err != nil {
 			return err
@@ -316,6 +336,43 @@
 	return n.storage.Append(rd.HardState, rd.Entries)
 }
 
+func (n *Node[R]) beginWrite(rd raft.Ready) {
+	logAppends.Add(1)
+	n.writing, n.writeTerm = true, rd.Term
+	n.background.Add(1)
+	go func() {
+		defer n.background.Done()
+		n.written <- n.storage.Append(rd.HardState, rd.Entries)
+	}()
+}
+
+func (n *Node[R]) endWrite(err error) {
+	n.writing = false
+	if err != nil {
+		n.failure = err
+		return
+	}
+	n.raft.Written()
+}
+
+// Writing reports whether entries are being made durable; the owner's Flush is called at the end.
+func (n *Node[R]) Writing() bool { return n.writing }
+
+// awaitWrite waits for the write that is under way, if any.
+func (n *Node[R]) awaitWrite() {
+	if n.writing {
+		n.endWrite(<-n.written)
+	}
+}
+
+func (n *Node[R]) advance(rd raft.Ready) {
+	if rd.Overlaps {
+		n.raft.AdvanceWriting(rd)
+		return
+	}
+	n.raft.Advance(rd)
+}
+
 // applyAll applies committed entries and returns the completions of local proposals.
 func (n *Node[R]) applyAll(entries []raft.Entry) []func() {
 	var completions []func()
--- a/replica/node_test.go
+++ b/replica/node_test.go
@@ -241,3 +241,73 @@
 func (fullStorage) StoreSnapshot(raft.Snapshot, wal.Origin, func(io.Writer) error) error {
 	return errors.New("no space left on device")
 }
+
+// slowStorage lets appends wait for their turn.
+type slowStorage struct {
+	*wal.Log
+	turn  chan struct{}
+	began chan struct{}
+}
+
+func (s *slowStorage) Append(hard raft.HardState, entries []raft.Entry) error {
+	select {
+	case s.began <- struct{}{}:
+	default:
+	}
+	<-s.turn
+	return s.Log.Append(hard, entries)
+}
+
+// TestLeaderGoesOnWhileItSyncs blocks the leader's disk: calls still run on its control goroutine,
+// nothing is acknowledged, and all of it is once the disk goes on.
+func TestLeaderGoesOnWhileItSyncs(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, nil)
+		var storages [4]*slowStorage
+		for id := range c.dirs {
+			c.stop(id)
+		}
+		open := make(chan struct{})
+		close(open)
+		c.wrap = func(id raft.ID, log *wal.Log) Storage {
+			storages[id] = &slowStorage{log, open, make(chan struct{})}
+			return storages[id]
+		}
+		for id := range c.dirs {
+			c.start(id)
+		}
+		leader := c.leader()
+		c.proposeAll(leader, 0, 5)
+		shut, r := make(chan struct{}), c.replicas[leader]
+		acknowledged := make(chan error, 2)
+		err := r.node.Post(c.ctx, func() {
+			storages[leader].turn = shut
+			for _, data := range []string{"one", "two"} {
+				r.node.Propose([]byte(data), func(_ int, err error) { acknowledged <- err })
+			}
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		<-storages[leader].began
+		ran := make(chan struct{})
+		if err := r.node.Post(c.ctx, func() { close(ran) }); err != nil {
+			t.Fatal(err)
+		}
+		select {
+		case <-ran:
+		case <-time.After(time.Second):
+			t.Fatal("a call waits for the disk")
+		}
+		if len(acknowledged) != 0 {
+			t.Error("a proposal was acknowledged before it was durable at the leader")
+		}
+		close(shut)
+		for range 2 {
+			if err := <-acknowledged; err != nil {
+				t.Errorf("proposal: %v", err)
+			}
+		}
+		c.expectEqual(1, 2, 3)
+	})
+}
--- a/replica/snapshots.go
+++ b/replica/snapshots.go
@@ -95,6 +95,9 @@
 	if s.Index <= n.snapshots.newest {
 		return
 	}
+	if n.awaitWrite(); n.failure != nil {
+		return
+	}
 	if n.failure = n.storage.UseSnapshot(s, wal.Local); n.failure != nil {
 		return
 	}
