Spare messages between replicas

Cause: each commit of nine replicas cost 32 messages: appends and replies, then the commit index and replies, four of the eight others being standbys; each read confirmed itself with heartbeats to all of them. Followers learn what is committed with the next append or heartbeat, standbys get entries with heartbeats unless they are 64 behind, reads ask voters only. Off by default in raft.Config, on where upstreams are called. Tests: TestSafetyUnderFaults plays half of its seeds with writes of leaders under way (torn by crashes) and half with the two settings; it fails when a write under way counts as durable.

--- a/daemon/called.go
+++ b/daemon/called.go
@@ -62,6 +62,9 @@
 	// firstElectionTicks lets replicas that all start again elect a leader after 150 to 300 ms
 	// instead of 600 to 1,200 ms; jobs have about a second to spare.
 	firstElectionTicks = 3
+	// learnerLag is how many entries a standby may be behind: a second's worth. Nine replicas have
+	// four standbys, which took half of the leader's messages.
+	learnerLag = 64
 	// groupVoters is the number of voters that a group grows to: two lost disks then leave a
 	// copy of all that was acknowledged.
 	groupVoters = 5
@@ -107,6 +110,7 @@
 	c.tuneNode = func(n *replica.Config) {
 		n.SnapshotBytes, n.KeepBytes = snapshotBytes, keepBytes
 		n.Raft.ElectionTicks, n.Raft.FirstElectionTicks = electionTicks, firstElectionTicks
+		n.Raft.LazyCommits, n.Raft.LearnerLag = true, learnerLag
 	}
 	if s.PermitAddress != "" {
 		c.permits = platform.NewPermits(s.PermitAddress)
--- a/raft/network_test.go
+++ b/raft/network_test.go
@@ -27,6 +27,8 @@
 	sum   uint64
 	reads []ReadState
 	down  bool
+	// writing is a Ready of a leader whose entries are on their way to the disk.
+	writing *Ready
 }
 
 // simGroup is a group of replicas over a lossy network.
@@ -39,6 +41,9 @@
 	queue []Message
 	// lost decides which messages are dropped on sending; nil means none.
 	lost func(Message) bool
+	// slowDisks lets writes of leaders take their time; lazy spares messages to followers and
+	// learners.
+	slowDisks, lazy bool
 	// crashing stops a node in the middle of its next write.
 	crashing ID
 
@@ -80,7 +85,12 @@
 	g.seed++
 	disk := n.disk
 	disk.Entries = slices.Clone(disk.Entries)
-	r, err := New(testConfig(id, g.seed), disk)
+	cfg := testConfig(id, g.seed)
+	if g.lazy {
+		cfg.LazyCommits, cfg.LearnerLag = true, 3
+	}
+	n.writing = nil
+	r, err := New(cfg, disk)
 	if err != nil {
 		g.t.Fatal(err)
 	}
@@ -117,6 +127,9 @@
 func (g *simGroup) drive(id ID) {
 	n := g.nodes[id]
 	for !n.down && n.HasReady() {
+		if n.writing != nil && !n.Leads(n.writing.Term) {
+			n.finishWrite(g.rng)
+		}
 		rd := n.Ready()
 		g.send(rd.Early)
 		if g.crashing == id && rd.MustSync {
@@ -124,7 +137,12 @@
 			n.down, g.crashing = true, None
 			return
 		}
-		n.persist(rd, false, g.rng)
+		overlaps := rd.Overlaps && g.slowDisks
+		if overlaps {
+			n.writing = &rd
+		} else {
+			n.persist(rd, false, g.rng)
+		}
 		g.send(rd.Messages)
 		g.noteLeader(id, rd)
 		if rd.Snapshot != nil {
@@ -132,10 +150,31 @@
 		}
 		g.apply(n, rd.Committed)
 		n.reads = append(n.reads, rd.Reads...)
-		n.Advance(rd)
+		if overlaps {
+			n.AdvanceWriting(rd)
+		} else {
+			n.Advance(rd)
+		}
+	}
+}
+
+// finishWrite ends the write that is under way.
+func (n *simNode) finishWrite(rng *rand.Rand) {
+	if n.writing != nil {
+		n.persist(*n.writing, false, rng)
+		n.writing = nil
+		n.Written()
 	}
 }
 
+// crash ends a process; a write that is under way is torn.
+func (g *simGroup) crash(n *simNode) {
+	if n.writing != nil {
+		n.persist(*n.writing, true, g.rng)
+	}
+	n.down = true
+}
+
 // noteLeader checks election safety and leader completeness.
 func (g *simGroup) noteLeader(id ID, rd Ready) {
 	if rd.Role != Leader {
@@ -285,13 +324,14 @@
 	case p < 700:
 		g.disturbNetwork(p)
 	case p < 703:
-		n.down = true
+		g.crash(n)
 	case p < 706:
 		g.crashing = id
 	case p < 740 && n.down:
 		g.restart(id)
 	case n.down:
 	case p < 745:
+		n.finishWrite(g.rng)
 		g.snapshot(id, g.rng.IntN(200))
 	case p < 748:
 		_ = n.TransferLeadership(g.ids[g.rng.IntN(len(g.ids))])
@@ -301,6 +341,8 @@
 		_, _ = n.Propose([]byte(fmt.Sprint("command ", g.rng.Uint32())))
 	case p < 810:
 		_ = n.ReadIndex(g.rng.Uint64())
+	case p < 900:
+		n.finishWrite(g.rng)
 	default:
 		n.Tick()
 	}
@@ -345,6 +387,10 @@
 	for seed := range uint64(300) {
 		t.Log("seed", seed)
 		g := newSimGroup(t, seed, testMembers(3, 2))
+		g.slowDisks, g.lazy = seed%2 == 1, seed%4 > 1
+		for _, id := range g.ids {
+			g.restart(id)
+		}
 		for step := range 10_000 {
 			g.disturb()
 			if step%200 == 0 {
@@ -359,11 +405,13 @@
 func (g *simGroup) recover() {
 	g.t.Helper()
 	g.settle()
-	g.crashing = None
+	g.crashing, g.slowDisks = None, false
 	for _, id := range g.ids {
 		if g.nodes[id].down {
 			g.restart(id)
 		}
+		g.nodes[id].finishWrite(g.rng)
+		g.drive(id)
 	}
 	for range 100 {
 		g.tickAll(testElectionTicks)
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -25,6 +25,12 @@
 	// SnapshotTicks is the time without headway after which a snapshot in flight counts
 	// as lost; see ReportSnapshotProgress. Zero means five times ElectionTicks.
 	SnapshotTicks int
+	// LazyCommits leaves followers to learn what is committed with the next append or heartbeat, in
+	// place of a message for each commit. They apply entries that much later.
+	LazyCommits bool
+	// LearnerLag is how many entries a learner may be behind before it is sent more outside of
+	// heartbeats; zero sends each entry at once.
+	LearnerLag uint64
 	// Seed randomizes election timeouts.
 	Seed uint64
 }
@@ -185,7 +191,7 @@
 		if r.readsWait() {
 			r.readRound++
 		}
-		r.broadcastHeartbeat(r.readRound)
+		r.broadcastHeartbeat(r.readRound, true)
 	}
 }
 
--- a/raft/read_index.go
+++ b/raft/read_index.go
@@ -30,7 +30,7 @@
 // startReadRound sends the heartbeats that confirm the reads up to now.
 func (r *Raft) startReadRound() {
 	r.readRound++
-	r.broadcastHeartbeat(r.readRound)
+	r.broadcastHeartbeat(r.readRound, false)
 }
 
 // readsWait reports whether reads wait for a round that has not started.
--- a/raft/replication.go
+++ b/raft/replication.go
@@ -29,10 +29,20 @@
 
 func (r *Raft) broadcastAppend() {
 	for _, id := range r.others() {
-		r.sendAppends(id)
+		r.sendAppendsIfDue(id)
 	}
 }
 
+// sendAppendsIfDue sends entries to voters, and to learners that are far behind. Others
+// get theirs when they next answer a heartbeat.
+func (r *Raft) sendAppendsIfDue(id ID) {
+	p := r.progress[id]
+	if p != nil && !p.probing && !r.isVoter(id) && p.next+r.cfg.LearnerLag > r.log.lastIndex() {
+		return
+	}
+	r.sendAppends(id)
+}
+
 // sendAppends sends entries to one replica as far as flow control allows. A probe goes out
 // even without entries, so that a replica that was just added is reached.
 func (r *Raft) sendAppends(id ID) {
@@ -139,7 +149,7 @@
 	if m.From == r.transferTo {
 		r.sendTimeoutNow()
 	}
-	r.sendAppends(m.From)
+	r.sendAppendsIfDue(m.From)
 }
 
 func (r *Raft) handleAppendReject(m Message, p *progress) {
@@ -157,6 +167,9 @@
 
 // broadcastCommit tells idle replicas the new commit index without waiting for a heartbeat.
 func (r *Raft) broadcastCommit() {
+	if r.cfg.LazyCommits {
+		return
+	}
 	for _, id := range r.others() {
 		p := r.progress[id]
 		if p.probing || p.snapshotAt != 0 || p.next <= r.log.lastIndex() {
@@ -214,8 +227,13 @@
 	return 0
 }
 
-func (r *Raft) broadcastHeartbeat(context uint64) {
+// broadcastHeartbeat sends a heartbeat to the other voters, and to the learners too if it is not
+// only for reads, which need a quorum.
+func (r *Raft) broadcastHeartbeat(context uint64, learners bool) {
 	for _, id := range r.others() {
+		if !learners && !r.isVoter(id) {
+			continue
+		}
 		p := r.progress[id]
 		r.send(Message{Type: MsgHeartbeat, To: id, Commit: min(p.match, r.log.committed),
 			Context: context, Number: p.sends})
