Send one order ahead to an upstream that was not heard of lately

Orders that have not left an upstream that turns silent are withdrawn at once. Test: TestOneOrderGoesToAnUpstreamThatWasNotHeardOf (failing before: none of the three runs moved before the lease's end).

--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -146,6 +146,9 @@
 	// upstreams; one order after the other took 50 ms in the median and 200 ms at the ninth decile
 	// until the last of them was answered. An upstream takes 64 connections.
 	maxOrders = 8
+	// heardLately is how old the last answer of an upstream may be for several orders at a time;
+	// otherwise one goes ahead, which takes a few milliseconds.
+	heardLately = 300 * time.Millisecond
 	// orderTimeout bounds one order or look without a wait, whatever round trips say. Upstreams answer
 	// in under 10 ms; work that is placed on an upstream in the meantime is late if it is cut off.
 	orderTimeout = 400 * time.Millisecond
--- a/dispatch/looks.go
+++ b/dispatch/looks.go
@@ -45,6 +45,7 @@
 		upstreamsSilent.Add(1)
 	}
 	s.setPhase(phaseSilent, err.Error())
+	s.withdrawQueued()
 	s.pause = min(max(s.pause*2, probeMin), probeMax)
 	s.nextProbe = at + s.pause
 }
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -35,6 +35,19 @@
 	s.pump(s.e.now())
 }
 
+// withdrawQueued takes back all runs whose orders have not left, so that they go elsewhere.
+func (s *session) withdrawQueued() {
+	var ends []*pipelinev1.End
+	s.orders = slices.DeleteFunc(s.orders, func(o order) bool {
+		if o.stop || s.u.Runs[o.key] != o.run {
+			return false
+		}
+		ends = append(ends, &pipelinev1.End{Run: o.run.Proto(), Kind: pipelinev1.EndKind_END_KIND_NEVER_STARTED})
+		return true
+	})
+	s.proposeEnds(ends)
+}
+
 // withdraw takes back a run whose order has not left.
 func (s *session) withdraw(key pipeline.RunKey, r *pipeline.Run) {
 	kept := s.orders[:0:0]
@@ -58,9 +71,14 @@
 	s.orders = append([]order{{key: key, stop: true}}, s.orders...)
 }
 
-// sendOrders sends orders in their turn, up to maxOrders at a time.
+// sendOrders sends orders in their turn, several at a time if the upstream was heard of lately. What
+// was sent to one that has gone silent has to wait for the end of its lease.
 func (s *session) sendOrders(now time.Duration) {
-	for s.ordering < maxOrders && !s.settling && s.e.mayOrder(now) {
+	most := maxOrders
+	if now-s.clock.heardAt > heardLately {
+		most = 1
+	}
+	for s.ordering < most && !s.settling && s.e.mayOrder(now) {
 		// A stop waits for the answer to its run's start, so that it can't overtake it.
 		at := slices.IndexFunc(s.orders, func(o order) bool { return !o.stop || !s.sent[o.key] })
 		if at < 0 {
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -329,3 +329,24 @@
 	}
 	w.check()
 }
+
+// An upstream that has gone silent is sent one order; the other runs go elsewhere at once.
+func TestOneOrderGoesToAnUpstreamThatWasNotHeardOf(t *testing.T) {
+	w := newWorld(t, "w1")
+	f := w.upstreams["w1"]
+	w.run(2 * time.Second)
+	f.cut = true
+	w.submit(jobID(1), oneStep(4, 1000))
+	w.run(2 * tickStep)
+	w.upstreams["w2"] = newFakeUpstream(w, 10)
+	w.beat("w2")
+	w.run(time.Second)
+	if got := w.upstreams["w2"].starts; got != 3 {
+		t.Errorf("%d of the three runs that were never sent have started elsewhere", got)
+	}
+	w.run(20 * time.Second)
+	if got := w.jobState(jobID(1)); got != pipeline.Completed {
+		t.Errorf("state %s", got)
+	}
+	w.check()
+}
