--- a/raft/raft.go
+++ b/raft/raft.go
@@ -25,6 +25,12 @@
 	// SnapshotTicks is the time without headway after which a snapshot in flight counts
 	// as lost; see ReportSnapshotProgress. Zero means five times ElectionTicks.
 	SnapshotTicks int
+	// LazyCommits leaves followers to learn what is committed with the next append or heartbeat, in
+	// place of a message for each commit. They apply entries that much later.
+	LazyCommits bool
+	// LearnerLag is how many entries a learner may be behind before it is sent more outside of
+	// heartbeats; zero sends each entry at once.
+	LearnerLag uint64
 	// Seed randomizes election timeouts.
 	Seed uint64
 }
@@ -115,7 +121,7 @@
 		r.latest = &Snapshot{Index: from.Snapshot.Index, Term: from.Snapshot.Term, Members: from.Snapshot.Members}
 	}
 	r.log.entries = slices.Clone(from.Entries)
-	r.log.stable = r.log.lastIndex()
+	r.log.stable, r.log.written = r.log.lastIndex(), r.log.lastIndex()
 	r.log.commitTo(from.HardState.Commit)
 	if last := r.log.lastTerm(); last > r.term {
 		// A crash kept the entries of a write but not the hard state that followed them.
@@ -128,6 +134,9 @@
 	return r, nil
 }
 
+// Leads reports whether the replica leads in a term.
+func (r *Raft) Leads(term uint64) bool { return r.role == Leader && r.term == term }
+
 // Role returns the replica's role.
 func (r *Raft) Role() Role { return r.role }
 
@@ -182,7 +191,7 @@
 		if r.readsWait() {
 			r.readRound++
 		}
-		r.broadcastHeartbeat(r.readRound)
+		r.broadcastHeartbeat(r.readRound, true)
 	}
 }
 
