Soak: proxies to the upstreams, and an operator who changes and reads back

Proxies delay, reset, lose answers, or keep connections silent for good beside the faults of processes; the operator raises the version all along and fails the run if a read is older than what was acknowledged.

--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -61,6 +61,8 @@
 	*cell
 	ledger   *ledger
 	client   *http.Client
+	operator *operator
+	proxies  []*proxy
 	mu       sync.Mutex
 	accepted []string
 }
@@ -79,15 +81,20 @@
 		}
 	})
 	r.startUpstreams()
-	r.configure()
+	r.operator = &operator{r: r}
+	if !r.operator.put(1, rand.New(rand.NewPCG(seed, 1)), 20*time.Second) {
+		t.Fatal("no replica has accepted the configuration")
+	}
 	stop := make(chan struct{})
 	var callers sync.WaitGroup
+	callers.Go(func() { r.operator.changeUntil(stop, seed) })
 	for i := range entries {
 		callers.Go(func() { r.submitUntil(stop, r.nodes[replicas+i], i, seed) })
 	}
 	r.disturb(seed)
 	close(stop)
 	callers.Wait()
+	r.operator.finish()
 	r.finish()
 	if problems := r.ledger.report(); problems != "" {
 		t.Error(problems)
@@ -106,24 +113,12 @@
 			r.t.Fatal(err)
 		}
 		r.t.Cleanup(func() { _ = w.server.Close() })
-		go w.beat(controls, r.client)
+		p := newProxy(r.t, w.address)
+		r.proxies = append(r.proxies, p)
+		go w.beat(controls, p.address(), r.client)
 	}
 }
 
-// configure sends the configuration until a replica has accepted it.
-func (r *run) configure() {
-	body := fmt.Sprintf(`{"version":1,"routes":[{"name":"q","host":"h","pathPrefix":"/q/","timeoutMs":3000,"service":"print","maxAttempts":3,"stretch":2}],
-		"services":[{"name":"print"}],"tenants":[{"name":"t","apiKeys":[%q],"weight":1}]}`, key)
-	for until := time.Now().Add(20 * time.Second); time.Now().Before(until); time.Sleep(100 * time.Millisecond) {
-		for _, n := range r.nodes[:replicas] {
-			if status, _ := r.call(http.MethodPut, r.address(n, 1), "/api/config", "", body); status == http.StatusOK {
-				return
-			}
-		}
-	}
-	r.t.Fatal("no replica has accepted the configuration")
-}
-
 func (r *run) call(method, address, path, host, body string) (int, string) {
 	req, err := http.NewRequest(method, "http://"+address+path, bytes.NewReader([]byte(body)))
 	if err != nil {
@@ -168,8 +163,15 @@
 func (r *run) disturb(seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 99))
 	kinds := slices.Sorted(maps.Keys(faults))
+	var links sync.WaitGroup
+	defer links.Wait()
 	for until := time.Now().Add(*length); time.Now().Before(until); {
 		kind, n := kinds[rng.IntN(len(kinds))], r.nodes[rng.IntN(len(r.nodes))]
+		if rng.IntN(3) == 0 {
+			// Faults of links run beside those of processes.
+			p, seed := r.proxies[rng.IntN(len(r.proxies))], rng.Uint64()
+			links.Go(func() { disturbLink(p, rand.New(rand.NewPCG(seed, 3))) })
+		}
 		r.t.Logf("%s %s", kind, n.name)
 		faults[kind](r.cell, n, rng)
 		time.Sleep(time.Duration(200+rng.IntN(1500)) * time.Millisecond)
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -196,11 +196,12 @@
 	}
 }
 
-// beat announces the upstream to one of the control addresses after the other.
-func (w *upstream) beat(controls []string, client *http.Client) {
+// beat announces the upstream, under the address of its proxy, to one of the control addresses after
+// the other.
+func (w *upstream) beat(controls []string, address string, client *http.Client) {
 	for n := 0; ; n++ {
 		w.seq++
-		body, _ := json.Marshal(map[string]any{"service": "print", "address": w.address, "zone": "prado", "state": "ready", "slots": 8,
+		body, _ := json.Marshal(map[string]any{"service": "print", "address": address, "zone": "prado", "state": "ready", "slots": 8,
 			"capacity": map[string]int{"cpu": 4000, "memMb": 4000}, "labels": []string{"a", "r1"}, "seqNo": w.seq, "born": w.born})
 		req, _ := http.NewRequest(http.MethodPut, "http://"+controls[n%len(controls)]+"/api/instances/"+w.id, bytes.NewReader(body))
 		if resp, err := client.Do(req); err == nil {
