--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
@@ -113,7 +114,7 @@
 			continue
 		}
 		s := r.e.sessions[t.Live[0].Upstream.GetId()]
-		if time.Duration(r.wall-t.Live[0].PlacedNS) > bound || s == nil || s.phase == phaseSilent {
+		if time.Duration(r.wall-t.Live[0].PlacedNS) > bound || s == nil || s.phase == lifecycle.SessionSilent {
 			out = append(out, t)
 		}
 	}
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 	"github.com/rs/zerolog"
@@ -35,13 +36,13 @@
 	if said.GetBorn() == s.u.GetBorn() {
 		s.lastSequence = c.GetSequence()
 	}
-	if s.phase != phaseOpen && s.pause > probeMin {
+	if s.phase != lifecycle.SessionOpen && s.pause > probeMin {
 		s.pause, s.nextProbe = 0, now
 	}
 	if said.GetBorn() > s.u.GetBorn() {
 		if s.reborn == nil || s.reborn.GetBorn() < said.GetBorn() {
 			s.reborn, s.nextProbe = said, now
-			s.setPhase(phaseOpening, "a heartbeat of a newer incarnation came")
+			s.fire(lifecycle.SessionDoubt, "a heartbeat of a newer incarnation came")
 		}
 		s.pump(now)
 		done(ok, nil)
@@ -139,7 +140,7 @@
 // forgetUpstreams drops upstreams that are silent for good and have no runs.
 func (e *Engine) forgetUpstreams(now time.Duration) {
 	for _, s := range e.sessions {
-		if s.phase != phaseOpen && len(s.u.Runs) == 0 && now-s.lastBeat > forgetAfter {
+		if s.phase != lifecycle.SessionOpen && len(s.u.Runs) == 0 && now-s.lastBeat > forgetAfter {
 			e.gone(s.u)
 		}
 	}
--- a/dispatch/lapse.go
+++ b/dispatch/lapse.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 	"github.com/rs/zerolog"
 )
@@ -39,7 +40,7 @@
 
 // checkLapse declares the runs of a silent upstream lost once its lease has surely ended.
 func (s *session) checkLapse(now time.Duration) {
-	if s.phase == phaseOpen || len(s.u.Runs) == 0 || now-s.lapsedAt < orderTimeout || !s.leaseOver(now) {
+	if s.phase == lifecycle.SessionOpen || len(s.u.Runs) == 0 || now-s.lapsedAt < orderTimeout || !s.leaseOver(now) {
 		return
 	}
 	var ends []*pipelinev1.End
--- a/dispatch/looks.go
+++ b/dispatch/looks.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 	"github.com/pkg/errors"
@@ -40,11 +41,11 @@
 		s.e.gone(s.u)
 		return
 	}
-	if s.phase != phaseSilent {
+	if s.phase != lifecycle.SessionSilent {
 		s.silentAt = at
 		upstreamsSilent.Add(1)
 	}
-	s.setPhase(phaseSilent, err.Error())
+	s.fire(lifecycle.SessionLose, err.Error())
 	s.withdrawQueued()
 	s.pause = min(max(s.pause*2, probeMin), probeMax)
 	s.nextProbe = at + s.pause
@@ -66,7 +67,7 @@
 	}
 	s.pause = 0
 	s.nextProbe = at + probeMin
-	s.setPhase(phaseOpen, "a look was answered")
+	s.fire(lifecycle.SessionSettle, "a look was answered")
 	s.resolve(l)
 	s.take(l, began, at)
 }
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 	"github.com/pkg/errors"
@@ -201,9 +202,9 @@
 
 // suspect lets a look settle what the upstream has before anything else is sent.
 func (s *session) suspect(now time.Duration, why string) {
-	if s.phase == phaseOpen {
+	if s.phase == lifecycle.SessionOpen {
 		s.silentAt = now
-		s.setPhase(phaseOpening, why)
+		s.fire(lifecycle.SessionDoubt, why)
 	}
 	s.nextProbe = now
 }
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -5,6 +5,7 @@
 	"slices"
 	"time"
 
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 )
 
@@ -56,7 +57,7 @@
 			case run.Task.Step.Job().Team != team:
 			case s.stopping[key]:
 				wanted = wanted.Minus(run.Task.Step.Need)
-			case s.phase == phaseOpen && r.preemptible(run, d.queue.GetPriority()):
+			case s.phase == lifecycle.SessionOpen && r.preemptible(run, d.queue.GetPriority()):
 				list = append(list, run)
 			}
 		}
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -4,29 +4,19 @@
 	"slices"
 	"time"
 
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 	"github.com/rs/zerolog"
 )
 
-// phase is what the leader knows of an upstream.
-type phase string
-
-const (
-	// phaseOpening means that a look has to settle what the upstream has before any order.
-	phaseOpening phase = "opening"
-	phaseOpen    phase = "open"
-	// phaseSilent means that calls failed: the lease is not extended any more.
-	phaseSilent phase = "silent"
-)
-
 // session is the leader's dealings with one upstream.
 type session struct {
 	e *Engine
 	u *pipeline.Upstream
 	// reborn is a newer incarnation that a heartbeat announced; it is looked at first.
 	reborn *pipelinev1.Upstream
-	phase  phase
+	phase  lifecycle.SessionState
 	epoch  int64
 	clock  upstreamClock
 	// deadlineMS is the highest deadline that was ever sent, by the upstream's clock.
@@ -80,7 +70,7 @@
 
 // openSession begins the dealings with an upstream; nothing is ordered before a look.
 func (e *Engine) openSession(u *pipeline.Upstream) *session {
-	s := &session{e: e, u: u, phase: phaseOpening, ackedEnds: u.LastEnd, endsProposed: u.LastEnd, lastBeat: e.now(),
+	s := &session{e: e, u: u, phase: lifecycle.SessionOpening, ackedEnds: u.LastEnd, endsProposed: u.LastEnd, lastBeat: e.now(),
 		answeredAt: make(map[pipeline.RunKey]time.Duration), sent: make(map[pipeline.RunKey]bool), stopping: make(map[pipeline.RunKey]bool),
 		idleSince: make(map[pipeline.RunKey]time.Duration)}
 	e.sessions[u.GetId()] = s
@@ -100,17 +90,22 @@
 
 // usable reports whether new work may be placed on the upstream.
 func (s *session) usable(now time.Duration) bool {
-	return s.phase == phaseOpen && s.reborn == nil && !s.u.GetDraining() && now >= s.avoidUntil && !s.e.upkeep.cordoned[s.u.GetId()] &&
+	return s.phase == lifecycle.SessionOpen && s.reborn == nil && !s.u.GetDraining() && now >= s.avoidUntil && !s.e.upkeep.cordoned[s.u.GetId()] &&
 		!s.e.learner.failing(s.u.GetId(), now)
 }
 
-func (s *session) setPhase(p phase, why string) {
-	if s.phase == p {
+// fire moves the session between its states.
+func (s *session) fire(trigger lifecycle.SessionTrigger, why string) {
+	to, err := lifecycle.Session.Next(s.phase, trigger)
+	if err != nil {
+		panic("dispatch: session of " + s.u.GetId() + ": " + err.Error())
+	}
+	if s.phase == to {
 		return
 	}
-	s.logger(zerolog.InfoLevel).Str("from", string(s.phase)).Str("to", string(p)).Str("why", why).
+	s.logger(zerolog.InfoLevel).Str("from", string(s.phase)).Str("to", string(to)).Str("why", why).
 		Int64("upstream_clock_ms", s.clock.at(s.e.now())).Int64("deadline_ms", s.deadlineMS).Msg("upstream session changed")
-	s.phase = p
+	s.phase = to
 	s.e.dirty = true
 }
 
@@ -128,7 +123,7 @@
 // pump starts whatever is due.
 func (s *session) pump(now time.Duration) {
 	switch {
-	case s.phase == phaseOpen && s.reborn == nil:
+	case s.phase == lifecycle.SessionOpen && s.reborn == nil:
 		s.sendOrders(now)
 		s.watch(now)
 	case now >= s.nextProbe:
--- a/dispatch/upkeep.go
+++ b/dispatch/upkeep.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
@@ -149,7 +150,7 @@
 		atWork := false
 		for _, r := range t.Live {
 			s := e.sessions[r.Upstream.GetId()]
-			if s == nil || s.phase != phaseOpen || s.stopping[r.Key()] {
+			if s == nil || s.phase != lifecycle.SessionOpen || s.stopping[r.Key()] {
 				continue
 			}
 			at, answered := s.answeredAt[r.Key()]
--- a/lifecycle/lifecycle_test.go
+++ b/lifecycle/lifecycle_test.go
@@ -62,3 +62,23 @@
 		}
 	}
 }
+
+func TestEndedPipelinesStayEnded(t *testing.T) {
+	for _, from := range []PipelineState{PipelineCompleted, PipelineFailed, PipelineCancelled} {
+		for _, trigger := range []PipelineTrigger{PipelinePlace, PipelineComplete, PipelineFail, PipelineCancel} {
+			if Pipeline.Permits(from, trigger) {
+				t.Errorf("%s permits %s", from, trigger)
+			}
+		}
+	}
+}
+
+func TestSessionOpensOnlyWhenItIsSettled(t *testing.T) {
+	for _, from := range []SessionState{SessionOpening, SessionSilent} {
+		for _, trigger := range []SessionTrigger{SessionDoubt, SessionLose} {
+			if to, err := Session.Next(from, trigger); err != nil || to == SessionOpen {
+				t.Errorf("%s on %s leads to %s, error %v", trigger, from, to, err)
+			}
+		}
+	}
+}
--- a/pipeline/ends.go
+++ b/pipeline/ends.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
 
@@ -87,7 +88,7 @@
 	if t.Done || st.Job().Ended() || !s.Exhausted(t) || !st.Spec.GetGang() && len(t.Live) > 0 {
 		return
 	}
-	s.endJob(st.Job(), Failed)
+	s.endJob(st.Job(), lifecycle.PipelineFail)
 }
 
 // Exhausted reports whether a task has failed as often as it may.
--- a/pipeline/job.go
+++ b/pipeline/job.go
@@ -1,19 +1,20 @@
 package pipeline
 
 import (
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
 
 // JobState is what a caller sees of a job.
-type JobState string
+type JobState = lifecycle.PipelineState
 
 // Job states.
 const (
-	Queued    JobState = "queued"
-	Running   JobState = "running"
-	Completed JobState = "completed"
-	Failed    JobState = "failed"
-	Cancelled JobState = "cancelled"
+	Queued    = lifecycle.PipelineQueued
+	Running   = lifecycle.PipelineRunning
+	Completed = lifecycle.PipelineCompleted
+	Failed    = lifecycle.PipelineFailed
+	Cancelled = lifecycle.PipelineCancelled
 )
 
 // Job is one accepted job.
@@ -206,15 +207,23 @@
 	}
 	o.Job.undone--
 	if o.Job.undone == 0 && !o.Job.Ended() {
-		s.endJob(o.Job, Completed)
+		s.endJob(o.Job, lifecycle.PipelineComplete)
 	}
 }
 
-func (s *State) endJob(j *Job, state JobState) {
+func (s *State) endJob(j *Job, trigger lifecycle.PipelineTrigger) {
 	if j.State == Queued {
 		s.pendingChanged(j, -1)
 	}
-	j.State, j.EndedNS = state, s.nowNS
+	j.move(trigger)
+	j.EndedNS = s.nowNS
 	s.ended = append(s.ended, j)
 	s.observer.JobEnded(j)
 }
+
+// move changes the job's state. A transition that is not permitted is a broken invariant.
+func (j *Job) move(trigger lifecycle.PipelineTrigger) {
+	if err := lifecycle.Pipeline.Fire(&j.State, trigger); err != nil {
+		panic("pipeline: job " + j.Spec.GetId() + ": " + err.Error())
+	}
+}
--- a/pipeline/place.go
+++ b/pipeline/place.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
 
@@ -207,8 +208,8 @@
 	t.Step.LastRun = max(t.Step.LastRun, r.Number)
 	if j.State == Queued {
 		s.pendingChanged(j, -1)
-		j.State = Running
 	}
+	j.move(lifecycle.PipelinePlace)
 	j.Begun = true
 	s.observer.RunPlaced(r)
 }
--- a/pipeline/submit.go
+++ b/pipeline/submit.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"fmt"
 
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
 
@@ -102,7 +103,7 @@
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NO_JOB}
 	}
 	if !j.Ended() {
-		s.endJob(j, Cancelled)
+		s.endJob(j, lifecycle.PipelineCancel)
 	}
 	return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(j.State)}
 }
