--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -142,8 +142,9 @@
 	confirmInterval = 400 * time.Millisecond
 	// maxOrders is the number of orders under way at one upstream. A step's tasks go to few
 	// upstreams; one order after the other took 50 ms in the median and 200 ms at the ninth decile
-	// until the last of them was answered. An upstream takes 64 connections.
-	maxOrders = 8
+	// until the last of them was answered. A replica has 4,096 descriptors for 350 upstreams, so
+	// that six connections to each leave half of them.
+	maxOrders = 5
 	// heardLately is how old the last answer of an upstream may be for several orders at a time;
 	// otherwise one goes ahead, which takes a few milliseconds.
 	heardLately = 300 * time.Millisecond
