Don't let a late word of an older incarnation end a newer one

Found by reading: a worker's last call names only its identity. One that was held up and came after the restart marked the new incarnation as draining for good, and its runs as lost at the first unanswered look. It counts only for an incarnation that is known to drain; else a look decides. Test: TestLateLeaveDoesNotEndTheNewIncarnation (failing before: the second job never started).

--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -109,13 +109,11 @@
 		return
 	}
 	s.logger(zerolog.InfoLevel).Bool("draining", s.u.GetDraining()).Int("runs", len(s.u.Runs)).Msg("upstream leaves")
-	s.left = true
+	// The word may be a late one of an older incarnation under the same identity: only one that
+	// drains is known to mean itself. A look shows whether the other is still there.
+	s.left = s.u.GetDraining()
 	s.suspect(e.now(), "the upstream said that it leaves")
 	s.pump(e.now())
-	if !s.u.GetDraining() {
-		e.seen(drained(s.u), done, verdict(pipelinev1.Verdict_VERDICT_OK, ""))
-		return
-	}
 	done(verdict(pipelinev1.Verdict_VERDICT_OK, ""), nil)
 }
 
@@ -131,12 +129,6 @@
 	}
 }
 
-func drained(w *pipeline.Upstream) *pipelinev1.Upstream {
-	return &pipelinev1.Upstream{Id: w.GetId(), Born: w.GetBorn(), Service: w.GetService(), Address: w.GetAddress(),
-		FailureDomain: w.GetFailureDomain(), Rack: w.GetRack(), Labels: w.GetLabels(), Capacity: w.Upstream.GetCapacity(),
-		Vm: w.GetVm(), Draining: true}
-}
-
 // forgetUpstreams drops upstreams that are silent for good and have no runs.
 func (e *Engine) forgetUpstreams(now time.Duration) {
 	for _, s := range e.sessions {
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -350,3 +350,23 @@
 	}
 	w.check()
 }
+
+// A late word of an older incarnation that it leaves does not take the newer one out of service.
+func TestLateLeaveDoesNotEndTheNewIncarnation(t *testing.T) {
+	w := newWorld(t, "w1")
+	w.upstreams["w1"].crash()
+	w.beat("w1")
+	w.run(time.Second)
+	w.submit(jobID(1), oneStep(2, 1000))
+	w.run(2 * tickStep)
+	w.call(&pipelinev1.Call{Call: &pipelinev1.Call_Leave{Leave: &pipelinev1.LeaveCall{Upstream: "w1"}}})
+	w.run(2 * time.Second)
+	w.submit(jobID(2), oneStep(2, 1000))
+	w.run(3 * time.Second)
+	for n := 1; n <= 2; n++ {
+		if got := w.jobState(jobID(n)); got != pipeline.Completed {
+			t.Errorf("job %d: state %s", n, got)
+		}
+	}
+	w.check()
+}
