--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -109,9 +109,9 @@
 		return
 	}
 	s.logger(zerolog.InfoLevel).Bool("draining", s.u.GetDraining()).Int("runs", len(s.u.Runs)).Msg("upstream leaves")
-	// The word may be a late one of an older incarnation under the same identity: only one that
-	// drains is known to mean itself. A look shows whether the other is still there.
-	s.left = s.u.GetDraining()
+	// The word may be a late one of an older incarnation under the same identity; the look that
+	// follows shows whether this one is still there.
+	s.left = true
 	s.suspect(e.now(), "the upstream said that it leaves")
 	s.pump(e.now())
 	done(verdict(pipelinev1.Verdict_VERDICT_OK, ""), nil)
--- a/dispatch/looks.go
+++ b/dispatch/looks.go
@@ -65,6 +65,10 @@
 		s.lookLost = false
 		s.e.lossyUntil = at + lossyMemory
 	}
+	if s.left && !s.u.GetDraining() {
+		s.left = false
+		s.logger(zerolog.InfoLevel).Msg("upstream answers and does not drain; the word that it leaves was an older incarnation's")
+	}
 	s.pause = 0
 	s.nextProbe = at + probeMin
 	s.fire(lifecycle.SessionSettle, "a look was answered")
