--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -187,6 +187,9 @@
 	stallAfter = time.Second
 	// stallPause is how long an upstream with such a run gets nothing new.
 	stallPause = 3 * time.Second
+	// leaveLife is how long an upstream that does not drain may still answer after it said that it
+	// ends; then an older incarnation must have said so.
+	leaveLife = time.Second
 	// forgetAfter is how long a silent upstream without runs is remembered.
 	forgetAfter = 30 * time.Second
 	// maxEndsListed is the number of ends at which an upstream's list may be cut short.
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -109,9 +109,8 @@
 		return
 	}
 	s.logger(zerolog.InfoLevel).Bool("draining", s.u.GetDraining()).Int("runs", len(s.u.Runs)).Msg("upstream leaves")
-	// The word may be a late one of an older incarnation under the same identity; the look that
-	// follows shows whether this one is still there.
-	s.left = true
+	// The word may be a late one of an older incarnation under the same identity.
+	s.left, s.leftAt = true, e.now()
 	s.suspect(e.now(), "the upstream said that it leaves")
 	s.pump(e.now())
 	done(verdict(pipelinev1.Verdict_VERDICT_OK, ""), nil)
--- a/dispatch/looks.go
+++ b/dispatch/looks.go
@@ -65,10 +65,6 @@
 		s.lookLost = false
 		s.e.lossyUntil = at + lossyMemory
 	}
-	if s.left && !s.u.GetDraining() {
-		s.left = false
-		s.logger(zerolog.InfoLevel).Msg("upstream answers and does not drain; the word that it leaves was an older incarnation's")
-	}
 	s.pause = 0
 	s.nextProbe = at + probeMin
 	s.fire(lifecycle.SessionSettle, "a look was answered")
@@ -228,6 +224,10 @@
 
 // take records what a look showed.
 func (s *session) take(l Look, began, now time.Duration) {
+	if s.left && !s.u.GetDraining() && now-s.leftAt > leaveLife {
+		s.left = false
+		s.logger(zerolog.InfoLevel).Msg("upstream answers and does not drain; the word that it leaves was an older incarnation's")
+	}
 	running := make(map[pipeline.RunKey]bool, len(l.Running))
 	for _, r := range l.Running {
 		running[r.Run] = true
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -56,8 +56,9 @@
 	heldUntil time.Duration
 	// lookLost is set after a look without an answer, until another one is answered.
 	lookLost bool
-	// left is set once the upstream said that it ends.
-	left bool
+	// left is set once the upstream said that it ends, at leftAt.
+	left   bool
+	leftAt time.Duration
 }
 
 // order is a start or a stop that has to be sent.
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -368,5 +368,15 @@
 			t.Errorf("job %d: state %s", n, got)
 		}
 	}
+	// Nor are its runs lost at the next call without an answer.
+	w.upstreams["w1"].runTime = 3 * time.Second
+	w.submit(jobID(3), oneStep(2, 3000))
+	w.run(2 * tickStep)
+	w.upstreams["w1"].cut = true
+	w.upstreams["w2"] = newFakeUpstream(w, 10)
+	w.beat("w2")
+	w.run(time.Second)
+	w.upstreams["w1"].cut = false
+	w.run(6 * time.Second)
 	w.check()
 }
