--- a/internal/relay/relay.go
+++ b/internal/relay/relay.go
@@ -1,5 +1,5 @@
-// Package relay is a TCP relay for tests whose open connections can go silent for good
-// while new ones work.
+// Package relay is a TCP relay for tests. Its open connections can go silent for good while new
+// ones work; it can delay bytes, lose them one way or both, and reset connections.
 package relay
 
 import (
@@ -17,6 +17,7 @@
 	// silenced counts how often Silence was called; older connections carry nothing.
 	silenced atomic.Int64
 	opened   atomic.Int64
+	mode     atomic.Int32
 	wg       sync.WaitGroup
 	mu       sync.Mutex
 	conns    []net.Conn
@@ -62,8 +63,8 @@
 		}
 		born := r.silenced.Load()
 		r.wg.Add(2)
-		go r.copy(out, in, born)
-		go r.copy(in, out, born)
+		go r.copy(out, in, born, false)
+		go r.copy(in, out, born, true)
 	}
 }
 
@@ -81,8 +82,8 @@
 	return true
 }
 
-// copy carries data one way, and drops it once the connection is silenced.
-func (r *Relay) copy(to, from net.Conn, born int64) {
+// copy carries data one way as the mode lets it, and drops it once the connection is silenced.
+func (r *Relay) copy(to, from net.Conn, born int64, answers bool) {
 	defer r.wg.Done()
 	buf := make([]byte, 32<<10)
 	for {
@@ -91,7 +92,7 @@
 			_, _ = io.Copy(io.Discard, from)
 			return
 		}
-		if n > 0 {
+		if n > 0 && r.lets(answers) {
 			if _, err := to.Write(buf[:n]); err != nil {
 				return
 			}
--- a/soak/doc.go
+++ b/soak/doc.go
@@ -5,7 +5,7 @@
 //	go test ./soak -run Soak -seeds 50 -first 1000
 //
 // Processes are killed, stopped, paused, emptied and restarted, one or all at once. Beside that
-// proxies between the system and the upstreams delay, reset, silence or lose answers, the
+// relays between the system and the upstreams delay, reset, silence or lose answers, the
 // operator changes the configuration and reads it back, and callers hand in jobs. It ends
 // only processes that it started.
 //
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -17,6 +17,8 @@
 	"syscall"
 	"testing"
 	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/internal/relay"
 )
 
 var (
@@ -62,7 +64,7 @@
 	ledger   *ledger
 	client   *http.Client
 	operator *operator
-	proxies  []*proxy
+	links    []*relay.Relay
 	mu       sync.Mutex
 	accepted []string
 }
@@ -113,9 +115,9 @@
 			r.t.Fatal(err)
 		}
 		r.t.Cleanup(func() { _ = w.server.Close() })
-		p := newProxy(r.t, w.address)
-		r.proxies = append(r.proxies, p)
-		go w.beat(controls, p.address(), r.client)
+		l := relay.New(r.t, w.address)
+		r.links = append(r.links, l)
+		go w.beat(controls, l.Address(), r.client)
 	}
 }
 
@@ -163,14 +165,14 @@
 func (r *run) disturb(seed uint64) {
 	rng := rand.New(rand.NewPCG(seed, 99))
 	kinds := slices.Sorted(maps.Keys(faults))
-	var links sync.WaitGroup
-	defer links.Wait()
+	var disturbed sync.WaitGroup
+	defer disturbed.Wait()
 	for until := time.Now().Add(*length); time.Now().Before(until); {
 		kind, n := kinds[rng.IntN(len(kinds))], r.nodes[rng.IntN(len(r.nodes))]
 		if rng.IntN(3) == 0 {
 			// Faults of links run beside those of processes.
-			p, seed := r.proxies[rng.IntN(len(r.proxies))], rng.Uint64()
-			links.Go(func() { disturbLink(p, rand.New(rand.NewPCG(seed, 3))) })
+			l, seed := r.links[rng.IntN(len(r.links))], rng.Uint64()
+			disturbed.Go(func() { disturbLink(l, rand.New(rand.NewPCG(seed, 3))) })
 		}
 		r.t.Logf("%s %s", kind, n.name)
 		faults[kind](r.cell, n, rng)
@@ -178,6 +180,20 @@
 	}
 }
 
+// disturbLink applies one fault to the way to an upstream.
+func disturbLink(l *relay.Relay, rng *rand.Rand) {
+	switch kind := rng.IntN(5); kind {
+	case 0:
+		l.Reset()
+	case 1:
+		l.Silence()
+	default:
+		l.SetMode([]relay.Mode{relay.Delay, relay.LoseAnswers, relay.Drop}[kind-2])
+		time.Sleep(time.Duration(200+rng.IntN(2500)) * time.Millisecond)
+		l.SetMode(relay.Pass)
+	}
+}
+
 // finish waits until every accepted job is shown as completed.
 func (r *run) finish() {
 	left := slices.Clone(r.accepted)
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -196,7 +196,7 @@
 	}
 }
 
-// beat announces the upstream, under the address of its proxy, to one of the control addresses after
+// beat announces the upstream, under the address of its relay, to one of the control addresses after
 // the other.
 func (w *upstream) beat(controls []string, address string, client *http.Client) {
 	for n := 0; ; n++ {
