Leave waiting looks alone when an order to the same upstream is lost

Cause: a call without an answer closed all connections to its upstream that had been silent since it began. Only idle connections are closed now. Test: TestTimeoutLeavesTheWaitingLookAlone, failing before.

--- a/retry/conn.go
+++ b/retry/conn.go
@@ -42,18 +42,28 @@
 // CloseSilent closes the connections that have brought no data since a time, and
 // returns their number.
 func (g *Guard) CloseSilent(since time.Time) int {
+	return g.closeAll(func(c *guardedConn) bool { return c.heard.Load() <= since.UnixNano() })
+}
+
+// CloseIdle is CloseSilent for connections that carry one call at a time: those with a call that
+// waits for its answer, which bounds itself, are left alone.
+func (g *Guard) CloseIdle(since time.Time) int {
+	return g.closeAll(func(c *guardedConn) bool { return !c.asked.Load() && c.heard.Load() <= since.UnixNano() })
+}
+
+func (g *Guard) closeAll(picks func(*guardedConn) bool) int {
 	g.mu.Lock()
-	var silent []*guardedConn
+	var list []*guardedConn
 	for c := range g.conns {
-		if c.heard.Load() <= since.UnixNano() {
-			silent = append(silent, c)
+		if picks(c) {
+			list = append(list, c)
 		}
 	}
 	g.mu.Unlock()
-	for _, c := range silent {
+	for _, c := range list {
 		_ = c.Close()
 	}
-	return len(silent)
+	return len(list)
 }
 
 // guardedConn notes when it last brought data.
@@ -61,6 +71,14 @@
 	net.Conn
 	guard *Guard
 	heard atomic.Int64
+	// asked is set while nothing was read since the last write.
+	asked atomic.Bool
+}
+
+// Write implements net.Conn.
+func (c *guardedConn) Write(p []byte) (int, error) {
+	c.asked.Store(true)
+	return c.Conn.Write(p)
 }
 
 // Read implements net.Conn.
@@ -68,6 +86,7 @@
 	n, err := c.Conn.Read(p)
 	if n > 0 {
 		c.heard.Store(time.Now().UnixNano())
+		c.asked.Store(false)
 	}
 	return n, err
 }
