--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -130,8 +130,6 @@
 	StopGrace time.Duration
 	// MinVoters is the number of voters below which nothing is acknowledged.
 	MinVoters int
-	// HeartbeatAddress is where upstreams may send their heartbeats while this process leads.
-	HeartbeatAddress string
 	// Replicas returns the peer addresses of the group's members.
 	Replicas func() []string
 }
@@ -144,8 +142,9 @@
 	confirmInterval = 400 * time.Millisecond
 	// maxOrders is the number of orders under way at one upstream. A step's tasks go to few
 	// upstreams; one order after the other took 50 ms in the median and 200 ms at the ninth decile
-	// until the last of them was answered. An upstream takes 64 connections.
-	maxOrders = 8
+	// until the last of them was answered. A replica has 4,096 descriptors for 350 upstreams, so
+	// that six connections to each leave half of them.
+	maxOrders = 5
 	// heardLately is how old the last answer of an upstream may be for several orders at a time;
 	// otherwise one goes ahead, which takes a few milliseconds.
 	heardLately = 300 * time.Millisecond
@@ -188,6 +187,9 @@
 	stallAfter = time.Second
 	// stallPause is how long an upstream with such a run gets nothing new.
 	stallPause = 3 * time.Second
+	// leaveLife is how long an upstream that does not drain may still answer after it said that it
+	// ends; then an older incarnation must have said so.
+	leaveLife = time.Second
 	// forgetAfter is how long a silent upstream without runs is remembered.
 	forgetAfter = 30 * time.Second
 	// maxEndsListed is the number of ends at which an upstream's list may be cut short.
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -14,7 +14,7 @@
 func (e *Engine) heartbeat(c *pipelinev1.HeartbeatCall, done finish) {
 	said, now := c.GetUpstream(), e.now()
 	s := e.sessions[said.GetId()]
-	ok := &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, HeartbeatAddress: e.cfg.HeartbeatAddress}
+	ok := verdict(pipelinev1.Verdict_VERDICT_OK, "")
 	switch {
 	case s == nil:
 		e.newUpstream(said, done, ok)
@@ -109,13 +109,10 @@
 		return
 	}
 	s.logger(zerolog.InfoLevel).Bool("draining", s.u.GetDraining()).Int("runs", len(s.u.Runs)).Msg("upstream leaves")
-	s.left = true
+	// The word may be a late one of an older incarnation under the same identity.
+	s.left, s.leftAt = true, e.now()
 	s.suspect(e.now(), "the upstream said that it leaves")
 	s.pump(e.now())
-	if !s.u.GetDraining() {
-		e.seen(drained(s.u), done, verdict(pipelinev1.Verdict_VERDICT_OK, ""))
-		return
-	}
 	done(verdict(pipelinev1.Verdict_VERDICT_OK, ""), nil)
 }
 
@@ -131,12 +128,6 @@
 	}
 }
 
-func drained(w *pipeline.Upstream) *pipelinev1.Upstream {
-	return &pipelinev1.Upstream{Id: w.GetId(), Born: w.GetBorn(), Service: w.GetService(), Address: w.GetAddress(),
-		FailureDomain: w.GetFailureDomain(), Rack: w.GetRack(), Labels: w.GetLabels(), Capacity: w.Upstream.GetCapacity(),
-		Vm: w.GetVm(), Draining: true}
-}
-
 // forgetUpstreams drops upstreams that are silent for good and have no runs.
 func (e *Engine) forgetUpstreams(now time.Duration) {
 	for _, s := range e.sessions {
