--- a/dispatch/looks.go
+++ b/dispatch/looks.go
@@ -9,32 +9,7 @@
 	"github.com/rs/zerolog"
 )
 
-// settle looks without a wait. Its answer says which runs the upstream has; as it is sent under
-
-// a token above that of all unanswered orders, those that it does not list never start.
-
-// refused handles an answer that isn't about the runs.
-
-// otherIncarnation waits for the new incarnation's heartbeat, or commits it if it came.
-
-// resolve decides what became of orders without an answer.
-
-// watch keeps one waiting look at an upstream that has runs or ends to acknowledge.
-
-// patience is how long a look may wait for an end. Where nothing urgent runs, a silent upstream may
-
-// be noticed later.
-
-// closesStep reports whether one of the next ends may be the last of an urgent step, for which
-
-// the next step or the caller waits.
-
-// isUrgent reports whether a step is of the most urgent queues and ends by itself.
-
-// hasOrdered reports whether the upstream may have a run.
-
 // look sends a look and hands the answer to done on the control goroutine.
-
 func (s *session) look(began time.Duration, req LookRequest, timeout time.Duration, done func(Look, error, time.Duration)) {
 	looksSent.Add(1)
 	to, born := s.target(), s.u.GetBorn()
@@ -56,7 +31,6 @@
 }
 
 // take records what a look showed.
-
 func (s *session) take(l Look, began, now time.Duration) {
 	if s.left && !s.u.GetDraining() && now-s.leftAt > leaveLife {
 		s.left = false
@@ -89,7 +63,6 @@
 }
 
 // listedEnds converts the ends that are not in the log's queue yet.
-
 func (s *session) listedEnds(l Look) (ends []*pipelinev1.End, ended map[pipeline.RunKey]bool) {
 	ended = make(map[pipeline.RunKey]bool, len(l.Ended))
 	for _, x := range l.Ended {
@@ -109,9 +82,7 @@
 }
 
 // vanished returns lost ends of runs that the upstream had before the look began and that it
-
 // lists nowhere.
-
 func (s *session) vanished(running, ended map[pipeline.RunKey]bool, began time.Duration) (ends []*pipelinev1.End) {
 	for key, at := range s.answeredAt {
 		r := s.u.Runs[key]
--- a/dispatch/settle.go
+++ b/dispatch/settle.go
@@ -10,6 +10,8 @@
 	"github.com/rs/zerolog"
 )
 
+// settle looks without a wait. Its answer says which runs the upstream has; as it is sent under
+// a token above that of all unanswered orders, those that it does not list never start.
 func (s *session) settle(now time.Duration) {
 	if s.settling || s.ordering > 0 {
 		return
@@ -69,11 +71,13 @@
 	s.take(l, began, at)
 }
 
+// refused handles an answer that isn't about the runs.
 func (s *session) refused(v OrderVerdict, at time.Duration) {
 	ordersRefused.Add(string(v), 1)
 	s.probeFailed(at, errors.New(string(v)))
 }
 
+// otherIncarnation waits for the new incarnation's heartbeat, or commits it if it came.
 func (s *session) otherIncarnation(l Look) {
 	if s.reborn == nil || s.reborn.GetBorn() != l.Born {
 		s.probeFailed(s.e.now(), errors.New("another incarnation answered; waiting for its heartbeat"))
@@ -96,6 +100,7 @@
 	s.nextProbe = s.e.now() + probeMin
 }
 
+// resolve decides what became of orders without an answer.
 func (s *session) resolve(l Look) {
 	listed := make(map[pipeline.RunKey]bool)
 	for _, r := range l.Running {
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -6,6 +6,7 @@
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 )
 
+// watch keeps one waiting look at an upstream that has runs or ends to acknowledge.
 func (s *session) watch(now time.Duration) {
 	if s.watching || s.settling || s.endsProposed > s.u.LastEnd || now < s.nextLook || !s.e.mayOrder(now) {
 		return
@@ -51,6 +52,8 @@
 	})
 }
 
+// patience is how long a look may wait for an end. Where nothing urgent runs, a silent upstream may
+// be noticed later.
 func (s *session) patience() time.Duration {
 	for _, r := range s.u.Runs {
 		if s.e.isUrgent(r.Task.Step) {
@@ -60,6 +63,8 @@
 	return calmWait
 }
 
+// closesStep reports whether one of the next ends may be the last of an urgent step, for which
+// the next step or the caller waits.
 func (s *session) closesStep() bool {
 	for _, r := range s.u.Runs {
 		if st := r.Task.Step; st.Undone <= closingTasks && s.e.isUrgent(st) {
@@ -69,10 +74,12 @@
 	return false
 }
 
+// isUrgent reports whether a step is of the most urgent queues and ends by itself.
 func (e *Engine) isUrgent(st *pipeline.Step) bool {
 	return !st.Spec.GetLasting() && e.state.Terms(st.Job()).GetPriority() == 0
 }
 
+// hasOrdered reports whether the upstream may have a run.
 func (s *session) hasOrdered() bool {
 	return len(s.answeredAt) > 0 || len(s.sent) > 0
 }
