--- a/dispatch/ahead.go
+++ b/dispatch/ahead.go
@@ -24,7 +24,8 @@
 			continue
 		}
 		for _, next := range w.step.Occurrence.Steps {
-			if r.isNext(next, w.step) {
+			// A gang would hold room long before it can use it.
+			if r.isNext(next, w.step) && !next.Spec.GetGang() {
 				r.askForNext(next, q)
 			}
 		}
--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -21,6 +21,10 @@
 	minAsked = 10
 	// slowRank is what slow upstreams count for in an urgent step's question.
 	slowRank = 0.3
+	// knownRank and farRank move upstreams ahead that are known to be allowed, and back that are on
+	// another rack than the step's, by more than their room for tasks can differ (1.5 for each).
+	knownRank = 2.0
+	farRank   = 4.0
 	// askSurplus is how much more room than needed a question asks for.
 	askSurplus = 1.3
 )
@@ -117,10 +121,10 @@
 			rank *= slowRank
 		}
 		if known {
-			rank += float64(len(d.tasks) * 2)
+			rank += knownRank * float64(len(d.tasks))
 		}
 		if r.far(d.work, s) {
-			rank -= float64(len(d.tasks) * 4)
+			rank -= farRank * float64(len(d.tasks))
 		}
 		list = append(list, ranked{s, rank})
 	}
--- a/dispatch/choose.go
+++ b/dispatch/choose.go
@@ -128,7 +128,7 @@
 
 // leavesHeadroom reports whether a demand can wait and should, so that urgent work finds room.
 func (r *round) leavesHeadroom(d demand) bool {
-	if d.queue.GetPriority() == 0 || d.work.step.Spec.GetLasting() {
+	if d.queue.GetPriority() == urgentPriority || d.work.step.Spec.GetLasting() {
 		return false
 	}
 	if d.urgency.hope == inTime && float64(d.urgency.slack) < spareSlack*float64(d.urgency.remaining) {
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -42,11 +42,12 @@
 	sessions map[string]*session
 	steps    map[*pipeline.Step]*stepWork
 	// ahead holds steps whose turn comes soon and whose permits are asked for already.
-	ahead    map[*pipeline.Step]*stepWork
-	permits  planner
-	learner  learner
-	reserved reservation
-	upkeep   upkeep
+	ahead   map[*pipeline.Step]*stepWork
+	permits planner
+	learner learner
+	// reserveAgain is when upstreams may be reserved for a gang again.
+	reserveAgain time.Duration
+	upkeep       upkeep
 	// saved are checkpoints that upstreams showed and that no end has brought yet.
 	saved map[*pipeline.Task]string
 	// tickets are those of placed runs that aren't ordered yet.
@@ -75,7 +76,7 @@
 	e.saved = make(map[*pipeline.Task]string)
 	e.tickets = make(map[pipeline.RunKey]string)
 	e.learner = newLearner()
-	e.reserved = reservation{}
+	e.reserveAgain = 0
 	e.roundTrip = roundTrip{}
 	e.upkeep = upkeep{cordoned: make(map[string]bool)}
 }
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -65,8 +65,8 @@
 // at a time, on at most maxReserved of its cores, for a bounded time. Small steps would take
 // each core as soon as it is free.
 func (r *round) reserve(d demand, allowed []gangChoice) {
-	res, service := &r.e.reserved, d.queue.GetService()
-	if r.now-d.work.readyAt < reserveAfter || r.now < res.again {
+	service := d.queue.GetService()
+	if r.now-d.work.readyAt < reserveAfter || r.now < r.e.reserveAgain {
 		return
 	}
 	slices.SortFunc(allowed, mostRoom)
@@ -85,17 +85,12 @@
 	for _, s := range list {
 		s.heldFor, s.heldUntil = d.work.step, r.now+reserveTime
 	}
-	res.again = r.now + reserveTime + reservePause
+	r.e.reserveAgain = r.now + reserveTime + reservePause
 	gangsReserved.Add(1)
 	r.e.log.Info().Str("request", d.work.step.Job().Spec.GetId()).Int32("step", d.work.step.Index).Int("members", len(d.tasks)).
 		Int("upstreams", len(list)).Int64("cores", cores).Dur("waits", r.now-d.work.readyAt).Msg("upstreams are reserved for a gang")
 }
 
-// reservation bounds how often upstreams are reserved.
-type reservation struct {
-	again time.Duration
-}
-
 // hold keeps other steps away from the upstreams that a gang has room on, until its tickets have
 // come: small steps would take some of the room in the meantime, time after time.
 func (r *round) hold(d demand, list []*session) []*session {
--- a/dispatch/preempt.go
+++ b/dispatch/preempt.go
@@ -85,7 +85,7 @@
 
 // mayPreempt reports whether a demand is worth the stop of other work.
 func (r *round) mayPreempt(d demand) bool {
-	return d.queue.GetPriority() == 0 && !d.copies && !d.overShare && d.urgency.hope != pastUse && !d.work.step.Spec.GetGang()
+	return d.queue.GetPriority() == urgentPriority && !d.copies && !d.overShare && d.urgency.hope != pastUse && !d.work.step.Spec.GetGang()
 }
 
 // permitted returns the upstreams with a valid ticket for the step, by identity.
@@ -162,7 +162,7 @@
 	given, known := r.preemptRoom[s]
 	if !known {
 		for _, run := range s.u.Runs {
-			if s.stopping[run.Key()] || r.preemptible(run, 0) {
+			if s.stopping[run.Key()] || r.preemptible(run, urgentPriority) {
 				given = given.Plus(run.Task.Step.Need)
 			}
 		}
--- a/dispatch/urgency.go
+++ b/dispatch/urgency.go
@@ -10,6 +10,8 @@
 const (
 	// lateFactor is how many objectives a job may take and still be worth something.
 	lateFactor = 3
+	// urgentPriority is that of the most urgent queues, which may preempt others.
+	urgentPriority = 0
 	// permitAllowance is the number of upstreams of one question that a job's objective counts.
 	permitAllowance = 30
 )
@@ -79,3 +81,8 @@
 	}
 	return whole, left
 }
+
+// isUrgent reports whether a step is of the most urgent queues and ends by itself.
+func (e *Engine) isUrgent(st *pipeline.Step) bool {
+	return !st.Spec.GetLasting() && e.state.Terms(st.Job()).GetPriority() == urgentPriority
+}
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -1,10 +1,6 @@
 package dispatch
 
-import (
-	"time"
-
-	"github.com/bulrushwinch/bulrushwinch/pipeline"
-)
+import "time"
 
 // watch keeps one waiting look at an upstream that has runs or ends to acknowledge.
 func (s *session) watch(now time.Duration) {
@@ -74,11 +70,6 @@
 	return false
 }
 
-// isUrgent reports whether a step is of the most urgent queues and ends by itself.
-func (e *Engine) isUrgent(st *pipeline.Step) bool {
-	return !st.Spec.GetLasting() && e.state.Terms(st.Job()).GetPriority() == 0
-}
-
 // hasOrdered reports whether the upstream may have a run.
 func (s *session) hasOrdered() bool {
 	return len(s.answeredAt) > 0 || len(s.sent) > 0
