Wait for answers about a step's rack for 0.8 s only

Cause: a step that belongs on a rack waited for each next answer about it while the tickets that it had ran out. Ruled out: room (a fifth of the cores free), team limits.

--- a/dispatch/locality.go
+++ b/dispatch/locality.go
@@ -10,6 +10,11 @@
 // while none of them has a place there.
 const homeLife = time.Second
 
+// nearPatience is how long a step waits for the answers about its rack before it takes upstreams on
+// others. A costly question takes 0.7 s; a step that waited for each next answer would never
+// start where there are more steps than callers.
+const nearPatience = 800 * time.Millisecond
+
 // home returns the rack on which a step's tasks should run: that of its data, or for tasks that
 // belong together the one where most of them have room. It is empty where any rack will do.
 // Elsewhere tasks take a multiple of their time.
@@ -58,7 +63,7 @@
 // answer is worth waiting for.
 func (r *round) nearerToAsk(d demand) bool {
 	home := r.home(d.work)
-	if home == "" || d.queue.GetPermits() == nil || d.work.step.Spec.GetGang() {
+	if home == "" || d.queue.GetPermits() == nil || d.work.step.Spec.GetGang() || r.now-d.work.readyAt > nearPatience {
 		return false
 	}
 	for id, s := range r.e.sessions {
