Reserve room for gangs that need no permits too

Found by reading: the reservation hung on the question for permits, so that on a queue without them a gang starved in a full cell. TestGangDoesNotStarve/none fails before. An unreadable settings file is logged once, in plain words.

--- a/daemon/called.go
+++ b/daemon/called.go
@@ -329,10 +329,10 @@
 		case <-ticker.C:
 		}
 		data, err := os.ReadFile(c.path)
-		if (err == nil) != readable {
-			readable = err == nil
-			c.log.Warn().Err(err).Bool("readable", readable).Msg("settings file changed its readability; the old settings stay in force")
+		if err != nil && readable {
+			c.log.Warn().Err(err).Msg("settings file can't be read any more; the settings stay as they are")
 		}
+		readable = err == nil
 		if err != nil || string(data) == string(last) {
 			continue
 		}
--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -29,19 +29,22 @@
 	askSurplus = 1.3
 )
 
-// askFor asks for permits where a step has none left that would help.
+// askFor asks for permits where a step has none left that would help. Gangs get room reserved
+// with it, whether they need permits or not.
 func (r *round) askFor(d demand) {
 	terms := d.queue.GetPermits()
-	if terms == nil || d.work.question != nil || !r.withinLimit(d.work.step) || r.leavesHeadroom(d) {
+	if d.work.question != nil || !r.withinLimit(d.work.step) || r.leavesHeadroom(d) {
 		return
 	}
 	r.onUpstream = make(map[string]int)
-	named := r.worthAsking
-	if d.work.step.Spec.GetGang() {
-		named = r.gangQuestion
+	var list []*session
+	switch {
+	case d.work.step.Spec.GetGang():
+		list = r.gangQuestion(d)
+	case terms != nil:
+		list = r.worthAsking(d)
 	}
-	list := named(d)
-	if len(list) == 0 {
+	if terms == nil || len(list) == 0 {
 		return
 	}
 	q := &question{work: d.work, priority: d.queue.GetPriority(), born: make(map[string]int64), costMS: costMS(terms, len(list))}
--- a/dispatch/gang.go
+++ b/dispatch/gang.go
@@ -30,7 +30,7 @@
 // gangQuestion returns the upstreams that a gang has to ask about. All members need valid
 // tickets at the same time, and a large gang needs more upstreams than one question finds. As
 // the answers never change, the gang first learns which upstreams may run it, and asks for tickets
-// once those that may have room for all members.
+// once those that may have room for all members. Where no permits are needed, it only reserves.
 func (r *round) gangQuestion(d demand) []*session {
 	var allowed, unknown []gangChoice
 	roomNow, roomEver := 0, 0
@@ -39,7 +39,7 @@
 		if d.work.denied[id] || c.ever == 0 || !r.suitsGang(d, s) {
 			continue
 		}
-		if p, known := d.work.permits[id]; known && p.born == s.u.GetBorn() {
+		if p, known := d.work.permits[id]; d.queue.GetPermits() == nil || known && p.born == s.u.GetBorn() {
 			allowed = append(allowed, c)
 			roomNow, roomEver = roomNow+c.now, roomEver+c.ever
 			continue
--- a/dispatch/permit_test.go
+++ b/dispatch/permit_test.go
@@ -113,12 +113,19 @@
 	w.check()
 }
 
-// A gang finds room in a cell that small steps keep full.
+// A gang finds room in a cell that small steps keep full, with permits or without.
 func TestGangDoesNotStarve(t *testing.T) {
-	w := newWorld(t, "w1", "w2", "w3", "w4", "w5", "w6")
-	for _, name := range []string{"entry-1", "entry-2", "entry-3", "entry-4", "entry-5", "entry-6"} {
-		withPermits(w, 420, 6).pollAs(name, tickStep)
-	}
+	t.Run("permits", func(t *testing.T) {
+		w := newWorld(t, "w1", "w2", "w3", "w4", "w5", "w6")
+		for _, name := range []string{"entry-1", "entry-2", "entry-3", "entry-4", "entry-5", "entry-6"} {
+			withPermits(w, 420, 6).pollAs(name, tickStep)
+		}
+		testGangDoesNotStarve(t, w)
+	})
+	t.Run("none", func(t *testing.T) { testGangDoesNotStarve(t, newWorld(t, "w1", "w2", "w3", "w4", "w5", "w6")) })
+}
+
+func testGangDoesNotStarve(t *testing.T, w *world) {
 	for _, f := range w.upstreams {
 		f.uneven = 450 * time.Millisecond
 	}
