Hand the leadership over when a write does not end

A write that lasts as long as the shortest election timeout hands over. Test: TestLeaderHandsOverWhenItsDiskStalls, failing before.

--- a/daemon/replica.go
+++ b/daemon/replica.go
@@ -79,7 +79,7 @@
 	if d.tuneNode != nil {
 		d.tuneNode(&nodeConfig)
 	}
-	nodeConfig.Warn = func(err error) { d.log.Warn().Err(err).Msg("snapshot was not completed; it is tried again later") }
+	nodeConfig.Warn = func(err error) { d.log.Warn().Err(err).Msg("storage trouble; the replica goes on") }
 	node, err := replica.New(nodeConfig, control.Machine{State: st}, controller, storage, transport, restored)
 	if err != nil {
 		return nil, err
--- a/raft/election.go
+++ b/raft/election.go
@@ -106,6 +106,18 @@
 	return nil
 }
 
+// HandOver asks the other voter whose log is the longest to take over.
+func (r *Raft) HandOver() error {
+	if r.role != Leader {
+		return ErrNotLeader
+	}
+	next := r.mostCurrentVoter()
+	if next == None {
+		return ErrBadChange
+	}
+	return r.TransferLeadership(next)
+}
+
 // sendTimeoutNow completes a transfer when its target has the whole log.
 func (r *Raft) sendTimeoutNow() {
 	p := r.progress[r.transferTo]
--- a/replica/node.go
+++ b/replica/node.go
@@ -80,7 +80,7 @@
 	KeepBytes int
 	// QueueLength bounds waiting calls and messages.
 	QueueLength int
-	// Warn takes what went wrong with snapshots without stopping the node. It is called on
+	// Warn takes what went wrong with the storage without stopping the node. It is called on
 	// the control goroutine and may be nil.
 	Warn func(error)
 }
@@ -131,11 +131,12 @@
 	// leadIndex is the first entry of this leadership; Lead is called when it is applied.
 	leadIndex uint64
 	failure   error
-	// writing is set while a leader's entries are made durable by another goroutine, in writeTerm;
-	// written brings the end of the write.
-	writing   bool
-	writeTerm uint64
-	written   chan error
+	// writing is set while a leader's entries are made durable by another goroutine, in writeTerm,
+	// for writeTicks so far; written brings the end of the write.
+	writing    bool
+	writeTerm  uint64
+	writeTicks int
+	written    chan error
 	// ctx is that of Run; background counts the goroutines that it has to wait for.
 	ctx        context.Context
 	background sync.WaitGroup
@@ -211,6 +212,7 @@
 			return nil
 		case <-ticker.C:
 			n.raft.Tick()
+			n.watchWrite()
 			n.owner.Tick()
 		case f := <-n.calls:
 			f()
@@ -338,7 +340,7 @@
 
 func (n *Node[R]) beginWrite(rd raft.Ready) {
 	logAppends.Add(1)
-	n.writing, n.writeTerm = true, rd.Term
+	n.writing, n.writeTerm, n.writeTicks = true, rd.Term, 0
 	n.background.Add(1)
 	go func() {
 		defer n.background.Done()
@@ -346,6 +348,21 @@
 	}()
 }
 
+// watchWrite hands the leadership over when a write takes as long as a silent leader may stay
+// one: its heartbeats go on, but nothing is committed.
+func (n *Node[R]) watchWrite() {
+	if !n.writing {
+		return
+	}
+	n.writeTicks++
+	if n.writeTicks < n.cfg.Raft.ElectionTicks || !n.raft.Leads(n.writeTerm) {
+		return
+	}
+	if err := n.raft.HandOver(); err != nil && n.cfg.Warn != nil && n.writeTicks == n.cfg.Raft.ElectionTicks {
+		n.cfg.Warn(errors.Wrap(err, "replica: the disk does not answer and no other voter can lead"))
+	}
+}
+
 func (n *Node[R]) endWrite(err error) {
 	n.writing = false
 	if err != nil {
--- a/replica/node_test.go
+++ b/replica/node_test.go
@@ -311,3 +311,46 @@
 		c.expectEqual(1, 2, 3)
 	})
 }
+
+// TestLeaderHandsOverWhenItsDiskStalls blocks the leader's disk for long: another replica leads and
+// acknowledges, and the old one follows once its disk goes on.
+func TestLeaderHandsOverWhenItsDiskStalls(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := newCluster(t, 3, nil)
+		var storages [4]*slowStorage
+		for id := range c.dirs {
+			c.stop(id)
+		}
+		open := make(chan struct{})
+		close(open)
+		c.wrap = func(id raft.ID, log *wal.Log) Storage {
+			storages[id] = &slowStorage{log, open, make(chan struct{})}
+			return storages[id]
+		}
+		for id := range c.dirs {
+			c.start(id)
+		}
+		old := c.leader()
+		c.proposeAll(old, 0, 5)
+		shut, r := make(chan struct{}), c.replicas[old]
+		if err := r.node.Post(c.ctx, func() {
+			storages[old].turn = shut
+			r.node.Propose([]byte("stalled"), func(int, error) {})
+		}); err != nil {
+			t.Fatal(err)
+		}
+		<-storages[old].began
+		time.Sleep(3 * time.Second)
+		for id := raft.ID(1); id <= 3; id++ {
+			if id != old {
+				if err := c.propose(id, "after the stall"); err == nil {
+					close(shut)
+					c.expectEqual(1, 2, 3)
+					return
+				}
+			}
+		}
+		close(shut)
+		t.Error("no other replica acknowledges three seconds after the leader's disk has stalled")
+	})
+}
