--- a/daemon/called.go
+++ b/daemon/called.go
@@ -41,7 +41,7 @@
 	// readyLife is how long a process counts as connected after the leader has answered it. It
 	// is twice the time that the leader holds a poll.
 	readyLife = 3 * time.Second
-	// maxCalledBody bounds a body: a configuration of 1,400 routes has 0.4 MB.
+	// maxControlBody bounds an operator's or upstream's body: a configuration of 1,400 routes has 0.4 MB.
 	maxControlBody = 8 << 20
 	// maxFrontBody bounds a caller's body: the platform allows 256 KiB.
 	maxFrontBody = 512 << 10
--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -177,7 +177,7 @@
 	ackDelay = 300 * time.Millisecond
 	// lapseMargin is added to the stop grace before runs of a silent upstream count as lost.
 	lapseMargin = 300 * time.Millisecond
-	// slowClockPercent is how much slower an upstream's clock may run, by the platform's page.
+	// slowClockPercent is how much slower an upstream's clock may run; the platform allows 2%.
 	slowClockPercent = 2
 	// avoidTime is how long no new work goes to an upstream that refused some; health changes in
 	// about a second.
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -104,7 +104,7 @@
 	return out
 }
 
-// stragglers returns the tasks whose only run takes much longer than expected, or is on a
+// stragglers returns the tasks whose only run takes much longer than expected, or is on an
 // upstream that does not answer.
 func (r *round) stragglers(w *stepWork) []*pipeline.Task {
 	var out []*pipeline.Task
