dispatch: log the leader's load every two seconds, with its own delays

Change: the line comes every two seconds and adds, since the line before: rounds and their length, the wait of results for the control goroutine (control_delay), how late unanswered calls return (overrun), the waits of permit questions, unanswered orders and how many had been carried out, sessions out of use. Existing keys stay. No logic changes.

--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -36,6 +36,7 @@
 	confirmedAt  time.Duration
 	confirming   bool
 	nextSweep    time.Duration
+	load         load
 	// roundTrip estimates how long upstreams take to answer.
 	roundTrip roundTrip
 	// lossyUntil is the time until which answers of upstreams are expected to get lost.
@@ -99,6 +100,7 @@
 	e.leadingSince = e.now()
 	e.confirmedAt = e.leadingSince
 	e.nextSweep = e.leadingSince + sweepInterval
+	e.load = newLoad(e.leadingSince)
 	e.state.Observe((*observer)(e))
 	for _, u := range e.state.Upstreams() {
 		e.openSession(u)
@@ -135,9 +137,11 @@
 	}
 	if now >= e.nextSweep {
 		e.nextSweep = now + sweepInterval
-		e.logLoad()
 		e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_Sweep{Sweep: &pipelinev1.Sweep{}}}, nil)
 	}
+	if now >= e.load.next {
+		e.logLoad(now)
+	}
 	for _, s := range e.sessions {
 		s.runDueWork(now)
 	}
@@ -185,6 +189,7 @@
 	e.decide(now)
 	took := e.now() - now
 	decisionTime.Record(took)
+	e.load.decision.add(took)
 	e.nextDecide = now + (decidePause+1)*took
 }
 
@@ -208,10 +213,15 @@
 		ctx, cancel := context.WithTimeout(context.Background(), timeout)
 		defer cancel()
 		done := call(ctx)
+		returned := e.now()
 		return func() {
-			if e.leading && e.term == term {
-				done()
+			if !e.leading || e.term != term {
+				return
 			}
+			delay := e.now() - returned
+			controlDelay.Record(delay)
+			e.load.controlDelay.add(delay)
+			done()
 		}
 	})
 }
@@ -241,11 +251,3 @@
 	w.readyAt = e.now()
 	e.steps[st] = w
 }
-
-// logLoad logs the load of the leader.
-func (e *Engine) logLoad() {
-	e.log.Info().Int("steps", len(e.steps)).Int("upstreams", len(e.sessions)).Int("callers", len(e.permits.callers)).
-		Int("questions_waiting", len(e.permits.waiting)).Dur("decision_p50", decisionTime.Quantile(50)).Dur("decision_p99", decisionTime.Quantile(99)).
-		Dur("permit_p50", permitTime.Quantile(50)).Dur("permit_p99", permitTime.Quantile(99)).Dur("first_start_p99", startTime.Quantile(99)).
-		Int64("orders", ordersSent.Value()).Int64("looks", statusRequestsSent.Value()).Msg("leader load")
-}
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -16,6 +16,7 @@
 	ordersSent            = expvar.NewInt("pipeline_orders_sent")
 	ordersRefused         = expvar.NewMap("pipeline_orders_refused_by_verdict")
 	ordersUnanswered      = expvar.NewInt("pipeline_orders_unanswered")
+	unansweredCarriedOut  = expvar.NewInt("pipeline_orders_unanswered_carried_out")
 	statusRequestsSent    = expvar.NewInt("pipeline_looks_sent")
 	upstreamsUnresponsive = expvar.NewInt("pipeline_upstreams_turned_silent")
 	upstreamsAvoided      = expvar.NewInt("pipeline_upstreams_avoided")
@@ -28,6 +29,10 @@
 
 	// decisionTime is the duration of a scheduling round.
 	decisionTime = metrics.NewHistogram("pipeline_decision_time")
+	// controlDelay is how long the result of a call waits for the control goroutine.
+	controlDelay = metrics.NewHistogram("pipeline_control_delay")
+	// timeoutOverrun is how long after its timeout an unanswered call to an upstream returns.
+	timeoutOverrun = metrics.NewHistogram("pipeline_timeout_overrun")
 	// startTime is the time from the acceptance of a job to the commit of its first run.
 	startTime = metrics.NewHistogram("pipeline_first_start_time")
 	// permitTime is the time from queueing a permit question to its answer.
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -133,13 +133,14 @@
 
 // callUpstream sends an order and passes its answer to done on the control goroutine.
 func (s *session) callUpstream(send func(context.Context) (OrderReply, error), done func(OrderReply, error)) {
-	clock := s.e.host.Clock()
-	s.e.async(s.e.roundTrip.timeout(), func(ctx context.Context) func() {
+	clock, timeout := s.e.host.Clock(), s.e.roundTrip.timeout()
+	s.e.async(timeout, func(ctx context.Context) func() {
 		began := clock.Now()
 		reply, err := send(ctx)
 		took := clock.Now() - began
 		return func() {
 			s.e.recordRoundTrip(took, err)
+			s.e.recordOverrun(took, timeout, err)
 			done(reply, err)
 		}
 	})
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -44,6 +44,8 @@
 	costMS     float64
 	priority   int32
 	enqueuedAt time.Duration
+	// givenAt is when the question was given to a caller.
+	givenAt time.Duration
 	// expires is when a question that was given to a caller counts as unanswered.
 	expires time.Duration
 	caller  string
@@ -173,6 +175,7 @@
 		}
 		q.caller, q.expires = c.process, now+time.Duration(3*q.costMS)*time.Millisecond+questionSlack
 		c.current = q
+		q.givenAt = now
 		questionsAsked.Add(1)
 		held := c.pendingPoll
 		c.pendingPoll = nil
@@ -218,6 +221,8 @@
 		return
 	}
 	permitTime.Record(now - q.enqueuedAt)
+	e.load.permitWait.add(q.givenAt - q.enqueuedAt)
+	e.load.permitAsked.add(now - q.givenAt)
 	good := make(map[string]bool, len(a.GetPermits()))
 	validity := time.Duration(a.GetValidMs())*time.Millisecond - time.Duration(a.GetAgeUs())*time.Microsecond - ticketMargin
 	for _, p := range a.GetPermits() {
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -119,6 +119,9 @@
 	for _, key := range s.runKeys() {
 		r := s.u.Runs[key]
 		_, answered := s.answeredAt[key]
+		if s.sent[key] && listed[key] {
+			unansweredCarriedOut.Add(1)
+		}
 		if answered || listed[key] || s.startQueued(key) || len(reply.Ended) >= maxEndsListed {
 			continue
 		}
