dispatch: compose permit questions when a caller can put them, most urgent first

Cause: each round composed a question for every waiting step, and each composition ranks all upstreams. The questions then stood in line by priority and arrival, up to 6.8 s and 368 of them for 40 callers. So a round grew with the backlog from 1 to 105 ms (80% of it composing), rounds fell from 80 to 4 in two seconds, a job that came after the burst stood behind all of it, and the upstreams that a question named were those with capacity seconds ago, so that its tickets were useless and it was asked again. Change: at most half as many questions of each kind wait as there are callers. The steps that need one are taken in scheduling order, steps asked for ahead among them, when there is room. Why it works: the work of a round for permits is bounded by what callers can put; order and upstreams are those of the moment. A step that waits for a caller says so in 'step waits'. Test: TestJobAfterABurstWaitsForThePermitsOfTheBurst failed before (79 questions composed for one caller; the job after the burst still queued after a second). Still there: 200 to 500 starts in two seconds that count as unanswered though carried out.

--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -32,13 +32,29 @@
 	capacitySurplus = 1.3
 )
 
-// requestPermits queues a permit question for a step, unless one is pending or the step could not
-// be placed anyway. For a gang it also reserves upstreams, whether the gang needs permits or not.
+// requestAllPermits queues permit questions, in scheduling order, for the demands that found no
+// place and for steps that become ready or due soon.
+func (r *round) requestAllPermits() {
+	list := append(r.prefetchDemands(), r.unplaced...)
+	slices.SortStableFunc(list, compareDemands)
+	for _, d := range list {
+		r.requestPermits(d)
+	}
+}
+
+// requestPermits queues a permit question for a step, unless one is pending, the step could not
+// be placed anyway, or enough questions wait. For a gang it also reserves upstreams, whether the
+// gang needs permits or not.
 func (r *round) requestPermits(d demand) {
 	terms := d.queue.GetPermits()
+	d.work.awaitsCaller = false
 	if d.work.question != nil || !r.withinLimit(d.work.step) || r.mustLeaveHeadroom(d) {
 		return
 	}
+	if terms != nil && !r.e.permits.accepts(isCostly(terms)) {
+		d.work.awaitsCaller = true
+		return
+	}
 	r.onUpstream = make(map[string]int)
 	var list []*session
 	switch {
@@ -50,7 +66,7 @@
 	if terms == nil || len(list) == 0 {
 		return
 	}
-	q := &question{work: d.work, priority: d.queue.GetPriority(), born: make(map[string]int64), costMS: costMS(terms, len(list))}
+	q := &question{work: d.work, priority: d.queue.GetPriority(), born: make(map[string]int64), costMS: costMS(terms, len(list)), costly: isCostly(terms)}
 	for _, s := range list {
 		q.upstreams = append(q.upstreams, s.u.GetId())
 		q.born[s.u.GetId()] = s.u.GetBorn()
@@ -63,7 +79,7 @@
 // for the step's tasks, given the share of upstreams that questions usually allow.
 func (r *round) questionUpstreams(d demand) (out []*session) {
 	guess := allowedShareCheap
-	if d.queue.GetPermits().GetDecisionMs() > costlyMS {
+	if isCostly(d.queue.GetPermits()) {
 		guess = allowedShareCostly
 	}
 	room, wanted := 0.0, capacitySurplus*float64(len(d.tasks))
@@ -86,6 +102,11 @@
 	return terms.GetDecisionMs() + terms.GetPerUpstreamMs()*float64(upstreams)
 }
 
+// isCostly reports whether only a share of the callers may put a queue's questions at a time.
+func isCostly(terms *pipelinev1.PermitTerms) bool {
+	return costMS(terms, minQuestionUpstreams) > costlyMS
+}
+
 // capacity returns how many more tasks of a step the upstream can take now, at most `most`.
 func (r *round) capacity(st *pipeline.Step, s *session, most int) int {
 	n := r.free(s).FitCount(st.Need, most)
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -72,10 +72,11 @@
 	}
 	for _, d := range r.unplaced {
 		r.preempt(d)
-		r.requestPermits(d)
+	}
+	r.requestAllPermits()
+	for _, d := range r.unplaced {
 		r.explain(d)
 	}
-	r.prefetchPermits()
 	r.propose()
 }
 
--- a/dispatch/demand.go
+++ b/dispatch/demand.go
@@ -20,8 +20,10 @@
 	// change; only tickets expire.
 	permits map[string]permit
 	denied  map[string]bool
-	// question is the pending permit question, or nil.
-	question *question
+	// question is the pending permit question, or nil. awaitsCaller is set while there is none
+	// because enough other questions wait for a caller.
+	question     *question
+	awaitsCaller bool
 	// rack is the rack chosen for tasks that should run together; it is kept until rackUntil.
 	rack      string
 	rackUntil time.Duration
@@ -103,14 +105,17 @@
 		}
 	}
 	r.markOverShare(out)
-	slices.SortFunc(out, func(a, b demand) int {
-		return cmp.Or(cmp.Compare(a.queue.GetPriority(), b.queue.GetPriority()), compareBools(a.copies, b.copies), compareBools(a.overShare, b.overShare),
-			cmp.Compare(a.urgency.prospect, b.urgency.prospect), cmp.Compare(a.urgency.slack, b.urgency.slack),
-			cmp.Compare(a.work.step.Job().SubmittedNS, b.work.step.Job().SubmittedNS), compareKeys(a.work.key(), b.work.key()))
-	})
+	slices.SortFunc(out, compareDemands)
 	return out
 }
 
+// compareDemands orders demands for scheduling; see demands.
+func compareDemands(a, b demand) int {
+	return cmp.Or(cmp.Compare(a.queue.GetPriority(), b.queue.GetPriority()), compareBools(a.copies, b.copies), compareBools(a.overShare, b.overShare),
+		cmp.Compare(a.urgency.prospect, b.urgency.prospect), cmp.Compare(a.urgency.slack, b.urgency.slack),
+		cmp.Compare(a.work.step.Job().SubmittedNS, b.work.step.Job().SubmittedNS), compareKeys(a.work.key(), b.work.key()))
+}
+
 // stragglers returns the tasks whose only run takes much longer than expected or is on an
 // upstream that does not answer.
 func (r *round) stragglers(w *stepWork) []*pipeline.Task {
--- a/dispatch/explain.go
+++ b/dispatch/explain.go
@@ -17,6 +17,7 @@
 	waitTeamLimit waitReason = "the team's limit is reached"
 	waitHeadroom  waitReason = "capacity is kept free for urgent queues"
 	waitPermits   waitReason = "waiting for the answer to a permit question"
+	waitCaller    waitReason = "waiting for a process that can put a permit question"
 	waitCapacity  waitReason = "no upstream that may run the step has capacity"
 	waitGang      waitReason = "the upstreams lack capacity for all members of the gang at once"
 )
@@ -45,6 +46,8 @@
 		return waitHeadroom
 	case d.work.question != nil:
 		return waitPermits
+	case d.work.awaitsCaller:
+		return waitCaller
 	case d.work.step.Spec.GetGang():
 		return waitGang
 	}
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"math"
 	"slices"
 	"time"
 
@@ -13,6 +14,10 @@
 	pollHold = 1500 * time.Millisecond
 	// callerTimeout is how long after its last poll a process counts as a caller.
 	callerTimeout = 3 * time.Second
+	// waitingShare is the number of questions of each kind, costly or not, that may wait for a
+	// caller, as a share of the callers. It lets callers continue between two scheduling rounds. More
+	// would wait: their order and the upstreams that they name would be out of date when they are put.
+	waitingShare = 0.5
 	// costlyMS is the cost in milliseconds above which a question is costly; costly questions may
 	// occupy only a share of the callers. The users' small steps cost about 34 ms, the large ones
 	// 600 ms.
@@ -40,8 +45,10 @@
 	work      *stepWork
 	upstreams []string
 	// born holds the incarnations of the upstreams when the question was created.
-	born       map[string]int64
-	costMS     float64
+	born   map[string]int64
+	costMS float64
+	// costly is set if only a share of the callers may put such questions at a time.
+	costly     bool
 	priority   int32
 	enqueuedAt time.Duration
 	// givenAt is when the question was given to a caller.
@@ -51,9 +58,6 @@
 	caller  string
 }
 
-// costly reports whether only a share of the callers may handle such questions at a time.
-func (q *question) costly() bool { return q.costMS > costlyMS }
-
 // caller is a process that forwards questions to the permit service.
 type caller struct {
 	process  string
@@ -128,6 +132,18 @@
 	e.dirty = true
 }
 
+// accepts reports whether another question, costly or not, may be queued. Idle callers take
+// questions at once; those do not count as waiting.
+func (p *permitScheduler) accepts(costly bool) bool {
+	waiting := 0
+	for _, q := range p.waiting {
+		if q.costly == costly {
+			waiting++
+		}
+	}
+	return waiting < int(math.Ceil(waitingShare*float64(len(p.callers))))
+}
+
 // enqueue queues a question by priority.
 func (p *permitScheduler) enqueue(q *question, now time.Duration) {
 	p.nextID++
@@ -154,7 +170,7 @@
 func (p *permitScheduler) assign(now time.Duration) {
 	costly := 0
 	for _, c := range p.callers {
-		if c.current != nil && c.current.costly() {
+		if c.current != nil && c.current.costly {
 			costly++
 		}
 	}
@@ -163,14 +179,14 @@
 			continue
 		}
 		at := slices.IndexFunc(p.waiting, func(q *question) bool {
-			return !q.costly() || float64(costly) < costlyShare*float64(len(p.callers))
+			return !q.costly || float64(costly) < costlyShare*float64(len(p.callers))
 		})
 		if at < 0 {
 			return
 		}
 		q := p.waiting[at]
 		p.waiting = slices.Delete(p.waiting, at, at+1)
-		if q.costly() {
+		if q.costly {
 			costly++
 		}
 		q.caller, q.expires = c.process, now+time.Duration(3*q.costMS)*time.Millisecond+questionSlack
--- a/dispatch/permit_test.go
+++ b/dispatch/permit_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"testing"
 	"time"
 
@@ -152,3 +153,34 @@
 	}
 	h.check()
 }
+
+// A job that comes after a burst does not wait for the permits of all jobs of the burst.
+func TestJobAfterABurstWaitsForThePermitsOfTheBurst(t *testing.T) {
+	var names []string
+	for i := range 40 {
+		names = append(names, fmt.Sprintf("w%02d", i))
+	}
+	h := newHarness(t, names...)
+	c := withPermits(h, 20, 0.3)
+	c.pollAs("entry-1", tickStep)
+	const burst = 120
+	for i := range burst {
+		h.submit(jobID(i), oneStep(1, 500))
+	}
+	h.run(2 * time.Second)
+	if n := len(h.engine.permits.waiting); n > 1 {
+		t.Errorf("%d questions were composed for one caller long before it could put them", n)
+	}
+	h.submit(jobID(burst), oneStep(1, 500))
+	h.run(time.Second)
+	if got := h.jobState(jobID(burst)); got != pipeline.Completed && got != pipeline.Running {
+		t.Errorf("the job that came after the burst is %s after a second", got)
+	}
+	h.run(10 * time.Second)
+	for i := range burst + 1 {
+		if got := h.jobState(jobID(i)); got != pipeline.Completed {
+			t.Errorf("job %d: state %s", i, got)
+		}
+	}
+	h.check()
+}
--- a/dispatch/prefetch.go
+++ b/dispatch/prefetch.go
@@ -12,26 +12,35 @@
 // small step takes about 60 ms.
 const prefetchTime = time.Second
 
-// prefetchPermits requests permits for steps that become ready or due soon, so that they start
-// without waiting for the answer. Costly questions are asked only when the step is ready: the
-// declared run times of large jobs are too inaccurate to predict the start within the validity of
-// a ticket.
-func (r *round) prefetchPermits() {
+// prefetchDemands returns the steps that become ready or due soon, so that they start without
+// waiting for the answer of the permit service. Costly questions are asked only when the step is
+// ready: the declared run times of large jobs are too inaccurate to predict the start within the
+// validity of a ticket.
+func (r *round) prefetchDemands() (out []demand) {
 	for _, w := range r.e.steps {
 		q := r.e.state.JobQueue(w.step.Job())
 		if q.GetPermits() != nil && r.dueSoon(w.step.Occurrence, prefetchTime) && !w.hasTicket(r.now) {
-			r.requestPermits(demand{work: w, tasks: w.waiting(), queue: q, urgency: r.urgency(w.step)})
+			out = append(out, r.prefetchDemand(w, q))
 		}
-		if q.GetPermits() == nil || costMS(q.GetPermits(), minQuestionUpstreams) > costlyMS || !r.endsSoon(w.step) {
+		if q.GetPermits() == nil || isCostly(q.GetPermits()) || !r.endsSoon(w.step) {
 			continue
 		}
 		for _, next := range w.step.Occurrence.Steps {
 			// Prefetching for a gang would reserve capacity long before the gang can use it.
-			if r.waitsOnlyFor(next, w.step) && !next.Spec.GetGang() {
-				r.prefetchPermitsOf(next, q)
+			if !r.waitsOnlyFor(next, w.step) || next.Spec.GetGang() {
+				continue
+			}
+			if w := r.prefetchedWork(next); !w.hasTicket(r.now) {
+				out = append(out, r.prefetchDemand(w, q))
 			}
 		}
 	}
+	return out
+}
+
+// prefetchDemand returns the demand of a step that is not ready yet.
+func (r *round) prefetchDemand(w *stepWork, q *pipelinev1.Queue) demand {
+	return demand{work: w, tasks: w.waiting(), queue: q, urgency: r.urgency(w.step)}
 }
 
 // endsSoon reports whether all tasks of a step are placed or done and the expected end of the
@@ -66,18 +75,15 @@
 	return waits
 }
 
-// prefetchPermitsOf requests permits for a step whose predecessor still runs, unless it has a
-// valid ticket.
-func (r *round) prefetchPermitsOf(next *pipeline.Step, q *pipelinev1.Queue) {
+// prefetchedWork returns the state kept for a step whose predecessor still runs, adding it if there
+// is none.
+func (r *round) prefetchedWork(next *pipeline.Step) *stepWork {
 	w := r.e.prefetched[next]
 	if w == nil {
 		w = newStepWork(next, r.now)
 		r.e.prefetched[next] = w
 	}
-	if w.hasTicket(r.now) {
-		return
-	}
-	r.requestPermits(demand{work: w, tasks: w.waiting(), queue: q, urgency: r.urgency(next)})
+	return w
 }
 
 // hasTicket reports whether any ticket of the step is still valid.
