dispatch, retry: a stall of the leader does not count as an upstream's silence

Cause: a call to an upstream got 60 to 400 ms by the wall clock. Once the leader's processor is full, goroutines wait tens of milliseconds for it, several times between the arrival of an answer and its caller, so that 200 to 550 of 3,000 calls in two seconds timed out; upstreams had carried out 60 to 90% of these starts. Each such time-out closed the idle connections to the upstream, took it out of use until a status request was answered, and placed its unsent runs again: a full leader got more to do. Change: retry.WithTimeout. When its timer fires, it lets the other runnable goroutines go first. If that, or the timer, took more than 5 ms, it extends the timeout by four times as much, at most a second in all. All calls of the engine use it. In an idle process nothing changes: a lost answer is noticed as soon as before. The engine's tests run in virtual time and keep context.WithTimeout.

--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -7,6 +7,7 @@
 	"github.com/bulrushwinch/bulrushwinch/control"
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+	"github.com/bulrushwinch/bulrushwinch/retry"
 	"github.com/rs/zerolog"
 )
 
@@ -27,6 +28,8 @@
 	// vms is nil where there is no VM service.
 	vms   VMs
 	state *pipeline.State
+	// withTimeout returns the context of a call.
+	withTimeout func(context.Context, time.Duration) (context.Context, context.CancelFunc)
 
 	leading bool
 	term    int64
@@ -71,7 +74,7 @@
 // nil; maintenance waves then have no effect.
 func New(cfg Config, log zerolog.Logger, host Host, upstreams Upstreams, vms VMs) *Engine {
 	cfg.MaxHold = min(cfg.MaxHold, maxLease)
-	e := &Engine{cfg: cfg, log: log, host: host, upstreams: upstreams, vms: vms, state: host.Pipelines()}
+	e := &Engine{cfg: cfg, log: log, host: host, upstreams: upstreams, vms: vms, state: host.Pipelines(), withTimeout: withTimeout}
 	e.clear()
 	return e
 }
@@ -205,12 +208,17 @@
 	})
 }
 
+// withTimeout returns a context with a timeout that stalls of this process extend.
+func withTimeout(ctx context.Context, timeout time.Duration) (context.Context, context.CancelFunc) {
+	return retry.WithTimeout(ctx, timeout, func() { timeoutsExtended.Add(1) })
+}
+
 // async runs a call in another goroutine. Its result is dropped if the leadership has ended in
 // the meantime.
 func (e *Engine) async(timeout time.Duration, call func(ctx context.Context) func()) {
 	term := e.term
 	e.host.Async(func() func() {
-		ctx, cancel := context.WithTimeout(context.Background(), timeout)
+		ctx, cancel := e.withTimeout(context.Background(), timeout)
 		defer cancel()
 		done := call(ctx)
 		returned := e.now()
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -134,6 +134,7 @@
 	h.term++
 	h.posted, h.delayed = nil, nil
 	h.engine = New(Config{MaxHold: testHold, StopGrace: testStop, MinVoters: 3, Replicas: func() []string { return nil }}, zerolog.Nop(), h, fleet{h}, h.vms)
+	h.engine.withTimeout = context.WithTimeout
 	h.engine.Lead(h.term)
 	h.drain()
 }
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -1,11 +1,9 @@
 package dispatch
 
 import (
-	"context"
 	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/lifecycle"
-	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
 
@@ -34,11 +32,11 @@
 
 // counters are values of the metrics of the same names.
 type counters struct {
-	orders, unanswered, carriedOut, statusRequests, runs int64
+	orders, unanswered, carriedOut, extended, statusRequests, runs int64
 }
 
 func countersNow() counters {
-	return counters{orders: ordersSent.Value(), unanswered: ordersUnanswered.Value(), carriedOut: unansweredCarriedOut.Value(),
+	return counters{orders: ordersSent.Value(), unanswered: ordersUnanswered.Value(), carriedOut: unansweredCarriedOut.Value(), extended: timeoutsExtended.Value(),
 		statusRequests: statusRequestsSent.Value(), runs: runsPlaced.Value()}
 }
 
@@ -65,7 +63,7 @@
 // recordOverrun records how late a call without an answer has returned. Errors that came before
 // the timeout don't count.
 func (e *Engine) recordOverrun(took, timeout time.Duration, err error) {
-	if errors.Is(err, context.DeadlineExceeded) && took >= timeout {
+	if err != nil && took >= timeout {
 		e.load.overrun.add(took - timeout)
 		timeoutOverrun.Record(took - timeout)
 	}
@@ -94,7 +92,7 @@
 		Dur("permit_p50", permitTime.Quantile(50)).Dur("permit_p99", permitTime.Quantile(99)).Dur("first_start_p99", startTime.Quantile(99)).
 		Int64("orders", total.orders).Int64("looks", total.statusRequests).
 		Int64("orders_since", total.orders-l.before.orders).Int64("unanswered_since", total.unanswered-l.before.unanswered).
-		Int64("carried_out_since", total.carriedOut-l.before.carriedOut).Int64("looks_since", total.statusRequests-l.before.statusRequests).
+		Int64("carried_out_since", total.carriedOut-l.before.carriedOut).Int64("extended_since", total.extended-l.before.extended).Int64("looks_since", total.statusRequests-l.before.statusRequests).
 		Int64("runs_since", total.runs-l.before.runs).Int64("rounds", l.decision.count)
 	line = l.decision.log(line, "decision")
 	line = l.controlDelay.log(line, "control_delay")
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -16,6 +16,7 @@
 	ordersSent            = expvar.NewInt("pipeline_orders_sent")
 	ordersRefused         = expvar.NewMap("pipeline_orders_refused_by_verdict")
 	ordersUnanswered      = expvar.NewInt("pipeline_orders_unanswered")
+	timeoutsExtended      = expvar.NewInt("pipeline_timeouts_extended")
 	unansweredCarriedOut  = expvar.NewInt("pipeline_orders_unanswered_carried_out")
 	statusRequestsSent    = expvar.NewInt("pipeline_looks_sent")
 	upstreamsUnresponsive = expvar.NewInt("pipeline_upstreams_turned_silent")
