dispatch: remove an upstream after 30 s of silence, not at its first unanswered call

Cause: an unresponsive upstream without runs was removed 30 s after its last heartbeat. From 30 s on, one unanswered call was enough. Change: the 30 s count from the later of the last heartbeat and the beginning of the silence. Test: TestUpstreamThatOthersHearIsRemovedAtItsFirstSilence failed before; it also expects the removal after 30 s of silence.

--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -243,8 +243,8 @@
 	// leaveValidity is how long an upstream that is not draining may still answer after a leave
 	// notice. If it answers later than that, the notice came from an older incarnation.
 	leaveValidity = time.Second
-	// removeUnresponsiveAfter is how long after its last heartbeat an unresponsive upstream without
-	// runs is removed.
+	// removeUnresponsiveAfter is how long an upstream without runs may be unresponsive, and send no
+	// heartbeat, before it is removed.
 	removeUnresponsiveAfter = 30 * time.Second
 	// maxEndsListed is the number of ends at which an upstream's list may be truncated.
 	maxEndsListed = 500
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -132,11 +132,12 @@
 	}
 }
 
-// removeUnresponsiveUpstreams removes unresponsive upstreams without runs whose last heartbeat is
-// older than removeUnresponsiveAfter.
+// removeUnresponsiveUpstreams removes upstreams without runs that have been unresponsive, and have
+// sent no heartbeat, for removeUnresponsiveAfter. The heartbeats of responsive upstreams are answered
+// by other replicas as well, so that their age alone means nothing.
 func (e *Engine) removeUnresponsiveUpstreams(now time.Duration) {
 	for _, s := range e.sessions {
-		if s.phase != lifecycle.SessionOpen && len(s.u.Runs) == 0 && now-s.lastHeartbeat > removeUnresponsiveAfter {
+		if s.phase != lifecycle.SessionOpen && len(s.u.Runs) == 0 && now-max(s.lastHeartbeat, s.unresponsiveSince) > removeUnresponsiveAfter {
 			e.proposeUpstreamGone(s.u)
 		}
 	}
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -386,3 +386,22 @@
 	h.run(6 * time.Second)
 	h.check()
 }
+
+// An upstream whose heartbeats other replicas answer is not removed at its first unanswered call.
+func TestUpstreamThatOthersHearIsRemovedAtItsFirstSilence(t *testing.T) {
+	h := newHarness(t, "w1")
+	h.run(removeUnresponsiveAfter + time.Second)
+	h.submit(jobID(1), oneStep(1, 1000))
+	for len(h.state.Job(jobID(1)).LiveRuns()) > 0 || h.jobState(jobID(1)) != pipeline.Completed {
+		h.run(tickStep)
+	}
+	h.upstreams["w1"].partitioned = true
+	h.run(2 * time.Second)
+	if h.state.Upstreams()["w1"] == nil {
+		t.Fatal("the upstream was removed when the acknowledgement of its ends was lost")
+	}
+	h.run(removeUnresponsiveAfter)
+	if h.state.Upstreams()["w1"] != nil {
+		t.Error("the upstream was not removed when it had been unresponsive for long")
+	}
+}
