dispatch: send no orders to an upstream while its removal is being committed

Cause: time of check and time of use. The leader proposes UpstreamGone on what it believes at that moment: no run there, or no answer any more. A Place for that upstream that is already on its way commits first, the upstream answers again, the start is sent, and then UpstreamGone commits and ends the run as lost although it exists. Change: a session whose removal is proposed sends nothing until that is committed or has failed, and takes no new work. A run that was on its way then ends without ever having been ordered. Ruled out: a check in Apply that a removed upstream has no runs. Test: TestRunStartsOnAnUpstreamWhoseRemovalIsBeingCommitted failed before: ran on w1 and w2 at the same time. The fake upstream can now take time to stop a run.

--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -99,8 +99,19 @@
 	if len(ends) > 0 {
 		e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_Ends{Ends: &pipelinev1.Ends{Ends: ends}}}, nil)
 	}
+	s := e.sessions[u.GetId()]
+	if s != nil {
+		s.removing = true
+	}
 	e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamGone{
-		UpstreamGone: &pipelinev1.UpstreamGone{Id: u.GetId(), Born: u.GetBorn()}}}, nil)
+		UpstreamGone: &pipelinev1.UpstreamGone{Id: u.GetId(), Born: u.GetBorn()}}}, func(_ *pipeline.Result, err error) {
+		if s != nil && e.sessions[u.GetId()] == s {
+			s.removing = false
+		}
+		if err != nil {
+			e.log.Info().Err(err).Str("upstream", u.GetId()).Int64("born", u.GetBorn()).Msg("removal of the upstream was not committed")
+		}
+	})
 }
 
 // handleLeave handles an upstream's notice that it is shutting down (a leave notice). The
@@ -137,7 +148,7 @@
 // by other replicas as well, so that their age alone means nothing.
 func (e *Engine) removeUnresponsiveUpstreams(now time.Duration) {
 	for _, s := range e.sessions {
-		if s.phase != lifecycle.SessionOpen && len(s.u.Runs) == 0 && now-max(s.lastHeartbeat, s.unresponsiveSince) > removeUnresponsiveAfter {
+		if s.phase != lifecycle.SessionOpen && !s.removing && len(s.u.Runs) == 0 && now-max(s.lastHeartbeat, s.unresponsiveSince) > removeUnresponsiveAfter {
 			e.proposeUpstreamGone(s.u)
 		}
 	}
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -68,6 +68,9 @@
 	heldUntil time.Duration
 	// statusUnanswered is set after an unanswered status request until another one is answered.
 	statusUnanswered bool
+	// removing is set while the removal of the upstream is being committed. No order is sent
+	// meanwhile: the removal would end its run although it exists.
+	removing bool
 	// leaveAnnounced is set once the upstream has announced that it is shutting down, at
 	// leaveAnnouncedAt.
 	leaveAnnounced   bool
@@ -108,7 +111,7 @@
 
 // usable reports whether new work may be placed on the upstream.
 func (s *session) usable(now time.Duration) bool {
-	return s.phase == lifecycle.SessionOpen && s.newIncarnation == nil && !s.u.GetDraining() && now >= s.avoidUntil && !s.e.maintenance.cordoned[s.u.GetId()] &&
+	return s.phase == lifecycle.SessionOpen && !s.removing && s.newIncarnation == nil && !s.u.GetDraining() && now >= s.avoidUntil && !s.e.maintenance.cordoned[s.u.GetId()] &&
 		!s.e.learner.failing(s.u.GetId(), now)
 }
 
@@ -141,6 +144,8 @@
 // runDueWork sends the orders and status requests that are due, and checks the lease.
 func (s *session) runDueWork(now time.Duration) {
 	switch {
+	case s.removing:
+		return
 	case s.phase == lifecycle.SessionOpen && s.newIncarnation == nil:
 		s.sendOrders(now)
 		s.watch(now)
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -405,3 +405,27 @@
 		t.Error("the upstream was not removed when it had been unresponsive for long")
 	}
 }
+
+// While the removal of an upstream is being committed, no run starts there that the removal ends.
+func TestRunStartsOnAnUpstreamWhoseRemovalIsBeingCommitted(t *testing.T) {
+	h := newHarness(t, "w1")
+	h.upstreams["w1"].runTime, h.upstreams["w1"].stopTime = 4*time.Second, testStop
+	h.run(time.Second)
+	h.holdCommits = true
+	h.state.Apply(h.wall(), submitCommand(jobID(1)))
+	h.run(2 * tickStep)
+	h.upstreams["w1"].partitioned = true
+	h.engine.Handle(t.Context(), &pipelinev1.Call{Call: &pipelinev1.Call_Leave{Leave: &pipelinev1.LeaveCall{Upstream: "w1"}}},
+		func(*pipelinev1.Reply, error) {})
+	h.run(10 * tickStep)
+	h.upstreams["w1"].partitioned = false
+	h.run(3 * time.Second)
+	h.commit()
+	h.upstreams["w2"] = newFakeUpstream(h, 10)
+	h.sendHeartbeat("w2")
+	h.run(10 * time.Second)
+	if got := h.jobState(jobID(1)); got != pipeline.Completed {
+		t.Errorf("state %s", got)
+	}
+	h.check()
+}
--- a/dispatch/upstream_test.go
+++ b/dispatch/upstream_test.go
@@ -23,6 +23,9 @@
 	lastEnded map[pipeline.TaskKey]int32
 	history   map[pipeline.RunKey]*ranTask
 	runTime   time.Duration
+	// stopTime is how long a stop takes; stopAt holds when runs that are being stopped end.
+	stopTime time.Duration
+	stopAt   map[pipeline.RunKey]time.Duration
 	// extraPerIndex is how much longer each task of a step runs than the task before it.
 	extraPerIndex time.Duration
 	draining      bool
@@ -50,7 +53,7 @@
 
 func newFakeUpstream(h *harness, born int64) *fakeUpstream {
 	return &fakeUpstream{h: h, born: born, bornAt: h.now, running: make(map[pipeline.RunKey]time.Duration), lastEnded: make(map[pipeline.TaskKey]int32),
-		history: make(map[pipeline.RunKey]*ranTask), runTime: time.Second}
+		history: make(map[pipeline.RunKey]*ranTask), runTime: time.Second, stopAt: make(map[pipeline.RunKey]time.Duration)}
 }
 
 // describe returns the description of the upstream that its heartbeats contain.
@@ -76,7 +79,10 @@
 		}
 	}
 	for key, from := range f.running {
+		stopAt, stopping := f.stopAt[key]
 		switch {
+		case stopping && f.h.now >= stopAt:
+			f.end(key, pipelinev1.EndKind_END_KIND_STOPPED)
 		case f.clockMS() > f.deadlineMS:
 			f.end(key, pipelinev1.EndKind_END_KIND_LAPSED)
 		case f.h.now-from >= f.runTime+time.Duration(key.Index)*f.extraPerIndex:
@@ -87,6 +93,7 @@
 
 func (f *fakeUpstream) end(key pipeline.RunKey, kind pipelinev1.EndKind) {
 	delete(f.running, key)
+	delete(f.stopAt, key)
 	f.lastEnded[key.TaskKey] = max(f.lastEnded[key.TaskKey], key.Number)
 	f.lastNumber++
 	f.ended = append(f.ended, EndedTask{Number: f.lastNumber, Run: key, Kind: kind})
@@ -102,6 +109,7 @@
 	f.bornAt = f.h.now
 	f.token, f.deadlineMS, f.lastNumber, f.ended = 0, 0, 0, nil
 	clear(f.running)
+	clear(f.stopAt)
 	clear(f.lastEnded)
 }
 
@@ -181,7 +189,10 @@
 	f.token = o.Token
 	key := pipeline.RunKey{TaskKey: o.Task, Number: o.Number}
 	f.lastEnded[o.Task] = max(f.lastEnded[o.Task], o.Number)
-	if _, there := f.running[key]; there {
+	switch _, there := f.running[key]; {
+	case there && f.stopTime > 0:
+		f.stopAt[key] = c.h.now + f.stopTime
+	case there:
 		f.end(key, pipelinev1.EndKind_END_KIND_STOPPED)
 	}
 	return OrderReply{Verdict: Accepted, ClockMS: f.clockMS()}, nil
