dispatch: continue the epochs of an upstream that was removed and comes back

Callers saw: less room than there is; an upstream that came back took no work for seconds. Cause: the token of an order is the term and the session's epoch. A new session with the same upstream in the same term began at epoch zero, while the upstream knew the tokens of the former session and refused lower ones; each refusal raised the epoch by one, with pauses of up to two seconds. Change: the last epoch of a removed upstream is kept until the leadership ends. Test: TestUpstreamThatComesBackIsFencedOut failed before.

--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -46,6 +46,9 @@
 	lossyUntil time.Duration
 
 	sessions map[string]*session
+	// epochs holds the last epoch of each upstream that was removed in this leadership. Should it
+	// come back, it still knows the tokens of that epoch.
+	epochs map[string]int64
 	// steps holds the ready steps that have tasks without a result.
 	steps map[*pipeline.Step]*stepWork
 	// prefetched holds steps that are not ready yet but whose permits are already requested.
@@ -83,6 +86,7 @@
 func (e *Engine) clear() {
 	e.leading, e.placing, e.confirming = false, false, false
 	e.sessions = make(map[string]*session)
+	e.epochs = make(map[string]int64)
 	e.steps = make(map[*pipeline.Step]*stepWork)
 	e.prefetched = make(map[*pipeline.Step]*stepWork)
 	e.checkpoints = make(map[*pipeline.Task]string)
--- a/dispatch/observer.go
+++ b/dispatch/observer.go
@@ -36,6 +36,9 @@
 
 // UpstreamGone implements pipeline.Observer.
 func (o *observer) UpstreamGone(u *pipeline.Upstream) {
+	if s := o.sessions[u.GetId()]; s != nil {
+		o.epochs[u.GetId()] = s.epoch
+	}
 	delete(o.sessions, u.GetId())
 	o.dirty = true
 	o.log.Info().Str("upstream", u.GetId()).Int64("born", u.GetBorn()).Msg("upstream removed")
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -88,7 +88,7 @@
 // openSession opens a session with an upstream; no order is sent before a status request is
 // answered.
 func (e *Engine) openSession(u *pipeline.Upstream) *session {
-	s := &session{e: e, u: u, phase: lifecycle.SessionOpening, ackedEnds: u.LastEnd, endsProposed: u.LastEnd, lastHeartbeat: e.now(),
+	s := &session{e: e, u: u, phase: lifecycle.SessionOpening, epoch: e.epochs[u.GetId()], ackedEnds: u.LastEnd, endsProposed: u.LastEnd, lastHeartbeat: e.now(),
 		answeredAt: make(map[pipeline.RunKey]time.Duration), sent: make(map[pipeline.RunKey]bool), stopping: make(map[pipeline.RunKey]bool),
 		idleSince: make(map[pipeline.RunKey]time.Duration)}
 	e.sessions[u.GetId()] = s
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -4,6 +4,7 @@
 	"testing"
 	"time"
 
+	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
@@ -429,3 +430,19 @@
 	}
 	h.check()
 }
+
+// An upstream that was removed and comes back is not fenced out by the tokens of its former session.
+func TestUpstreamThatComesBackIsFencedOut(t *testing.T) {
+	h := newHarness(t, "w1")
+	for range 5 {
+		h.engine.sessions["w1"].suspect(h.now, "test")
+		h.run(500 * time.Millisecond)
+	}
+	h.engine.proposeUpstreamGone(h.state.Upstreams()["w1"])
+	h.run(tickStep)
+	h.sendHeartbeat("w1")
+	h.run(2 * tickStep)
+	if s := h.engine.sessions["w1"]; s == nil || s.phase != lifecycle.SessionOpen {
+		t.Error("the upstream takes no work 100 ms after it has come back")
+	}
+}
