dispatch: questions of less urgent queues do not keep urgent ones from being composed

Found by reading; not seen on the users' deployments, whose urgent queue alone is cheap. Change: only questions of the same or a higher priority count. The counts of the line 'leader load' move into functions. Test: TestUrgentQuestionWaitsUntilOthersArePut failed before.

--- a/dispatch/ask.go
+++ b/dispatch/ask.go
@@ -51,7 +51,7 @@
 	if d.work.question != nil || !r.withinLimit(d.work.step) || r.mustLeaveHeadroom(d) {
 		return
 	}
-	if terms != nil && !r.e.permits.accepts(isCostly(terms)) {
+	if terms != nil && !r.e.permits.accepts(isCostly(terms), d.queue.GetPriority()) {
 		d.work.awaitsCaller = true
 		return
 	}
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -30,14 +30,20 @@
 // newLoad returns a load that is measured from now on.
 func newLoad(now time.Duration) load { return load{next: now + loadInterval, before: countersNow()} }
 
-// counters are values of the metrics of the same names.
+// counters are values of metrics.
 type counters struct {
 	orders, unanswered, carriedOut, extended, statusRequests, runs int64
 }
 
 func countersNow() counters {
-	return counters{orders: ordersSent.Value(), unanswered: ordersUnanswered.Value(), carriedOut: unansweredCarriedOut.Value(), extended: timeoutsExtended.Value(),
-		statusRequests: statusRequestsSent.Value(), runs: runsPlaced.Value()}
+	return counters{orders: ordersSent.Value(), unanswered: ordersUnanswered.Value(), carriedOut: unansweredCarriedOut.Value(),
+		extended: timeoutsExtended.Value(), statusRequests: statusRequestsSent.Value(), runs: runsPlaced.Value()}
+}
+
+// minus returns the growth since an earlier time.
+func (c counters) minus(before counters) counters {
+	return counters{orders: c.orders - before.orders, unanswered: c.unanswered - before.unanswered, carriedOut: c.carriedOut - before.carriedOut,
+		extended: c.extended - before.extended, statusRequests: c.statusRequests - before.statusRequests, runs: c.runs - before.runs}
 }
 
 // interval summarizes the durations of one kind since the last log line.
@@ -72,33 +78,31 @@
 // logLoad logs the load of the leader since the last such line; quantiles are since the start of
 // the process.
 func (e *Engine) logLoad(now time.Duration) {
-	l := &e.load
-	unusable := 0
-	for _, s := range e.sessions {
-		if s.phase != lifecycle.SessionOpen {
-			unusable++
-		}
-	}
-	busy := 0
-	for _, c := range e.permits.callers {
-		if c.current != nil {
-			busy++
-		}
-	}
 	total := countersNow()
-	line := e.log.Info().Int("steps", len(e.steps)).Int("upstreams", len(e.sessions)).Int("unusable", unusable).Int("callers", len(e.permits.callers)).
-		Int("callers_busy", busy).Int("questions_waiting", len(e.permits.waiting)).
+	since := total.minus(e.load.before)
+	line := e.log.Info().Int("steps", len(e.steps)).Int("upstreams", len(e.sessions)).Int("unusable", e.countUnusable()).
+		Int("callers", len(e.permits.callers)).Int("callers_busy", e.permits.countBusy()).Int("questions_waiting", len(e.permits.waiting)).
 		Dur("decision_p50", decisionTime.Quantile(50)).Dur("decision_p99", decisionTime.Quantile(99)).
 		Dur("permit_p50", permitTime.Quantile(50)).Dur("permit_p99", permitTime.Quantile(99)).Dur("first_start_p99", startTime.Quantile(99)).
 		Int64("orders", total.orders).Int64("looks", total.statusRequests).
-		Int64("orders_since", total.orders-l.before.orders).Int64("unanswered_since", total.unanswered-l.before.unanswered).
-		Int64("carried_out_since", total.carriedOut-l.before.carriedOut).Int64("extended_since", total.extended-l.before.extended).Int64("looks_since", total.statusRequests-l.before.statusRequests).
-		Int64("runs_since", total.runs-l.before.runs).Int64("rounds", l.decision.count)
-	line = l.decision.log(line, "decision")
-	line = l.controlDelay.log(line, "control_delay")
-	line = l.overrun.log(line, "overrun")
-	line = l.permitWait.log(line, "permit_wait")
-	line = l.permitAsked.log(line, "permit_asked")
+		Int64("orders_since", since.orders).Int64("unanswered_since", since.unanswered).Int64("carried_out_since", since.carriedOut).
+		Int64("extended_since", since.extended).Int64("looks_since", since.statusRequests).Int64("runs_since", since.runs).
+		Int64("rounds", e.load.decision.count)
+	line = e.load.decision.log(line, "decision")
+	line = e.load.controlDelay.log(line, "control_delay")
+	line = e.load.overrun.log(line, "overrun")
+	line = e.load.permitWait.log(line, "permit_wait")
+	line = e.load.permitAsked.log(line, "permit_asked")
 	line.Dur("timeout", e.roundTrip.timeout()).Msg("leader load")
 	e.load = newLoad(now)
 }
+
+// countUnusable returns the number of upstreams without an open session.
+func (e *Engine) countUnusable() (n int) {
+	for _, s := range e.sessions {
+		if s.phase != lifecycle.SessionOpen {
+			n++
+		}
+	}
+	return n
+}
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -15,7 +15,7 @@
 	// callerTimeout is how long after its last poll a process counts as a caller.
 	callerTimeout = 3 * time.Second
 	// waitingShare is the number of questions of each kind, costly or not, that may wait for a
-	// caller, as a share of the callers. It lets callers continue between two scheduling rounds. More
+	// caller before others of their priority, as a share of the callers. It lets callers continue between two scheduling rounds. More
 	// would wait: their order and the upstreams that they name would be out of date when they are put.
 	waitingShare = 0.5
 	// costlyMS is the cost in milliseconds above which a question is costly; costly questions may
@@ -132,12 +132,22 @@
 	e.dirty = true
 }
 
-// accepts reports whether another question, costly or not, may be queued. Idle callers take
-// questions at once; those do not count as waiting.
-func (p *permitScheduler) accepts(costly bool) bool {
+// countBusy returns the number of callers that are working on a question.
+func (p *permitScheduler) countBusy() (n int) {
+	for _, c := range p.callers {
+		if c.current != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// accepts reports whether another question of a priority, costly or not, may be queued. Idle
+// callers take questions at once; those do not count as waiting, nor do less urgent ones.
+func (p *permitScheduler) accepts(costly bool, priority int32) bool {
 	waiting := 0
 	for _, q := range p.waiting {
-		if q.costly == costly {
+		if q.costly == costly && q.priority <= priority {
 			waiting++
 		}
 	}
--- a/dispatch/permit_test.go
+++ b/dispatch/permit_test.go
@@ -8,6 +8,7 @@
 
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+	"google.golang.org/protobuf/proto"
 )
 
 // fakeCaller simulates a process that forwards questions to the permit service. An answer takes
@@ -184,3 +185,26 @@
 	}
 	h.check()
 }
+
+// A question of an urgent queue does not wait until those of other queues are put.
+func TestUrgentQuestionWaitsUntilOthersArePut(t *testing.T) {
+	h := newHarness(t, "w1", "w2", "w3", "w4")
+	c := withPermits(h, 20, 0.3)
+	config := testConfig()
+	config.Version = 3
+	config.Queues[0].Permits = &pipelinev1.PermitTerms{DecisionMs: 20, PerUpstreamMs: 0.3, ValidMs: ticketLife.Milliseconds()}
+	batch := proto.CloneOf(config.Queues[0])
+	batch.Name, batch.PathPrefix, batch.Priority = "batch", "/labels/batch/", 2
+	config.Queues = append(config.Queues, batch)
+	h.call(&pipelinev1.Call{Call: &pipelinev1.Call_PutConfig{PutConfig: &pipelinev1.PutConfigCall{Config: config}}})
+	c.answerTime = time.Second
+	c.poll(nil)
+	for i := range 5 {
+		h.submit("batch/"+jobID(i), oneStep(1, 500))
+	}
+	h.submit(jobID(5), oneStep(1, 500))
+	h.run(tickStep)
+	if w := h.engine.steps[h.state.Job(jobID(5)).Occurrences[0].Steps[0]]; w.question == nil {
+		t.Error("the urgent step's question is not queued")
+	}
+}
