retry: the test of a stalled process does not depend on the machine's speed

Cause: the extension of timeouts is limited to a second, which a test beside other load could reach.

--- a/retry/timeout.go
+++ b/retry/timeout.go
@@ -25,8 +25,12 @@
 // deadline, and its error after the timeout is context.Canceled with the cause
 // context.DeadlineExceeded.
 func WithTimeout(parent context.Context, timeout time.Duration, onStall func()) (context.Context, context.CancelFunc) {
+	return withTimeout(parent, timeout, maxStallTime, onStall)
+}
+
+func withTimeout(parent context.Context, timeout, maxStall time.Duration, onStall func()) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
-	t := newStallTimer(timeout, schedulingDelay, cancel, onStall)
+	t := newStallTimer(timeout, maxStall, schedulingDelay, cancel, onStall)
 	return ctx, func() {
 		t.stop()
 		cancel(context.Canceled)
@@ -53,9 +57,9 @@
 	due, limit time.Time
 }
 
-func newStallTimer(timeout time.Duration, delay func() time.Duration, cancel context.CancelCauseFunc, onStall func()) *stallTimer {
+func newStallTimer(timeout, maxStall time.Duration, delay func() time.Duration, cancel context.CancelCauseFunc, onStall func()) *stallTimer {
 	due := time.Now().Add(timeout)
-	t := &stallTimer{delay: delay, cancel: cancel, onStall: onStall, due: due, limit: due.Add(maxStallTime)}
+	t := &stallTimer{delay: delay, cancel: cancel, onStall: onStall, due: due, limit: due.Add(maxStall)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.timer = time.AfterFunc(timeout, t.fire)
