retry: one long stall does not extend a timeout by more than a second

Cause: the extension is four times the stall; a stall of 0.9 s would have added 3.6 s to a call's timeout, while the comment says a second. Found by reading. Change: the extension ends at the limit. Test: TestOneLongStallAddsMoreThanASecond failed before.

--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -28,7 +28,7 @@
 	// vms is nil where there is no VM service.
 	vms   VMs
 	state *pipeline.State
-	// withTimeout returns the context of a call.
+	// withTimeout returns the context of a call; tests in virtual time replace it.
 	withTimeout func(context.Context, time.Duration) (context.Context, context.CancelFunc)
 
 	leading bool
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -111,8 +111,8 @@
 
 // usable reports whether new work may be placed on the upstream.
 func (s *session) usable(now time.Duration) bool {
-	return s.phase == lifecycle.SessionOpen && !s.removing && s.newIncarnation == nil && !s.u.GetDraining() && now >= s.avoidUntil && !s.e.maintenance.cordoned[s.u.GetId()] &&
-		!s.e.learner.failing(s.u.GetId(), now)
+	return s.phase == lifecycle.SessionOpen && !s.removing && s.newIncarnation == nil && !s.u.GetDraining() && now >= s.avoidUntil &&
+		!s.e.maintenance.cordoned[s.u.GetId()] && !s.e.learner.failing(s.u.GetId(), now)
 }
 
 // transition changes the session's state. It panics if the state does not allow the trigger.
--- a/retry/retry.go
+++ b/retry/retry.go
@@ -1,5 +1,5 @@
-// Package retry provides backoff with jitter, a retry budget, and tracking of connections
-// to close those that no longer deliver data.
+// Package retry provides backoff with jitter, a retry budget, timeouts that allow for stalls of the
+// process, and tracking of connections to close those that no longer deliver data.
 package retry
 
 import (
--- a/retry/timeout.go
+++ b/retry/timeout.go
@@ -21,9 +21,8 @@
 // WithTimeout is like context.WithTimeout, but does not let a call time out because this process was
 // stalled. When the timeout expires while goroutines wait long for the processor, an answer may have
 // arrived that was not processed yet; the timeout is then extended by a multiple of that wait, and
-// onStall is called in another goroutine. Stalls add about a second at most. The context has no
-// deadline, and its error after the timeout is context.Canceled with the cause
-// context.DeadlineExceeded.
+// onStall is called in another goroutine. Stalls add a second at most. The context has no deadline,
+// and its error after the timeout is context.Canceled with the cause context.DeadlineExceeded.
 func WithTimeout(parent context.Context, timeout time.Duration, onStall func()) (context.Context, context.CancelFunc) {
 	return withTimeout(parent, timeout, maxStallTime, onStall)
 }
@@ -87,7 +86,8 @@
 		t.cancel(context.DeadlineExceeded)
 	default:
 		t.onStall()
-		t.due = time.Now().Add(stallFactor * stall)
-		t.timer.Reset(stallFactor * stall)
+		extension := min(stallFactor*stall, time.Until(t.limit))
+		t.due = time.Now().Add(extension)
+		t.timer.Reset(extension)
 	}
 }
--- a/retry/timeout_test.go
+++ b/retry/timeout_test.go
@@ -107,3 +107,12 @@
 		s.expect(t, true, 3)
 	})
 }
+
+func TestOneLongStallAddsMoreThanASecond(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newStallTest(100 * time.Millisecond)
+		s.delay.Store(int64(900 * time.Millisecond))
+		time.Sleep(100*time.Millisecond + maxStallTime)
+		s.expect(t, true, 1)
+	})
+}
