--- a/retry/timeout.go
+++ b/retry/timeout.go
@@ -21,12 +21,15 @@
 // WithTimeout is like context.WithTimeout, but does not let a call time out because this process was
 // stalled. When the timeout expires while goroutines wait long for the processor, an answer may have
 // arrived that was not processed yet; the timeout is then extended by a multiple of that wait, and
-// onStall is called in another goroutine. Stalls add about a second at most. The context has no
-// deadline, and its error after the timeout is context.Canceled with the cause
-// context.DeadlineExceeded.
+// onStall is called in another goroutine. Stalls add a second at most. The context has no deadline,
+// and its error after the timeout is context.Canceled with the cause context.DeadlineExceeded.
 func WithTimeout(parent context.Context, timeout time.Duration, onStall func()) (context.Context, context.CancelFunc) {
+	return withTimeout(parent, timeout, maxStallTime, onStall)
+}
+
+func withTimeout(parent context.Context, timeout, maxStall time.Duration, onStall func()) (context.Context, context.CancelFunc) {
 	ctx, cancel := context.WithCancelCause(parent)
-	t := newStallTimer(timeout, schedulingDelay, cancel, onStall)
+	t := newStallTimer(timeout, maxStall, schedulingDelay, cancel, onStall)
 	return ctx, func() {
 		t.stop()
 		cancel(context.Canceled)
@@ -53,9 +56,9 @@
 	due, limit time.Time
 }
 
-func newStallTimer(timeout time.Duration, delay func() time.Duration, cancel context.CancelCauseFunc, onStall func()) *stallTimer {
+func newStallTimer(timeout, maxStall time.Duration, delay func() time.Duration, cancel context.CancelCauseFunc, onStall func()) *stallTimer {
 	due := time.Now().Add(timeout)
-	t := &stallTimer{delay: delay, cancel: cancel, onStall: onStall, due: due, limit: due.Add(maxStallTime)}
+	t := &stallTimer{delay: delay, cancel: cancel, onStall: onStall, due: due, limit: due.Add(maxStall)}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.timer = time.AfterFunc(timeout, t.fire)
@@ -83,7 +86,8 @@
 		t.cancel(context.DeadlineExceeded)
 	default:
 		t.onStall()
-		t.due = time.Now().Add(stallFactor * stall)
-		t.timer.Reset(stallFactor * stall)
+		extension := min(stallFactor*stall, time.Until(t.limit))
+		t.due = time.Now().Add(extension)
+		t.timer.Reset(extension)
 	}
 }
