--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -15,8 +15,9 @@
 	// callerTimeout is how long after its last poll a process counts as a caller.
 	callerTimeout = 3 * time.Second
 	// waitingShare is the number of questions of each kind, costly or not, that may wait for a
-	// caller before others of their priority, as a share of the callers. It lets callers continue between two scheduling rounds. More
-	// would wait: their order and the upstreams that they name would be out of date when they are put.
+	// caller, as a share of the callers; less urgent questions do not count. The callers then have
+	// work between two scheduling rounds. More questions would be out of date when they are put, both
+	// in their order and in the upstreams that they name.
 	waitingShare = 0.5
 	// costlyMS is the cost in milliseconds above which a question is costly; costly questions may
 	// occupy only a share of the callers. The users' small steps cost about 34 ms, the large ones
