dispatch: ends refused during a leadership transfer are determined again

Cause: during a transfer the leader refuses proposals. newEnds marks ends as proposed; when the proposal was refused and the transfer then failed, they were never proposed again, and watch sends nothing while ends are under way. Change: when ends are not committed and the leadership goes on, the session forgets what it proposed and reconciles. Test: TestEndsAreLostInATransferThatFails failed before in the cases listed and refused. The harness can refuse proposals.

--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -10,6 +10,7 @@
 	"github.com/bulrushwinch/bulrushwinch/lease"
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+	"github.com/bulrushwinch/bulrushwinch/raft"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
@@ -39,6 +40,8 @@
 	uncommitted []func()
 	// holdCommits holds back all commits until commit is called.
 	holdCommits bool
+	// transferring refuses all proposals, as during a transfer of the leadership.
+	transferring bool
 	// confirms is the result of confirming the leadership.
 	confirms bool
 	term     uint64
@@ -75,6 +78,14 @@
 			done(r, nil)
 		}
 	}
+	if h.transferring {
+		h.posted = append(h.posted, func() {
+			if done != nil {
+				done(nil, raft.ErrTransferring)
+			}
+		})
+		return
+	}
 	if h.holdCommits {
 		h.uncommitted = append(h.uncommitted, commit)
 		return
--- a/dispatch/session_test.go
+++ b/dispatch/session_test.go
@@ -446,3 +446,37 @@
 		t.Error("the upstream takes no work 100 ms after it has come back")
 	}
 }
+
+// Ends of runs that could not be proposed during a transfer of the leadership that then failed are
+// proposed again.
+func TestEndsAreLostInATransferThatFails(t *testing.T) {
+	tests := map[string]func(h *harness){
+		"listed":     func(*harness) {},
+		"unanswered": func(h *harness) { h.upstreams["w1"].partitioned = true },
+		"refused":    func(h *harness) { h.upstreams["w1"].lastEnded[pipeline.TaskKey{Job: jobID(2)}] = 10 },
+	}
+	for name, fault := range tests {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "w1")
+			h.submit(jobID(1), oneStep(3, 1000))
+			h.run(500 * time.Millisecond)
+			h.holdCommits = true
+			h.state.Apply(h.wall(), submitCommand(jobID(2)))
+			h.run(2 * tickStep)
+			fault(h)
+			h.transferring = true
+			h.commit()
+			h.run(time.Second)
+			h.transferring = false
+			h.upstreams["w1"].partitioned = false
+			delete(h.upstreams["w1"].lastEnded, pipeline.TaskKey{Job: jobID(2)})
+			h.run(15 * time.Second)
+			for n := 1; n <= 2; n++ {
+				if got := h.jobState(jobID(n)); got != pipeline.Completed {
+					t.Errorf("job %d: state %s", n, got)
+				}
+			}
+			h.check()
+		})
+	}
+}
--- a/dispatch/status.go
+++ b/dispatch/status.go
@@ -106,8 +106,21 @@
 	}
 	s.e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_Ends{Ends: &pipelinev1.Ends{Ends: ends}}},
 		func(_ *pipeline.Result, err error) {
-			if err == nil && s.e.leading {
-				s.runDueWork(s.e.now())
+			if !s.e.leading || s.e.sessions[s.u.GetId()] != s {
+				return
 			}
+			if err != nil {
+				s.endsNotCommitted(err)
+			}
+			s.runDueWork(s.e.now())
 		})
 }
+
+// endsNotCommitted handles ends that were not committed although the leadership goes on, as during a
+// transfer that fails: another status request determines all of them again.
+func (s *session) endsNotCommitted(err error) {
+	s.logger(zerolog.InfoLevel).Err(err).Msg("ends of runs were not committed; they are determined again")
+	s.endsProposed = s.u.LastEnd
+	s.suspect(s.e.now(), "ends of runs were not committed")
+	s.nextProbe = s.e.now() + probeMin
+}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -28,7 +28,9 @@
 )
 
 // regressions holds seeds that failed once, with the cause of each; they always run.
-var regressions = map[uint64]string{}
+var regressions = map[uint64]string{
+	3035: "ends proposed during a leadership transfer that failed were never proposed again",
+}
 
 const (
 	// upstreams is the number of upstreams.
