wal, daemon: a start says what it found in the data folder

The reports of missing frames could not tell whether an earlier start had read the frame, had cut it off as a torn tail, or had never seen its number. A line gives the last frame, the bytes cut off and the extent of the log. No change of behaviour.

--- a/daemon/replica.go
+++ b/daemon/replica.go
@@ -48,6 +48,7 @@
 	}
 	id, storage, restored := opened.id, opened.storage, opened.restored
 	defer func() { _ = storage.Close() }()
+	d.logRecovery(storage.Recovery(), restored)
 	role, err := d.buildReplica(ctx, id, storage, restored)
 	if err != nil {
 		return err
@@ -63,6 +64,14 @@
 	return err
 }
 
+// logRecovery logs what was found in the data folder.
+func (d *Daemon) logRecovery(r wal.Recovery, restored raft.DurableState) {
+	d.log.Info().Int("segments", r.Segments).Uint64("last_frame", r.LastFrame).Int64("torn_bytes", r.TornBytes).
+		Uint64("snapshot", restored.Snapshot.Index).Int("entries", len(restored.Entries)).
+		Uint64("term", restored.HardState.Term).Uint64("committed", restored.HardState.Commit).
+		Msg("data folder opened")
+}
+
 func (d *Daemon) buildReplica(ctx context.Context, id wal.Identity, storage *wal.Log, restored raft.DurableState) (*replicaRole, error) {
 	st := state.New(state.DefaultSettings)
 	cfg := control.DefaultConfig
--- a/wal/log.go
+++ b/wal/log.go
@@ -41,6 +41,17 @@
 	// base is the index of the received snapshot that the log follows; zero if there is none.
 	base     uint64
 	obsolete obsoleteFiles
+	recovery Recovery
+}
+
+// Recovery describes the log that Open found.
+type Recovery struct {
+	// Segments is the number of log segments.
+	Segments int
+	// LastFrame is the sequence number of the last valid frame.
+	LastFrame uint64
+	// TornBytes is the length of the torn tail that was cut off.
+	TornBytes int64
 }
 
 // Open reads the folder and prepares it for appending. The restored snapshot has no data, but
@@ -63,7 +74,8 @@
 	if err := p.finish(snap.origin == Received); err != nil {
 		return nil, raft.DurableState{}, err
 	}
-	l := &Log{dir: dir, fs: fs, hardState: p.restored.HardState, segments: p.segments, sequence: p.sequence, last: p.last(), base: p.base}
+	l := &Log{dir: dir, fs: fs, hardState: p.restored.HardState, segments: p.segments, sequence: p.sequence, last: p.last(), base: p.base,
+		recovery: Recovery{Segments: len(p.segments), LastFrame: p.sequence, TornBytes: p.tornBytes}}
 	if err := l.removeIncomplete(); err != nil {
 		return nil, raft.DurableState{}, err
 	}
@@ -78,6 +90,9 @@
 	return l, p.restored, l.removeObsolete()
 }
 
+// Recovery returns what Open found.
+func (l *Log) Recovery() Recovery { return l.recovery }
+
 // Syncs returns the number of syncs of log segments since Open.
 func (l *Log) Syncs() uint64 { return l.syncs.Load() }
 
--- a/wal/segment.go
+++ b/wal/segment.go
@@ -50,6 +50,8 @@
 	sequence uint64
 	// base is the index of the received snapshot that the log follows; zero if there is none.
 	base uint64
+	// tornBytes is the length of the torn tail that was cut off.
+	tornBytes int64
 }
 
 // run replays all segments.
@@ -97,6 +99,7 @@
 	case err == nil:
 		return nil
 	case torn && last:
+		p.tornBytes = int64(len(data) - good)
 		return errors.Wrap(p.fs.Truncate(path, int64(good)), "wal: truncate torn tail")
 	}
 	return errors.Wrapf(ErrCorrupt, "%s at byte %d: %v", filepath.Base(path), good, err)
