wal: the last segment is synced when it is opened

Cause: a process that is killed between the write and the sync of a frame leaves the frame in the page cache. The restarted process read it, took it for durable, began a new segment with the next frame number and synced only that. The next loss of power took the older frame, and the folder was set aside as damaged: on all replicas at once, if all were killed at once under load. It also means that entries were acknowledged as durable that were not.

Change: Open cuts the last segment to its valid length and syncs it, whether it had a torn tail or not. Only the last segment can hold such a frame. The names of files are synced with the folder by the new segment, as before.

--- a/wal/power_test.go
+++ b/wal/power_test.go
@@ -175,41 +175,52 @@
 	}
 	for name, keep := range losses {
 		t.Run(name, func(t *testing.T) {
-			for operation := 0; !killAndLosePower(t, operation, keep); operation++ {
+			for operation := 0; !killAndLosePower(t, operation, unlimited, keep); operation++ {
+				for restart := range restartOperations {
+					killAndLosePower(t, operation, restart, keep)
+				}
 			}
 		})
 	}
 }
 
-// killAndLosePower reports whether runScript ended before the operation at which it was to be killed.
-func killAndLosePower(t *testing.T, operation int, keep func(*rand.Rand) bool) (ended bool) {
+// restartOperations is the number of file operations of a restart at which the process is killed again.
+const restartOperations = 6
+
+// killAndLosePower kills a process at an operation of runScript, and the restarted one at an operation
+// of its restart. It reports whether runScript ended before.
+func killAndLosePower(t *testing.T, operation, restart int, keep func(*rand.Rand) bool) (ended bool) {
 	t.Helper()
-	rng := rand.New(rand.NewPCG(uint64(operation), 7))
+	rng := rand.New(rand.NewPCG(uint64(operation), uint64(restart)))
 	dir := t.TempDir()
 	fs := newVolatileFiles(dir, operation)
 	if log, _, err := open(dir, fs); err == nil {
 		ended = (&model{log: log}).runScript() == nil
 		_ = log.file.(*volatileFile).Close()
 	}
+	fs.operationsLeft = restart
+	if log, _, err := open(dir, fs); err == nil {
+		_ = log.Close()
+	}
 	fs.operationsLeft = unlimited
 	log, restarted, err := open(dir, fs)
 	if err != nil {
-		t.Fatalf("killed at operation %d: %v", operation, err)
+		t.Fatalf("killed at operation %d, and at %d of the restart: %v", operation, restart, err)
 	}
 	next := raft.Entry{Index: log.last + 1, Term: 9, Data: []byte("after the restart")}
 	if err := log.Append(raft.HardState{Term: 9, Vote: 1, Commit: restarted.HardState.Commit}, []raft.Entry{next}); err != nil {
-		t.Fatalf("killed at operation %d: %v", operation, err)
+		t.Fatalf("killed at operation %d, and at %d of the restart: %v", operation, restart, err)
 	}
 	_ = log.Close()
 	fs.losePower(t, func() bool { return keep(rng) }, rng)
 	log, restored, err := open(dir, fs)
 	if err != nil {
-		t.Fatalf("killed at operation %d, lost power: %v", operation, err)
+		t.Fatalf("killed at operation %d, and at %d of the restart, then lost power: %v", operation, restart, err)
 	}
 	_ = log.Close()
 	if !sameEntries(restored.Entries, append(restarted.Entries, next)) || restored.Snapshot.Index != restarted.Snapshot.Index {
-		t.Fatalf("killed at operation %d, lost power: restored %v after snapshot %d, the restart had read %v after snapshot %d",
-			operation, restored.Entries, restored.Snapshot.Index, restarted.Entries, restarted.Snapshot.Index)
+		t.Fatalf("killed at operation %d, and at %d of the restart, then lost power: restored %v after snapshot %d, the restart had read %v after snapshot %d",
+			operation, restart, restored.Entries, restored.Snapshot.Index, restarted.Entries, restarted.Snapshot.Index)
 	}
 	return ended
 }
--- a/wal/segment.go
+++ b/wal/segment.go
@@ -95,14 +95,16 @@
 		return errors.Wrap(err, "wal: read segment")
 	}
 	good, torn, err := p.applyFrames(data)
-	switch {
-	case err == nil:
+	if err != nil && !(torn && last) {
+		return errors.Wrapf(ErrCorrupt, "%s at byte %d: %v", filepath.Base(path), good, err)
+	}
+	if !last {
 		return nil
-	case torn && last:
-		p.tornBytes = int64(len(data) - good)
-		return errors.Wrap(p.fs.Truncate(path, int64(good)), "wal: truncate torn tail")
 	}
-	return errors.Wrapf(ErrCorrupt, "%s at byte %d: %v", filepath.Base(path), good, err)
+	p.tornBytes = int64(len(data) - good)
+	// A process that was killed between a write and its sync leaves frames that are only in the
+	// page cache. They must be durable before anything is built on them.
+	return errors.Wrap(p.fs.Truncate(path, int64(good)), "wal: truncate and sync the last segment")
 }
 
 // applyFrames applies the frames in data. On an error, good is the number of valid bytes before
