wal: tests of kills and losses of power over several lives of a folder

No fault is known that this guards against; it makes the model of a loss of power stronger.

For that, identity and SetAside take the file system as a parameter inside the package. Behaviour is unchanged.

--- a/wal/files.go
+++ b/wal/files.go
@@ -24,6 +24,8 @@
 	Rename(from, to string) error
 	// Remove deletes a file.
 	Remove(path string) error
+	// Mkdir creates a folder; it must not exist yet.
+	Mkdir(path string) error
 	// SyncDir syncs a folder, which makes the files created, renamed and removed in it durable.
 	SyncDir(dir string) error
 }
@@ -52,6 +54,9 @@
 // Remove implements fileSystem.
 func (osFiles) Remove(path string) error { return os.Remove(path) }
 
+// Mkdir implements fileSystem.
+func (osFiles) Mkdir(path string) error { return os.Mkdir(path, folderPermissions) }
+
 // SyncDir implements fileSystem.
 func (osFiles) SyncDir(dir string) error {
 	d, err := os.Open(dir)
--- a/wal/identity.go
+++ b/wal/identity.go
@@ -40,6 +40,10 @@
 // a log without an identity, which a crash in SetAside can leave behind, and for a folder
 // without an identity that can't be listed.
 func LoadIdentity(dir string) (id Identity, created bool, err error) {
+	return loadIdentity(dir, osFiles{})
+}
+
+func loadIdentity(dir string, fs fileSystem) (id Identity, created bool, err error) {
 	if err := os.MkdirAll(dir, folderPermissions); err != nil {
 		return id, false, errors.Wrap(err, "wal: create data folder")
 	}
@@ -49,7 +53,7 @@
 			return id, false, errors.Wrap(ErrCorrupt, "the data folder holds a log without an identity")
 		}
 		id = Identity{Replica: raft.ID(RandomID())}
-		return id, true, SaveIdentity(dir, id)
+		return id, true, saveIdentity(dir, fs, id)
 	}
 	if err != nil {
 		return id, false, errors.Wrap(err, "wal: read identity")
@@ -62,14 +66,16 @@
 }
 
 // SaveIdentity replaces the folder's identity and syncs it.
-func SaveIdentity(dir string, id Identity) error {
+func SaveIdentity(dir string, id Identity) error { return saveIdentity(dir, osFiles{}, id) }
+
+func saveIdentity(dir string, fs fileSystem, id Identity) error {
 	record := identityRecord{Identity: id}
 	record.Checksum = record.checksum()
 	data, err := json.Marshal(record)
 	if err != nil {
 		return errors.Wrap(err, "wal: encode identity")
 	}
-	return writeAtomic(osFiles{}, filepath.Join(dir, identityFile), data)
+	return writeAtomic(fs, filepath.Join(dir, identityFile), data)
 }
 
 // RandomID returns a random non-zero number of at most 63 bits for use as an identity.
--- a/wal/log_test.go
+++ b/wal/log_test.go
@@ -91,10 +91,15 @@
 	snapshot  raft.Snapshot
 	content   string
 	entries   []raft.Entry
+	// padding is a number of bytes by which entries are extended, and snapshots by paddingFactor as many.
+	padding int
 	// unacknowledged is the state that the folder may hold instead after a failed call.
 	unacknowledged *model
 }
 
+// paddingFactor makes a padded snapshot take several chunks.
+const paddingFactor = 200
+
 func (m *model) last() uint64 { return m.snapshot.Index + uint64(len(m.entries)) }
 
 func (m *model) clone() *model {
@@ -120,7 +125,8 @@
 func (m *model) append(term, from uint64, count int) error {
 	var entries []raft.Entry
 	for i := range uint64(count) {
-		entries = append(entries, raft.Entry{Index: from + i, Term: term, Data: fmt.Appendf(nil, "%d in term %d", from+i, term)})
+		data := fmt.Appendf(nil, "%d in term %d%s", from+i, term, strings.Repeat("x", m.padding))
+		entries = append(entries, raft.Entry{Index: from + i, Term: term, Data: data})
 	}
 	return m.update(func(n *model) {
 		n.entries = append(n.entries[:from-n.snapshot.Index-1], entries...)
@@ -131,7 +137,7 @@
 // storeSnapshot stores and installs a snapshot.
 func (m *model) storeSnapshot(index, term uint64, origin Origin) error {
 	s := raft.Snapshot{Index: index, Term: term, Members: testMembers}
-	content := fmt.Sprintf("state at %d", index)
+	content := fmt.Sprintf("state at %d", index) + strings.Repeat("y", paddingFactor*m.padding)
 	return m.update(func(n *model) {
 		if origin == Received {
 			n.entries = nil
--- a/wal/power_test.go
+++ b/wal/power_test.go
@@ -4,235 +4,280 @@
 	"bytes"
 	"maps"
 	"math/rand/v2"
-	"os"
-	"path/filepath"
-	"syscall"
+	"slices"
 	"testing"
 
 	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/pkg/errors"
 )
 
-// inode is a file of a volatileFiles, whatever its name.
-type inode struct {
-	// synced is the content that the last sync covered.
-	synced []byte
+// TestWhatARestartReadOutlivesALossOfPower kills a process at every file operation, starts it
+// again on what is in the page cache, and then takes the power away. What the restart has
+// restored is acknowledged to other replicas, so that it must not be lost.
+func TestWhatARestartReadOutlivesALossOfPower(t *testing.T) {
+	for name, l := range losses {
+		t.Run(name, func(t *testing.T) {
+			for operation := 0; !killAndLosePower(t, operation, unlimited, l); operation++ {
+				for restart := range restartOperations {
+					killAndLosePower(t, operation, restart, l)
+				}
+			}
+		})
+	}
 }
 
-// volatileFiles keeps track of what a loss of power may take: the content of files and the names
-// in the folder that were not synced. After operationsLeft operations, all others fail, as if
-// the process was killed there; what it wrote stays in the page cache.
-type volatileFiles struct {
-	osFiles
-	dir            string
-	operationsLeft int
-	names          map[string]*inode
-	syncedNames    map[string]*inode
-}
+// restartOperations is the number of file operations of a restart at which the process is killed again.
+const restartOperations = 8
 
-const unlimited = 1 << 30
+// killAndLosePower kills a process at an operation of runScript, and the restarted one at an operation
+// of its restart. It reports whether runScript ended before.
+func killAndLosePower(t *testing.T, operation, restart int, l loss) (ended bool) {
+	t.Helper()
+	rng := rand.New(rand.NewPCG(uint64(operation), uint64(restart)))
+	dir := t.TempDir()
+	fs := newVolatileFiles(rng, operation)
+	if log, _, err := open(dir, fs); err == nil {
+		ended = (&model{log: log}).runScript() == nil
+		_ = log.file.(*volatileFile).Close()
+	}
+	fs.operationsLeft = restart
+	if log, _, err := open(dir, fs); err == nil {
+		_ = log.Close()
+	}
+	fs.operationsLeft = unlimited
+	log, restarted, err := open(dir, fs)
+	if err != nil {
+		t.Fatalf("killed at operation %d, and at %d of the restart: %v", operation, restart, err)
+	}
+	next := raft.Entry{Index: log.last + 1, Term: 9, Data: []byte("after the restart")}
+	if err := log.Append(raft.HardState{Term: 9, Vote: 1, Commit: restarted.HardState.Commit}, []raft.Entry{next}); err != nil {
+		t.Fatalf("killed at operation %d, and at %d of the restart: %v", operation, restart, err)
+	}
+	_ = log.Close()
+	fs.losePower(t, l)
+	log, restored, err := open(dir, fs)
+	if err != nil {
+		t.Fatalf("killed at operation %d, and at %d of the restart, then lost power: %v", operation, restart, err)
+	}
+	_ = log.Close()
+	if !sameEntries(restored.Entries, append(restarted.Entries, next)) || restored.Snapshot.Index != restarted.Snapshot.Index {
+		t.Fatalf("killed at operation %d, and at %d of the restart, then lost power: restored %v after snapshot %d, the restart had read %v after snapshot %d",
+			operation, restart, restored.Entries, restored.Snapshot.Index, restarted.Entries, restarted.Snapshot.Index)
+	}
+	return ended
+}
 
-func newVolatileFiles(dir string, operations int) *volatileFiles {
-	return &volatileFiles{dir: dir, operationsLeft: operations, names: map[string]*inode{}, syncedNames: map[string]*inode{}}
+func sameEntries(a, b []raft.Entry) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Index != b[i].Index || a[i].Term != b[i].Term || !bytes.Equal(a[i].Data, b[i].Data) {
+			return false
+		}
+	}
+	return true
 }
 
-func (v *volatileFiles) nextOperation() error {
-	if v.operationsLeft--; v.operationsLeft < 0 {
-		return syscall.EINTR
+// TestRandomLivesWithLossesOfPower compares a data folder with a model over lives that a kill or a
+// loss of power ends at any operation, also of a start. What was acknowledged, and what a start has
+// restored, must still be there at each later start.
+func TestRandomLivesWithLossesOfPower(t *testing.T) {
+	for seed := range uint64(120) {
+		rng := rand.New(rand.NewPCG(seed, 4))
+		f := &folderModel{dir: t.TempDir(), fs: newVolatileFiles(rng, 0), rng: rng, state: &model{}}
+		f.fs.syncKeepsName = coin(rng)
+		for life := range uint64(10) {
+			if err := f.live(life); err != nil {
+				t.Fatalf("seed %d, life %d: %v", seed, life, err)
+			}
+			f.crash(t)
+		}
 	}
-	return nil
 }
 
-type volatileFile struct {
-	file
+// folderModel drives a data folder through several lives and records what must be durable.
+type folderModel struct {
+	dir   string
 	fs    *volatileFiles
-	path  string
-	inode *inode
+	rng   *rand.Rand
+	state *model
+	// identity is what the last complete start has read or saved; unacknowledged is what the folder
+	// may hold instead after a call that was interrupted.
+	identity, unacknowledged Identity
 }
 
-func (v *volatileFiles) Create(path string) (file, error) {
-	if err := v.nextOperation(); err != nil {
-		return nil, err
+// live starts on the folder and makes random calls until they end or the process is killed.
+func (f *folderModel) live(life uint64) error {
+	f.fs.operationsLeft = unlimited
+	if f.rng.IntN(4) > 0 {
+		f.fs.operationsLeft = f.rng.IntN(40)
 	}
-	f, err := v.osFiles.Create(path)
-	node := &inode{}
-	v.names[filepath.Base(path)] = node
-	return &volatileFile{f, v, path, node}, err
-}
-
-func (f *volatileFile) Write(p []byte) (int, error) {
-	if err := f.fs.nextOperation(); err != nil {
-		return 0, err
+	err := f.start(life)
+	if err == nil {
+		err = f.state.randomCalls(f.rng, life+1)
+		_ = f.state.log.Close()
 	}
-	return f.file.Write(p)
-}
-
-func (f *volatileFile) Sync() error {
-	if err := f.fs.nextOperation(); err != nil {
-		return err
+	if f.killed() {
+		return nil
 	}
-	data, err := os.ReadFile(f.path)
-	f.inode.synced = data
 	return err
 }
 
-func (v *volatileFiles) Truncate(path string, size int64) error {
-	if err := v.nextOperation(); err != nil {
+func (f *folderModel) killed() bool { return f.fs.operationsLeft < 0 }
+
+func (f *folderModel) start(life uint64) error {
+	id, created, err := loadIdentity(f.dir, f.fs)
+	if err != nil {
 		return err
 	}
-	if err := v.osFiles.Truncate(path, size); err != nil {
-		return err
+	if created && f.identity.Replica != raft.None {
+		return errors.New("the identity is lost")
 	}
-	data, err := os.ReadFile(path)
-	v.names[filepath.Base(path)].synced = data
-	return err
-}
-
-func (v *volatileFiles) Rename(from, to string) error {
-	if err := v.nextOperation(); err != nil {
+	log, restored, err := open(f.dir, f.fs)
+	if err != nil {
 		return err
 	}
-	v.names[filepath.Base(to)] = v.names[filepath.Base(from)]
-	delete(v.names, filepath.Base(from))
-	return v.osFiles.Rename(from, to)
-}
-
-func (v *volatileFiles) Remove(path string) error {
-	if err := v.nextOperation(); err != nil {
+	if err := f.adopt(id, restored); err != nil {
 		return err
 	}
-	delete(v.names, filepath.Base(path))
-	return v.osFiles.Remove(path)
+	f.state.log, f.state.padding = log, f.rng.IntN(3)*800
+	if id.Group == 0 && coin(f.rng) {
+		return f.join(life + 1)
+	}
+	return nil
 }
 
-func (v *volatileFiles) SyncDir(string) error {
-	if err := v.nextOperation(); err != nil {
+// join saves a group in the identity.
+func (f *folderModel) join(group uint64) error {
+	id := f.identity
+	id.Group = group
+	if err := saveIdentity(f.dir, f.fs, id); err != nil {
+		_ = f.state.log.Close()
+		f.unacknowledged = id
 		return err
 	}
-	v.syncedNames = maps.Clone(v.names)
+	f.identity = id
 	return nil
 }
 
-// losePower replaces the folder's files by what a loss of power leaves: of each name and each
-// write that was not synced, keep decides whether it is kept, and the last write kept may be torn.
-func (v *volatileFiles) losePower(t *testing.T, keep func() bool, rng *rand.Rand) {
-	t.Helper()
-	cached := map[*inode][]byte{}
-	for name, node := range v.names {
-		cached[node] = readFile(t, filepath.Join(v.dir, name))
-	}
-	left := map[string]*inode{}
-	for _, names := range []map[string]*inode{v.syncedNames, v.names} {
-		for name, node := range names {
-			if v.syncedNames[name] == v.names[name] || keep() {
-				left[name] = node
-			}
-		}
+// adopt compares what a start has read with the model. What it has read counts from then on.
+func (f *folderModel) adopt(id Identity, restored raft.DurableState) error {
+	if f.identity.Replica != raft.None && id != f.identity && id != f.unacknowledged {
+		return errors.Errorf("read identity %v, expected %v or %v", id, f.identity, f.unacknowledged)
 	}
-	for name := range v.names {
-		removeFile(t, filepath.Join(v.dir, name))
+	f.identity, f.unacknowledged = id, id
+	err := f.state.matches(f.dir, restored)
+	if err == nil {
+		f.state.unacknowledged = nil
+		return nil
 	}
-	for name, node := range left {
-		data := node.synced
-		if all := cached[node]; len(all) > len(data) && keep() {
-			data = all[:len(data)+1+rng.IntN(len(all)-len(data))]
-		}
-		writeFile(t, filepath.Join(v.dir, name), data)
+	if next := f.state.unacknowledged; next != nil && next.matches(f.dir, restored) == nil {
+		f.state = next
+		return nil
 	}
-	v.names, v.syncedNames = left, maps.Clone(left)
+	return err
 }
 
-func readFile(t *testing.T, path string) []byte {
+// crash loses power, or leaves everything as it is after a kill.
+func (f *folderModel) crash(t *testing.T) {
 	t.Helper()
-	data, err := os.ReadFile(path)
-	if err != nil {
-		t.Fatal(err)
+	if coin(f.rng) {
+		return
 	}
-	return data
+	names := slices.Sorted(maps.Keys(losses))
+	f.fs.losePower(t, losses[names[f.rng.IntN(len(names))]])
 }
 
-func removeFile(t *testing.T, path string) {
-	t.Helper()
-	if err := os.Remove(path); err != nil {
-		t.Fatal(err)
+// TestSetAsideOutlivesKillsAndLossesOfPower interrupts the move of a damaged log at every operation. The
+// damaged log must never come back, neither under its old identity nor under the new one.
+func TestSetAsideOutlivesKillsAndLossesOfPower(t *testing.T) {
+	for name, l := range losses {
+		t.Run(name, func(t *testing.T) {
+			for operation := 0; !interruptSetAside(t, operation, l); operation++ {
+			}
+		})
 	}
 }
 
-func writeFile(t *testing.T, path string, data []byte) {
+// interruptSetAside kills a process at an operation of the repair of a damaged folder, and then loses
+// power. It reports whether the repair ended before.
+func interruptSetAside(t *testing.T, operation int, l loss) (ended bool) {
 	t.Helper()
-	if err := os.WriteFile(path, data, filePermissions); err != nil {
-		t.Fatal(err)
+	dir, fs, old := newDamagedFolder(t, rand.New(rand.NewPCG(uint64(operation), 5)))
+	for _, powerLost := range []bool{false, true, true} {
+		fs.operationsLeft = operation
+		if _, err := repair(dir, fs); err == nil {
+			ended = true
+		}
+		if powerLost {
+			fs.losePower(t, l)
+		}
 	}
-}
-
-// TestWhatARestartReadOutlivesALossOfPower kills a process at every file operation, starts it
-// again on what is in the page cache, and then takes the power away. What the restart has
-// restored is acknowledged to other replicas, so that it must not be lost.
-func TestWhatARestartReadOutlivesALossOfPower(t *testing.T) {
-	losses := map[string]func(*rand.Rand) bool{
-		"none is kept":        func(*rand.Rand) bool { return false },
-		"all is kept or torn": func(*rand.Rand) bool { return true },
-		"some is kept":        func(rng *rand.Rand) bool { return rng.IntN(2) == 0 },
+	fs.operationsLeft = unlimited
+	id, err := repair(dir, fs)
+	if err != nil || id.Replica == old.Replica {
+		t.Fatalf("killed at operation %d: identity %v after %v: %v", operation, id, old, err)
 	}
-	for name, keep := range losses {
-		t.Run(name, func(t *testing.T) {
-			for operation := 0; !killAndLosePower(t, operation, unlimited, keep); operation++ {
-				for restart := range restartOperations {
-					killAndLosePower(t, operation, restart, keep)
-				}
-			}
-		})
+	fs.losePower(t, losses["none is kept"])
+	if again, err := repair(dir, fs); err != nil || again != id {
+		t.Fatalf("killed at operation %d: identity %v after %v: %v", operation, again, id, err)
 	}
+	return ended
 }
 
-// restartOperations is the number of file operations of a restart at which the process is killed again.
-const restartOperations = 6
-
-// killAndLosePower kills a process at an operation of runScript, and the restarted one at an operation
-// of its restart. It reports whether runScript ended before.
-func killAndLosePower(t *testing.T, operation, restart int, keep func(*rand.Rand) bool) (ended bool) {
+// newDamagedFolder returns a folder of a group's member with a damaged frame in its log.
+func newDamagedFolder(t *testing.T, rng *rand.Rand) (string, *volatileFiles, Identity) {
 	t.Helper()
-	rng := rand.New(rand.NewPCG(uint64(operation), uint64(restart)))
-	dir := t.TempDir()
-	fs := newVolatileFiles(dir, operation)
-	if log, _, err := open(dir, fs); err == nil {
-		ended = (&model{log: log}).runScript() == nil
-		_ = log.file.(*volatileFile).Close()
-	}
-	fs.operationsLeft = restart
-	if log, _, err := open(dir, fs); err == nil {
-		_ = log.Close()
+	dir, fs := t.TempDir(), newVolatileFiles(rng, unlimited)
+	id, _, err := loadIdentity(dir, fs)
+	if err != nil {
+		t.Fatal(err)
 	}
-	fs.operationsLeft = unlimited
-	log, restarted, err := open(dir, fs)
+	log, _, err := open(dir, fs)
 	if err != nil {
-		t.Fatalf("killed at operation %d, and at %d of the restart: %v", operation, restart, err)
+		t.Fatal(err)
 	}
-	next := raft.Entry{Index: log.last + 1, Term: 9, Data: []byte("after the restart")}
-	if err := log.Append(raft.HardState{Term: 9, Vote: 1, Commit: restarted.HardState.Commit}, []raft.Entry{next}); err != nil {
-		t.Fatalf("killed at operation %d, and at %d of the restart: %v", operation, restart, err)
+	id.Group = 1
+	if err := saveIdentity(dir, fs, id); err != nil {
+		t.Fatal(err)
 	}
-	_ = log.Close()
-	fs.losePower(t, func() bool { return keep(rng) }, rng)
-	log, restored, err := open(dir, fs)
-	if err != nil {
-		t.Fatalf("killed at operation %d, and at %d of the restart, then lost power: %v", operation, restart, err)
+	if err := (&model{log: log}).runScript(); err != nil {
+		t.Fatal(err)
 	}
 	_ = log.Close()
-	if !sameEntries(restored.Entries, append(restarted.Entries, next)) || restored.Snapshot.Index != restarted.Snapshot.Index {
-		t.Fatalf("killed at operation %d, and at %d of the restart, then lost power: restored %v after snapshot %d, the restart had read %v after snapshot %d",
-			operation, restart, restored.Entries, restored.Snapshot.Index, restarted.Entries, restarted.Snapshot.Index)
+	path := segmentPath(dir, log.segments[len(log.segments)-1].number)
+	fs.names[path].synced[frameHeaderBytes] ^= 1
+	removeFile(t, path)
+	writeFile(t, path, fs.names[path].synced)
+	return dir, fs, id
+}
+
+// repair opens a folder as a replica does: a damaged one is set aside and gets a new identity.
+func repair(dir string, fs fileSystem) (Identity, error) {
+	for {
+		id, _, err := loadIdentity(dir, fs)
+		if err == nil {
+			err = openNew(dir, fs, id)
+		}
+		if !errors.Is(err, ErrCorrupt) {
+			return id, err
+		}
+		if _, err := setAside(dir, fs); err != nil {
+			return id, err
+		}
 	}
-	return ended
 }
 
-func sameEntries(a, b []raft.Entry) bool {
-	if len(a) != len(b) {
-		return false
+// openNew opens the log of an identity, which is damaged if it is not empty but belongs to no group.
+func openNew(dir string, fs fileSystem, id Identity) error {
+	log, restored, err := open(dir, fs)
+	if err != nil {
+		return err
 	}
-	for i := range a {
-		if a[i].Index != b[i].Index || a[i].Term != b[i].Term || !bytes.Equal(a[i].Data, b[i].Data) {
-			return false
-		}
+	if id.Group == 0 && (restored.Snapshot.Index > 0 || len(restored.Entries) > 0) {
+		err = ErrCorrupt
 	}
-	return true
+	_ = log.Close()
+	return err
 }
--- a/wal/set_aside.go
+++ b/wal/set_aside.go
@@ -14,12 +14,14 @@
 // SetAside moves the files of a damaged data folder into a new subfolder and returns its path.
 // The data folder can then take a new identity. The identity file is moved first, so that after
 // a crash the folder has no identity and SetAside can be called again.
-func SetAside(dir string) (string, error) {
+func SetAside(dir string) (string, error) { return setAside(dir, osFiles{}) }
+
+func setAside(dir string, fs fileSystem) (string, error) {
 	files, err := os.ReadDir(dir)
 	if err != nil {
 		return "", errors.Wrap(err, "wal: list folder")
 	}
-	aside, err := makeDamagedFolder(dir)
+	aside, err := makeDamagedFolder(dir, fs)
 	if err != nil {
 		return "", err
 	}
@@ -30,23 +32,23 @@
 		}
 	}
 	for _, name := range names {
-		err := os.Rename(filepath.Join(dir, name), filepath.Join(aside, name))
+		err := fs.Rename(filepath.Join(dir, name), filepath.Join(aside, name))
 		if err != nil && !os.IsNotExist(err) {
 			return "", errors.Wrap(err, "wal: move damaged file")
 		}
-		if err := (osFiles{}).SyncDir(dir); err != nil {
+		if err := fs.SyncDir(dir); err != nil {
 			return "", errors.Wrap(err, "wal: sync folder")
 		}
 	}
-	return aside, errors.Wrap(osFiles{}.SyncDir(aside), "wal: sync folder")
+	return aside, errors.Wrap(fs.SyncDir(aside), "wal: sync folder")
 }
 
 // makeDamagedFolder creates the first subfolder damaged-0001, damaged-0002 and so on that does
 // not exist yet.
-func makeDamagedFolder(dir string) (string, error) {
+func makeDamagedFolder(dir string, fs fileSystem) (string, error) {
 	for n := 1; ; n++ {
 		path := filepath.Join(dir, fmt.Sprintf(damagedPattern, n))
-		err := os.Mkdir(path, folderPermissions)
+		err := fs.Mkdir(path)
 		if err == nil {
 			return path, nil
 		}
