daemon: a test that ends the creation of a group at each step, known red

A seed that is killed after it has written the first membership, and before its identity names the group, finds a log without a group at its next start, sets it aside and asks to be taken in by a group. If two of three seeds are killed so, no group is ever formed.

TestCrashDuringFormationIsResumed fails in all five cases (context deadline exceeded). TestLogWithoutGroupIsNotResumed passes: a log that holds votes or entries but whose identity names no group must be set aside, now and later.

--- a/daemon/folder_test.go
+++ b/daemon/folder_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"os"
 	"path/filepath"
 	"testing"
@@ -204,3 +205,94 @@
 		}
 	}
 }
+
+// TestCrashDuringFormationIsResumed ends the creation of a group after each of its steps, before the
+// identity names the group. The restarted replica must be the member that it was to become, also if
+// bootstrap is no longer set; otherwise seeds that are killed together never form a group.
+func TestCrashDuringFormationIsResumed(t *testing.T) {
+	seeds := initialVotersOf([]string{"10.0.0.3:7401", "10.0.0.1:7401", "10.0.0.4:7401"})
+	for name, c := range map[string]struct {
+		voters    []raft.Member
+		hardState bool
+		bootstrap bool
+	}{
+		"seed": {seeds, true, false}, "seed without hard state": {seeds, false, false}, "seed that bootstraps again": {seeds, false, true},
+		"alone": {nil, true, false}, "alone without hard state": {nil, false, true},
+	} {
+		f := newTestFolder(t, false)
+		f.initialVoters = c.voters
+		id := f.crashDuringFormation(t, c.hardState)
+		want := raft.ID(hashIdentity(f.self.Address))
+		if c.voters == nil {
+			want = id.Replica
+		}
+		opened, err := f.open(context.Background(), c.bootstrap)
+		if err != nil {
+			t.Errorf("%s: %v", name, err)
+			continue
+		}
+		_ = opened.storage.Close()
+		if opened.id.Replica != want || opened.restored.HardState != (raft.HardState{Term: 1, Commit: 1}) || opened.restored.Snapshot.Index != 1 {
+			t.Errorf("%s: opened %v with %v, expected replica %d", name, opened.id, opened.restored, want)
+		}
+		if c.voters != nil && opened.id.Group != initialGroupID(seeds) || opened.id.Group == 0 {
+			t.Errorf("%s: opened group %d", name, opened.id.Group)
+		}
+	}
+}
+
+// crashDuringFormation creates a group as open does, up to the snapshot or the hard state.
+func (f *testFolder) crashDuringFormation(t *testing.T, hardState bool) wal.Identity {
+	t.Helper()
+	id, _, err := wal.LoadIdentity(f.dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	storage, _, err := wal.Open(f.dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = storage.Close() }()
+	first := raft.BootstrapGroup(f.initialVoters)
+	if f.initialVoters == nil {
+		first = raft.Bootstrap(raft.Member{ID: id.Replica, Address: f.self.Address})
+	}
+	err = storage.StoreSnapshot(first.Snapshot, wal.Received, func(io.Writer) error { return nil })
+	if err == nil {
+		err = storage.UseSnapshot(first.Snapshot, wal.Received)
+	}
+	if err == nil && hardState {
+		err = storage.Append(first.HardState, nil)
+	}
+	if err != nil {
+		t.Fatal(err)
+	}
+	return id
+}
+
+// TestLogWithoutGroupIsNotResumed expects that a log that has been used is set aside if its identity
+// names no group.
+func TestLogWithoutGroupIsNotResumed(t *testing.T) {
+	for name, use := range map[string]func(*wal.Log) error{
+		"vote": func(l *wal.Log) error { return l.Append(raft.HardState{Term: 1, Vote: 5, Commit: 1}, nil) },
+		"term": func(l *wal.Log) error { return l.Append(raft.HardState{Term: 2, Commit: 1}, nil) },
+		"entry": func(l *wal.Log) error {
+			return l.Append(raft.HardState{Term: 1, Commit: 1}, []raft.Entry{{Index: 2, Term: 1}})
+		},
+	} {
+		f := newTestFolder(t, true)
+		f.initialVoters = initialVotersOf([]string{"10.0.0.3:7401", "10.0.0.1:7401", "10.0.0.4:7401"})
+		f.crashDuringFormation(t, true)
+		storage, _, err := wal.Open(f.dir)
+		if err == nil {
+			err = use(storage)
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = storage.Close()
+		if opened := f.mustOpen(t, true); opened.id.Group != existingGroup || opened.restored.Snapshot.Index != 0 {
+			t.Errorf("%s: opened %v with snapshot %d", name, opened.id, opened.restored.Snapshot.Index)
+		}
+	}
+}
