daemon: a group whose creation was interrupted is completed by the next start

Callers saw: no call served from the start on, when all replicas were killed within the first 0.3 s of a cell. No leader was ever elected.

Cause: a seed writes the first membership and then the identity that names the group. Killed in between, it found a log without a group, set it aside as damaged, and asked to be taken in by a group that needed it as a voter. The settings no longer say bootstrap then.

Change: a log that holds nothing but the first membership, without votes, entries or a later term, is completed: the replica becomes the member with its own address. It has not voted or acknowledged anything, since it runs only after its identity names the group. All other logs without a group are set aside as before.

Remains: a seed that is killed before the first membership is in its log comes back with an empty folder and without bootstrap, which looks like a lost disk.

--- a/daemon/folder.go
+++ b/daemon/folder.go
@@ -86,7 +86,8 @@
 
 // assignGroup joins or creates a group and saves it in the folder's identity. A crash while
 // joining leaves an identity without a group and an empty log, from which the next start begins
-// again.
+// again. A crash while creating a group leaves a log with the first membership, and the next start
+// completes the group.
 func (f *folder) assignGroup(ctx context.Context, id wal.Identity, bootstrap bool) (wal.Identity, error) {
 	storage, restored, err := wal.Open(f.dir)
 	if err != nil {
@@ -94,7 +95,10 @@
 	}
 	defer func() { _ = storage.Close() }()
 	if restored.Snapshot.Index > 0 || len(restored.Entries) > 0 {
-		return id, errors.Wrap(wal.ErrCorrupt, "the data folder holds a log, but its identity names no group")
+		if id, err = f.resumeFormation(id, restored, storage); err != nil {
+			return id, err
+		}
+		return id, wal.SaveIdentity(f.dir, id)
 	}
 	if own := f.ownInitialVoter(); bootstrap && own != nil {
 		id = wal.Identity{Replica: own.ID, Group: initialGroupID(f.initialVoters)}
@@ -110,11 +114,37 @@
 	return id, wal.SaveIdentity(f.dir, id)
 }
 
+// resumeFormation completes the creation of a group that a crash has interrupted, and returns the
+// identity of the member that this replica was to become. That is safe as long as the log holds
+// nothing but the first membership: a replica votes and acknowledges nothing before its identity
+// names a group.
+func (f *folder) resumeFormation(id wal.Identity, restored raft.DurableState, storage *wal.Log) (wal.Identity, error) {
+	members := restored.Snapshot.Members
+	first := raft.BootstrapGroup(members)
+	hard := restored.HardState
+	unused := restored.Snapshot.Index == first.Snapshot.Index && len(restored.Entries) == 0 &&
+		hard.Term <= first.HardState.Term && hard.Vote == raft.None
+	own := f.ownEntry(members)
+	switch {
+	case unused && own != nil && own.ID == id.Replica:
+		id.Group = wal.RandomID()
+	case unused && own != nil && own.ID == raft.ID(hashIdentity(own.Address)):
+		id = wal.Identity{Replica: own.ID, Group: initialGroupID(members)}
+	default:
+		return id, errors.Wrap(wal.ErrCorrupt, "the data folder holds a log, but its identity names no group")
+	}
+	f.log.Info().Uint64("replica", uint64(id.Replica)).Uint64("group", id.Group).Msg("completing a group whose creation was interrupted")
+	return id, storage.Append(first.HardState, nil)
+}
+
 // ownInitialVoter returns this replica's entry in initialVoters, or nil.
-func (f *folder) ownInitialVoter() *raft.Member {
-	for i := range f.initialVoters {
-		if f.initialVoters[i].Address == f.self.Address {
-			return &f.initialVoters[i]
+func (f *folder) ownInitialVoter() *raft.Member { return f.ownEntry(f.initialVoters) }
+
+// ownEntry returns the member with this replica's address, or nil.
+func (f *folder) ownEntry(members []raft.Member) *raft.Member {
+	for i := range members {
+		if members[i].Address == f.self.Address {
+			return &members[i]
 		}
 	}
 	return nil
