wal: a loss of power may take a new data folder, known red

TestRandomLivesWithLossesOfPower now begins with a folder that does not exist, whose name is lost unless the folder above it is synced, or a file's own sync keeps its path. A file system that makes the path of a synced file durable, such as the users', does not show it.

--- a/wal/power_test.go
+++ b/wal/power_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"maps"
 	"math/rand/v2"
+	"path/filepath"
 	"slices"
 	"testing"
 
@@ -85,8 +86,8 @@
 func TestRandomLivesWithLossesOfPower(t *testing.T) {
 	for seed := range uint64(120) {
 		rng := rand.New(rand.NewPCG(seed, 4))
-		f := &folderModel{dir: t.TempDir(), fs: newVolatileFiles(rng, 0), rng: rng, state: &model{}}
-		f.fs.syncKeepsName = coin(rng)
+		f := &folderModel{dir: filepath.Join(t.TempDir(), "data"), fs: newVolatileFiles(rng, 0), rng: rng, state: &model{}}
+		f.fs.syncKeepsName, f.fs.newFolder = coin(rng), f.dir
 		for life := range uint64(10) {
 			if err := f.live(life); err != nil {
 				t.Fatalf("seed %d, life %d: %v", seed, life, err)
--- a/wal/volatile_files_test.go
+++ b/wal/volatile_files_test.go
@@ -58,6 +58,9 @@
 	rng            *rand.Rand
 	// syncKeepsName makes the name of a new file durable with the sync of its content.
 	syncKeepsName bool
+	// newFolder is a folder whose own name is lost with all that is in it unless the folder above it
+	// is synced; empty if there is none.
+	newFolder string
 	// names and syncedNames hold the files by their path.
 	names, syncedNames map[string]*inode
 }
@@ -126,6 +129,7 @@
 	node.sync()
 	if _, exists := v.syncedNames[path]; v.syncKeepsName && !exists {
 		v.syncedNames[path] = node
+		v.newFolder = ""
 	}
 }
 
@@ -176,6 +180,9 @@
 	if err := v.nextOperation(); err != nil {
 		return err
 	}
+	if v.newFolder != "" && dir == filepath.Dir(v.newFolder) {
+		v.newFolder = ""
+	}
 	inDir := func(path string, _ *inode) bool { return filepath.Dir(path) == dir }
 	maps.DeleteFunc(v.syncedNames, inDir)
 	for path, node := range v.names {
@@ -210,6 +217,10 @@
 func (v *volatileFiles) losePower(t *testing.T, l loss) {
 	t.Helper()
 	left := v.namesLeft(l)
+	if v.newFolder != "" && !l.keep(v.rng) {
+		left = map[string]*inode{}
+		v.syncedNames = left
+	}
 	nodes := map[*inode]bool{}
 	for _, path := range slices.Sorted(maps.Keys(left)) {
 		if node := left[path]; !nodes[node] {
@@ -223,9 +234,9 @@
 	for path, node := range left {
 		writeFile(t, path, node.content())
 	}
-	v.names = left
+	v.names = maps.Clone(left)
 	if l.settle {
-		v.syncedNames = maps.Clone(left)
+		v.syncedNames, v.newFolder = maps.Clone(left), ""
 	}
 }
 
