wal: a new data folder is synced in the folder above it

Cause: LockFolder and LoadIdentity create the data folder, but only its content was synced. Where the file system does not make the path of a synced file durable, a loss of power could take the folder with everything that was acknowledged, at any time until something else synced the folder above. The replica would come back empty, and all of them after a common loss.

Change: the parent is synced before an identity is created in the folder, on the first start only. A parent that can't be read is left alone.

Not seen on the users' platform, where a new file is durable with its sync.

--- a/wal/identity.go
+++ b/wal/identity.go
@@ -52,6 +52,9 @@
 		if hasLog, err := HasLog(dir); hasLog || err != nil {
 			return id, false, errors.Wrap(ErrCorrupt, "the data folder holds a log without an identity")
 		}
+		if err := syncParent(dir, fs); err != nil {
+			return id, false, err
+		}
 		id = Identity{Replica: raft.ID(RandomID())}
 		return id, true, saveIdentity(dir, fs, id)
 	}
@@ -65,6 +68,16 @@
 	return record.Identity, false, nil
 }
 
+// syncParent makes the name of a new data folder durable. A parent that can't be read is left alone:
+// the folder was then not created by this process.
+func syncParent(dir string, fs fileSystem) error {
+	err := fs.SyncDir(filepath.Dir(filepath.Clean(dir)))
+	if os.IsPermission(err) {
+		return nil
+	}
+	return errors.Wrap(err, "wal: sync the parent of the data folder")
+}
+
 // SaveIdentity replaces the folder's identity and syncs it.
 func SaveIdentity(dir string, id Identity) error { return saveIdentity(dir, osFiles{}, id) }
 
