Placement: the report of a waiting gang says what it could use

Adds to the log line of a gang that waits how many of its members fit now on upstreams that may run it and on those that it has not asked about, and its planned start. A gang that waits for a start that does not come could not be told from one for which there is no capacity.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -50,7 +50,11 @@
 	for _, w := range d.Waits {
 		st := w.Work.Step
 		team := st.Job().Team
-		e.log.Info().Str("request", st.Job().Spec.GetId()).Int32("step", st.Index).Str("team", team).Int("tasks", w.Tasks).
+		line := e.log.Info()
+		if g := w.Gang; g != nil {
+			line = line.Bool("gang", true).Int("fit_permitted", g.Permitted).Int("fit_unasked", g.Unasked).Dur("starts_in", g.StartsIn)
+		}
+		line.Str("request", st.Job().Spec.GetId()).Int32("step", st.Index).Str("team", team).Int("tasks", w.Tasks).
 			Str("why", string(w.Reason)).Dur("waits", now-w.Work.ReadyAt).Int("permitted", len(w.Work.Permits)).Int("denied", len(w.Work.Denied)).
 			Int64("team_used", e.state.Used(team).MilliCores).Int64("team_limit", e.state.Config().Team(team).GetLimit().GetMilliCores()).
 			Int64("team_used_mib", e.state.Used(team).MemoryMiB).Int64("team_limit_mib", e.state.Config().Team(team).GetLimit().GetMemoryMib()).
--- a/placement/cell.go
+++ b/placement/cell.go
@@ -142,6 +142,8 @@
 	meanRunTime average
 	// nextPlan is when the start of the step, a gang, may be planned again.
 	nextPlan time.Duration
+	// plannedStart is the start of the last plan, zero if there was no plan.
+	plannedStart time.Duration
 	// nextPreempt is when the step may preempt other work again.
 	nextPreempt time.Duration
 	// nextReport is when the reason for the step's wait may be reported again.
--- a/placement/gang.go
+++ b/placement/gang.go
@@ -84,6 +84,7 @@
 	w.nextPlan = r.Now + max(minPlanInterval, time.Duration(planShare*float64(exploreTime)))
 	allowed, unknown := r.gangUpstreams(d)
 	plan, ok := r.planGang(d, allowed)
+	w.plannedStart = plan.start
 	if ok && plan.start-r.Now <= reserveAhead {
 		ticketTime := r.ticketTime(d, len(plan.upstreams))
 		if plan.start <= r.Now+time.Duration(ticketLead*float64(ticketTime)) {
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -34,6 +34,17 @@
 	Slack time.Duration
 	// OverShare is set if the team uses far more than its share.
 	OverShare bool
+	// Gang is set if the step is a gang.
+	Gang *GangWait
+}
+
+// GangWait says what a gang that waits could use now.
+type GangWait struct {
+	// Permitted and Unasked are the numbers of members that fit now on upstreams that may run the gang,
+	// and on those that it has not asked about.
+	Permitted, Unasked int
+	// StartsIn is the time until the planned start, or zero if none is planned.
+	StartsIn time.Duration
 }
 
 // reportWait reports the reason for which a step waits.
@@ -45,7 +56,29 @@
 	w.nextReport = r.Now + reportEvery
 	p := r.poolFor(d)
 	r.out.Waits = append(r.out.Waits, Wait{Work: w, Reason: r.waitReason(d), Tasks: len(d.tasks), Free: p.freeCores,
-		Total: p.totalCores, Slack: d.urgency.slack, OverShare: d.overShare})
+		Total: p.totalCores, Slack: d.urgency.slack, OverShare: d.overShare, Gang: r.gangWait(d)})
+}
+
+// gangWait returns what a gang could use now, or nil if the step is not a gang.
+func (r *round) gangWait(d demand) *GangWait {
+	if !d.work.Step.Spec.GetGang() {
+		return nil
+	}
+	r.beginStep()
+	allowed, unknown := r.gangUpstreams(d)
+	out := &GangWait{Permitted: r.fittingNow(d, allowed), Unasked: r.fittingNow(d, unknown)}
+	if d.work.plannedStart > 0 {
+		out.StartsIn = d.work.plannedStart - r.Now
+	}
+	return out
+}
+
+// fittingNow returns how many members of a gang fit on some upstreams now.
+func (r *round) fittingNow(d demand, list []*Upstream) (n int) {
+	for _, u := range list {
+		n += r.capacity(d.work.Step, u, len(d.tasks))
+	}
+	return n
 }
 
 // waitReason returns the first reason that applies to a demand.
