--- a/placement/deployments_test.go
+++ b/placement/deployments_test.go
@@ -72,3 +72,22 @@
 	}
 	return newReplay(tb, seed, queues, classes, deployment{cores: cores, callers: 154, teams: 60, limit: 1.6, skew: 1})
 }
+
+// lomosGrown returns the load of the users' deployment of 350 upstreams and 20 teams, at a multiple of its usual
+// rate.
+func lomosGrown(tb testing.TB, seed uint64, load float64) *replay {
+	const upstreams = 350
+	queues := []*pipelinev1.Queue{
+		replayQueue("label", 0, 4, 1.5, 250, permitTerms(23, 0.33, 2500)),
+		replayQueue("catalogue", 2, 3, 2.2, 1200, permitTerms(410, 5.9, 2500)),
+	}
+	classes := []class{
+		{queue: "label", perSecond: 34.8 * load, steps: 1.6, tasks: 9.5, seconds: 0.8, milliCores: 8100, memoryMiB: 30000, off: 0.5, allowed: 0.7, fails: 0.005},
+		{queue: "catalogue", perSecond: 3.9 * load, steps: 2, tasks: 17, seconds: 4.8, milliCores: 18000, memoryMiB: 36000, gangs: 0.08, saves: 0.8, off: 0.9, allowed: 0.35, fails: 0.005},
+	}
+	cores := make([]int64, upstreams)
+	for i := range cores {
+		cores[i] = []int64{64000, 64000, 32000, 128000}[(i*7)%4]
+	}
+	return newReplay(tb, seed, queues, classes, deployment{cores: cores, callers: 36, teams: 20, limit: 1.6, skew: 1})
+}
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -73,6 +73,8 @@
 	// inspection is how long a round takes for each upstream or run that it inspects, nextRound when
 	// the next one may begin; the pause between rounds is five times their length.
 	inspection, nextRound time.Duration
+	// watch, if set, is called after each step of time.
+	watch func(now time.Duration)
 	// others is what the jobs of all teams but the largest earned.
 	others credit
 }
@@ -169,6 +171,9 @@
 		if now >= r.nextRound {
 			r.decide(now)
 		}
+		if r.watch != nil {
+			r.watch(now)
+		}
 	}
 	for _, j := range r.jobs {
 		r.credit[j.class].add(j, math.MaxInt64)
@@ -353,16 +358,9 @@
 func (r *replay) answer(q *Question, now time.Duration) {
 	st, w := q.Work.Step, q.Work
 	w.Forget(q)
-	share, good := 0.0, 0
-	for _, c := range r.classes {
-		if c.queue == st.Job().Spec.GetQueue() {
-			share = c.allowed
-		}
-	}
+	good := 0
 	for _, id := range q.Upstreams {
-		h := fnv.New32a()
-		_, _ = fmt.Fprint(h, st.Job().Spec.GetId(), st.Index, id)
-		if float64(h.Sum32()%1000)/1000 >= share {
+		if !r.allows(st, id) {
 			w.Denied[id] = true
 			continue
 		}
@@ -373,6 +371,19 @@
 	r.cell.Learner.RecordAnswer(st, len(q.Upstreams), good)
 }
 
+// allows reports whether an upstream may run a step.
+func (r *replay) allows(st *pipeline.Step, upstream string) bool {
+	share := 0.0
+	for _, c := range r.classes {
+		if c.queue == st.Job().Spec.GetQueue() {
+			share = c.allowed
+		}
+	}
+	h := fnv.New32a()
+	_, _ = fmt.Fprint(h, st.Job().Spec.GetId(), st.Index, upstream)
+	return float64(h.Sum32()%1000)/1000 < share
+}
+
 // stop ends a run after the time that a stop takes; its work up to now is saved.
 func (r *replay) stop(run *pipeline.Run, now time.Duration) {
 	u := r.upstream(run.Upstream.GetId())
