Placement: a team that uses under half of its limit holds no work back

Cause: work with time to spare, or that is too late in any case, leaves a quarter of its team's limit to the team's urgent queues. A gang counts as a whole: one that needs 60% of the limit waited until the team used less than 15%, in a nearly empty cell for as long as one task of the team ran.

Change: work is held back only while more than half of its team's limit is in use. Headroom of the cell needs no such bound: a step that fits twice over into half of the cell leaves an eighth.

--- a/placement/headroom.go
+++ b/placement/headroom.go
@@ -8,6 +8,9 @@
 	// free for the team's urgent queues. Small jobs are a fifth of the work, and two fifths in
 	// bursts.
 	teamHeadroom = 0.25
+	// heldBackFrom is the share of the limit that must be in use for the team's work to be held back. A gang
+	// that needs much of the limit would otherwise wait until it is almost unused.
+	heldBackFrom = 0.5
 	// spareSlack is the slack, as a share of the remaining time, from which work can wait.
 	spareSlack = 0.25
 	// gangSpareSlack is the same for gangs, which take longer to find capacity.
@@ -40,6 +43,9 @@
 // within the team's limit. What needs more than the rest of the limit at once is not held back: it would
 // never start.
 func (r *round) mustLeaveTeamHeadroom(d demand) bool {
+	if r.teamUse(d, 0).WithinLimit(r.teamLimit(d).Share(heldBackFrom)) {
+		return false
+	}
 	limit := r.teamLimit(d).Share(1 - teamHeadroom)
 	return d.work.Step.Need.Times(int64(d.atOnce())).WithinLimit(limit) && !r.teamUse(d, d.atOnce()).WithinLimit(limit)
 }
