Placement: a gang does not wait on for a planned start that was missed

Cause: a gang that knows some permitted upstreams plans its start for when runs there end, and asks about no other upstreams while that start is near. The end of a run that takes longer than expected is expected a quarter of its run time ahead, again and again: the start stayed near and did not come, while upstreams with capacity now were not asked about.

Change: a gang waits for a planned start until that time only, and not if it can be expected to start sooner on upstreams that it has not asked about: all its members fit there now, given the share that is usually allowed. Upstreams that are reserved for others don't count.

--- a/placement/cell.go
+++ b/placement/cell.go
@@ -144,6 +144,8 @@
 	nextPlan time.Duration
 	// plannedStart is the start of the last plan, zero if there was no plan.
 	plannedStart time.Duration
+	// awaited is the planned start for which the step, a gang, waits; zero if it waits for none.
+	awaited time.Duration
 	// nextPreempt is when the step may preempt other work again.
 	nextPreempt time.Duration
 	// nextReport is when the reason for the step's wait may be reported again.
--- a/placement/gang.go
+++ b/placement/gang.go
@@ -91,13 +91,44 @@
 			return [][]*Upstream{r.holdUpstreams(d, plan, ticketTime)}
 		}
 		r.reserve(d, plan)
-		if float64(plan.start-r.Now) < exploreGain*float64(exploreTime) {
+		if r.awaitsStart(d, plan, unknown, exploreTime) {
 			return nil
 		}
 	}
+	w.awaited = 0
 	return r.explore(d, allowed, unknown)
 }
 
+// awaitsStart reports whether a gang waits for its planned start rather than asking about further upstreams: if the
+// start is near, was not missed before, and can't be expected sooner on these upstreams. Runs that end later
+// than expected delay a planned start again and again.
+func (r *round) awaitsStart(d demand, plan gangPlan, unknown []*Upstream, exploreTime time.Duration) bool {
+	w := d.work
+	if float64(plan.start-r.Now) >= exploreGain*float64(exploreTime) {
+		return false
+	}
+	if w.awaited == 0 {
+		w.awaited = plan.start
+	}
+	return r.Now < w.awaited && !r.startsSooner(d, plan, unknown)
+}
+
+// startsSooner reports whether all members of a gang can be expected to fit now on upstreams that it has not
+// asked about, and the answers to arrive before its planned start.
+func (r *round) startsSooner(d demand, plan gangPlan, unknown []*Upstream) bool {
+	if d.queue.GetPermits() == nil {
+		return false
+	}
+	r.sortByCapacity(d, unknown)
+	share := r.Learner.allowedShare(d.work.Step, d.queue.GetPermits())
+	missing, n := gangSurplus*float64(len(d.tasks)), 0
+	for n < len(unknown) && n < maxGangQuestions*maxExploredUpstreams && unknown[n].fitting > 0 && missing > 0 {
+		missing -= share * float64(unknown[n].fitting)
+		n++
+	}
+	return missing <= 0 && r.Now+r.ticketTime(d, max(n, minQuestionUpstreams)) < plan.start
+}
+
 // explore returns questions about upstreams of which it is not known whether they may run a gang: as
 // many as are expected to have capacity for exploreSurplus times the members when they are idle,
 // together with the known ones. Those with the most capacity now come first. The questions are put at
@@ -123,10 +154,14 @@
 	return out
 }
 
-// sortByCapacity sorts upstreams by their capacity for members of a gang: now, then when they are idle.
+// sortByCapacity sorts upstreams by their capacity for members of a gang: now, then when they are idle. Upstreams
+// that are reserved for others have none now.
 func (r *round) sortByCapacity(d demand, list []*Upstream) {
 	for _, u := range list {
-		u.fitting, u.fittingWhenIdle = r.capacity(d.work.Step, u, len(d.tasks)), capacityWhenIdle(d.work.Step, u)
+		u.fitting, u.fittingWhenIdle = 0, capacityWhenIdle(d.work.Step, u)
+		if r.eligible(d.work, u) {
+			u.fitting = r.capacity(d.work.Step, u, len(d.tasks))
+		}
 	}
 	slices.SortFunc(list, func(a, b *Upstream) int {
 		return cmp.Or(b.fitting-a.fitting, b.fittingWhenIdle-a.fittingWhenIdle, cmp.Compare(a.GetId(), b.GetId()))
--- a/placement/gang_test.go
+++ b/placement/gang_test.go
@@ -182,6 +182,49 @@
 	}
 }
 
+// A gang that may run where other runs are about to end asks about other upstreams, if it can start sooner there, or
+// if those runs go on.
+func TestGangWaitsForAStartThatDoesNotCome(t *testing.T) {
+	const runTime, planInterval = 4 * time.Second, 250 * time.Millisecond
+	for _, c := range []struct {
+		name string
+		// free is the number of upstreams that have capacity now and were not asked about.
+		free   int
+		within time.Duration
+	}{
+		{"a start elsewhere is sooner", 40, 0},
+		{"the planned start is missed", 2, runTime / 4},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			f := gangFixture(t)
+			f.fill("batch", tasks(0, 8000, runTime.Milliseconds()), "u0", "u1", "u2")
+			f.cell.WallNS += int64(10 * time.Second)
+			w := f.gang(3, 8000)
+			for i := range c.free {
+				f.addUpstream(fmt.Sprintf("w%02d", i), 8000)
+			}
+			for _, id := range []string{"u3", "u4", "u5"} {
+				delete(w.Permits, id)
+				w.Denied[id] = true
+			}
+			from := f.cell.Now
+			for len(w.Pending) == 0 && f.cell.Now < from+startBound {
+				Decide(f.cell)
+				f.cell.Now += minPlanInterval
+				f.cell.WallNS += int64(minPlanInterval)
+			}
+			if waited := f.cell.Now - minPlanInterval - from; waited > c.within+planInterval {
+				t.Errorf("the gang asked after %v", waited)
+			}
+			for _, q := range w.Pending {
+				if q.Upstreams[0][0] != 'w' {
+					t.Errorf("the gang asked about %v, which were asked about before", q.Upstreams)
+				}
+			}
+		})
+	}
+}
+
 // Small steps of a team that is at its limit leave what a gang of the team needs, if it can start soon.
 func TestGangStartsWithinItsTeamsLimit(t *testing.T) {
 	for _, c := range []struct {
