--- a/dispatch/upstream_test.go
+++ b/dispatch/upstream_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -29,7 +30,13 @@
 	// extraPerIndex is how much longer each task of a step runs than the task before it.
 	extraPerIndex time.Duration
 	draining      bool
-	rack          string
+	rack, vm      string
+	// address is where the upstream listens; empty means at its identity.
+	address string
+	// addRows, if set, changes the answers to status requests.
+	addRows func(*StatusReply)
+	// replaced is set once another upstream listens at the address.
+	replaced bool
 	// answerAt is the virtual time at which the pending answer arrives; zero if it is not delayed.
 	answerAt time.Duration
 
@@ -65,7 +72,7 @@
 
 // describe returns the description of the upstream that its heartbeats contain.
 func (f *fakeUpstream) describe(id string) *pipelinev1.Upstream {
-	return &pipelinev1.Upstream{Id: id, Born: f.born, Service: "print", Address: id, FailureDomain: "prado", Rack: f.rack,
+	return &pipelinev1.Upstream{Id: id, Born: f.born, Service: "print", Address: cmp.Or(f.address, id), FailureDomain: "prado", Rack: f.rack, Vm: f.vm,
 		Capacity: &pipelinev1.Resources{MilliCores: 4000, MemoryMib: 1000}, Draining: f.draining}
 }
 
@@ -129,6 +136,9 @@
 	if f != nil {
 		f.calls[to.Via]++
 	}
+	if f != nil && to.Address != cmp.Or(f.address, to.Upstream) {
+		return nil, errUnanswered
+	}
 	if f != nil && f.gone {
 		return nil, ErrNothingListens
 	}
@@ -217,6 +227,9 @@
 	if err != nil {
 		return StatusReply{}, err
 	}
+	if f.replaced {
+		return StatusReply{Verdict: OtherIncarnation}, nil
+	}
 	if r.Token < f.token {
 		return StatusReply{Verdict: Fenced, ClockMS: f.clockMS(), Born: f.born}, nil
 	}
@@ -234,6 +247,9 @@
 			reply.Ended = append(reply.Ended, e)
 		}
 	}
+	if f.addRows != nil {
+		f.addRows(&reply)
+	}
 	if f.deaf[to.Via] {
 		f.answerAt = c.h.now + timeLeft(ctx)
 		return StatusReply{}, errUnanswered
