platform, pipeline: what an upstream says of itself is bounded

Callers saw nothing yet; operators of similar systems reported machines that ended again and again. A heartbeat from another writer with labels or names of megabytes was committed and sent to every replica over narrow links; port 0, 0.0.0.0 and multicast addresses were called; amounts near 2^63 overflow in sums over upstreams; an identity with control characters can't be put into the header of a call; a text or number of megabytes came back in the response and in the log.

--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -13,6 +13,10 @@
 // log, and these are acknowledged after their commit.
 func (e *Engine) handleHeartbeat(c *pipelinev1.HeartbeatCall, done replyFunc) {
 	reported, now := c.GetUpstream(), e.now()
+	if problem := pipeline.CheckUpstream(reported); problem != "" {
+		done(verdict(pipelinev1.Verdict_VERDICT_INVALID, problem), nil)
+		return
+	}
 	s := e.sessions[reported.GetId()]
 	ok := verdict(pipelinev1.Verdict_VERDICT_OK, "")
 	switch {
