daemon: a call that can't be encoded is refused for good

A heartbeat, a leave notice, an evacuation or a job whose name in the path is not UTF-8 was answered with 503, which has the sender repeat it for ever. Cause: the process that takes a call encodes it for the leader, and treated a failure as if no leader had been found. No process can ever encode it, so that it is invalid: 400.

--- a/daemon/push.go
+++ b/daemon/push.go
@@ -209,7 +209,8 @@
 func (c *PushDaemon) callWithin(ctx context.Context, call *pipelinev1.Call, bounds entry.Bounds) (*pipelinev1.Reply, error) {
 	payload, err := proto.Marshal(call)
 	if err != nil {
-		return nil, errors.Wrap(entry.ErrNothingProposed, err.Error())
+		// A name that is not UTF-8 can't be encoded by any process.
+		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_INVALID, Detail: "the call can't be encoded"}, nil
 	}
 	a, err := c.router.CallWithin(ctx, &peerv1.ForwardRequest{Method: peerv1.Method_METHOD_PIPELINE, Payload: payload, Process: c.settings.Name}, true, bounds)
 	if err != nil {
