dispatch: a false claim of a newer incarnation is refuted by the known one

One heartbeat under the identity of a sound upstream, with a start in the future, shut that upstream out for the rest of the leadership: the leader asked only the claimed incarnation, extended no lease and placed nothing there; running tasks lapsed. Cause: a claim was kept until it was confirmed, and nothing could refute it. Status requests now alternate between the claimed and the known address. An incarnation that answers a request sent after the claim is there, and the claim is dropped: what restarts does not answer as what it was before. pipeline_claims_refuted counts them.

--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -44,10 +44,7 @@
 		s.probePause, s.nextProbe = 0, now
 	}
 	if reported.GetBorn() > s.u.GetBorn() {
-		if s.newIncarnation == nil || s.newIncarnation.GetBorn() < reported.GetBorn() {
-			s.newIncarnation, s.nextProbe = reported, now
-			s.transition(lifecycle.SessionSuspect, "received a heartbeat from a newer incarnation")
-		}
+		s.incarnationClaimed(reported, now)
 		s.runDueWork(now)
 		done(ok, nil)
 		return
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -27,6 +27,7 @@
 	gangsReserved         = expvar.NewInt("pipeline_gangs_reserved")
 	runsStalled           = expvar.NewInt("pipeline_runs_stalled")
 	leasesExpired         = expvar.NewInt("pipeline_upstreams_lapsed")
+	claimsRefuted         = expvar.NewInt("pipeline_claims_refuted")
 	questionsAsked        = expvar.NewInt("pipeline_permit_questions")
 	questionsUnanswered   = expvar.NewInt("pipeline_permit_questions_unanswered")
 
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -49,6 +49,7 @@
 		s.unresponsiveSince = at
 		upstreamsUnresponsive.Add(1)
 	}
+	s.askClaimant = !s.askClaimant
 	s.transition(lifecycle.SessionFail, err.Error())
 	s.withdrawQueued()
 	s.probePause = min(max(s.probePause*2, probeMin), probeMax)
@@ -72,6 +73,7 @@
 	}
 	s.probePause = 0
 	s.nextProbe = at + probeMin
+	s.knownIncarnationAnswered(reply, began)
 	s.transition(lifecycle.SessionReconcile, "a status request was answered")
 	s.resolveUnanswered(reply)
 	s.reconcileRuns(reply, began, at)
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -18,9 +18,12 @@
 	u *pipeline.Upstream
 	// view is the upstream in the view of the cell that rounds decide upon.
 	view *placement.Upstream
-	// newIncarnation is a newer incarnation that a heartbeat announced; nil if there is none. It
-	// is queried before any order is sent.
+	// newIncarnation is a newer incarnation that a heartbeat announced at claimedAt; nil if there is none. It
+	// is queried before any order is sent, in turn with the known one while neither answers: askClaimant is set
+	// if it is next.
 	newIncarnation *pipelinev1.Upstream
+	claimedAt      time.Duration
+	askClaimant    bool
 	phase          lifecycle.SessionState
 	// epoch is the low part of the fencing token; each status request that reconciles the session
 	// increments it.
--- a/dispatch/status.go
+++ b/dispatch/status.go
@@ -14,9 +14,7 @@
 func (s *session) requestStatus(began time.Duration, req StatusRequest, timeout time.Duration, done func(StatusReply, error, time.Duration)) {
 	statusRequestsSent.Add(1)
 	to, born := s.target(began, timeout), s.u.GetBorn()
-	if s.newIncarnation != nil {
-		to.Address = s.newIncarnation.GetAddress()
-	}
+	to.Address = s.statusAddress()
 	s.e.async(timeout, func(ctx context.Context) func() {
 		reply, err := s.e.upstreams.Status(ctx, to, req)
 		return func() {
