dispatch: an older incarnation that answers replaces a known one that never did

A heartbeat with a start in the future that came before the first proper one hid the upstream for 30 s, until the false incarnation was removed as silent: proper heartbeats counted as those of an older incarnation. While the known incarnation has no runs and does not answer, status requests now alternate with the address of the older one, and if that one answers as itself, it takes the place. A sound new incarnation is not affected: the one before it has ended and answers no more.

Evidence: TestOddStartThatCameFirstHidesNoUpstream failed for both addresses before.

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -20,11 +20,44 @@
 	s.transition(lifecycle.SessionSuspect, "received a heartbeat from a newer incarnation")
 }
 
-// statusAddress returns where status requests go. While there is a claim they alternate between the address of
-// the claimant and that of the known incarnation.
+// olderReported takes note of a heartbeat of an older incarnation than the known one, if the known one may be the false
+// one: it does not answer and has no runs.
+func (s *session) olderReported(reported *pipelinev1.Upstream, now time.Duration) {
+	if s.phase == lifecycle.SessionOpen || len(s.u.Runs) > 0 {
+		return
+	}
+	if s.olderReport == nil {
+		s.nextProbe = now
+	}
+	s.olderReport = reported
+}
+
+// olderIncarnationAnswered reports whether the answer to a status request shows that the known incarnation is a
+// false one, and if so replaces it by the older one that answered.
+func (s *session) olderIncarnationAnswered(reply StatusReply) bool {
+	older := s.olderReport
+	if older == nil || s.newIncarnation != nil || older.GetBorn() != reply.Born || reply.Born >= s.u.GetBorn() || len(s.u.Runs) > 0 {
+		return false
+	}
+	s.logger(zerolog.WarnLevel).Int64("answered_born", reply.Born).Str("address", older.GetAddress()).
+		Msg("an older incarnation answers; the heartbeat of the known one was false")
+	claimsRefuted.Add(1)
+	s.olderReport = nil
+	s.e.proposeUpstreamGone(s.u)
+	s.e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamSeen{UpstreamSeen: &pipelinev1.UpstreamSeen{Upstream: older}}}, nil)
+	return true
+}
+
+// statusAddress returns where status requests go. While another incarnation is reported they alternate between its
+// address and that of the known one.
 func (s *session) statusAddress() string {
-	if s.newIncarnation != nil && s.askClaimant {
+	switch {
+	case !s.askClaimant:
+		return s.u.GetAddress()
+	case s.newIncarnation != nil:
 		return s.newIncarnation.GetAddress()
+	case s.olderReport != nil:
+		return s.olderReport.GetAddress()
 	}
 	return s.u.GetAddress()
 }
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -26,6 +26,7 @@
 	case reported.GetBorn() < s.u.GetBorn():
 		e.log.Info().Str("upstream", reported.GetId()).Int64("born", reported.GetBorn()).Int64("known_born", s.u.GetBorn()).
 			Msg("heartbeat of an older incarnation ignored")
+		s.olderReported(reported, now)
 		done(ok, nil)
 		return
 	}
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -74,6 +74,7 @@
 	s.probePause = 0
 	s.nextProbe = at + probeMin
 	s.knownIncarnationAnswered(reply, began)
+	s.olderReport = nil
 	s.transition(lifecycle.SessionReconcile, "a status request was answered")
 	s.resolveUnanswered(reply)
 	s.reconcileRuns(reply, began, at)
@@ -88,6 +89,9 @@
 // otherIncarnation handles an answer of another incarnation: it proposes the new incarnation if
 // its heartbeat was received, and otherwise waits for the heartbeat.
 func (s *session) otherIncarnation(reply StatusReply) {
+	if s.olderIncarnationAnswered(reply) {
+		return
+	}
 	if s.newIncarnation == nil || s.newIncarnation.GetBorn() != reply.Born {
 		s.probeFailed(s.e.now(), errors.New("another incarnation answered; waiting for its heartbeat"))
 		return
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -24,7 +24,10 @@
 	newIncarnation *pipelinev1.Upstream
 	claimedAt      time.Duration
 	askClaimant    bool
-	phase          lifecycle.SessionState
+	// olderReport is the last heartbeat of an older incarnation than the known one, received while that one did
+	// not answer; nil if there is none.
+	olderReport *pipelinev1.Upstream
+	phase       lifecycle.SessionState
 	// epoch is the low part of the fencing token; each status request that reconciles the session
 	// increments it.
 	epoch int64
