dispatch: heartbeats go on with lower numbers after one that was far too high

After one heartbeat with seqNo near 2^63 the proper ones counted as stale for the rest of the incarnation: a drain or a smaller capacity was not noticed. Late heartbeats come at once after a disruption; if four in a row with rising numbers come over at least 4 s, the higher number was false, and theirs counts.

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -11,6 +11,41 @@
 // A heartbeat may come from another writer and claim what is not so. Claims against the known incarnation are settled
 // by status requests: whichever incarnation answers is there.
 
+const (
+	// staleBeats is the number of heartbeats in a row, with rising numbers and over staleTime at least, after which
+	// the higher number that was known before counts as false. Late heartbeats come at once, after a disruption.
+	staleBeats = 4
+	staleTime  = 4 * time.Second
+)
+
+// staleRun is a row of heartbeats with rising numbers below the highest known one.
+type staleRun struct {
+	beats int
+	last  int64
+	since time.Duration
+}
+
+// sequenceStale reports whether a heartbeat of the known incarnation is older than another one.
+func (s *session) sequenceStale(sequence int64, now time.Duration) bool {
+	if sequence >= s.lastSequence {
+		s.stale = staleRun{}
+		return false
+	}
+	if s.stale.beats == 0 || sequence <= s.stale.last {
+		s.stale = staleRun{since: now}
+	}
+	s.stale.beats++
+	s.stale.last = sequence
+	if s.stale.beats < staleBeats || now-s.stale.since < staleTime {
+		return true
+	}
+	s.logger(zerolog.WarnLevel).Int64("sequence", sequence).Int64("known_sequence", s.lastSequence).
+		Msg("heartbeats go on with lower numbers; the highest one was false")
+	claimsRefuted.Add(1)
+	s.stale = staleRun{}
+	return false
+}
+
 // incarnationClaimed takes note of a heartbeat of a newer incarnation.
 func (s *session) incarnationClaimed(reported *pipelinev1.Upstream, now time.Duration) {
 	if s.newIncarnation != nil && s.newIncarnation.GetBorn() >= reported.GetBorn() {
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -62,6 +62,8 @@
 	lastHeartbeat time.Duration
 	// lastSequence is the highest sequence number of a heartbeat of this incarnation.
 	lastSequence int64
+	// stale are the heartbeats below lastSequence that came last.
+	stale staleRun
 	// unresponsiveSince is when the upstream became unresponsive or suspected.
 	unresponsiveSince time.Duration
 	// nextProbe is the earliest time of the next status request without a wait; probePause is the
