dispatch: an upstream is asked before another one takes its place

A heartbeat under an unknown identity with the address or the VM of a sound upstream removed that one at once; its runs, which went on, were started again elsewhere: two runs of a task at a time. Cause: a claim counted as proof that the older upstream had ended. Now the older one is asked. It is removed once nothing listens at its address, another incarnation answers there, or it is silent and has no runs; if it answers, the claim is dropped. An upstream that is silent and has no runs no longer holds its address against a sound one with an earlier start.

What restarts under another identity is used one round trip later: the request is refused by the new incarnation at once (TestUpstreamTakesThePlaceOfOneThatHasEnded).

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -5,6 +5,7 @@
 
 	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
 
@@ -83,6 +84,29 @@
 	return true
 }
 
+// placeClaimed takes note of a heartbeat of another upstream with this one's address or VM.
+func (s *session) placeClaimed(reported *pipelinev1.Upstream, now time.Duration) {
+	if s.rival == nil || s.rival.GetId() != reported.GetId() {
+		s.logger(zerolog.InfoLevel).Str("other_upstream", reported.GetId()).Msg("another upstream reports the same address or VM; asking whether this one is still there")
+	}
+	s.rival, s.rivalAt = reported, now
+	s.suspect(now, "another upstream reports the same address or VM")
+	s.runDueWork(now)
+}
+
+// certainlyEnded reports whether the error of a status request shows that the upstream's process has ended.
+func certainlyEnded(err error) bool {
+	return errors.Is(err, ErrNothingListens) || errors.Is(err, errOtherIncarnation)
+}
+
+// giveUpPlace adds the upstream that has taken the place of this one, once this one is removed.
+func (s *session) giveUpPlace() {
+	if rival := s.rival; rival != nil && s.e.leading && s.e.sessions[rival.GetId()] == nil {
+		s.rival = nil
+		s.e.addUpstream(rival, func(*pipelinev1.Reply, error) {}, nil)
+	}
+}
+
 // statusAddress returns where status requests go. While another incarnation is reported they alternate between its
 // address and that of the known one.
 func (s *session) statusAddress() string {
@@ -97,9 +121,17 @@
 	return s.u.GetAddress()
 }
 
-// knownIncarnationAnswered settles a claim that came before a status request to which the known incarnation has
+// errOtherIncarnation is the error of a status request that another incarnation or upstream refused.
+var errOtherIncarnation = errors.New(string(OtherIncarnation))
+
+// knownIncarnationAnswered settles claims that came before a status request to which the known incarnation has
 // answered.
 func (s *session) knownIncarnationAnswered(reply StatusReply, began time.Duration) {
+	if s.rival != nil && reply.Born != 0 && began >= s.rivalAt {
+		s.logger(zerolog.WarnLevel).Str("other_upstream", s.rival.GetId()).Msg("the upstream is still there; the heartbeat of the other one was false")
+		claimsRefuted.Add(1)
+		s.rival = nil
+	}
 	if s.newIncarnation == nil || reply.Born == 0 || began < s.claimedAt {
 		return
 	}
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -60,20 +60,31 @@
 	e.proposeUpstreamSeen(reported, done, ok)
 }
 
-// addUpstream adds an unknown upstream, after removing older upstreams at its address or on its
-// VM.
+// addUpstream adds an unknown upstream, after removing older upstreams at its address or on its VM. An upstream that
+// may still be there is asked first.
 func (e *Engine) addUpstream(reported *pipelinev1.Upstream, done replyFunc, ok *pipelinev1.Reply) {
+	disputed := false
 	for _, u := range e.state.Upstreams() {
-		if u.GetAddress() != reported.GetAddress() && (reported.GetVm() == "" || u.GetVm() != reported.GetVm()) {
+		if u.GetId() == reported.GetId() || u.GetAddress() != reported.GetAddress() && (reported.GetVm() == "" || u.GetVm() != reported.GetVm()) {
 			continue
 		}
-		if u.GetBorn() > reported.GetBorn() {
+		s := e.sessions[u.GetId()]
+		switch {
+		case s == nil || s.silent() && len(u.Runs) == 0:
+			e.log.Info().Str("upstream", u.GetId()).Str("newer_upstream", reported.GetId()).Msg("upstream replaced by another one with the same address or VM")
+			e.proposeUpstreamGone(u)
+		case u.GetBorn() > reported.GetBorn():
 			e.log.Info().Str("upstream", reported.GetId()).Str("newer_upstream", u.GetId()).Msg("heartbeat ignored: a newer upstream has the same address or VM")
 			done(ok, nil)
 			return
+		default:
+			s.placeClaimed(reported, e.now())
+			disputed = true
 		}
-		e.log.Info().Str("upstream", u.GetId()).Str("newer_upstream", reported.GetId()).Msg("upstream replaced by a newer one with the same address or VM")
-		e.proposeUpstreamGone(u)
+	}
+	if disputed {
+		done(ok, nil)
+		return
 	}
 	e.proposeUpstreamSeen(reported, done, ok)
 }
@@ -112,6 +123,10 @@
 		}
 		if err != nil {
 			e.log.Info().Err(err).Str("upstream", u.GetId()).Int64("born", u.GetBorn()).Msg("removal of the upstream was not committed")
+			return
+		}
+		if s != nil {
+			s.giveUpPlace()
 		}
 	})
 }
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -45,6 +45,12 @@
 		s.e.proposeUpstreamGone(s.u)
 		return
 	}
+	if s.rival != nil && certainlyEnded(err) {
+		s.logger(zerolog.InfoLevel).Err(err).Str("other_upstream", s.rival.GetId()).Int("runs", len(s.u.Runs)).Msg("upstream has ended; another one has its address or VM")
+		s.nextProbe = at + probeMax
+		s.e.proposeUpstreamGone(s.u)
+		return
+	}
 	if s.phase != lifecycle.SessionSilent {
 		s.unresponsiveSince = at
 		upstreamsUnresponsive.Add(1)
@@ -83,7 +89,11 @@
 // probeRefused handles a status request that the upstream refused.
 func (s *session) probeRefused(v OrderVerdict, at time.Duration) {
 	ordersRefused.Add(string(v), 1)
-	s.probeFailed(at, errors.New(string(v)))
+	err := errors.New(string(v))
+	if v == OtherIncarnation {
+		err = errOtherIncarnation
+	}
+	s.probeFailed(at, err)
 }
 
 // otherIncarnation handles an answer of another incarnation: it proposes the new incarnation if
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -24,6 +24,10 @@
 	newIncarnation *pipelinev1.Upstream
 	claimedAt      time.Duration
 	askClaimant    bool
+	// rival is another upstream that reported this one's address or VM, last at rivalAt, while it was not known which
+	// of them is there; nil if there is none.
+	rival   *pipelinev1.Upstream
+	rivalAt time.Duration
 	// olderReport is the last heartbeat of an older incarnation than the known one, received while that one did
 	// not answer; nil if there is none.
 	olderReport *pipelinev1.Upstream
