dispatch: an upstream's clock is bounded by what it can have reached

With a false clockMs in one answer, near 2^63, the lower bound of the upstream's clock and its deadline overflowed. Depending on the value, the lease of an upstream that fell silent never ran out, and its tasks never ran again, or they ran on two upstreams at a time. The latter came about with any value far ahead: the upstream shortens a far deadline to the longest lease that it grants, which is longer than the one that the leader waits for. Values above 2^53 ms are now ignored, and those over a minute ahead of the last one until the clock has advanced from there for 5 s.

What remains: a false value in the first answer of a session, or one ahead by less than a minute.

--- a/dispatch/expiry.go
+++ b/dispatch/expiry.go
@@ -8,20 +8,52 @@
 	"github.com/rs/zerolog"
 )
 
+const (
+	// maxClockMS is the highest value of an upstream's clock that counts, in milliseconds. Deadlines are computed from
+	// it and must not overflow.
+	maxClockMS = 1 << 53
+	// maxClockLead is how far a clock may be ahead of the time since its last value. No clock runs faster than
+	// this replica's, but that value may have come late.
+	maxClockLead = time.Minute
+	// clockSettleTime is how long a clock that is further ahead must advance as a clock does before it counts: this
+	// replica's own clock may have stood still.
+	clockSettleTime = 5 * time.Second
+)
+
 // upstreamClock keeps a lower bound of an upstream's clock.
 type upstreamClock struct {
 	ms         int64
 	observedAt time.Duration
+	// leadMS is the first value that was too far ahead, at leadAt; zero if the last one was not.
+	leadMS int64
+	leadAt time.Duration
 }
 
 // observe records a clock value from an answer, in milliseconds; zero means unknown. Values below
-// the current bound are ignored.
+// the current bound are ignored, and those that the clock can't have reached.
 func (c *upstreamClock) observe(ms int64, now time.Duration) {
-	if ms > 0 && ms >= c.lowerBound(now) {
+	if ms <= 0 || ms > maxClockMS || c.tooFarAhead(ms, now) {
+		return
+	}
+	c.leadMS = 0
+	if ms >= c.lowerBound(now) {
 		c.ms, c.observedAt = ms, now
 	}
 }
 
+// tooFarAhead reports whether the clock can't have reached a value.
+func (c *upstreamClock) tooFarAhead(ms int64, now time.Duration) bool {
+	if c.ms == 0 || ms <= c.ms+(now-c.observedAt+maxClockLead).Milliseconds() {
+		return false
+	}
+	lead := upstreamClock{ms: c.leadMS, observedAt: c.leadAt}
+	if c.leadMS == 0 || ms < lead.lowerBound(now) {
+		c.leadMS, c.leadAt = ms, now
+		return true
+	}
+	return now-c.leadAt < clockSettleTime
+}
+
 // lowerBound returns the least value in milliseconds that the upstream's clock can have now; zero
 // if no value was ever observed.
 func (c *upstreamClock) lowerBound(now time.Duration) int64 {
--- a/dispatch/odd_entries_test.go
+++ b/dispatch/odd_entries_test.go
@@ -216,7 +216,7 @@
 // With a clock near the largest number, the bound of an upstream's clock once overflowed, and the lease of an
 // upstream that fell silent never ran out.
 func TestOddClockLeavesTheLeaseBounded(t *testing.T) {
-	for _, odd := range []int64{math.MaxInt64, math.MaxInt64 - 5000, 1 << 60, -1} {
+	for _, odd := range []int64{math.MaxInt64, math.MaxInt64 - 5000, 1 << 60, maxClockMS, maxClockMS + 1, 1 << 45, -1} {
 		h := newHarness(t, "w1")
 		h.upstreams["w1"].runTime = time.Minute
 		h.submit(jobID(1), oneStep(1, 1000))
@@ -234,6 +234,24 @@
 	}
 }
 
+// A clock that has jumped ahead counts once it advances as a clock does.
+func TestClockThatJumpsAheadCountsOnceItAdvances(t *testing.T) {
+	for _, advances := range []bool{false, true} {
+		var c upstreamClock
+		c.observe(1000, 0)
+		for at := time.Second; at < 20*time.Second; at += time.Second {
+			ms := int64(1 << 40)
+			if advances {
+				ms += at.Milliseconds()
+			}
+			c.observe(ms, at)
+		}
+		if counts := c.ms > 1000; counts != advances {
+			t.Errorf("advances %t: clock %d", advances, c.ms)
+		}
+	}
+}
+
 // An answer with very many runs that nobody ordered once kept the control goroutine busy for minutes.
 func TestAnswerWithManyUnknownRuns(t *testing.T) {
 	h := newHarness(t, "w1", "w2")
