dispatch: an end's number is bounded by what an upstream can have reached

One end listed with a number near 2^63 was committed as the upstream's last one: all later ends counted as known, the upstream was told to forget them, and their tasks never ended. While it was listed, the leader sent status requests in a loop. An answer with a number below one, or over a million ahead of the last, is now an error of that call, as other malformed rows are.

Evidence: TestOddNumberOfAnEndHidesNoEnd did not end in four minutes before.

--- a/dispatch/status.go
+++ b/dispatch/status.go
@@ -6,6 +6,7 @@
 
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
 
@@ -25,6 +26,8 @@
 			if s.e.sessions[s.u.GetId()] == s {
 				if err != nil {
 					s.wayFailed(to.Via, now)
+				} else {
+					err = s.checkEnds(reply)
 				}
 				done(reply, err, now)
 			}
@@ -65,6 +68,23 @@
 	s.proposeEnds(ends)
 }
 
+// maxEndGap is how far the number of an end may be ahead of the last one. Once a number is acknowledged, the upstream
+// forgets all ends up to it.
+const maxEndGap = 1 << 20
+
+// checkEnds returns an error if an answer lists an end with a number that the upstream can't have reached.
+func (s *session) checkEnds(reply StatusReply) error {
+	if reply.Born != 0 && reply.Born != s.u.GetBorn() {
+		return nil
+	}
+	for _, x := range reply.Ended {
+		if x.Number < 1 || x.Number-maxEndGap > s.endsProposed {
+			return errors.Errorf("the upstream lists an end with the number %d after %d", x.Number, s.endsProposed)
+		}
+	}
+	return nil
+}
+
 // newEnds converts the listed ends that were not proposed yet. It also returns the set of all
 // runs that are listed as ended.
 func (s *session) newEnds(reply StatusReply) (ends []*pipelinev1.End, ended map[pipeline.RunKey]bool) {
