dispatch: ends count in whatever order an answer lists them

An end that was listed after one with a higher number counted as proposed already. The higher number was then acknowledged, the upstream forgot both, and the task of the first one counted as lost and ran again. Numbers are now compared with those proposed before the answer.

Evidence: TestEndsListedOutOfOrder failed before: tasks ran again after they were done.

--- a/dispatch/status.go
+++ b/dispatch/status.go
@@ -89,9 +89,10 @@
 // runs that are listed as ended.
 func (s *session) newEnds(reply StatusReply) (ends []*pipelinev1.End, ended map[pipeline.RunKey]bool) {
 	ended = make(map[pipeline.RunKey]bool, len(reply.Ended))
+	proposed := s.endsProposed
 	for _, x := range reply.Ended {
 		ended[x.Run] = true
-		if x.Number <= s.endsProposed {
+		if x.Number <= proposed {
 			continue
 		}
 		e := &pipelinev1.End{Kind: x.Kind, Listed: x.Number, Checkpoint: x.Checkpoint,
@@ -100,7 +101,7 @@
 			e.Checkpoint = s.e.checkpoints[run.Task]
 		}
 		ends = append(ends, e)
-		s.endsProposed = x.Number
+		s.endsProposed = max(s.endsProposed, x.Number)
 	}
 	return ends, ended
 }
