dispatch: an end that is listed again causes no loop of status requests

An upstream that goes on listing an end that was acknowledged answers each status request at once, and the next one followed at once where an urgent step runs. Answers that list nothing but such ends now have the pause that other answers have.

Evidence: TestAcknowledgedEndThatIsListedAgain did not end before; 40 requests in 4 s are the bound.

--- a/dispatch/odd_entries_test.go
+++ b/dispatch/odd_entries_test.go
@@ -199,6 +199,27 @@
 	}
 }
 
+// An upstream that goes on listing an acknowledged end once got status requests in a loop.
+func TestAcknowledgedEndThatIsListedAgain(t *testing.T) {
+	h := newHarness(t, "w1")
+	h.submit(jobID(1), oneStep(1, 1000))
+	h.run(2 * time.Second)
+	f := h.upstreams["w1"]
+	var requests int
+	f.addRows = func(r *StatusReply) {
+		if requests++; requests > 1000 {
+			t.Fatal("too many status requests")
+		}
+		r.Ended = append(r.Ended, EndedTask{Number: 1, Kind: pipelinev1.EndKind_END_KIND_DONE})
+	}
+	h.submit(jobID(2), oneStep(1, 1000))
+	h.run(4 * time.Second)
+	h.checkAllDone(jobID(1), jobID(2))
+	if requests > 40 {
+		t.Errorf("%d status requests in 4 s", requests)
+	}
+}
+
 // Ends count in whatever order an answer lists them.
 func TestEndsListedOutOfOrder(t *testing.T) {
 	h := newHarness(t, "w1")
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -40,8 +40,11 @@
 			s.otherIncarnation(reply)
 		default:
 			s.ackedEnds = max(s.ackedEnds, req.LastEnd)
+			known := s.endsProposed
 			s.reconcileRuns(reply, now, at)
-			if !s.mayCompleteStep() {
+			// What is listed although it was acknowledged has the upstream answer at once, each time.
+			onlyKnown := len(reply.Ended) > 0 && s.endsProposed == known
+			if onlyKnown || !s.mayCompleteStep() {
 				s.nextStatus = at + statusPause
 			}
 		}
