dispatch: an answer with very many unknown runs does not stop the leader

Each run in an upstream's answer that is not in the replicated state was put in front of the queue of orders and logged by itself. An answer of 4 MiB holds 140,000: the control goroutine copied the queue for each of them. They are now queued together, at most 1,024 at a time, with one log line.

--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -263,6 +263,8 @@
 	// removeUnresponsiveAfter is how long an upstream without runs may be unresponsive, and send no
 	// heartbeat, before it is removed.
 	removeUnresponsiveAfter = 30 * time.Second
+	// maxQueuedStops is the number of queued orders to one upstream from which on no more unknown runs are stopped.
+	maxQueuedStops = 1024
 	// maxEndsListed is the number of ends at which an upstream's list may be truncated.
 	maxEndsListed = 500
 	// epochBits is the number of low bits of a token that hold the session's epoch; the bits
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -62,15 +62,25 @@
 	s.proposeEnds([]*pipelinev1.End{{Run: r.Proto(), Kind: pipelinev1.EndKind_END_KIND_NEVER_STARTED}})
 }
 
-// stopUnknown queues a stop for a run that the replicated state does not have on this upstream.
-func (s *session) stopUnknown(key pipeline.RunKey) {
-	if s.stopping[key] {
+// stopUnknown queues stops for runs that the replicated state does not have on this upstream.
+func (s *session) stopUnknown(keys ...pipeline.RunKey) {
+	var stops []order
+	for _, key := range keys {
+		if len(stops)+len(s.orders) >= maxQueuedStops {
+			break
+		}
+		if !s.stopping[key] {
+			s.stopping[key] = true
+			stops = append(stops, order{key: key, stop: true})
+		}
+	}
+	if len(stops) == 0 {
 		return
 	}
-	s.stopping[key] = true
-	s.logger(zerolog.WarnLevel).Str("request", key.Job).Int32("step", key.Step).Int32("task", key.Index).Int32("run", key.Number).
-		Msg("upstream has a run that is not in the replicated state; stopping it")
-	s.orders = append([]order{{key: key, stop: true}}, s.orders...)
+	first := stops[0].key
+	s.logger(zerolog.WarnLevel).Int("runs", len(stops)).Str("request", first.Job).Int32("step", first.Step).Int32("task", first.Index).Int32("run", first.Number).
+		Msg("upstream has runs that are not in the replicated state; stopping them")
+	s.orders = append(stops, s.orders...)
 }
 
 // sendOrders sends queued orders: several concurrently if the upstream has answered recently, and
--- a/dispatch/status.go
+++ b/dispatch/status.go
@@ -43,11 +43,12 @@
 		s.logger(zerolog.InfoLevel).Msg("upstream answers and is not draining; its leave notice came from an older incarnation")
 	}
 	running := make(map[pipeline.RunKey]bool, len(reply.Running))
+	var unknown []pipeline.RunKey
 	for _, r := range reply.Running {
 		running[r.Run] = true
 		run := s.u.Runs[r.Run]
 		if run == nil {
-			s.stopUnknown(r.Run)
+			unknown = append(unknown, r.Run)
 			continue
 		}
 		if _, known := s.answeredAt[r.Run]; !known && !s.startQueued(r.Run) {
@@ -61,6 +62,7 @@
 			s.enqueueStop(run, "the job has ended")
 		}
 	}
+	s.stopUnknown(unknown...)
 	ends, ended := s.newEnds(reply)
 	if len(reply.Ended) < maxEndsListed {
 		ends = append(ends, s.missingRuns(running, ended, began)...)
