--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -31,6 +31,10 @@
 		job(&pipelinev1.JobSpec{Steps: []*pipelinev1.Step{{Count: 1, DependsOn: []int32{0, -1, math.MaxInt32}}}}),
 		{Call: &pipelinev1.Call_Heartbeat{}}, {Call: &pipelinev1.Call_Heartbeat{Heartbeat: &pipelinev1.HeartbeatCall{}}},
 		{Call: &pipelinev1.Call_Heartbeat{Heartbeat: &pipelinev1.HeartbeatCall{Upstream: upstream, Sequence: math.MaxInt64}}},
+		oddBeatCall("w1", func(u *pipelinev1.Upstream) { u.Born = math.MaxInt64 }),
+		oddBeatCall("w1", func(u *pipelinev1.Upstream) { u.Capacity.MilliCores = pipeline.MaxMilliCores }),
+		oddBeatCall("w8", func(u *pipelinev1.Upstream) { u.Address, u.Born = "w1", math.MaxInt64 }),
+		oddBeatCall("w8", func(u *pipelinev1.Upstream) { u.Labels = make([]string, pipeline.MaxLabels+1) }),
 		{Call: &pipelinev1.Call_Leave{}}, {Call: &pipelinev1.Call_Leave{Leave: &pipelinev1.LeaveCall{Upstream: "w1", Born: math.MinInt64}}},
 		{Call: &pipelinev1.Call_PermitPoll{}},
 		{Call: &pipelinev1.Call_PermitPoll{PermitPoll: &pipelinev1.PermitPoll{Process: "p", CanAsk: true, Answer: &pipelinev1.PermitAnswer{
@@ -40,6 +44,51 @@
 	}
 }
 
+// oddBeatCall returns the heartbeat of an upstream after edit has changed it.
+func oddBeatCall(id string, edit func(*pipelinev1.Upstream)) *pipelinev1.Call {
+	u := newFakeUpstream(&harness{}, 10).describe(id)
+	edit(u)
+	return &pipelinev1.Call{Call: &pipelinev1.Call_Heartbeat{Heartbeat: &pipelinev1.HeartbeatCall{Upstream: u, Sequence: math.MaxInt64}}}
+}
+
+// FuzzStatusReply gives a leader with running jobs an answer of an upstream with any content, and expects the jobs to
+// be completed after it, and the state to be restored.
+func FuzzStatusReply(f *testing.F) {
+	for _, n := range []int64{0, 1, -1, math.MaxInt64, math.MinInt64, 1 << 53} {
+		for kind := range int32(8) {
+			f.Add(n, n, n, jobID(1), int32(n), int32(n), kind)
+		}
+		f.Add(int64(5000), n, int64(1), jobID(1), int32(0), int32(1), int32(1))
+		f.Add(n, int64(10), int64(1), jobID(1), int32(0), int32(1), int32(2))
+	}
+	f.Fuzz(func(t *testing.T, clock, born, number int64, job string, index, run, kind int32) {
+		h := newHarness(t, "w1", "w2")
+		h.submit(jobID(1), oneStep(2, 1000))
+		h.submit(jobID(2), oneStep(6, 1000))
+		h.run(300 * time.Millisecond)
+		key := pipeline.RunKey{TaskKey: pipeline.TaskKey{Job: job, Index: index}, Number: run}
+		h.upstreams["w1"].addRows = func(r *StatusReply) {
+			r.ClockMS, r.Born = clock, born
+			r.Running = append(r.Running, RunningTask{Run: key, Usage: clock, UsageKnown: true})
+			r.Ended = append(r.Ended, EndedTask{Number: number, Run: key, Kind: pipelinev1.EndKind(kind)})
+		}
+		h.run(time.Second)
+		h.upstreams["w1"].addRows = nil
+		h.run(20 * time.Second)
+		for _, id := range []string{jobID(1), jobID(2)} {
+			if s := h.jobState(id); s != pipeline.Completed && s != pipeline.Failed {
+				t.Errorf("job %s is %s", id, s)
+			}
+		}
+		restored := pipeline.New()
+		for _, r := range h.state.Records() {
+			if err := restored.Restore(r); err != nil {
+				t.Errorf("the state can't be restored: %v", err)
+			}
+		}
+	})
+}
+
 // FuzzCall gives a leader with a running job a call with any content, and expects the call to end, the
 // state to be valid, and the next leader to restore it.
 func FuzzCall(f *testing.F) {
