--- a/faults/reported_test.go
+++ b/faults/reported_test.go
@@ -25,6 +25,7 @@
 	lostAnswer     = "After an answer was lost, work that had run was run again, or the caller was told that it hadn't run"
 	restartRevives = "After a restart, a server that had left, or a key that had been withdrawn, was in use again"
 	malformed      = "One malformed message or unexpected error took a whole process down"
+	oddEntry       = "One odd entry among those of the workers, left by another writer, ended the processes that read the list, or kept them from following it"
 )
 
 var reportedFailures = []reportedFailure{
@@ -53,6 +54,12 @@
 	{malformed, "requests, calls between processes", "an unexpected error ends its request with a logged reason", []string{"TestUnexpectedErrorEndsItsRequestOnly", "TestUnexpectedErrorEndsItsCallOnly", "TestUnexpectedErrorEndsTheCallToAnUpstream", "TestMalformedCallIsAnswered"}},
 	{malformed, "decoders of the wire and of files", "fuzzed with committed seeds", []string{"FuzzDecoders", "FuzzRaftMessages", "FuzzCall", "FuzzRestore", "FuzzSegment", "FuzzSnapshot", "FuzzHandle"}},
 	{malformed, "the replicated state", "a broken invariant still stops the process", []string{"TestBrokenInvariantStopsTheProcess"}},
+	{oddEntry, "heartbeats", "refused for good with 400, in a bounded log line; names and amounts are bounded at the border and by the leader", []string{"TestOddHeartbeatIsRefused", "TestUnusualHeartbeatIsAccepted", "TestLeaderRefusesOddDescriptions", "TestCallThatCannotBeEncodedIsRefusedForGood"}},
+	{oddEntry, "the replicated state: what an older version accepted", "applied, put into snapshots and restored", []string{"TestOddUpstreamOfAnOldLog"}},
+	{oddEntry, "false claims under the identity of a sound upstream", "status requests tell which incarnation is there; a start or a number far too high hides it no longer", []string{"TestOddStartShutsNoUpstreamOut", "TestOddStartThatCameFirstHidesNoUpstream", "TestOddSequenceHidesNoHeartbeat", "TestLateHeartbeatsStayStale"}},
+	{oddEntry, "false claims of an address or a VM", "an upstream is asked before another one takes its place", []string{"TestOddClaimOfAnAddressEndsNoRun", "TestUpstreamTakesThePlaceOfOneThatHasEnded"}},
+	{oddEntry, "lists of VMs, rows of the permit service", "entries are decoded one by one", []string{"TestOddVMLeavesTheListReadable", "TestOddVMDoesNotHideAProperOne", "TestUnreadableListOfVMsIsAnError", "TestOddPermitLeavesTheAnswerReadable"}},
+	{oddEntry, "an upstream's own list", "what can't be read is an error of that call; numbers and clocks are bounded by what the upstream can have reached", []string{"TestOddStatusIsAnError", "TestOddNumberOfAnEndHidesNoEnd", "TestEndsListedOutOfOrder", "TestAcknowledgedEndThatIsListedAgain", "TestOddClockLeavesTheLeaseBounded", "TestClockThatJumpsAheadCountsOnceItAdvances", "TestAnswerWithManyUnknownRuns", "FuzzStatusReply"}},
 }
 
 // renderReported renders the section of docs/FAULTS.md on failures that operators reported.
