dispatch: nothing listening at a claimed address ends no run

With status requests that go to a claimed address as well, a refused connection there counted as the end of the known incarnation if its leave had been announced, or if another upstream had reported its address; its runs were started again elsewhere. The error of a request to another address than the known one now says nothing of the known one.

Evidence: TestRefusedClaimantEndsNoRun failed before in both cases.

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -124,6 +124,18 @@
 // errOtherIncarnation is the error of a status request that another incarnation or upstream refused.
 var errOtherIncarnation = errors.New(string(OtherIncarnation))
 
+// errorAtClaimant returns the error of a status request to the address of another incarnation than the known one. It
+// does not say whether the known one has ended.
+func errorAtClaimant(reply StatusReply, err error) error {
+	switch {
+	case err != nil:
+		return errors.New(err.Error())
+	case reply.Verdict != Accepted:
+		return errors.New(string(reply.Verdict))
+	}
+	return nil
+}
+
 // knownIncarnationAnswered settles claims that came before a status request to which the known incarnation has
 // answered.
 func (s *session) knownIncarnationAnswered(reply StatusReply, began time.Duration) {
--- a/dispatch/odd_entries_test.go
+++ b/dispatch/odd_entries_test.go
@@ -156,6 +156,28 @@
 	}
 }
 
+// That nothing listens where a false incarnation is said to be does not show that the known one has ended.
+func TestRefusedClaimantEndsNoRun(t *testing.T) {
+	for _, leave := range []bool{false, true} {
+		h := newHarness(t, "w1", "w2")
+		for _, f := range h.upstreams {
+			f.runTime = 5 * time.Second
+		}
+		h.submit(jobID(1), oneStep(6, 5000))
+		h.beatFor(heartbeatTime, "w1", "w2")
+		for range 3 {
+			if leave {
+				h.call(&pipelinev1.Call{Call: &pipelinev1.Call_Leave{Leave: &pipelinev1.LeaveCall{Upstream: "w1"}}})
+			}
+			h.oddBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Born, u.Address = oddBorn, refusedAddress })
+			h.oddBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Id, u.Born = "odd", 20 })
+			h.beatFor(heartbeatTime, "w1", "w2")
+		}
+		h.beatFor(8*time.Second, "w1", "w2")
+		h.checkAllDone(jobID(1))
+	}
+}
+
 // An upstream that has taken the place of another is used soon, although it is asked for first.
 func TestUpstreamTakesThePlaceOfOneThatHasEnded(t *testing.T) {
 	for _, answer := range []string{"other incarnation", "nothing listens"} {
--- a/dispatch/status.go
+++ b/dispatch/status.go
@@ -29,6 +29,9 @@
 				} else {
 					err = s.checkEnds(reply)
 				}
+				if to.Address != s.u.GetAddress() {
+					err = errorAtClaimant(reply, err)
+				}
 				done(reply, err, now)
 			}
 		}
--- a/dispatch/upstream_test.go
+++ b/dispatch/upstream_test.go
@@ -127,6 +127,9 @@
 	clear(f.lastEnded)
 }
 
+// refusedAddress is an address at which nothing listens.
+const refusedAddress = "refused"
+
 // fleet implements Upstreams for the harness's fake upstreams.
 type fleet struct{ h *harness }
 
@@ -136,6 +139,9 @@
 	if f != nil {
 		f.calls[to.Via]++
 	}
+	if to.Address == refusedAddress {
+		return nil, ErrNothingListens
+	}
 	if f != nil && to.Address != cmp.Or(f.address, to.Upstream) {
 		return nil, errUnanswered
 	}
