dispatch: the test of many unknown runs bounds the queue in place of the time

The test of many unknown runs measured elapsed time and failed under the race detector beside other work (8.8 s of at most 5), as no test may.

--- a/dispatch/odd_entries_test.go
+++ b/dispatch/odd_entries_test.go
@@ -295,7 +295,8 @@
 	}
 }
 
-// An answer with very many runs that nobody ordered once kept the control goroutine busy for minutes.
+// An answer with very many runs that nobody ordered once kept the control goroutine busy for minutes: each was put in
+// front of the queue of orders. The queue must stay short, and the work that was ordered must go on.
 func TestAnswerWithManyUnknownRuns(t *testing.T) {
 	h := newHarness(t, "w1", "w2")
 	for _, f := range h.upstreams {
@@ -304,18 +305,16 @@
 	h.submit(jobID(1), oneStep(6, 3000))
 	h.run(500 * time.Millisecond)
 	h.upstreams["w1"].addRows = func(r *StatusReply) {
-		for i := range 140_000 {
+		for i := range 20_000 {
 			r.Running = append(r.Running, RunningTask{Run: pipeline.RunKey{TaskKey: pipeline.TaskKey{Job: "odd", Index: int32(i)}, Number: 1}})
 		}
 	}
-	began := time.Now()
 	h.run(time.Second)
-	took := time.Since(began)
 	h.upstreams["w1"].addRows = nil
 	h.run(5 * time.Second)
 	h.checkAllDone(jobID(1))
-	if most := 5 * time.Second; took > most {
-		t.Errorf("a second took %v", took)
+	if n := h.upstreams["w1"].longestQueue; n == 0 || n > maxQueuedStops {
+		t.Errorf("%d orders were queued", n)
 	}
 }
 
--- a/dispatch/upstream_test.go
+++ b/dispatch/upstream_test.go
@@ -35,6 +35,8 @@
 	address string
 	// addRows, if set, changes the answers to status requests.
 	addRows func(*StatusReply)
+	// longestQueue is the largest number of orders that were queued when a stop came.
+	longestQueue int
 	// replaced is set once another upstream listens at the address.
 	replaced bool
 	// answerAt is the virtual time at which the pending answer arrives; zero if it is not delayed.
@@ -215,6 +217,9 @@
 	if o.Token < f.token {
 		return OrderReply{Verdict: Fenced, ClockMS: f.clockMS()}, nil
 	}
+	if s := c.h.engine.sessions[to.Upstream]; s != nil {
+		f.longestQueue = max(f.longestQueue, len(s.orders))
+	}
 	f.token = o.Token
 	key := pipeline.RunKey{TaskKey: o.Task, Number: o.Number}
 	f.lastEnded[o.Task] = max(f.lastEnded[o.Task], o.Number)
