dispatch: names and checkpoints in an upstream's list are bounded

A name of a task or a checkpoint of megabytes in an upstream's answer went into the log with the end of the run, and to all replicas. An answer with a longer one than can be replicated is now an error of that call, as other malformed rows are.

--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -14,6 +14,7 @@
 	"github.com/bulrushwinch/bulrushwinch/raft"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -51,6 +52,8 @@
 	confirms bool
 	term     uint64
 	vms      VMs
+	// largest is the size of the largest command that was proposed, in bytes.
+	largest int
 	// relays are the replicas that can carry calls.
 	relays []Relay
 }
@@ -82,6 +85,7 @@
 
 // Propose implements Host.
 func (h *harness) Propose(c *pipelinev1.Command, done func(*pipeline.Result, error)) {
+	h.largest = max(h.largest, proto.Size(c))
 	commit := func() {
 		r := h.state.Apply(h.wall(), c)
 		if done != nil {
--- a/dispatch/odd_entries_test.go
+++ b/dispatch/odd_entries_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"math"
+	"strings"
 	"testing"
 	"time"
 
@@ -221,6 +222,38 @@
 	}
 }
 
+// Names and checkpoints of megabytes in an upstream's list once went into the log.
+func TestLongTextsOfAnUpstreamStayOutOfTheLog(t *testing.T) {
+	long := strings.Repeat("x", 1<<20)
+	for name, add := range map[string]func(*StatusReply){
+		"name of an ended task":       func(r *StatusReply) { r.Ended = append(r.Ended, EndedTask{Number: 1, Run: keyOf(long)}) },
+		"checkpoint of an ended task": func(r *StatusReply) { r.Ended = append(r.Ended, EndedTask{Number: 1, Checkpoint: long}) },
+		"checkpoint of a running task": func(r *StatusReply) {
+			r.Running = append(r.Running, RunningTask{Run: keyOf(jobID(1)), Checkpoint: long})
+		},
+		"name of a task that no one is": func(r *StatusReply) { r.Running = append(r.Running, RunningTask{Run: keyOf(long)}) },
+	} {
+		h := newHarness(t, "w1", "w2")
+		h.submit(jobID(1), oneStep(6, 1000))
+		h.upstreams["w1"].addRows = add
+		h.run(time.Second)
+		h.upstreams["w1"].addRows = nil
+		h.run(15 * time.Second)
+		if h.largest > 2*maxCheckpointBytes {
+			t.Errorf("%s: a command of %d bytes", name, h.largest)
+		}
+		h.check()
+		if s := h.jobState(jobID(1)); s != pipeline.Completed {
+			t.Errorf("%s: the job is %s", name, s)
+		}
+	}
+}
+
+// keyOf returns the first run of the first task of a job.
+func keyOf(job string) pipeline.RunKey {
+	return pipeline.RunKey{TaskKey: pipeline.TaskKey{Job: job}, Number: 1}
+}
+
 // An upstream that goes on listing an acknowledged end once got status requests in a loop.
 func TestAcknowledgedEndThatIsListedAgain(t *testing.T) {
 	h := newHarness(t, "w1")
--- a/dispatch/status.go
+++ b/dispatch/status.go
@@ -27,7 +27,7 @@
 				if err != nil {
 					s.wayFailed(to.Via, now)
 				} else {
-					err = s.checkEnds(reply)
+					err = s.checkReply(reply)
 				}
 				if to.Address != s.u.GetAddress() {
 					err = errorAtClaimant(reply, err)
@@ -73,17 +73,29 @@
 	s.proposeEnds(ends)
 }
 
-// maxEndGap is how far the number of an end may be ahead of the last one. Once a number is acknowledged, the upstream
-// forgets all ends up to it.
-const maxEndGap = 1 << 20
+const (
+	// maxEndGap is how far the number of an end may be ahead of the last one. Once a number is acknowledged, the
+	// upstream forgets all ends up to it.
+	maxEndGap = 1 << 20
+	// maxCheckpointBytes bounds a checkpoint, which is replicated. Users' have 16 bytes.
+	maxCheckpointBytes = 64 << 10
+)
+
+var errLongText = errors.New("the upstream lists a name or a checkpoint that is too long")
 
-// checkEnds returns an error if an answer lists an end with a number that the upstream can't have reached.
-func (s *session) checkEnds(reply StatusReply) error {
-	if reply.Born != 0 && reply.Born != s.u.GetBorn() {
-		return nil
+// checkReply returns an error if an answer lists what the upstream can't have, or what is too long to be replicated.
+func (s *session) checkReply(reply StatusReply) error {
+	for _, x := range reply.Running {
+		if len(x.Run.Job) > pipeline.MaxNameBytes || len(x.Checkpoint) > maxCheckpointBytes {
+			return errLongText
+		}
 	}
+	known := reply.Born == 0 || reply.Born == s.u.GetBorn()
 	for _, x := range reply.Ended {
-		if x.Number < 1 || x.Number-maxEndGap > s.endsProposed {
+		if len(x.Run.Job) > pipeline.MaxNameBytes || len(x.Checkpoint) > maxCheckpointBytes {
+			return errLongText
+		}
+		if known && (x.Number < 1 || x.Number-maxEndGap > s.endsProposed) {
 			return errors.Errorf("the upstream lists an end with the number %d after %d", x.Number, s.endsProposed)
 		}
 	}
