--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -45,10 +45,17 @@
 		s.e.proposeUpstreamGone(s.u)
 		return
 	}
+	if s.rival != nil && certainlyEnded(err) {
+		s.logger(zerolog.InfoLevel).Err(err).Str("other_upstream", s.rival.GetId()).Int("runs", len(s.u.Runs)).Msg("upstream has ended; another one has its address or VM")
+		s.nextProbe = at + probeMax
+		s.e.proposeUpstreamGone(s.u)
+		return
+	}
 	if s.phase != lifecycle.SessionSilent {
 		s.unresponsiveSince = at
 		upstreamsUnresponsive.Add(1)
 	}
+	s.askClaimant = !s.askClaimant
 	s.transition(lifecycle.SessionFail, err.Error())
 	s.withdrawQueued()
 	s.probePause = min(max(s.probePause*2, probeMin), probeMax)
@@ -72,6 +79,8 @@
 	}
 	s.probePause = 0
 	s.nextProbe = at + probeMin
+	s.knownIncarnationAnswered(reply, began)
+	s.olderReport = nil
 	s.transition(lifecycle.SessionReconcile, "a status request was answered")
 	s.resolveUnanswered(reply)
 	s.reconcileRuns(reply, began, at)
@@ -80,12 +89,19 @@
 // probeRefused handles a status request that the upstream refused.
 func (s *session) probeRefused(v OrderVerdict, at time.Duration) {
 	ordersRefused.Add(string(v), 1)
-	s.probeFailed(at, errors.New(string(v)))
+	err := errors.New(string(v))
+	if v == OtherIncarnation {
+		err = errOtherIncarnation
+	}
+	s.probeFailed(at, err)
 }
 
 // otherIncarnation handles an answer of another incarnation: it proposes the new incarnation if
 // its heartbeat was received, and otherwise waits for the heartbeat.
 func (s *session) otherIncarnation(reply StatusReply) {
+	if s.olderIncarnationAnswered(reply) {
+		return
+	}
 	if s.newIncarnation == nil || s.newIncarnation.GetBorn() != reply.Born {
 		s.probeFailed(s.e.now(), errors.New("another incarnation answered; waiting for its heartbeat"))
 		return
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -18,10 +18,20 @@
 	u *pipeline.Upstream
 	// view is the upstream in the view of the cell that rounds decide upon.
 	view *placement.Upstream
-	// newIncarnation is a newer incarnation that a heartbeat announced; nil if there is none. It
-	// is queried before any order is sent.
+	// newIncarnation is a newer incarnation that a heartbeat announced at claimedAt; nil if there is none. It
+	// is queried before any order is sent, in turn with the known one while neither answers: askClaimant is set
+	// if it is next.
 	newIncarnation *pipelinev1.Upstream
-	phase          lifecycle.SessionState
+	claimedAt      time.Duration
+	askClaimant    bool
+	// rival is another upstream that reported this one's address or VM, last at rivalAt, while it was not known which
+	// of them is there; nil if there is none.
+	rival   *pipelinev1.Upstream
+	rivalAt time.Duration
+	// olderReport is the last heartbeat of an older incarnation than the known one, received while that one did
+	// not answer; nil if there is none.
+	olderReport *pipelinev1.Upstream
+	phase       lifecycle.SessionState
 	// epoch is the low part of the fencing token; each status request that reconciles the session
 	// increments it.
 	epoch int64
@@ -56,6 +66,8 @@
 	lastHeartbeat time.Duration
 	// lastSequence is the highest sequence number of a heartbeat of this incarnation.
 	lastSequence int64
+	// stale are the heartbeats below lastSequence that came last.
+	stale staleRun
 	// unresponsiveSince is when the upstream became unresponsive or suspected.
 	unresponsiveSince time.Duration
 	// nextProbe is the earliest time of the next status request without a wait; probePause is the
--- a/dispatch/status.go
+++ b/dispatch/status.go
@@ -6,6 +6,7 @@
 
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
 
@@ -14,9 +15,7 @@
 func (s *session) requestStatus(began time.Duration, req StatusRequest, timeout time.Duration, done func(StatusReply, error, time.Duration)) {
 	statusRequestsSent.Add(1)
 	to, born := s.target(began, timeout), s.u.GetBorn()
-	if s.newIncarnation != nil {
-		to.Address = s.newIncarnation.GetAddress()
-	}
+	to.Address = s.statusAddress()
 	s.e.async(timeout, func(ctx context.Context) func() {
 		reply, err := s.e.upstreams.Status(ctx, to, req)
 		return func() {
@@ -27,6 +26,11 @@
 			if s.e.sessions[s.u.GetId()] == s {
 				if err != nil {
 					s.wayFailed(to.Via, now)
+				} else {
+					err = s.checkReply(reply)
+				}
+				if to.Address != s.u.GetAddress() {
+					err = errorAtClaimant(reply, err)
 				}
 				done(reply, err, now)
 			}
@@ -42,11 +46,12 @@
 		s.logger(zerolog.InfoLevel).Msg("upstream answers and is not draining; its leave notice came from an older incarnation")
 	}
 	running := make(map[pipeline.RunKey]bool, len(reply.Running))
+	var unknown []pipeline.RunKey
 	for _, r := range reply.Running {
 		running[r.Run] = true
 		run := s.u.Runs[r.Run]
 		if run == nil {
-			s.stopUnknown(r.Run)
+			unknown = append(unknown, r.Run)
 			continue
 		}
 		if _, known := s.answeredAt[r.Run]; !known && !s.startQueued(r.Run) {
@@ -60,6 +65,7 @@
 			s.enqueueStop(run, "the job has ended")
 		}
 	}
+	s.stopUnknown(unknown...)
 	ends, ended := s.newEnds(reply)
 	if len(reply.Ended) < maxEndsListed {
 		ends = append(ends, s.missingRuns(running, ended, began)...)
@@ -67,13 +73,43 @@
 	s.proposeEnds(ends)
 }
 
+const (
+	// maxEndGap is how far the number of an end may be ahead of the last one. Once a number is acknowledged, the
+	// upstream forgets all ends up to it.
+	maxEndGap = 1 << 20
+	// maxCheckpointBytes bounds a checkpoint, which is replicated. Users' have 16 bytes.
+	maxCheckpointBytes = 64 << 10
+)
+
+var errLongText = errors.New("the upstream lists a name or a checkpoint that is too long")
+
+// checkReply returns an error if an answer lists what the upstream can't have, or what is too long to be replicated.
+func (s *session) checkReply(reply StatusReply) error {
+	for _, x := range reply.Running {
+		if len(x.Run.Job) > pipeline.MaxNameBytes || len(x.Checkpoint) > maxCheckpointBytes {
+			return errLongText
+		}
+	}
+	known := reply.Born == 0 || reply.Born == s.u.GetBorn()
+	for _, x := range reply.Ended {
+		if len(x.Run.Job) > pipeline.MaxNameBytes || len(x.Checkpoint) > maxCheckpointBytes {
+			return errLongText
+		}
+		if known && (x.Number < 1 || x.Number-maxEndGap > s.endsProposed) {
+			return errors.Errorf("the upstream lists an end with the number %d after %d", x.Number, s.endsProposed)
+		}
+	}
+	return nil
+}
+
 // newEnds converts the listed ends that were not proposed yet. It also returns the set of all
 // runs that are listed as ended.
 func (s *session) newEnds(reply StatusReply) (ends []*pipelinev1.End, ended map[pipeline.RunKey]bool) {
 	ended = make(map[pipeline.RunKey]bool, len(reply.Ended))
+	proposed := s.endsProposed
 	for _, x := range reply.Ended {
 		ended[x.Run] = true
-		if x.Number <= s.endsProposed {
+		if x.Number <= proposed {
 			continue
 		}
 		e := &pipelinev1.End{Kind: x.Kind, Listed: x.Number, Checkpoint: x.Checkpoint,
@@ -82,7 +118,7 @@
 			e.Checkpoint = s.e.checkpoints[run.Task]
 		}
 		ends = append(ends, e)
-		s.endsProposed = x.Number
+		s.endsProposed = max(s.endsProposed, x.Number)
 	}
 	return ends, ended
 }
--- a/dispatch/upstream_test.go
+++ b/dispatch/upstream_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -29,7 +30,15 @@
 	// extraPerIndex is how much longer each task of a step runs than the task before it.
 	extraPerIndex time.Duration
 	draining      bool
-	rack          string
+	rack, vm      string
+	// address is where the upstream listens; empty means at its identity.
+	address string
+	// addRows, if set, changes the answers to status requests.
+	addRows func(*StatusReply)
+	// longestQueue is the largest number of orders that were queued when a stop came.
+	longestQueue int
+	// replaced is set once another upstream listens at the address.
+	replaced bool
 	// answerAt is the virtual time at which the pending answer arrives; zero if it is not delayed.
 	answerAt time.Duration
 
@@ -65,7 +74,7 @@
 
 // describe returns the description of the upstream that its heartbeats contain.
 func (f *fakeUpstream) describe(id string) *pipelinev1.Upstream {
-	return &pipelinev1.Upstream{Id: id, Born: f.born, Service: "print", Address: id, FailureDomain: "prado", Rack: f.rack,
+	return &pipelinev1.Upstream{Id: id, Born: f.born, Service: "print", Address: cmp.Or(f.address, id), FailureDomain: "prado", Rack: f.rack, Vm: f.vm,
 		Capacity: &pipelinev1.Resources{MilliCores: 4000, MemoryMib: 1000}, Draining: f.draining}
 }
 
@@ -120,6 +129,9 @@
 	clear(f.lastEnded)
 }
 
+// refusedAddress is an address at which nothing listens.
+const refusedAddress = "refused"
+
 // fleet implements Upstreams for the harness's fake upstreams.
 type fleet struct{ h *harness }
 
@@ -129,6 +141,12 @@
 	if f != nil {
 		f.calls[to.Via]++
 	}
+	if to.Address == refusedAddress {
+		return nil, ErrNothingListens
+	}
+	if f != nil && to.Address != cmp.Or(f.address, to.Upstream) {
+		return nil, errUnanswered
+	}
 	if f != nil && f.gone {
 		return nil, ErrNothingListens
 	}
@@ -199,6 +217,9 @@
 	if o.Token < f.token {
 		return OrderReply{Verdict: Fenced, ClockMS: f.clockMS()}, nil
 	}
+	if s := c.h.engine.sessions[to.Upstream]; s != nil {
+		f.longestQueue = max(f.longestQueue, len(s.orders))
+	}
 	f.token = o.Token
 	key := pipeline.RunKey{TaskKey: o.Task, Number: o.Number}
 	f.lastEnded[o.Task] = max(f.lastEnded[o.Task], o.Number)
@@ -217,6 +238,9 @@
 	if err != nil {
 		return StatusReply{}, err
 	}
+	if f.replaced {
+		return StatusReply{Verdict: OtherIncarnation}, nil
+	}
 	if r.Token < f.token {
 		return StatusReply{Verdict: Fenced, ClockMS: f.clockMS(), Born: f.born}, nil
 	}
@@ -234,6 +258,9 @@
 			reply.Ended = append(reply.Ended, e)
 		}
 	}
+	if f.addRows != nil {
+		f.addRows(&reply)
+	}
 	if f.deaf[to.Via] {
 		f.answerAt = c.h.now + timeLeft(ctx)
 		return StatusReply{}, errUnanswered
