platform, pipeline: an upstream's capacity may shrink to zero

What an upstream says of itself may shrink while it runs. A heartbeat with no cores or no memory left was refused as odd, so that the upstream kept its former capacity and got work that it had no room for (LIMIT); seen on reading. Missing and negative amounts are still refused. TestCapacityMayShrinkToZero failed before: 'the capacity is out of range'.

--- a/pipeline/describe.go
+++ b/pipeline/describe.go
@@ -32,7 +32,9 @@
 		return "the identity, the service or the failure domain is missing"
 	case u.GetBorn() <= 0:
 		return "the time of the start is missing"
-	case !inRange(capacity.GetMilliCores(), 1, MaxMilliCores) || !inRange(capacity.GetMemoryMib(), 1, MaxMemoryMiB) || !inRange(capacity.GetGpus(), 0, MaxGPUs):
+	case capacity == nil:
+		return "the capacity is missing"
+	case !inRange(capacity.GetMilliCores(), 0, MaxMilliCores) || !inRange(capacity.GetMemoryMib(), 0, MaxMemoryMiB) || !inRange(capacity.GetGpus(), 0, MaxGPUs):
 		return "the capacity is out of range"
 	case len(u.GetLabels()) > MaxLabels:
 		return fmt.Sprintf("there are more than %d labels", MaxLabels)
