--- a/dispatch/upstream_test.go
+++ b/dispatch/upstream_test.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"cmp"
 	"context"
 	"time"
 
@@ -30,6 +31,8 @@
 	extraPerIndex time.Duration
 	draining      bool
 	rack          string
+	// address is where the upstream is called; its identity if empty.
+	address string
 	// answerAt is the virtual time at which the pending answer arrives; zero if it is not delayed.
 	answerAt time.Duration
 
@@ -65,7 +68,7 @@
 
 // describe returns the description of the upstream that its heartbeats contain.
 func (f *fakeUpstream) describe(id string) *pipelinev1.Upstream {
-	return &pipelinev1.Upstream{Id: id, Born: f.born, Service: "print", Address: id, FailureDomain: "prado", Rack: f.rack,
+	return &pipelinev1.Upstream{Id: id, Born: f.born, Service: "print", Address: cmp.Or(f.address, id), FailureDomain: "prado", Rack: f.rack,
 		Capacity: &pipelinev1.Resources{MilliCores: 4000, MemoryMib: 1000}, Draining: f.draining}
 }
 
