pipeline, dispatch: a task under which upstreams crash is given up

Cause: only ends that an upstream lists as failed count as attempts. A run that ends with its upstream was lost, which counted nothing, and its task waited again without bound; copies doubled the rate. Change: ends tell crashed (the incarnation ended without notice) and expired (the lease of a silent upstream ran out, which an upstream that is only cut off shows as well) from lost. Three crashes, or two within half a second of the start, fail the job, lasting or not. Expired runs count once the upstream is heard again, unless as the same incarnation. Apply places no run while crashes, runs of unknown fate and live runs are three. Tasks of different jobs that a crash has ended are placed apart.

--- a/dispatch/crash_test.go
+++ b/dispatch/crash_test.go
@@ -90,6 +90,7 @@
 		for way, c := range crashers {
 			for _, leaders := range []string{"one leader", "many leaders"} {
 				t.Run(step+"/"+way+"/"+leaders, func(t *testing.T) {
+					c := c
 					c.h = newHarness(t, "w1", "w2", "w3", "w4", "w5", "w6", "w7", "w8")
 					c.task = pipeline.TaskKey{Job: jobID(1)}
 					c.h.submit(jobID(1), spec)
@@ -113,3 +114,59 @@
 		}
 	}
 }
+
+// Upstreams that are cut off beyond their lease, or leave with notice and are replaced at their address, give no
+// cause to fail a job.
+func TestJobIsFailedForUpstreamsThatDidNotCrash(t *testing.T) {
+	tests := map[string]struct {
+		away func(h *harness, id string)
+		back func(h *harness, id string)
+	}{
+		"cut off": {func(h *harness, id string) { h.upstreams[id].partitioned = true },
+			func(h *harness, id string) { h.upstreams[id].partitioned = false }},
+		"left": {func(h *harness, id string) {
+			h.upstreams[id].draining = true
+			h.sendHeartbeat(id)
+			h.upstreams[id].partitioned = true
+		}, func(h *harness, id string) {
+			old := h.upstreams[id]
+			f := newFakeUpstream(h, old.born+1)
+			f.address = old.describe(id).GetAddress()
+			delete(h.upstreams, id)
+			id = fmt.Sprintf("%s-%d", f.address, f.born)
+			h.upstreams[id] = f
+			h.sendHeartbeat(id)
+		}},
+	}
+	for name, test := range tests {
+		for _, leaders := range []string{"one leader", "many leaders"} {
+			t.Run(name+"/"+leaders, func(t *testing.T) {
+				h := newHarness(t, "w1", "w2", "w3", "w4")
+				h.submit(jobID(1), oneStep(1, 1000))
+				back := make(map[string]time.Duration)
+				for away := 0; h.now < 90*time.Second; {
+					h.run(tickStep)
+					for id, f := range h.upstreams {
+						if away < 8 && back[id] == 0 && f.runs(pipeline.TaskKey{Job: jobID(1)}) {
+							away++
+							test.away(h, id)
+							back[id] = h.now + 7*time.Second
+							if leaders == "many leaders" {
+								h.newLeader()
+							}
+						}
+					}
+					for id, at := range back {
+						if h.now >= at {
+							delete(back, id)
+							test.back(h, id)
+						}
+					}
+				}
+				if got := h.jobState(jobID(1)); got != pipeline.Completed {
+					t.Errorf("state %s", got)
+				}
+			})
+		}
+	}
+}
--- a/dispatch/expiry.go
+++ b/dispatch/expiry.go
@@ -48,14 +48,13 @@
 	if s.phase == lifecycle.SessionOpen || len(s.u.Runs) == 0 || now-s.expiryProposedAt < orderTimeout || !s.leaseExpired(now) {
 		return
 	}
+	kind := pipelinev1.EndKind_END_KIND_EXPIRED
+	if s.endedWithNotice() {
+		kind = pipelinev1.EndKind_END_KIND_LOST
+	}
 	var ends []*pipelinev1.End
 	for _, key := range s.runKeys() {
-		r := s.u.Runs[key]
-		if s.startQueued(key) && !s.sent[key] {
-			ends = append(ends, &pipelinev1.End{Run: r.Proto(), Kind: pipelinev1.EndKind_END_KIND_NEVER_STARTED})
-			continue
-		}
-		ends = append(ends, &pipelinev1.End{Run: r.Proto(), Kind: pipelinev1.EndKind_END_KIND_LOST, Checkpoint: s.e.checkpoints[r.Task]})
+		ends = append(ends, s.unheardEnd(key, kind))
 	}
 	leasesExpired.Add(1)
 	s.logger(zerolog.WarnLevel).Int("runs", len(ends)).Int64("upstream_clock_ms", s.clock.lowerBound(now)).Int64("deadline_ms", s.deadlineMS).
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -92,20 +92,14 @@
 // proposeUpstreamGone proposes the end of all runs of an upstream that certainly no longer
 // exists, with their last checkpoints, and the removal of the upstream.
 func (e *Engine) proposeUpstreamGone(u *pipeline.Upstream) {
-	var ends []*pipelinev1.End
-	for _, r := range u.Runs {
-		ends = append(ends, &pipelinev1.End{Run: r.Proto(), Kind: pipelinev1.EndKind_END_KIND_LOST, Checkpoint: e.checkpoints[r.Task]})
-	}
-	if len(ends) > 0 {
-		e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_Ends{Ends: &pipelinev1.Ends{Ends: ends}}}, nil)
-	}
 	s := e.sessions[u.GetId()]
-	if s != nil {
-		s.removing = true
+	if ends := s.goneEnds(nil); len(ends) > 0 {
+		e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_Ends{Ends: &pipelinev1.Ends{Ends: ends}}}, nil)
 	}
+	s.removing = true
 	e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamGone{
-		UpstreamGone: &pipelinev1.UpstreamGone{Id: u.GetId(), Born: u.GetBorn()}}}, func(_ *pipeline.Result, err error) {
-		if s != nil && e.sessions[u.GetId()] == s {
+		UpstreamGone: &pipelinev1.UpstreamGone{Id: u.GetId(), Born: u.GetBorn(), Crashed: !s.endedWithNotice()}}}, func(_ *pipeline.Result, err error) {
+		if e.sessions[u.GetId()] == s {
 			s.removing = false
 		}
 		if err != nil {
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -11,6 +11,8 @@
 	jobsAccepted          = expvar.NewInt("pipeline_jobs_accepted")
 	jobsRefused           = expvar.NewMap("pipeline_jobs_refused")
 	jobsEnded             = expvar.NewMap("pipeline_jobs_ended")
+	jobsFailed            = expvar.NewMap("pipeline_jobs_failed_by_reason")
+	tasksHeld             = expvar.NewInt("pipeline_tasks_held_for_crashes")
 	runsPlaced            = expvar.NewInt("pipeline_runs_placed")
 	runsRefused           = expvar.NewMap("pipeline_runs_refused_by_reason")
 	runsEnded             = expvar.NewMap("pipeline_runs_ended")
@@ -52,4 +54,6 @@
 	pipelinev1.EndKind_END_KIND_ALONE:         "alone",
 	pipelinev1.EndKind_END_KIND_NEVER_STARTED: "never started",
 	pipelinev1.EndKind_END_KIND_LOST:          "lost",
+	pipelinev1.EndKind_END_KIND_CRASHED:       "crashed",
+	pipelinev1.EndKind_END_KIND_EXPIRED:       "expired",
 }
--- a/dispatch/observer.go
+++ b/dispatch/observer.go
@@ -63,6 +63,9 @@
 	e.stopRuns(j.LiveRuns(), "the job has ended")
 	e.admission.JobEnded(j.Team, e.now())
 	jobsEnded.Add(string(j.State), 1)
+	if j.State == pipeline.Failed {
+		e.logFailure(j)
+	}
 	e.log.Info().Str("request", j.Spec.GetId()).Str("queue", j.Spec.GetQueue()).Str("state", string(j.State)).
 		Int64("after_ms", (j.EndedNS-j.SubmittedNS)/int64(time.Millisecond)).Msg("job ended")
 }
@@ -115,6 +118,7 @@
 		e.log.Info().Str("request", r.Task.Step.Job().Spec.GetId()).Int32("step", r.Task.Step.Index).Int32("task", r.Task.Index).
 			Int32("run", r.Number).Str("upstream", r.Upstream.GetId()).Str("end", endNames[kind]).Msg("run ended without result")
 	}
+	e.logHeld(r)
 	if r.Task.Done || r.Task.Step.Job().Ended() {
 		delete(e.checkpoints, r.Task)
 	}
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -73,6 +73,7 @@
 	s.probePause = 0
 	s.nextProbe = at + probeMin
 	s.transition(lifecycle.SessionReconcile, "a status request was answered")
+	s.acquitExpired()
 	s.resolveUnanswered(reply)
 	s.reconcileRuns(reply, began, at)
 }
@@ -91,31 +92,34 @@
 		return
 	}
 	seen := &pipelinev1.UpstreamSeen{Upstream: s.newIncarnation}
-	for _, r := range reply.Running {
-		if run := s.u.Runs[r.Run]; run != nil {
-			seen.Kept = append(seen.Kept, run.Proto())
-		}
-	}
-	for _, ended := range reply.Ended {
-		if run := s.u.Runs[ended.Run]; run != nil {
+	listed := reply.listed()
+	for key := range listed {
+		if run := s.u.Runs[key]; run != nil {
 			seen.Kept = append(seen.Kept, run.Proto())
 		}
 	}
 	s.logger(zerolog.InfoLevel).Int64("new_born", reply.Born).Int("kept", len(seen.Kept)).Int("runs", len(s.u.Runs)).Msg("upstream restarted")
+	s.proposeEnds(s.goneEnds(listed))
 	s.clock, s.deadlineMS, s.lastSequence = upstreamClock{}, 0, 0
 	s.e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamSeen{UpstreamSeen: seen}}, nil)
 	s.nextProbe = s.e.now() + probeMin
 }
 
-// resolveUnanswered ends the runs of unanswered starts that the upstream does not list.
-func (s *session) resolveUnanswered(reply StatusReply) {
-	listed := make(map[pipeline.RunKey]bool)
-	for _, r := range reply.Running {
-		listed[r.Run] = true
+// listed returns the runs that the upstream lists as running or ended.
+func (r *StatusReply) listed() map[pipeline.RunKey]bool {
+	out := make(map[pipeline.RunKey]bool)
+	for _, run := range r.Running {
+		out[run.Run] = true
 	}
-	for _, r := range reply.Ended {
-		listed[r.Run] = true
+	for _, run := range r.Ended {
+		out[run.Run] = true
 	}
+	return out
+}
+
+// resolveUnanswered ends the runs of unanswered starts that the upstream does not list.
+func (s *session) resolveUnanswered(reply StatusReply) {
+	listed := reply.listed()
 	var ends []*pipelinev1.End
 	for _, key := range s.runKeys() {
 		r := s.u.Runs[key]
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -58,6 +58,8 @@
 	lastSequence int64
 	// unresponsiveSince is when the upstream became unresponsive or suspected.
 	unresponsiveSince time.Duration
+	// openUntil is when the session left the open state last.
+	openUntil time.Duration
 	// nextProbe is the earliest time of the next status request without a wait; probePause is the
 	// pause between such requests.
 	nextProbe  time.Duration
@@ -147,6 +149,7 @@
 	}
 	s.logger(zerolog.InfoLevel).Str("from", string(s.phase)).Str("to", string(to)).Str("why", reason).
 		Int64("upstream_clock_ms", s.clock.lowerBound(s.e.now())).Int64("deadline_ms", s.deadlineMS).Msg("upstream session changed")
+	s.leftOpen(s.e.now())
 	s.phase = to
 	s.e.dirty = true
 }
--- a/pipeline/ends.go
+++ b/pipeline/ends.go
@@ -38,6 +38,10 @@
 		s.runDone(t)
 	case pipelinev1.EndKind_END_KIND_FAILED:
 		s.runFailed(r)
+	case pipelinev1.EndKind_END_KIND_CRASHED:
+		s.runCrashed(r, e.GetEarly())
+	case pipelinev1.EndKind_END_KIND_EXPIRED:
+		s.runExpired(r)
 	}
 	s.failExhaustedJob(t)
 	s.observer.RunEnded(r, e.GetKind())
@@ -86,8 +90,8 @@
 	}
 }
 
-// failExhaustedJob fails the job of a task that has used up its attempts. While a copy of the task is
-// still running, the job goes on, because the copy may still succeed.
+// failExhaustedJob fails the job of a task that is given up. While a copy of the task is still
+// running, the job goes on, because the copy may still succeed.
 func (s *State) failExhaustedJob(t *Task) {
 	st := t.Step
 	if t.Done || st.Job().Ended() || !s.Exhausted(t) || !st.Spec.GetGang() && len(t.Live) > 0 {
@@ -96,13 +100,13 @@
 	s.endJob(st.Job(), lifecycle.PipelineFail)
 }
 
-// Exhausted reports whether a task, or the gang that it is in, has used up its attempts. Lasting
-// tasks never do.
+// Exhausted reports whether a task is given up: it, or the gang that it is in, has used up its
+// attempts, or it crashes its upstreams. Lasting tasks have no limit of attempts.
 func (s *State) Exhausted(t *Task) bool {
-	if t.Step.Spec.GetLasting() {
-		return false
+	if t.CrashesUpstreams() {
+		return true
 	}
-	return max(t.Failures, t.Step.Failures) >= s.maxAttempts(t.Step.Job())
+	return !t.Step.Spec.GetLasting() && max(t.Failures, t.Step.Failures) >= s.maxAttempts(t.Step.Job())
 }
 
 // maxAttempts returns the attempts that the job's queue allows.
--- a/pipeline/job.go
+++ b/pipeline/job.go
@@ -99,6 +99,12 @@
 	Checkpoint string
 	// Live are the runs that may exist at an upstream.
 	Live []*Run
+	// Crashes counts the runs whose upstream crashed, EarlyCrashes those whose upstream crashed soon
+	// after their start.
+	Crashes, EarlyCrashes int32
+	// Expired are the runs that ended when their lease expired, as long as it is not known whether
+	// their upstreams crashed.
+	Expired []*Run
 }
 
 // Run is one start of a task that may exist at an upstream.
@@ -170,8 +176,8 @@
 	return TaskKey{t.Step.Job().Spec.GetId(), t.Step.Occurrence.Index, t.Step.Index, t.Index}
 }
 
-// Waiting reports whether the task is not done and has no run.
-func (t *Task) Waiting() bool { return !t.Done && len(t.Live) == 0 }
+// Waiting reports whether the task is not done, has no run and may get one.
+func (t *Task) Waiting() bool { return !t.Done && len(t.Live) == 0 && !t.Held() }
 
 // Key returns the key of the run.
 func (r *Run) Key() RunKey { return RunKey{r.Task.Key(), r.Number} }
@@ -255,6 +261,7 @@
 	}
 	j.transition(trigger)
 	j.EndedNS = s.nowNS
+	forgetExpiredOf(j)
 	s.endedJobs = append(s.endedJobs, j)
 	s.observer.JobEnded(j)
 }
--- a/pipeline/place.go
+++ b/pipeline/place.go
@@ -42,6 +42,9 @@
 	PlaceExhausted PlaceReason = "the task has failed as often as it may"
 	// PlaceAlreadyRunning means that the task already has a run and its step allows no copies.
 	PlaceAlreadyRunning PlaceReason = "another run of the task may exist"
+	// PlaceHeld means that as many runs of the task as are allowed have, or may have, crashed their
+	// upstreams.
+	PlaceHeld PlaceReason = "the task's runs may have crashed their upstreams"
 )
 
 // PlaceRefusal is a proposed run that was refused.
@@ -162,6 +165,8 @@
 		return PlaceAlreadyRunning
 	case s.Exhausted(t):
 		return PlaceExhausted
+	case t.Held():
+		return PlaceHeld
 	case !st.Ready():
 		return PlaceDependency
 	case st.Occurrence.DueNS > s.nowNS:
--- a/pipeline/snapshot.go
+++ b/pipeline/snapshot.go
@@ -47,11 +47,15 @@
 		for _, st := range o.Steps {
 			sr := &pipelinev1.StepRecord{Failures: st.Failures, LastRun: st.LastRun, FailedRun: st.FailedRun}
 			for _, t := range st.Tasks {
-				tr := &pipelinev1.TaskRecord{Done: t.Done, Failures: t.Failures, LastRun: t.LastRun, Checkpoint: t.Checkpoint}
+				tr := &pipelinev1.TaskRecord{Done: t.Done, Failures: t.Failures, LastRun: t.LastRun, Checkpoint: t.Checkpoint,
+					Crashes: t.Crashes, EarlyCrashes: t.EarlyCrashes}
 				for _, r := range t.Live {
 					tr.Live = append(tr.Live, r.Proto())
 					tr.LivePlacedNs = append(tr.LivePlacedNs, r.PlacedNS)
 				}
+				for _, r := range t.Expired {
+					tr.Expired = append(tr.Expired, r.Proto())
+				}
 				sr.Tasks = append(sr.Tasks, tr)
 			}
 			oc.Steps = append(oc.Steps, sr)
@@ -77,8 +81,9 @@
 		s.domainsOut[r.Domain.GetName()] = r.Domain.GetOut()
 	case *pipelinev1.Record_Upstream:
 		desc := r.Upstream.GetUpstream()
-		s.upstreams[desc.GetId()] = &Upstream{Upstream: desc, Capacity: ResourcesFromProto(desc.GetCapacity()),
-			Runs: make(map[RunKey]*Run), LastEnd: r.Upstream.GetLastEnd()}
+		u := newUpstream()
+		u.Upstream, u.Capacity, u.LastEnd = desc, ResourcesFromProto(desc.GetCapacity()), r.Upstream.GetLastEnd()
+		s.upstreams[desc.GetId()] = u
 	case *pipelinev1.Record_Wave:
 		s.restoreWave(r.Wave)
 	case *pipelinev1.Record_Job:
@@ -134,20 +139,28 @@
 	for i, t := range st.Tasks {
 		tr := r.GetTasks()[i]
 		t.Done, t.Failures, t.LastRun, t.Checkpoint = tr.GetDone(), tr.GetFailures(), tr.GetLastRun(), tr.GetCheckpoint()
+		t.Crashes, t.EarlyCrashes = tr.GetCrashes(), tr.GetEarlyCrashes()
 		if t.Done {
 			st.Undone--
 		}
 		for i, l := range tr.GetLive() {
 			u := s.upstreams[l.GetUpstream()]
 			if u == nil {
-				return errors.Errorf("pipeline: a run is on the unknown upstream %q", l.GetUpstream())
+				return unknownUpstream(l)
 			}
 			s.reserve(&Run{Task: t, Number: l.GetNumber(), Upstream: u, Born: l.GetBorn(), PlacedNS: placedNS(t, tr, i)})
 		}
+		if err := s.restoreExpired(t, tr.GetExpired()); err != nil {
+			return err
+		}
 	}
 	return nil
 }
 
+func unknownUpstream(r *pipelinev1.Run) error {
+	return errors.Errorf("pipeline: a run is on the unknown upstream %q", r.GetUpstream())
+}
+
 // placedNS returns when a live run of a record was placed. Where an older version has written the record,
 // it is not known, and not before the job was accepted.
 func placedNS(t *Task, r *pipelinev1.TaskRecord, i int) int64 {
--- a/pipeline/upstream.go
+++ b/pipeline/upstream.go
@@ -16,11 +16,18 @@
 	Used Resources
 	// Runs are the runs that may exist on the upstream.
 	Runs map[RunKey]*Run
+	// Expired are runs of this incarnation that ended when their lease expired, as long as it is not
+	// known whether the upstream crashed.
+	Expired map[RunKey]*Run
 	// LastEnd is the highest number of a committed end of this incarnation. The upstream numbers
 	// the ends that it lists.
 	LastEnd int64
 }
 
+func newUpstream() *Upstream {
+	return &Upstream{Runs: make(map[RunKey]*Run), Expired: make(map[RunKey]*Run)}
+}
+
 // Free returns the capacity that no run reserves.
 func (u *Upstream) Free() Resources { return u.Capacity.Minus(u.Used) }
 
@@ -48,13 +55,16 @@
 	u := s.upstreams[desc.GetId()]
 	switch {
 	case u == nil:
-		u = &Upstream{Runs: make(map[RunKey]*Run)}
+		u = newUpstream()
 		s.upstreams[desc.GetId()] = u
 	case desc.GetBorn() < u.GetBorn():
 		return
 	case desc.GetBorn() > u.GetBorn():
 		s.replaceIncarnation(u, desc.GetBorn(), c.GetKept())
 	}
+	if c.GetAlive() {
+		s.resolveExpired(u, false)
+	}
 	u.Upstream, u.Capacity = desc, ResourcesFromProto(desc.GetCapacity())
 	s.observer.UpstreamChanged(u)
 }
@@ -72,6 +82,7 @@
 		}
 		s.endRun(r, &pipelinev1.End{Kind: pipelinev1.EndKind_END_KIND_LOST})
 	}
+	s.resolveExpired(u, !u.GetDraining())
 	u.LastEnd = 0
 }
 
@@ -114,6 +125,7 @@
 	for _, r := range u.sortedRuns() {
 		s.endRun(r, &pipelinev1.End{Kind: pipelinev1.EndKind_END_KIND_LOST})
 	}
+	s.resolveExpired(u, c.GetCrashed())
 	delete(s.upstreams, c.GetId())
 	s.observer.UpstreamGone(u)
 }
--- a/placement/cell.go
+++ b/placement/cell.go
@@ -90,6 +90,8 @@
 	fitting, fittingWhenIdle int
 	// placed counts the round's placements of the step that is being placed.
 	placed int
+	// suspect is the job of the round's last placement there of a task that may have crashed an upstream.
+	suspect *pipeline.Job
 	// yields holds, for a priority, what the runs that it may preempt would free.
 	yields map[int32]pipeline.Resources
 }
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -60,6 +60,8 @@
 type choice struct {
 	// far is set when the task prefers another rack.
 	far bool
+	// exposed is set when upstreams crashed under the task and under one of another job on the upstream.
+	exposed bool
 	// slow is set for urgent tasks on an upstream that is slower than others.
 	slow bool
 	// fitting is how many of the step's waiting tasks fit on the upstream. For lasting steps it
@@ -69,12 +71,14 @@
 	freeShare float64
 }
 
-// betterThan reports whether a ranks before b: by rack, then speed, then the number of fitting
-// tasks, then the smaller free share.
+// betterThan reports whether a ranks before b: by rack, then exposure to crashes, then speed, then the
+// number of fitting tasks, then the smaller free share.
 func (a choice) betterThan(b choice) bool {
 	switch {
 	case a.far != b.far:
 		return b.far
+	case a.exposed != b.exposed:
+		return b.exposed
 	case a.slow != b.slow:
 		return b.slow
 	case a.fitting != b.fitting:
@@ -100,7 +104,8 @@
 		if !st.Need.Fits(u.free) || t.RunsOn(u.Upstream) || st.Spec.GetMaxPerUpstream() > 0 && r.spreadRoom(st, u) <= 0 {
 			continue
 		}
-		c := choice{far: rack != "" && u.GetRack() != rack, slow: urgent && u.slowness > slowBound, fitting: r.capacity(st, u, min(waiting, most)),
+		c := choice{far: rack != "" && u.GetRack() != rack, exposed: t.Suspect() && r.hasOtherSuspect(st.Job(), u),
+			slow: urgent && u.slowness > slowBound, fitting: r.capacity(st, u, min(waiting, most)),
 			freeShare: largestFreeShare(u.free.Minus(st.Need), u.Capacity) + slowPenalty*u.slowness}
 		if lasting {
 			c.fitting = -u.placed
@@ -112,6 +117,21 @@
 	return best
 }
 
+// hasOtherSuspect reports whether the upstream has a task of another job under which an upstream crashed.
+// Such tasks are kept apart: those that one crash has ended together would all be ended again by the one of
+// them that caused it.
+func (r *round) hasOtherSuspect(j *pipeline.Job, u *Upstream) bool {
+	if u.suspect != nil && u.suspect != j {
+		return true
+	}
+	for _, run := range u.Runs {
+		if run.Task.Suspect() && run.Task.Step.Job() != j {
+			return true
+		}
+	}
+	return false
+}
+
 // largestFreeShare returns the free share of an upstream's cores or memory, whichever is larger.
 func largestFreeShare(free, capacity pipeline.Resources) float64 {
 	share := func(a, b int64) float64 {
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -103,7 +103,7 @@
 		teamRuns: make(map[string][]*pipeline.Run), teamYields: make(map[string][]*teamYield), teamReleases: make(map[string][]release)}
 	r.out.Inspected = len(c.Upstreams)
 	for _, u := range c.Upstreams {
-		u.free, u.placed, u.yields, u.knowsWhenIdle, u.knowsEnds = u.Free(), 0, nil, false, false
+		u.free, u.placed, u.yields, u.knowsWhenIdle, u.knowsEnds, u.suspect = u.Free(), 0, nil, false, false, nil
 		u.Usable = u.Usable && !c.State.DomainOut(u.GetFailureDomain())
 		if u.Usable {
 			u.slowness = c.Learner.slownessOf(u)
@@ -190,6 +190,9 @@
 		r.touched = append(r.touched, u)
 	}
 	u.placed++
+	if t.Suspect() {
+		u.suspect = st.Job()
+	}
 	r.pool(u.GetService()).freeCores -= st.Need.MilliCores
 	number := t.LastRun + 1
 	if st.Spec.GetGang() {
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -91,7 +91,7 @@
 	var out []*pipeline.Task
 	bound := time.Duration(stragglerFactor*float64(r.Learner.Expected(w.Step))) + stragglerSlack
 	for _, t := range w.Step.Tasks {
-		if t.Done || len(t.Live) != 1 || r.State.Exhausted(t) {
+		if t.Done || len(t.Live) != 1 || r.State.Exhausted(t) || t.Held() {
 			continue
 		}
 		u := r.byID[t.Live[0].Upstream.GetId()]
