dispatch: a run placed before its upstream's capacity shrank is not ordered after it

Cause: the capacity is checked when a run is placed. A start that waited in the session's queue, as while the leadership is not confirmed, was sent whatever had become of the capacity. Change: such a start ends its run as never started if the runs on the upstream exceed its capacity by then. Evidence: TestCommittedRunIsOrderedIntoACapacityThatHasShrunk failed before (two runs of one).

--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -73,3 +73,27 @@
 		}
 	}
 }
+
+// A run that was committed before the capacity shrank is not ordered after it.
+func TestCommittedRunIsOrderedIntoACapacityThatHasShrunk(t *testing.T) {
+	h := newHarness(t, "w1")
+	h.confirms = false
+	h.run(confirmValidity)
+	h.state.Apply(h.wall(), submitCommand(jobID(1)))
+	h.state.Apply(h.wall(), submitCommand(jobID(2)))
+	h.run(tickStep)
+	if n := h.upstreams["w1"].starts; n > 0 || h.state.Used("montevideo").MilliCores != 2000 {
+		t.Fatalf("%d starts, %v placed; expected orders that wait", n, h.state.Used("montevideo"))
+	}
+	h.beatWithCapacity("w1", 1, 1)
+	h.confirms = true
+	h.runChecked(800*time.Millisecond, "w1", 1)
+	h.beatWithCapacity("w1", 4, 2)
+	h.run(10 * time.Second)
+	for n := 1; n <= 2; n++ {
+		if got := h.jobState(jobID(n)); got != pipeline.Completed {
+			t.Errorf("job %d: %s", n, got)
+		}
+	}
+	h.check()
+}
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -95,13 +95,13 @@
 }
 
 // sendOrder sends an order, unless its run has ended. A start for an upstream that takes no new
-// work ends the run instead.
+// work, or whose capacity has shrunk since the run was placed, ends the run instead.
 func (s *session) sendOrder(o order, now time.Duration) {
 	switch {
 	case o.stop:
 		s.sendStop(o, now)
 	case s.u.Runs[o.key] != o.run:
-	case s.u.GetDraining() || s.e.state.DomainOut(s.u.GetFailureDomain()):
+	case s.u.GetDraining() || s.e.state.DomainOut(s.u.GetFailureDomain()) || !s.u.Used.Fits(s.u.Capacity):
 		s.proposeEnds([]*pipelinev1.End{{Run: o.run.Proto(), Kind: pipelinev1.EndKind_END_KIND_NEVER_STARTED}})
 	default:
 		s.sendStart(o, now)
