pipeline, dispatch: a new leader ignores heartbeats older than an upstream's last change

Cause: which heartbeat of an upstream was the newest was known to the leader alone. Under a new leader a delayed heartbeat from before the capacity shrank made it grow again until the next one came. Evidence: TestLateHeartbeatUndoesAShrunkCapacity failed under a new leader before (four runs of two cores), not under one leader.

--- a/dispatch/capacity_test.go
+++ b/dispatch/capacity_test.go
@@ -97,3 +97,24 @@
 	}
 	h.check()
 }
+
+// A delayed heartbeat does not undo a capacity that has shrunk, under a new leader either.
+func TestLateHeartbeatUndoesAShrunkCapacity(t *testing.T) {
+	for _, leaders := range []string{"one leader", "new leader"} {
+		t.Run(leaders, func(t *testing.T) {
+			h := newHarness(t, "w1")
+			h.beatWithCapacity("w1", 4, 5)
+			h.beatWithCapacity("w1", 2, 7)
+			if leaders == "new leader" {
+				h.newLeader()
+			}
+			h.beatWithCapacity("w1", 4, 6)
+			h.submit(jobID(1), oneStep(20, 1000))
+			h.runChecked(3*time.Second, "w1", 2)
+			h.beatWithCapacity("w1", 4, 8)
+			if !h.reaches("w1", 3) {
+				t.Error("the capacity that has grown again is not used")
+			}
+		})
+	}
+}
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -17,7 +17,7 @@
 	ok := verdict(pipelinev1.Verdict_VERDICT_OK, "")
 	switch {
 	case s == nil:
-		e.addUpstream(reported, done, ok)
+		e.addUpstream(c, done, ok)
 		return
 	case reported.GetBorn() < s.u.GetBorn():
 		e.log.Info().Str("upstream", reported.GetId()).Int64("born", reported.GetBorn()).Int64("known_born", s.u.GetBorn()).
@@ -55,12 +55,13 @@
 	}
 	e.log.Info().Str("upstream", reported.GetId()).Bool("draining", reported.GetDraining()).Str("address", reported.GetAddress()).
 		Msg("upstream description changed")
-	e.proposeUpstreamSeen(reported, done, ok)
+	e.proposeUpstreamSeen(c, done, ok)
 }
 
 // addUpstream adds an unknown upstream, after removing older upstreams at its address or on its
 // VM.
-func (e *Engine) addUpstream(reported *pipelinev1.Upstream, done replyFunc, ok *pipelinev1.Reply) {
+func (e *Engine) addUpstream(c *pipelinev1.HeartbeatCall, done replyFunc, ok *pipelinev1.Reply) {
+	reported := c.GetUpstream()
 	for _, u := range e.state.Upstreams() {
 		if u.GetAddress() != reported.GetAddress() && (reported.GetVm() == "" || u.GetVm() != reported.GetVm()) {
 			continue
@@ -73,13 +74,13 @@
 		e.log.Info().Str("upstream", u.GetId()).Str("newer_upstream", reported.GetId()).Msg("upstream replaced by a newer one with the same address or VM")
 		e.proposeUpstreamGone(u)
 	}
-	e.proposeUpstreamSeen(reported, done, ok)
+	e.proposeUpstreamSeen(c, done, ok)
 }
 
 // proposeUpstreamSeen proposes an upstream's new description and answers its heartbeat after the
 // commit.
-func (e *Engine) proposeUpstreamSeen(reported *pipelinev1.Upstream, done replyFunc, ok *pipelinev1.Reply) {
-	e.change(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamSeen{UpstreamSeen: &pipelinev1.UpstreamSeen{Upstream: reported}}},
+func (e *Engine) proposeUpstreamSeen(c *pipelinev1.HeartbeatCall, done replyFunc, ok *pipelinev1.Reply) {
+	e.change(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamSeen{UpstreamSeen: &pipelinev1.UpstreamSeen{Upstream: c.GetUpstream(), Sequence: c.GetSequence()}}},
 		func(r *pipelinev1.Reply, err error) {
 			if err == nil && r.GetVerdict() == pipelinev1.Verdict_VERDICT_NOT_NOW {
 				done(r, nil)
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -101,7 +101,7 @@
 // openSession opens a session with an upstream; no order is sent before a status request is
 // answered.
 func (e *Engine) openSession(u *pipeline.Upstream) *session {
-	s := &session{e: e, u: u, phase: lifecycle.SessionOpening, hash: hashOf(u.GetId()), epoch: e.epochs[u.GetId()], ackedEnds: u.LastEnd, endsProposed: u.LastEnd, lastHeartbeat: e.now(),
+	s := &session{e: e, u: u, phase: lifecycle.SessionOpening, hash: hashOf(u.GetId()), epoch: e.epochs[u.GetId()], ackedEnds: u.LastEnd, endsProposed: u.LastEnd, lastHeartbeat: e.now(), lastSequence: u.Sequence,
 		answeredAt: make(map[pipeline.RunKey]time.Duration), adopted: make(map[pipeline.RunKey]bool), sent: make(map[pipeline.RunKey]bool), stopping: make(map[pipeline.RunKey]bool),
 		idleSince: make(map[pipeline.RunKey]time.Duration)}
 	e.sessions[u.GetId()] = s
--- a/pipeline/snapshot.go
+++ b/pipeline/snapshot.go
@@ -23,7 +23,7 @@
 	for _, id := range slices.Sorted(maps.Keys(s.upstreams)) {
 		u := s.upstreams[id]
 		out = append(out, &pipelinev1.Record{Record: &pipelinev1.Record_Upstream{
-			Upstream: &pipelinev1.UpstreamRecord{Upstream: u.Upstream, LastEnd: u.LastEnd}}})
+			Upstream: &pipelinev1.UpstreamRecord{Upstream: u.Upstream, LastEnd: u.LastEnd, Sequence: u.Sequence}}})
 	}
 	out = append(out, s.waveRecords()...)
 	jobs := slices.SortedFunc(maps.Values(s.jobs), func(a, b *Job) int { return strings.Compare(a.Spec.GetId(), b.Spec.GetId()) })
@@ -82,7 +82,8 @@
 	case *pipelinev1.Record_Upstream:
 		desc := r.Upstream.GetUpstream()
 		u := newUpstream()
-		u.Upstream, u.Capacity, u.LastEnd = desc, ResourcesFromProto(desc.GetCapacity()), r.Upstream.GetLastEnd()
+		u.Upstream, u.Capacity = desc, ResourcesFromProto(desc.GetCapacity())
+		u.LastEnd, u.Sequence = r.Upstream.GetLastEnd(), r.Upstream.GetSequence()
 		s.upstreams[desc.GetId()] = u
 	case *pipelinev1.Record_Wave:
 		s.restoreWave(r.Wave)
--- a/pipeline/upstream.go
+++ b/pipeline/upstream.go
@@ -22,6 +22,8 @@
 	// LastEnd is the highest number of a committed end of this incarnation. The upstream numbers
 	// the ends that it lists.
 	LastEnd int64
+	// Sequence is the highest sequence number of a heartbeat that changed the description.
+	Sequence int64
 }
 
 func newUpstream() *Upstream {
@@ -66,6 +68,7 @@
 		s.resolveExpired(u, false)
 	}
 	u.Upstream, u.Capacity = desc, ResourcesFromProto(desc.GetCapacity())
+	u.Sequence = max(u.Sequence, c.GetSequence())
 	s.observer.UpstreamChanged(u)
 }
 
@@ -83,7 +86,7 @@
 		s.endRun(r, &pipelinev1.End{Kind: pipelinev1.EndKind_END_KIND_LOST})
 	}
 	s.resolveExpired(u, !u.GetDraining())
-	u.LastEnd = 0
+	u.LastEnd, u.Sequence = 0, 0
 }
 
 // sortedRuns returns the runs in the order of their keys, so that the result of Apply does not
