pipeline, dispatch: fewer jobs are given up for crashes that their tasks did not cause

Cause: three crashes, or two within half a second of the start, gave a task up. Change: four crashes do; those within a quarter of a second of the start count twice, but for lasting tasks.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -10,7 +10,7 @@
 
 // earlyCrashTime is the time from the start of a run to the upstream's crash within which the run is
 // suspected to be its cause.
-const earlyCrashTime = 500 * time.Millisecond
+const earlyCrashTime = 250 * time.Millisecond
 
 // endedWithNotice reports whether an end of the incarnation is not a crash: it has announced it, or it is
 // the end that its maintenance brings.
--- a/pipeline/crash.go
+++ b/pipeline/crash.go
@@ -9,13 +9,11 @@
 )
 
 const (
-	// maxCrashes is the number of runs of a task that may have crashed their upstreams. A task is not
-	// placed once so many of its runs have, or may have: those whose end or fate is not known count
-	// as well.
-	maxCrashes = 3
-	// maxEarlyCrashes is the same for crashes soon after the start of a run. Of the tasks on an upstream,
-	// these point to the one that crashed it.
-	maxEarlyCrashes = 2
+	// maxCrashes is the number of crashes after which a task is given up. A crash soon after the start of
+	// a run counts twice: of the tasks on the upstream, it points to the one that caused it. It does not
+	// for lasting tasks, whose jobs lose most by a mistake. A task is not placed while so many of its runs have crashed their upstreams, or may have: those whose
+	// end or fate is not known count as well.
+	maxCrashes = 4
 	// crashWindow is the time from the placing of a run to its end within which the run may have crashed
 	// its upstream by being started.
 	crashWindow = 30 * time.Second
@@ -23,7 +21,10 @@
 
 // CrashesUpstreams reports whether so many upstreams have crashed under the task that it is given up.
 func (t *Task) CrashesUpstreams() bool {
-	return t.Crashes >= maxCrashes || t.EarlyCrashes >= maxEarlyCrashes
+	if t.Step.Spec.GetLasting() {
+		return t.Crashes >= maxCrashes
+	}
+	return t.Crashes+t.EarlyCrashes >= maxCrashes
 }
 
 // Held reports whether the task may not be placed now because of the upstreams that have crashed, or may
