pipeline: an upstream's answer after its lease has ended records nothing else

Callers saw: nothing yet; found in review. Committed after a change of that, as a drain or a smaller capacity, it undid the change until the next heartbeat; after the removal of the upstream it brought it back. Change: such a command only acquits the expired runs of the incarnation, if it is the current one. Evidence: TestAnswerAfterTheLeaseEndedUndoesADrain failed before.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -80,7 +80,7 @@
 		return
 	}
 	s.e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamSeen{
-		UpstreamSeen: &pipelinev1.UpstreamSeen{Upstream: s.u.Upstream, Alive: true}}}, nil)
+		UpstreamSeen: &pipelinev1.UpstreamSeen{Upstream: &pipelinev1.Upstream{Id: s.u.GetId(), Born: s.u.GetBorn()}, Alive: true}}}, nil)
 }
 
 // leftOpen records when the upstream was last known to be in order.
--- a/pipeline/crash.go
+++ b/pipeline/crash.go
@@ -11,8 +11,9 @@
 const (
 	// maxCrashes is the number of crashes after which a task is given up. A crash soon after the start of
 	// a run counts twice: of the tasks on the upstream, it points to the one that caused it. It does not
-	// for lasting tasks, whose jobs lose most by a mistake. A task is not placed while so many of its runs have crashed their upstreams, or may have: those whose
-	// end or fate is not known count as well.
+	// for lasting tasks, whose jobs lose most by a mistake. A task is not placed while so many of its
+	// runs have crashed their upstreams, or may have: those whose end or fate is not known count as
+	// well.
 	maxCrashes = 4
 	// crashWindow is the time from the placing of a run to its end within which the run may have crashed
 	// its upstream by being started.
--- a/pipeline/crash_test.go
+++ b/pipeline/crash_test.go
@@ -111,6 +111,24 @@
 	}
 }
 
+// An answer undoes neither a change of the upstream's description nor its removal that were committed
+// meanwhile.
+func TestAnswerAfterTheLeaseEndedUndoesADrain(t *testing.T) {
+	h := newHarness(t)
+	draining := h.upstream("w1", 10)
+	draining.Draining = true
+	h.seen(draining, false)
+	h.seen(h.upstream("w1", 10), true)
+	if !h.Upstreams()["w1"].GetDraining() {
+		t.Error("the upstream drains no more")
+	}
+	h.gone("w1", true)
+	h.seen(h.upstream("w1", 10), true)
+	if h.Upstreams()["w1"] != nil {
+		t.Error("the upstream that was removed is there")
+	}
+}
+
 func (h *harness) gone(id string, crashed bool) {
 	h.apply(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamGone{UpstreamGone: &pipelinev1.UpstreamGone{Id: id, Born: 10, Crashed: crashed}}})
 }
--- a/pipeline/upstream.go
+++ b/pipeline/upstream.go
@@ -51,11 +51,16 @@
 
 // upstreamSeen records an upstream's description of itself. A newer incarnation replaces the older
 // one, whose runs are lost unless the command keeps them; a description of an older incarnation is
-// ignored.
+// ignored. An incarnation that is only said to be alive keeps its description.
 func (s *State) upstreamSeen(c *pipelinev1.UpstreamSeen) {
 	desc := c.GetUpstream()
 	u := s.upstreams[desc.GetId()]
 	switch {
+	case c.GetAlive():
+		if u != nil && u.GetBorn() == desc.GetBorn() {
+			s.resolveExpired(u, false)
+		}
+		return
 	case u == nil:
 		u = newUpstream()
 		s.upstreams[desc.GetId()] = u
@@ -64,9 +69,6 @@
 	case desc.GetBorn() > u.GetBorn():
 		s.replaceIncarnation(u, desc.GetBorn(), c.GetKept())
 	}
-	if c.GetAlive() {
-		s.resolveExpired(u, false)
-	}
 	u.Upstream, u.Capacity = desc, ResourcesFromProto(desc.GetCapacity())
 	u.Sequence = max(u.Sequence, c.GetSequence())
 	s.observer.UpstreamChanged(u)
