--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -85,11 +85,11 @@
 }
 
 // placeClaimed takes note of a heartbeat of another upstream with this one's address or VM.
-func (s *session) placeClaimed(reported *pipelinev1.Upstream, now time.Duration) {
-	if s.rival == nil || s.rival.GetId() != reported.GetId() {
-		s.logger(zerolog.InfoLevel).Str("other_upstream", reported.GetId()).Msg("another upstream reports the same address or VM; asking whether this one is still there")
+func (s *session) placeClaimed(c *pipelinev1.HeartbeatCall, now time.Duration) {
+	if s.rival == nil || s.rival.GetUpstream().GetId() != c.GetUpstream().GetId() {
+		s.logger(zerolog.InfoLevel).Str("other_upstream", c.GetUpstream().GetId()).Msg("another upstream reports the same address or VM; asking whether this one is still there")
 	}
-	s.rival, s.rivalAt = reported, now
+	s.rival, s.rivalAt = c, now
 	s.suspect(now, "another upstream reports the same address or VM")
 	s.runDueWork(now)
 }
@@ -101,7 +101,7 @@
 
 // giveUpPlace adds the upstream that has taken the place of this one, once this one is removed.
 func (s *session) giveUpPlace() {
-	if rival := s.rival; rival != nil && s.e.leading && s.e.sessions[rival.GetId()] == nil {
+	if rival := s.rival; rival != nil && s.e.leading && s.e.sessions[rival.GetUpstream().GetId()] == nil {
 		s.rival = nil
 		s.e.addUpstream(rival, func(*pipelinev1.Reply, error) {}, nil)
 	}
@@ -140,7 +140,7 @@
 // answered.
 func (s *session) knownIncarnationAnswered(reply StatusReply, began time.Duration) {
 	if s.rival != nil && reply.Born != 0 && began >= s.rivalAt {
-		s.logger(zerolog.WarnLevel).Str("other_upstream", s.rival.GetId()).Msg("the upstream is still there; the heartbeat of the other one was false")
+		s.logger(zerolog.WarnLevel).Str("other_upstream", s.rival.GetUpstream().GetId()).Msg("the upstream is still there; the heartbeat of the other one was false")
 		claimsRefuted.Add(1)
 		s.rival = nil
 	}
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -21,7 +21,7 @@
 	ok := verdict(pipelinev1.Verdict_VERDICT_OK, "")
 	switch {
 	case s == nil:
-		e.addUpstream(reported, done, ok)
+		e.addUpstream(c, done, ok)
 		return
 	case reported.GetBorn() < s.u.GetBorn():
 		e.log.Info().Str("upstream", reported.GetId()).Int64("born", reported.GetBorn()).Int64("known_born", s.u.GetBorn()).
@@ -57,20 +57,20 @@
 	}
 	e.log.Info().Str("upstream", reported.GetId()).Bool("draining", reported.GetDraining()).Str("address", reported.GetAddress()).
 		Msg("upstream description changed")
-	e.proposeUpstreamSeen(reported, done, ok)
+	e.proposeUpstreamSeen(c, done, ok)
 }
 
 // addUpstream adds an unknown upstream, after removing older upstreams at its address or on its VM. An upstream that
 // may still be there is asked first.
-func (e *Engine) addUpstream(reported *pipelinev1.Upstream, done replyFunc, ok *pipelinev1.Reply) {
-	disputed := false
+func (e *Engine) addUpstream(c *pipelinev1.HeartbeatCall, done replyFunc, ok *pipelinev1.Reply) {
+	reported, disputed := c.GetUpstream(), false
 	for _, u := range e.state.Upstreams() {
 		if u.GetId() == reported.GetId() || u.GetAddress() != reported.GetAddress() && (reported.GetVm() == "" || u.GetVm() != reported.GetVm()) {
 			continue
 		}
 		s := e.sessions[u.GetId()]
 		switch {
-		case s == nil || s.silent() && len(u.Runs) == 0:
+		case s.silent() && len(u.Runs) == 0:
 			e.log.Info().Str("upstream", u.GetId()).Str("newer_upstream", reported.GetId()).Msg("upstream replaced by another one with the same address or VM")
 			e.proposeUpstreamGone(u)
 		case u.GetBorn() > reported.GetBorn():
@@ -78,7 +78,7 @@
 			done(ok, nil)
 			return
 		default:
-			s.placeClaimed(reported, e.now())
+			s.placeClaimed(c, e.now())
 			disputed = true
 		}
 	}
@@ -86,13 +86,13 @@
 		done(ok, nil)
 		return
 	}
-	e.proposeUpstreamSeen(reported, done, ok)
+	e.proposeUpstreamSeen(c, done, ok)
 }
 
 // proposeUpstreamSeen proposes an upstream's new description and answers its heartbeat after the
 // commit.
-func (e *Engine) proposeUpstreamSeen(reported *pipelinev1.Upstream, done replyFunc, ok *pipelinev1.Reply) {
-	e.change(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamSeen{UpstreamSeen: &pipelinev1.UpstreamSeen{Upstream: reported}}},
+func (e *Engine) proposeUpstreamSeen(c *pipelinev1.HeartbeatCall, done replyFunc, ok *pipelinev1.Reply) {
+	e.change(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamSeen{UpstreamSeen: &pipelinev1.UpstreamSeen{Upstream: c.GetUpstream(), Sequence: c.GetSequence()}}},
 		func(r *pipelinev1.Reply, err error) {
 			if err == nil && r.GetVerdict() == pipelinev1.Verdict_VERDICT_NOT_NOW {
 				done(r, nil)
@@ -105,29 +105,21 @@
 // proposeUpstreamGone proposes the end of all runs of an upstream that certainly no longer
 // exists, with their last checkpoints, and the removal of the upstream.
 func (e *Engine) proposeUpstreamGone(u *pipeline.Upstream) {
-	var ends []*pipelinev1.End
-	for _, r := range u.Runs {
-		ends = append(ends, &pipelinev1.End{Run: r.Proto(), Kind: pipelinev1.EndKind_END_KIND_LOST, Checkpoint: e.checkpoints[r.Task]})
-	}
-	if len(ends) > 0 {
-		e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_Ends{Ends: &pipelinev1.Ends{Ends: ends}}}, nil)
-	}
 	s := e.sessions[u.GetId()]
-	if s != nil {
-		s.removing = true
+	if ends := s.goneEnds(nil); len(ends) > 0 {
+		e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_Ends{Ends: &pipelinev1.Ends{Ends: ends}}}, nil)
 	}
+	s.removing = true
 	e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamGone{
-		UpstreamGone: &pipelinev1.UpstreamGone{Id: u.GetId(), Born: u.GetBorn()}}}, func(_ *pipeline.Result, err error) {
-		if s != nil && e.sessions[u.GetId()] == s {
+		UpstreamGone: &pipelinev1.UpstreamGone{Id: u.GetId(), Born: u.GetBorn(), Crashed: !s.endedWithNotice()}}}, func(_ *pipeline.Result, err error) {
+		if e.sessions[u.GetId()] == s {
 			s.removing = false
 		}
 		if err != nil {
 			e.log.Info().Err(err).Str("upstream", u.GetId()).Int64("born", u.GetBorn()).Msg("removal of the upstream was not committed")
 			return
 		}
-		if s != nil {
-			s.giveUpPlace()
-		}
+		s.giveUpPlace()
 	})
 }
 
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -26,7 +26,7 @@
 	askClaimant    bool
 	// rival is another upstream that reported this one's address or VM, last at rivalAt, while it was not known which
 	// of them is there; nil if there is none.
-	rival   *pipelinev1.Upstream
+	rival   *pipelinev1.HeartbeatCall
 	rivalAt time.Duration
 	// olderReport is the last heartbeat of an older incarnation than the known one, received while that one did
 	// not answer; nil if there is none.
@@ -70,6 +70,8 @@
 	stale staleRun
 	// unresponsiveSince is when the upstream became unresponsive or suspected.
 	unresponsiveSince time.Duration
+	// openUntil is when the session left the open state last.
+	openUntil time.Duration
 	// nextProbe is the earliest time of the next status request without a wait; probePause is the
 	// pause between such requests.
 	nextProbe  time.Duration
@@ -111,7 +113,7 @@
 // openSession opens a session with an upstream; no order is sent before a status request is
 // answered.
 func (e *Engine) openSession(u *pipeline.Upstream) *session {
-	s := &session{e: e, u: u, phase: lifecycle.SessionOpening, hash: hashOf(u.GetId()), epoch: e.epochs[u.GetId()], ackedEnds: u.LastEnd, endsProposed: u.LastEnd, lastHeartbeat: e.now(),
+	s := &session{e: e, u: u, phase: lifecycle.SessionOpening, hash: hashOf(u.GetId()), epoch: e.epochs[u.GetId()], ackedEnds: u.LastEnd, endsProposed: u.LastEnd, lastHeartbeat: e.now(), lastSequence: u.Sequence,
 		answeredAt: make(map[pipeline.RunKey]time.Duration), adopted: make(map[pipeline.RunKey]bool), sent: make(map[pipeline.RunKey]bool), stopping: make(map[pipeline.RunKey]bool),
 		idleSince: make(map[pipeline.RunKey]time.Duration)}
 	e.sessions[u.GetId()] = s
@@ -159,6 +161,7 @@
 	}
 	s.logger(zerolog.InfoLevel).Str("from", string(s.phase)).Str("to", string(to)).Str("why", reason).
 		Int64("upstream_clock_ms", s.clock.lowerBound(s.e.now())).Int64("deadline_ms", s.deadlineMS).Msg("upstream session changed")
+	s.leftOpen(s.e.now())
 	s.phase = to
 	s.e.dirty = true
 }
--- a/pipeline/upstream.go
+++ b/pipeline/upstream.go
@@ -16,9 +16,18 @@
 	Used Resources
 	// Runs are the runs that may exist on the upstream.
 	Runs map[RunKey]*Run
+	// Expired are runs of this incarnation that ended when their lease expired, as long as it is not
+	// known whether the upstream crashed.
+	Expired map[RunKey]*Run
 	// LastEnd is the highest number of a committed end of this incarnation. The upstream numbers
 	// the ends that it lists.
 	LastEnd int64
+	// Sequence is the sequence number of the heartbeat that changed the description last.
+	Sequence int64
+}
+
+func newUpstream() *Upstream {
+	return &Upstream{Runs: make(map[RunKey]*Run), Expired: make(map[RunKey]*Run)}
 }
 
 // Free returns the capacity that no run reserves.
@@ -42,13 +51,18 @@
 
 // upstreamSeen records an upstream's description of itself. A newer incarnation replaces the older
 // one, whose runs are lost unless the command keeps them; a description of an older incarnation is
-// ignored.
+// ignored. An incarnation that is only said to be alive keeps its description.
 func (s *State) upstreamSeen(c *pipelinev1.UpstreamSeen) {
 	desc := c.GetUpstream()
 	u := s.upstreams[desc.GetId()]
 	switch {
+	case c.GetAlive():
+		if u != nil && u.GetBorn() == desc.GetBorn() {
+			s.resolveExpired(u, false)
+		}
+		return
 	case u == nil:
-		u = &Upstream{Runs: make(map[RunKey]*Run)}
+		u = newUpstream()
 		s.upstreams[desc.GetId()] = u
 	case desc.GetBorn() < u.GetBorn():
 		return
@@ -56,6 +70,9 @@
 		s.replaceIncarnation(u, desc.GetBorn(), c.GetKept())
 	}
 	u.Upstream, u.Capacity = desc, ResourcesFromProto(desc.GetCapacity())
+	if c.GetSequence() != 0 {
+		u.Sequence = c.GetSequence()
+	}
 	s.observer.UpstreamChanged(u)
 }
 
@@ -72,7 +89,8 @@
 		}
 		s.endRun(r, &pipelinev1.End{Kind: pipelinev1.EndKind_END_KIND_LOST})
 	}
-	u.LastEnd = 0
+	s.resolveExpired(u, !u.GetDraining())
+	u.LastEnd, u.Sequence = 0, 0
 }
 
 // sortedRuns returns the runs in the order of their keys, so that the result of Apply does not
@@ -114,6 +132,7 @@
 	for _, r := range u.sortedRuns() {
 		s.endRun(r, &pipelinev1.End{Kind: pipelinev1.EndKind_END_KIND_LOST})
 	}
+	s.resolveExpired(u, c.GetCrashed())
 	delete(s.upstreams, c.GetId())
 	s.observer.UpstreamGone(u)
 }
