Placement: a gang with a bound for one upstream counts it when it asks

What callers saw: nothing yet on the users' deployments, whose gangs have no such bound; found by the search for gangs that wait in a half free cell.

Cause: the number of upstreams that a gang asks about followed from how many members fit on an idle upstream, without its bound for one upstream. A gang of which one upstream takes one member asked about a quarter of what it needs, ten upstreams after the other.

Change: the capacity of an idle upstream includes the bound.

--- a/placement/gang.go
+++ b/placement/gang.go
@@ -368,7 +368,11 @@
 			}
 		}
 	}
-	return u.whenIdle.FitCount(st.Need, len(st.Tasks))
+	n := u.whenIdle.FitCount(st.Need, len(st.Tasks))
+	if st.Spec.GetMaxPerUpstream() > 0 {
+		n = min(n, int(st.Spec.GetMaxPerUpstream()))
+	}
+	return n
 }
 
 // reserve keeps work off some upstreams that would delay the planned start of a gang. Without a
--- a/placement/gang_test.go
+++ b/placement/gang_test.go
@@ -225,6 +225,25 @@
 	}
 }
 
+// A gang of which one upstream takes one member asks about as many upstreams as it needs for all members.
+func TestSpreadGangAsksAboutTooFewUpstreams(t *testing.T) {
+	const members = 20
+	f := gangFixture(t)
+	for i := range 200 {
+		f.addUpstream(fmt.Sprintf("w%03d", i), 8000)
+	}
+	w := f.gang(members, 1000)
+	w.Step.Spec.MaxPerUpstream = 1
+	clear(w.Permits)
+	asked := 0
+	for _, q := range Decide(f.cell).Questions {
+		asked += len(q.Upstreams)
+	}
+	if allowed := allowedShareCostly * float64(asked); allowed < members {
+		t.Errorf("%d upstreams are asked about, of which %.0f can be expected to be allowed; %d are needed", asked, allowed, members)
+	}
+}
+
 // Small steps of a team that is at its limit leave what a gang of the team needs, if it can start soon.
 func TestGangStartsWithinItsTeamsLimit(t *testing.T) {
 	for _, c := range []struct {
