Placement: a gang does not wait until its rack is idle

Cause: a gang was planned on its rack alone if all members fit there once the rack is idle, however long that takes, while other racks were free. Other steps use other racks after 0.8 s.

Change: after the same time a gang keeps to its rack only if all members fit there now.

Measured: TestGangWaitsForItsBusyRack failed before (no question is put).

--- a/placement/gang.go
+++ b/placement/gang.go
@@ -169,9 +169,11 @@
 }
 
 // gangUpstreams returns the upstreams that are known to be allowed for a gang, and those that were
-// not asked about and could take a member when they are idle.
+// not asked about and could take a member when they are idle. They are those on the gang's rack if these
+// have capacity for all members: when they are idle at first, and now once the gang has waited for a while.
 func (r *round) gangUpstreams(d demand) (allowed, unknown []*Upstream) {
 	w, rack := d.work, r.preferredRack(d.work)
+	waited := r.Now-w.ReadyAt > preferredRackWait
 	roomAllowed, roomUnknown := 0, 0
 	r.out.Inspected += len(r.usableFor(d))
 	for _, u := range r.usableFor(d) {
@@ -184,6 +186,9 @@
 		if n == 0 || !r.suits(w, u) || known && !r.eligible(w, u) {
 			continue
 		}
+		if waited {
+			n = r.capacity(w.Step, u, len(d.tasks))
+		}
 		if known {
 			allowed = append(allowed, u)
 			if u.GetRack() == rack {
--- a/placement/gang_test.go
+++ b/placement/gang_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -225,6 +226,20 @@
 	}
 }
 
+// A gang whose data is on a rack that others use does not wait until the rack is idle.
+func TestGangWaitsForItsBusyRack(t *testing.T) {
+	f := gangFixture(t)
+	f.fill("batch", tasks(0, 8000, 60_000), "u0", "u1")
+	w := f.gang(2, 8000)
+	w.Step.Spec.DataRack = "rack"
+	for _, id := range []string{"u0", "u1"} {
+		f.upstream(id).Upstream.Upstream.Rack = "rack"
+	}
+	if d := Decide(f.cell); len(d.Questions) != 1 || !slices.Contains(d.Questions[0].Upstreams, "u3") {
+		t.Errorf("%d questions are put; expected one about upstreams on other racks", len(d.Questions))
+	}
+}
+
 // A gang of which one upstream takes one member asks about as many upstreams as it needs for all members.
 func TestSpreadGangAsksAboutTooFewUpstreams(t *testing.T) {
 	const members = 20
--- a/placement/locality.go
+++ b/placement/locality.go
@@ -10,9 +10,9 @@
 // none of them is placed there.
 const rackChoiceTime = time.Second
 
-// preferredRackWait is how long a step waits for permit answers about its preferred rack before
-// it uses upstreams on other racks. A costly question takes 0.7 s. A step that waited for every
-// further answer would never start where there are more steps than permit callers.
+// preferredRackWait is how long a step waits for permit answers about its preferred rack, and a gang for
+// capacity there, before it uses upstreams on other racks. A costly question takes 0.7 s. A step that waited
+// for every further answer would never start where there are more steps than permit callers.
 const preferredRackWait = 800 * time.Millisecond
 
 // preferredRack returns the rack on which a step's tasks should run: the rack of its data or, for
