Placement: a gang keeps its team waiting by turns only

Cause: a gang that would be within its team's limit once a run ends keeps the rest of the limit for itself, if that end is near. The end of an overdue run is expected a quarter of its run time ahead, again and again.

Change: while the team uses under half of its limit, a gang keeps it for at most two seconds, and no longer than the end was first expected; then the team's other steps have two seconds. Above half nothing changes, since there the gang would starve.

--- a/placement/cell.go
+++ b/placement/cell.go
@@ -148,6 +148,8 @@
 	plannedStart time.Duration
 	// awaited is the planned start for which the step, a gang, waits; zero if it waits for none.
 	awaited time.Duration
+	// limitAwaited is the time until which the step, a gang, may keep its team's other steps waiting.
+	limitAwaited time.Duration
 	// nextPreempt is when the step may preempt other work again.
 	nextPreempt time.Duration
 	// nextReport is when the reason for the step's wait may be reported again.
--- a/placement/headroom.go
+++ b/placement/headroom.go
@@ -43,7 +43,7 @@
 // within the team's limit. What needs more than the rest of the limit at once is not held back: it would
 // never start.
 func (r *round) mustLeaveTeamHeadroom(d demand) bool {
-	if r.teamUse(d, 0).WithinLimit(r.teamLimit(d).Share(heldBackFrom)) {
+	if r.usesLittle(d) {
 		return false
 	}
 	limit := r.teamLimit(d).Share(1 - teamHeadroom)
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -13,6 +13,9 @@
 const (
 	promiseAhead    = 3 * time.Second
 	minPromiseAhead = 300 * time.Millisecond
+	// promiseTurn is how long a team that uses little of its limit keeps its other steps waiting for a gang, and
+	// how long these then have their turn.
+	promiseTurn = 2 * time.Second
 )
 
 // teamLimit returns the limit of a demand's team; zero in a dimension means no limit.
@@ -26,6 +29,11 @@
 	return r.State.Used(team).Plus(r.used[team]).Plus(d.work.Step.Need.Times(int64(tasks)))
 }
 
+// usesLittle reports whether a demand's team uses so little of its limit that no work is held back within it.
+func (r *round) usesLittle(d demand) bool {
+	return r.teamUse(d, 0).WithinLimit(r.teamLimit(d).Share(heldBackFrom))
+}
+
 // withinLimit reports whether one more task of the step, or all members of a gang, stay within the
 // team's limit.
 func (r *round) withinLimit(d demand) bool {
@@ -82,9 +90,20 @@
 		return
 	}
 	ahead := min(promiseAhead, max(minPromiseAhead, r.Learner.Expected(d.work.Step)/2))
-	if at, ok := r.startWithinLimit(d); ok && at-r.Now <= ahead {
-		r.promise(d)
+	at, ok := r.startWithinLimit(d)
+	if !ok || at-r.Now > ahead || r.usesLittle(d) && !d.work.awaitsLimit(at, r.Now) {
+		return
+	}
+	r.promise(d)
+}
+
+// awaitsLimit reports whether a gang waits, by turns with its team's other steps, for a start within the team's limit
+// that is expected at some time. Runs that take longer than expected delay it again and again.
+func (w *Work) awaitsLimit(at, now time.Duration) bool {
+	if w.limitAwaited == 0 || now >= w.limitAwaited+promiseTurn {
+		w.limitAwaited = min(at, now+promiseTurn)
 	}
+	return now < w.limitAwaited
 }
 
 // promiseStart keeps what a gang needs within its team's limit while its tickets are there or on the way.
--- a/placement/limit_test.go
+++ b/placement/limit_test.go
@@ -81,6 +81,31 @@
 	}
 }
 
+// A gang that would be within its team's limit once a run ends does not keep the team's other steps waiting when that
+// run goes on, and again waits for it later.
+func TestTeamWaitsForARunThatDoesNotEnd(t *testing.T) {
+	f := gangFixture(t)
+	config := proto.CloneOf(f.cell.State.Config().Config)
+	config.Version, config.Teams[0].Limit = 3, &pipelinev1.Resources{MilliCores: 16000}
+	f.apply(&pipelinev1.Command{Command: &pipelinev1.Command_PutConfig{PutConfig: config}})
+	f.place(f.submit("batch", 0, tasks(1, 7000, 4000)), 0, "u0")
+	f.cell.WallNS += int64(10 * time.Second)
+	f.gang(2, 8000)
+	small := NewWork(f.submit("batch", 0, tasks(1, 1000, 100)).Occurrences[0].Steps[0], f.cell.Now).withTickets("u1")
+	f.cell.Steps[small.Step] = small
+	// turns are the times at which the small step becomes free to start, or has to wait again.
+	var turns []time.Duration
+	waits := true
+	for from := f.cell.Now; f.cell.Now < from+3*startBound; f.cell.Now += replayStep {
+		if placed := len(Decide(f.cell).Runs) > 0; placed == waits {
+			turns, waits = append(turns, f.cell.Now-from), !placed
+		}
+	}
+	if len(turns) < 2 || turns[0] == 0 || turns[0] >= startBound {
+		t.Errorf("the small step may start and has to wait by turns from %v on; expected the first within %v, and a second", turns, startBound)
+	}
+}
+
 // Urgent steps ask for tickets although their team is at its limit, so that they take what its next runs that end
 // leave; but no more of them than these leave, and none that has a ticket. Work that is not urgent doesn't ask.
 func TestUrgentStepsAskAtTheirTeamsLimit(t *testing.T) {
