dispatch: tests of claims and crashes that fail, known red

An upstream that answers while the expiry of its runs is being committed stays suspected of a crash: the answer comes before there is anything to acquit. False heartbeats whose start rises keep the leader asking at the claimed address, and the lease of the sound upstream runs out. A session that has left the open state and returned to it once marks a crash much later as early, as the time of the earlier change counts.

A call to an address at which no upstream of the harness listens now takes until its timeout, as at a dark address; the odd heartbeats of the older tests cost what they cost in service.

--- /dev/null
+++ b/dispatch/claim_test.go
@@ -0,0 +1,80 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+)
+
+// An upstream that answered while the end of its lease was being committed once stayed suspected of a crash for as long as it
+// went on answering.
+func TestAnswerDuringTheExpiryOfALeaseAcquitsTheUpstream(t *testing.T) {
+	h := newHarness(t, "w1")
+	f := h.upstreams["w1"]
+	f.runTime = time.Minute
+	h.submit(jobID(1), oneStep(1, 60_000))
+	h.run(time.Second)
+	f.partitioned = true
+	for len(h.uncommitted) == 0 && h.now < time.Minute {
+		h.holdCommits = true
+		h.run(tickStep)
+	}
+	f.partitioned = false
+	h.beat("w1", 1)
+	h.run(time.Second)
+	h.commit()
+	h.run(5 * time.Second)
+	if got := len(h.state.Upstreams()["w1"].Expired); got != 0 {
+		t.Errorf("it is not known of %d runs whether the upstream crashed", got)
+	}
+}
+
+// Heartbeats of ever newer incarnations at an address where nothing answers leave a sound upstream its lease.
+func TestOddStartsThatRiseLeaveTheLease(t *testing.T) {
+	for _, pause := range []time.Duration{time.Second, 500 * time.Millisecond, 300 * time.Millisecond, 100 * time.Millisecond} {
+		t.Run(pause.String(), func(t *testing.T) {
+			h := newHarness(t, "w1")
+			h.upstreams["w1"].runTime = 12 * time.Second
+			h.submit(jobID(1), oneStep(2, 12_000))
+			h.run(time.Second)
+			for i := int64(0); h.now < 20*time.Second; i++ {
+				h.oddBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Born, u.Address = 20+i, "elsewhere" })
+				h.run(pause)
+				if i%4 == 0 {
+					h.beat("w1", h.now.Milliseconds())
+				}
+			}
+			h.checkAllDone(jobID(1))
+		})
+	}
+}
+
+// A run that had begun just before an earlier claim of its upstream's address, long before the crash, once counted as an early one.
+func TestCrashLongAfterTheStartIsNotEarly(t *testing.T) {
+	h := newHarness(t, "w1", "w2")
+	f := h.upstreams["w1"]
+	h.upstreams["w2"].draining = true
+	h.sendHeartbeat("w2")
+	f.runTime = time.Minute
+	h.submit(jobID(1), oneStep(1, 60_000))
+	h.run(2 * tickStep)
+	claim := func() {
+		h.oddBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Id, u.Born = "w9", 20 })
+	}
+	f.addRows = func(*StatusReply) { f.answerAt = h.now + 4*tickStep }
+	claim()
+	h.run(2 * tickStep)
+	claim()
+	h.run(4 * tickStep)
+	f.addRows = nil
+	h.run(2 * time.Second)
+	f.crash()
+	f.gone = true
+	h.run(time.Second)
+	task := h.state.Task(pipeline.TaskKey{Job: jobID(1)})
+	if task.Crashes != 1 || task.EarlyCrashes != 0 {
+		t.Errorf("%d crashes, %d of them early", task.Crashes, task.EarlyCrashes)
+	}
+}
--- a/dispatch/upstream_test.go
+++ b/dispatch/upstream_test.go
@@ -145,6 +145,7 @@
 		return nil, ErrNothingListens
 	}
 	if f != nil && to.Address != cmp.Or(f.address, to.Upstream) {
+		f.answerAt = c.h.now + timeLeft(ctx)
 		return nil, errUnanswered
 	}
 	if f != nil && f.gone {
