dispatch: an upstream is acquitted of a crash while it answers

What callers saw: a task may wait up to 30 s, or its job be given up, for crashes that did not happen. The ends of an upstream whose lease has expired are proposed, and it answers before they are committed. The answer acquits it only of what is committed by then; the runs that follow stay of unknown fate for as long as it goes on answering, and count as crashes once it restarts.

The leader now proposes the acquittal also later, while the upstream answers. TestAnswerDuringTheExpiryOfALeaseAcquitsTheUpstream failed before.

--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -82,7 +82,7 @@
 	s.knownIncarnationAnswered(reply, began)
 	s.olderReport = nil
 	s.transition(lifecycle.SessionReconcile, "a status request was answered")
-	s.acquitExpired()
+	s.acquitExpired(at)
 	s.resolveUnanswered(reply)
 	s.reconcileRuns(reply, began, at)
 }
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -83,6 +83,8 @@
 	avoidUntil time.Duration
 	// expiryProposedAt is when the runs were last declared lost because the lease had expired.
 	expiryProposedAt time.Duration
+	// nextAcquittal is the earliest time of the next proposal that the upstream did not crash.
+	nextAcquittal time.Duration
 	// statusUnanswered is set after an unanswered status request until another one is answered.
 	statusUnanswered bool
 	// removing is set while the removal of the upstream is being committed. No order is sent
@@ -188,6 +190,7 @@
 	case s.removing:
 		return
 	case s.phase == lifecycle.SessionOpen && s.newIncarnation == nil:
+		s.acquitExpired(now)
 		s.sendOrders(now)
 		s.watch(now)
 	case now >= s.nextProbe:
