dispatch: rising false starts don't keep a sound upstream from its lease

What callers saw: while another writer sends heartbeats of ever newer incarnations of a sound upstream, at an address where nothing answers, its leases run out and its tasks end. Each such heartbeat made the claimed address the next one to be asked, so that at two a second the known incarnation was not asked again.

A claim now only sets whom to ask if none is open, and the turns go on. The known incarnation is asked first if it has answered lately, as a restart at its address shows there as well: a false claim then costs one short request. A restart at another address while the old one is dark is used one unanswered request later (TestRestartAtAnotherAddressIsUsedSoon).

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -47,12 +47,16 @@
 	return false
 }
 
-// incarnationClaimed takes note of a heartbeat of a newer incarnation.
+// incarnationClaimed takes note of a heartbeat of a newer incarnation. The known one is asked first if it has answered
+// lately. Further claims don't change whose turn it is.
 func (s *session) incarnationClaimed(reported *pipelinev1.Upstream, now time.Duration) {
 	if s.newIncarnation != nil && s.newIncarnation.GetBorn() >= reported.GetBorn() {
 		return
 	}
-	s.newIncarnation, s.claimedAt, s.askClaimant, s.nextProbe = reported, now, true, now
+	if s.newIncarnation == nil {
+		s.askClaimant, s.nextProbe = !s.answers(), now
+	}
+	s.newIncarnation, s.claimedAt = reported, now
 	s.transition(lifecycle.SessionSuspect, "received a heartbeat from a newer incarnation")
 }
 
--- a/dispatch/claim_test.go
+++ b/dispatch/claim_test.go
@@ -78,3 +78,17 @@
 		t.Errorf("%d crashes, %d of them early", task.Crashes, task.EarlyCrashes)
 	}
 }
+
+// An idle upstream that restarts at another address, with nothing at the old one, is used after one unanswered request.
+func TestRestartAtAnotherAddressIsUsedSoon(t *testing.T) {
+	h := newHarness(t, "w1")
+	h.run(5 * time.Second)
+	h.upstreams["w1"].crash()
+	h.upstreams["w1"].address = "elsewhere"
+	h.beat("w1", 1)
+	h.submit(jobID(1), oneStep(1, 1000))
+	h.run(2500 * time.Millisecond)
+	if s := h.jobState(jobID(1)); s != pipeline.Completed {
+		t.Errorf("state %s", s)
+	}
+}
