dispatch: a crash long after a run's start is not early

What callers saw: a job may be given up after two crashes under one of its tasks, although the second came long after the start. Whether a crash is early is judged by when the session left the open state last. A claim of the upstream's address takes it out of that state; where the answer to a request from before the claim opens it again, the claim stays, and the refused connection of the later crash removes the upstream from the open state at once: the time of the first claim counted.

The time is now also taken when the ends of a crashed upstream are drawn up. TestCrashLongAfterTheStartIsNotEarly failed before.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -21,6 +21,7 @@
 // goneEnds returns the ends of the runs of an incarnation that certainly no longer exists, but for those
 // that are kept.
 func (s *session) goneEnds(kept map[pipeline.RunKey]bool) []*pipelinev1.End {
+	s.leftOpen(s.e.now())
 	kind := pipelinev1.EndKind_END_KIND_CRASHED
 	if s.endedWithNotice() {
 		kind = pipelinev1.EndKind_END_KIND_LOST
