--- a/dispatch/claim_test.go
+++ b/dispatch/claim_test.go
@@ -92,3 +92,24 @@
 		t.Errorf("state %s", s)
 	}
 }
+
+// While a request to a silent upstream was open, an upstream that took its place once waited for up to two seconds.
+func TestPlaceOfASilentUpstreamIsTakenSoon(t *testing.T) {
+	for at := 2 * time.Second; at < 6*time.Second; at += tickStep {
+		h := newHarness(t, "w1")
+		old := h.upstreams["w1"]
+		old.runTime = 10 * time.Second
+		h.submit(jobID(1), oneStep(1, 10_000))
+		h.run(time.Second)
+		old.partitioned = true
+		h.run(at)
+		old.crash()
+		old.partitioned, old.replaced = false, true
+		h.upstreams["w9"] = newFakeUpstream(h, 20)
+		h.oddBeat("w9", 1, func(u *pipelinev1.Upstream) { u.Address = "w1" })
+		h.run(orderTimeout + probeMin + 2*tickStep)
+		if h.state.Upstreams()["w9"] == nil {
+			t.Errorf("after %v of silence the upstream was not added", at)
+		}
+	}
+}
