dispatch: an upstream takes the place of a silent one soon

A request to the old upstream was open when the claim came; its failure set the next one after the pause of an upstream that is silent for long, up to two seconds.

A claim now resets that pause, as a heartbeat of the upstream itself does. TestPlaceOfASilentUpstreamIsTakenSoon failed before.

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -93,7 +93,7 @@
 	if s.rival == nil || s.rival.GetUpstream().GetId() != c.GetUpstream().GetId() {
 		s.logger(zerolog.InfoLevel).Str("other_upstream", c.GetUpstream().GetId()).Msg("another upstream reports the same address or VM; asking whether this one is still there")
 	}
-	s.rival, s.rivalAt = c, now
+	s.rival, s.rivalAt, s.probePause = c, now, 0
 	s.suspect(now, "another upstream reports the same address or VM")
 	s.runDueWork(now)
 }
