--- a/dispatch/claim_test.go
+++ b/dispatch/claim_test.go
@@ -31,6 +31,31 @@
 	}
 }
 
+// A replica of an older version, which takes the acquittal of an upstream for a description, once lost the upstream's capacity and
+// service, and with it the agreement with the other replicas.
+func TestAcquittalLeavesTheDescriptionOfAnOlderVersion(t *testing.T) {
+	h := newHarness(t, "w1")
+	h.upstreams["w1"].runTime = time.Minute
+	h.submit(jobID(1), oneStep(1, 60_000))
+	acquitted := 0
+	h.onPropose = func(c *pipelinev1.Command) {
+		if seen := c.GetUpstreamSeen(); seen.GetAlive() {
+			acquitted++
+			if !pipeline.SameUpstream(seen.GetUpstream(), h.state.Upstreams()["w1"].Upstream) {
+				t.Errorf("the description is %v", seen.GetUpstream())
+			}
+		}
+	}
+	h.run(time.Second)
+	h.upstreams["w1"].partitioned = true
+	h.run(10 * time.Second)
+	h.upstreams["w1"].partitioned = false
+	h.run(5 * time.Second)
+	if acquitted == 0 {
+		t.Error("the upstream was not acquitted")
+	}
+}
+
 // Heartbeats of ever newer incarnations at an address where nothing answers leave a sound upstream its lease.
 func TestOddStartsThatRiseLeaveTheLease(t *testing.T) {
 	for _, pause := range []time.Duration{time.Second, 500 * time.Millisecond, 300 * time.Millisecond, 100 * time.Millisecond} {
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -54,6 +54,8 @@
 	vms      VMs
 	// largest is the size of the largest command that was proposed, in bytes.
 	largest int
+	// onPropose, if set, is called with each command that is proposed.
+	onPropose func(*pipelinev1.Command)
 	// relays are the replicas that can carry calls.
 	relays []Relay
 }
@@ -86,6 +88,9 @@
 // Propose implements Host.
 func (h *harness) Propose(c *pipelinev1.Command, done func(*pipeline.Result, error)) {
 	h.largest = max(h.largest, proto.Size(c))
+	if h.onPropose != nil {
+		h.onPropose(c)
+	}
 	commit := func() {
 		r := h.state.Apply(h.wall(), c)
 		if done != nil {
