dispatch: an acquittal carries the whole description of the upstream

What callers would see: while replicas of this and of an older version serve together, the older ones apply the command that acquits an upstream of a crash as a heartbeat. It held the identity and the start only, so that they lost its service and capacity, refused the runs that the others placed there, and no longer agreed with them. Found by review; replicas of two versions have not been run together.

The command now holds the description that is in force. TestAcquittalLeavesTheDescriptionOfAnOlderVersion failed before.

--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -75,14 +75,15 @@
 }
 
 // acquitExpired proposes that the upstream did not crash under the runs whose lease expired, as it has
-// answered. Their end may be committed after the answer.
+// answered. Their end may be committed after the answer. A replica of an older version takes the command for a
+// heartbeat, so that it has the whole description.
 func (s *session) acquitExpired(now time.Duration) {
 	if len(s.u.Expired) == 0 || now < s.nextAcquittal {
 		return
 	}
 	s.nextAcquittal = now + orderTimeout
 	s.e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamSeen{
-		UpstreamSeen: &pipelinev1.UpstreamSeen{Upstream: &pipelinev1.Upstream{Id: s.u.GetId(), Born: s.u.GetBorn()}, Alive: true}}}, nil)
+		UpstreamSeen: &pipelinev1.UpstreamSeen{Upstream: s.u.Upstream, Alive: true}}}, nil)
 }
 
 // leftOpen records when the upstream was last known to be in order.
