--- a/pipeline/crash_test.go
+++ b/pipeline/crash_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"testing"
+	"time"
 
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 	"google.golang.org/protobuf/proto"
@@ -63,6 +64,28 @@
 	}
 }
 
+// A lasting task was once given up for crashes between which it had worked for hours.
+func TestCrashesBeforeALongRunCountNoMore(t *testing.T) {
+	for name, gap := range map[string]int64{"long": int64(time.Hour), "short": int64(time.Second)} {
+		h := newHarness(t)
+		st := step(1, 1)
+		st.Lasting = true
+		h.submit("j", st)
+		for n := int32(1); n <= 3*maxCrashes && h.Job("j").State != Failed; n += 2 {
+			h.mustPlace(run("j", 0, 0, n, "w1"))
+			h.crash(run("j", 0, 0, n, "w1"), true)
+			if h.Job("j").State != Failed {
+				h.mustPlace(run("j", 0, 0, n+1, "w1"))
+				h.now += gap
+				h.end(run("j", 0, 0, n+1, "w1"), pipelinev1.EndKind_END_KIND_STOPPED, int64(n))
+			}
+		}
+		if got := h.Job("j").State == Failed; got != (name == "short") {
+			t.Errorf("%s runs between crashes: failed %v", name, got)
+		}
+	}
+}
+
 // expireFour runs a task four times, thrice on w1 and once on w2, until the lease expires.
 func expireFour(t *testing.T) *harness {
 	h := newHarness(t)
