pipeline: crashes before a long run of a task count no more

What callers saw: a lasting job fails once four upstreams have crashed soon after they had started the same task, though weeks lie between the crashes. They were counted for the whole life of the job, and a lasting job has no end of its own.

A run that its upstream lists as ended more than the crash window after it was placed shows that starting the task crashes no upstream; the counts begin anew. A task that crashes the upstreams that start it has no such run, so that its bound stays as it was. TestCrashesBeforeALongRunCountNoMore failed before.

--- a/pipeline/ends.go
+++ b/pipeline/ends.go
@@ -33,6 +33,9 @@
 	if e.GetCheckpoint() != "" {
 		s.saveCheckpoint(t, e.GetCheckpoint())
 	}
+	if e.GetListed() > 0 && !s.endedWithinCrashWindow(r) {
+		t.Crashes, t.EarlyCrashes = 0, 0
+	}
 	switch e.GetKind() {
 	case pipelinev1.EndKind_END_KIND_DONE:
 		s.runDone(t)
--- a/pipeline/job.go
+++ b/pipeline/job.go
@@ -100,7 +100,7 @@
 	// Live are the runs that may exist at an upstream.
 	Live []*Run
 	// Crashes counts the runs whose upstream crashed, EarlyCrashes those whose upstream crashed soon
-	// after their start.
+	// after their start. Both are counted since the last run that ended on its upstream after more than crashWindow.
 	Crashes, EarlyCrashes int32
 	// Expired are the runs that ended when their lease expired, as long as it is not known whether
 	// their upstreams crashed.
