--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -47,12 +47,16 @@
 	return false
 }
 
-// incarnationClaimed takes note of a heartbeat of a newer incarnation.
+// incarnationClaimed takes note of a heartbeat of a newer incarnation. The known one is asked first if it has answered
+// lately. Further claims don't change whose turn it is.
 func (s *session) incarnationClaimed(reported *pipelinev1.Upstream, now time.Duration) {
 	if s.newIncarnation != nil && s.newIncarnation.GetBorn() >= reported.GetBorn() {
 		return
 	}
-	s.newIncarnation, s.claimedAt, s.askClaimant, s.nextProbe = reported, now, true, now
+	if s.newIncarnation == nil {
+		s.askClaimant, s.nextProbe = !s.answers(), now
+	}
+	s.newIncarnation, s.claimedAt = reported, now
 	s.transition(lifecycle.SessionSuspect, "received a heartbeat from a newer incarnation")
 }
 
@@ -89,7 +93,7 @@
 	if s.rival == nil || s.rival.GetUpstream().GetId() != c.GetUpstream().GetId() {
 		s.logger(zerolog.InfoLevel).Str("other_upstream", c.GetUpstream().GetId()).Msg("another upstream reports the same address or VM; asking whether this one is still there")
 	}
-	s.rival, s.rivalAt = c, now
+	s.rival, s.rivalAt, s.probePause = c, now, 0
 	s.suspect(now, "another upstream reports the same address or VM")
 	s.runDueWork(now)
 }
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -21,6 +21,7 @@
 // goneEnds returns the ends of the runs of an incarnation that certainly no longer exists, but for those
 // that are kept.
 func (s *session) goneEnds(kept map[pipeline.RunKey]bool) []*pipelinev1.End {
+	s.leftOpen(s.e.now())
 	kind := pipelinev1.EndKind_END_KIND_CRASHED
 	if s.endedWithNotice() {
 		kind = pipelinev1.EndKind_END_KIND_LOST
@@ -74,13 +75,15 @@
 }
 
 // acquitExpired proposes that the upstream did not crash under the runs whose lease expired, as it has
-// answered.
-func (s *session) acquitExpired() {
-	if len(s.u.Expired) == 0 {
+// answered. Their end may be committed after the answer. A replica of an older version takes the command for a
+// heartbeat, so that it has the whole description.
+func (s *session) acquitExpired(now time.Duration) {
+	if len(s.u.Expired) == 0 || now < s.nextAcquittal {
 		return
 	}
+	s.nextAcquittal = now + orderTimeout
 	s.e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamSeen{
-		UpstreamSeen: &pipelinev1.UpstreamSeen{Upstream: &pipelinev1.Upstream{Id: s.u.GetId(), Born: s.u.GetBorn()}, Alive: true}}}, nil)
+		UpstreamSeen: &pipelinev1.UpstreamSeen{Upstream: s.u.Upstream, Alive: true}}}, nil)
 }
 
 // leftOpen records when the upstream was last known to be in order.
