--- a/faults/matrix_test.go
+++ b/faults/matrix_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"flag"
 	"fmt"
 	"os"
 	"strings"
@@ -21,8 +22,13 @@
 	// minRuns and minSubmits are the fewest runs and submissions that make a verdict meaningful.
 	minRuns    = 15
 	minSubmits = 40
+	// seedsPerRound is above the seed of every cell in the first round.
+	seedsPerRound = 100_000
 )
 
+// seedRounds repeats the cells of the matrix, to look for failures that need a rare interleaving.
+var seedRounds = flag.Uint64("rounds", 1, "number of runs of each cell of the matrix, each with other seeds")
+
 // scenario is one run of a cell: the load, with some faults, each injected at a step.
 type scenario struct {
 	seed   uint64
@@ -187,8 +193,13 @@
 				t.Run(testName(string(st.step))+"/"+testName(f.name), func(t *testing.T) {
 					t.Parallel()
 					var breaches []string
-					for p := range numPhases {
-						breaches = append(breaches, cellScenario(row, col, p).run(t)...)
+					for round := range *seedRounds {
+						for p := range numPhases {
+							s := cellScenario(row, col, p, round)
+							for _, b := range s.run(t) {
+								breaches = append(breaches, fmt.Sprintf("seed %d: %s", s.seed, b))
+							}
+						}
 					}
 					verdict := report(t, red, breaches)
 					mu.Lock()
@@ -205,8 +216,8 @@
 
 // cellScenario returns the run of a cell of the matrix for one phase; later phases use a later
 // occurrence of the step.
-func cellScenario(row, col int, p phase) scenario {
+func cellScenario(row, col int, p phase, round uint64) scenario {
 	skip := int(p) * steps[row].stride
-	seed := uint64(1000*row + 10*col + int(p))
+	seed := round*seedsPerRound + uint64(1000*row+10*col+int(p))
 	return scenario{seed: seed, faults: []plannedFault{{steps[row].step, p, skip, columns[col]}}}
 }
