control, upstream: polls carry the term of the newest answer taken

Callers saw: a task that ran was started a second time while the first run was still being stopped; a VM had more at work than its capacity; a cancelled task was reported as ended although it ran.

Cause: a new leader took an attempt that an earlier leader may have started as absent once two polls of its term did not list it. A poll's number orders it only among those that one leader has seen. Copies of two polls from before the change of leader that arrived ahead of the upstream's next poll looked like the first and the second.

Change: a poll carries the term of the newest answer that the upstream has taken. The leader concludes that an attempt of an earlier leader is absent only from a poll that carries its own term: the upstream drops answers of older terms from then on. Polls of an upstream that does not send the field are judged by their numbers, as before. Nothing in the log changes.

--- a/control/harness_test.go
+++ b/control/harness_test.go
@@ -183,12 +183,15 @@
 	leaving     bool
 	capacity    *apiv1.Resources
 	tasks       []*apiv1.TaskReport
+	// term is that of the newest answer to poll; without sendsTerm, polls do not carry it.
+	term      uint64
+	sendsTerm bool
 }
 
 // newUpstream announces an upstream and sends its first poll.
 func (l *leader) newUpstream(name string) *fakeUpstream {
 	l.announce(name, 1)
-	u := &fakeUpstream{leader: l, name: name, incarnation: 1}
+	u := &fakeUpstream{leader: l, name: name, incarnation: 1, sendsTerm: true}
 	if a := u.poll(); a.held > 0 {
 		l.t.Errorf("the first poll was held for %s", a.held)
 	}
@@ -223,6 +226,9 @@
 func (u *fakeUpstream) send(sequence uint64) <-chan answer {
 	out := make(chan answer, 1)
 	req := &apiv1.PollRequest{Upstream: u.name, Incarnation: u.incarnation, Sequence: sequence, Tasks: u.tasks, Leaving: u.leaving, Capacity: u.capacity}
+	if u.sendsTerm {
+		req.Term = proto.Uint64(u.term)
+	}
 	began := time.Now()
 	go func() {
 		resp := &apiv1.PollResponse{}
@@ -232,7 +238,11 @@
 	return out
 }
 
-func (u *fakeUpstream) poll() answer { return <-u.start() }
+func (u *fakeUpstream) poll() answer {
+	a := <-u.start()
+	u.term = max(u.term, a.Term)
+	return a
+}
 
 // kinds returns the kinds of the commands in an answer.
 func (a answer) kinds() string {
--- a/control/poll.go
+++ b/control/poll.go
@@ -34,7 +34,7 @@
 	if s.first == 0 {
 		s.first = req.GetSequence()
 	}
-	s.highest, s.lastPollAt = req.GetSequence(), now
+	s.highest, s.lastPollAt, s.fenced = req.GetSequence(), now, c.fences(s, req)
 	s.leaseEnd = c.cfg.Terms.GrantorExpiry(now)
 	s.poll = &heldPoll{sequence: s.highest, until: now + c.cfg.PollHold, reply: reply}
 	c.setTimer(s)
@@ -49,6 +49,16 @@
 	c.queueCheck(s)
 }
 
+// fences reports whether a poll was sent after the upstream had taken an answer of this term. The
+// first polls that a new leader sees may be copies of polls from before its term, so their numbers
+// don't tell it; they have to do for an upstream that does not send the term.
+func (c *Controller) fences(s *session, req *apiv1.PollRequest) bool {
+	if req.Term == nil {
+		return s.first < req.GetSequence()
+	}
+	return req.GetTerm() == c.term
+}
+
 // overduePolls is how long an upstream may be silent, in multiples of PollHold, before its next
 // poll is answered immediately: a leader or a message was lost, and the upstream's lease may
 // be about to end.
--- a/control/session.go
+++ b/control/session.go
@@ -21,6 +21,9 @@
 	// poll; both are 0 before it.
 	highest uint64
 	first   uint64
+	// fenced is set if the highest poll was sent after the upstream had taken an answer of this
+	// term. From then on the upstream drops answers of earlier leaders.
+	fenced bool
 	// lastPollAt is when the poll with number highest was handled.
 	lastPollAt time.Duration
 	// attempts holds what is known of each attempt.
@@ -204,17 +207,14 @@
 }
 
 // conclusive reports whether the highest poll shows for certain if the upstream has an attempt or
-// not: the upstream drops answers to older polls, so a start in one of them can no longer arrive.
+// not: the upstream drops answers to older polls and of older terms, so a start in one of them can
+// no longer arrive.
 func (s *session) conclusive(ref state.TaskRef) bool {
 	a := s.attempts[ref]
-	switch {
-	case a.sentIn != 0:
-		return a.sentIn < s.highest
-	case a.inherited:
-		// An earlier leader may have answered the first poll of this term.
-		return s.first != 0 && s.first < s.highest
-	}
-	return true
+	if a.sentIn != 0 && a.sentIn == s.highest {
+		return false
+	}
+	return !a.inherited || s.fenced
 }
 
 // absent reports whether the upstream certainly does not have the attempt.
--- a/control/session_test.go
+++ b/control/session_test.go
@@ -74,16 +74,18 @@
 // a new leader, once the second poll does not.
 func TestCancelledBeforeStart(t *testing.T) {
 	cases := map[string]struct {
-		newLeader bool
-		polls     int
+		newLeader, sendsTerm bool
+		polls                int
 	}{
-		"same leader": {false, 1},
-		"new leader":  {true, 2},
+		"same leader":                      {false, true, 1},
+		"new leader":                       {true, true, 2},
+		"new leader, polls without a term": {true, false, 2},
 	}
 	for name, c := range cases {
 		t.Run(name, func(t *testing.T) {
 			inBubble(t, func(l *leader) {
 				u := l.newUpstream("u1")
+				u.sendsTerm = c.sendsTerm
 				task := &l.submit("job", batch, 1, false).Tasks[0]
 				u.want(u.poll(), "start ")
 				if c.newLeader {
--- a/upstream/answer_test.go
+++ b/upstream/answer_test.go
@@ -86,3 +86,17 @@
 		}
 	})
 }
+
+// TestPollsCarryTheTerm expects polls to carry the term of the newest answer taken, also after one of
+// an older term.
+func TestPollsCarryTheTerm(t *testing.T) {
+	a := New(Config{Name: "u", Incarnation: 1}, nil, nil, &testClock{start: time.Now()})
+	for i, c := range []struct{ answered, want uint64 }{{0, 0}, {5, 5}, {4, 5}, {6, 6}} {
+		req, sent := a.composePoll()
+		a.applyPollResponse(req, &apiv1.PollResponse{Sequence: req.GetSequence(), Term: c.answered}, sent)
+		next, _ := a.composePoll()
+		if next.Term == nil || next.GetTerm() != c.want {
+			t.Errorf("after answer %d, of term %d, a poll has term %v; want %d", i, c.answered, next.Term, c.want)
+		}
+	}
+}
--- a/upstream/poll.go
+++ b/upstream/poll.go
@@ -6,6 +6,7 @@
 	"time"
 
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
+	"google.golang.org/protobuf/proto"
 )
 
 // pollOnce sends one poll and executes the commands in its response. A local event replaces a
@@ -48,7 +49,8 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.sequence++
-	req := &apiv1.PollRequest{Upstream: a.cfg.Name, Incarnation: a.cfg.Incarnation, Sequence: a.sequence, Leaving: a.leaving, Tasks: a.reports()}
+	req := &apiv1.PollRequest{Upstream: a.cfg.Name, Incarnation: a.cfg.Incarnation, Sequence: a.sequence, Term: proto.Uint64(a.term),
+		Leaving: a.leaving, Tasks: a.reports()}
 	return req, a.clock.Now()
 }
 
