faults: the page names what guards against deadly tasks, late polls and frames that were not synced

The row on deadly tasks stood in the page only, not in the source that TestMatrix compares it with, so that the test failed.

--- a/faults/reported_test.go
+++ b/faults/reported_test.go
@@ -25,6 +25,7 @@
 	lostAnswer     = "After an answer was lost, work that had run was run again, or the caller was told that it hadn't run"
 	restartRevives = "After a restart, a server that had left, or a key that had been withdrawn, was in use again"
 	malformed      = "One malformed message or unexpected error took a whole process down"
+	deadlyTask     = "One request or task crashed server after server"
 	oddEntry       = "One odd entry among those of the workers, left by another writer, ended the processes that read the list, or kept them from following it"
 )
 
@@ -39,6 +40,7 @@
 	{silentMachine, "replicas", "a silent voter gives up its vote to a standby that has caught up; its log stays of use", []string{"TestSilentVoterIsReplacedBeforeTheNextLoss", "TestRepairAndASecondLossRightAfter", "TestExchangedReplicas"}},
 	{handOver, "leaders of called upstreams", "an order without an answer is settled under a higher token, which bars the older leader's orders at the upstream", []string{"TestNewLeaderAdoptsRuns", "TestNewLeaderWithdrawsUnsentRuns", "TestUnansweredOrders"}},
 	{handOver, "leaders of polled upstreams", "numbered polls; only the highest of a term gets commands", []string{"TestOlderAndCrossedPollsGetNothing"}},
+	{handOver, "a new leader of polled upstreams, late polls", "an attempt of an earlier leader is absent only once a poll carries the new leader's term", []string{"TestLatePollsAtANewLeader"}},
 	{handOver, "a transfer of the leadership that fails", "what was refused during the transfer is determined again", []string{"TestEndsAreLostInATransferThatFails", "TestTransfer"}},
 	{pausedProcess, "leader: orders, leases", "nothing is ordered 1.2 s after the last confirmation by a quorum, asked again right before the call", []string{"TestUnconfirmedLeaderIsQuiet", "TestStartIsNotSentAfterAPause"}},
 	{pausedProcess, "leader: maintenance of VMs", "the same, as the VM service may check no tokens", []string{"TestMaintenanceIsNotOrderedAfterAPause"}},
@@ -51,9 +53,12 @@
 	{lostAnswer, "between caller and entry", "identities of requests are kept in the log; a refusal is checked against jobs that are known or proposed", []string{"TestSubmitIsIdempotent", "TestKnownJobIsNotRefused", "TestMalformedResendIsUndetermined"}},
 	{restartRevives, "upstreams that have left", "removals are in the log, and a late heartbeat brings no work", []string{"TestHeartbeatAfterTheLeaveBringsNoWork", "TestLateLeaveDoesNotEndTheNewIncarnation", "TestRebornUpstream"}},
 	{restartRevives, "keys and configuration", "versions are in the log and its snapshots; a view never goes back", []string{"TestRestartOfAllKeepsWhatWasAcknowledged", "TestRevisionNeverReverts", "TestSnapshotRestores"}},
+	{restartRevives, "a replica that was killed between a write and its sync", "opening a log syncs what was read, before anything is built on it", []string{"TestWhatARestartReadOutlivesALossOfPower", "TestRandomLivesWithLossesOfPower"}},
 	{malformed, "requests, calls between processes", "an unexpected error ends its request with a logged reason", []string{"TestUnexpectedErrorEndsItsRequestOnly", "TestUnexpectedErrorEndsItsCallOnly", "TestUnexpectedErrorEndsTheCallToAnUpstream", "TestMalformedCallIsAnswered"}},
 	{malformed, "decoders of the wire and of files", "fuzzed with committed seeds", []string{"FuzzDecoders", "FuzzRaftMessages", "FuzzCall", "FuzzRestore", "FuzzSegment", "FuzzSnapshot", "FuzzHandle"}},
 	{malformed, "the replicated state", "a broken invariant still stops the process", []string{"TestBrokenInvariantStopsTheProcess"}},
+	{deadlyTask, "called upstreams", "one start at most after the third crash, whoever leads; the job fails, its neighbours complete; upstreams that were cut off or left count nothing", []string{"TestTaskThatCrashesItsUpstreamsIsGivenUp", "TestJobIsFailedForUpstreamsThatDidNotCrash"}},
+	{deadlyTask, "polled upstreams, repeatable tasks", "nothing yet; known red", []string{"TestPolledTaskThatCrashesItsUpstreamsIsGivenUp"}},
 	{oddEntry, "heartbeats", "refused for good with 400, in a bounded log line; names and amounts are bounded at the border and by the leader", []string{"TestOddHeartbeatIsRefused", "TestUnusualHeartbeatIsAccepted", "TestLeaderRefusesOddDescriptions", "TestCallThatCannotBeEncodedIsRefusedForGood"}},
 	{oddEntry, "the replicated state: what an older version accepted", "applied, put into snapshots and restored", []string{"TestOddUpstreamOfAnOldLog"}},
 	{oddEntry, "false claims under the identity of a sound upstream", "status requests tell which incarnation is there; a start or a number far too high hides it no longer", []string{"TestOddStartShutsNoUpstreamOut", "TestOddStartThatCameFirstHidesNoUpstream", "TestOddSequenceHidesNoHeartbeat", "TestLateHeartbeatsStayStale"}},
