--- a/dispatch/claim_test.go
+++ b/dispatch/claim_test.go
@@ -8,6 +8,9 @@
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
 
+// maxUnknown is the number of runs of unknown fate at which a task is held.
+const maxUnknown = 4
+
 // An upstream that answered while the end of its lease was being committed once stayed suspected of a crash for as long as it
 // went on answering.
 func TestAnswerDuringTheExpiryOfALeaseAcquitsTheUpstream(t *testing.T) {
@@ -138,3 +141,24 @@
 		}
 	}
 }
+
+// A task whose lease ran out on four upstreams that could not be called once waited for as long as their heartbeats came.
+func TestHeartbeatsAcquitAnUpstreamThatCannotBeCalled(t *testing.T) {
+	h := newHarness(t, "w1", "w2", "w3", "w4", "w5", "w6")
+	for _, f := range h.upstreams {
+		f.runTime = 5 * time.Second
+	}
+	h.submit(jobID(1), oneStep(1, 5000))
+	for cut := 0; h.now < time.Minute; h.run(heartbeatTime) {
+		for id, f := range h.upstreams {
+			h.beat(id, h.now.Milliseconds())
+			if cut < maxUnknown && f.runs(pipeline.TaskKey{Job: jobID(1)}) {
+				f.partitioned = true
+				cut++
+			}
+		}
+	}
+	if s := h.jobState(jobID(1)); s != pipeline.Completed {
+		t.Errorf("state %s", s)
+	}
+}
