dispatch: heartbeats acquit an upstream that can't be called

What callers saw: a task on which four leases had ended was not started again, though other upstreams were free, for as long as the leader could not call the four upstreams and their heartbeats arrived: on a path that is cut one way. The runs stay of unknown fate until an upstream answers or restarts, or sends nothing for 30 s; such an upstream does none of these.

Four heartbeats of the incarnation since its lease ended, with rising numbers and over four seconds, now acquit it as an answer does. Those that a partition has held back come at once.

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -13,37 +13,43 @@
 // by status requests: whichever incarnation answers is there.
 
 const (
-	// staleBeats is the number of heartbeats in a row, with rising numbers and over staleTime at least, after which
-	// the higher number that was known before counts as false. Late heartbeats come at once, after a disruption.
+	// staleBeats is the number of heartbeats in a row, with rising numbers and over staleTime at least, that show that
+	// their sender is there: a higher number that was known before counts as false. Late heartbeats come at once, after a
+	// disruption.
 	staleBeats = 4
 	staleTime  = 4 * time.Second
 )
 
-// staleRun is a row of heartbeats with rising numbers below the highest known one.
-type staleRun struct {
+// beatRow is a row of heartbeats with rising numbers.
+type beatRow struct {
 	beats int
 	last  int64
 	since time.Duration
 }
 
+// add adds a heartbeat and reports whether the row shows that its sender is there.
+func (r *beatRow) add(sequence int64, now time.Duration) bool {
+	if r.beats == 0 || sequence <= r.last {
+		*r = beatRow{since: now}
+	}
+	r.beats++
+	r.last = sequence
+	return r.beats >= staleBeats && now-r.since >= staleTime
+}
+
 // sequenceStale reports whether a heartbeat of the known incarnation is older than another one.
 func (s *session) sequenceStale(sequence int64, now time.Duration) bool {
 	if sequence >= s.lastSequence {
-		s.stale = staleRun{}
+		s.stale = beatRow{}
 		return false
 	}
-	if s.stale.beats == 0 || sequence <= s.stale.last {
-		s.stale = staleRun{since: now}
-	}
-	s.stale.beats++
-	s.stale.last = sequence
-	if s.stale.beats < staleBeats || now-s.stale.since < staleTime {
+	if !s.stale.add(sequence, now) {
 		return true
 	}
 	s.logger(zerolog.WarnLevel).Int64("sequence", sequence).Int64("known_sequence", s.lastSequence).
 		Msg("heartbeats go on with lower numbers; the highest one was false")
 	claimsRefuted.Add(1)
-	s.stale = staleRun{}
+	s.stale = beatRow{}
 	return false
 }
 
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -86,6 +86,15 @@
 		UpstreamSeen: &pipelinev1.UpstreamSeen{Upstream: s.u.Upstream, Alive: true}}}, nil)
 }
 
+// heardAfterExpiry acquits an upstream whose heartbeats go on arriving although it can't be called.
+func (s *session) heardAfterExpiry(sequence int64, now time.Duration) {
+	if len(s.u.Expired) == 0 {
+		s.heardSinceExpiry = beatRow{}
+	} else if s.heardSinceExpiry.add(sequence, now) {
+		s.acquitExpired(now)
+	}
+}
+
 // leftOpen records when the upstream was last known to be in order.
 func (s *session) leftOpen(now time.Duration) {
 	if s.phase == lifecycle.SessionOpen {
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -40,6 +40,7 @@
 	}
 	if reported.GetBorn() == s.u.GetBorn() {
 		s.lastSequence = c.GetSequence()
+		s.heardAfterExpiry(c.GetSequence(), now)
 	}
 	if s.phase != lifecycle.SessionOpen && s.probePause > probeMin {
 		s.probePause, s.nextProbe = 0, now
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -67,7 +67,9 @@
 	// lastSequence is the highest sequence number of a heartbeat of this incarnation.
 	lastSequence int64
 	// stale are the heartbeats below lastSequence that came last.
-	stale staleRun
+	stale beatRow
+	// heardSinceExpiry are the heartbeats of this incarnation since its lease expired.
+	heardSinceExpiry beatRow
 	// unresponsiveSince is when the upstream became unresponsive or suspected.
 	unresponsiveSince time.Duration
 	// openUntil is when the session left the open state last.
