--- a/dispatch/claim_test.go
+++ b/dispatch/claim_test.go
@@ -162,3 +162,21 @@
 		t.Errorf("state %s", s)
 	}
 }
+
+// A run that a new incarnation under the same identity had taken on was once declared lost at once, and started again
+// elsewhere.
+func TestRunThatARestartedUpstreamHasKeepsItsLease(t *testing.T) {
+	h := newHarness(t, "w1", "w2")
+	h.upstreams["w2"].draining = true
+	h.sendHeartbeat("w2")
+	h.run(20 * time.Second)
+	h.upstreams["w1"].crash()
+	h.upstreams["w1"].runTime = 3 * time.Second
+	h.submit(jobID(1), oneStep(2, 3000))
+	h.run(500 * time.Millisecond)
+	h.upstreams["w3"] = newFakeUpstream(h, 10)
+	h.sendHeartbeat("w3")
+	h.sendHeartbeat("w1")
+	h.run(6 * time.Second)
+	h.checkAllDone(jobID(1))
+}
