dispatch: a run that a restarted upstream has keeps its lease

What callers saw: two runs of one task at a time. An upstream restarts under its identity, and takes on a start that was meant for the older incarnation. Once its heartbeat shows the restart, the run is kept, as the upstream lists it; but the leader resets the clock and the deadline that it knows, and a deadline of zero counts as a lease that has ended: the next tick declares the run expired and places it elsewhere.

For the time of the longest lease that an upstream grants, the lease of a restarted one now counts as open.

--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -20,7 +20,10 @@
 // Engine places tasks and orders runs while its replica is the leader. It implements
 // control.Engine.
 type Engine struct {
-	cfg       Config
+	cfg Config
+	// longestGrant is the longest lease that an upstream grants; cfg.MaxHold is bounded below it.
+	longestGrant time.Duration
+
 	log       zerolog.Logger
 	host      Host
 	upstreams Upstreams
@@ -77,8 +80,9 @@
 // New returns an engine. Leases are limited to the smaller of cfg.MaxHold and 4.5 s. vms may be
 // nil; maintenance waves then have no effect.
 func New(cfg Config, log zerolog.Logger, host Host, upstreams Upstreams, vms VMs) *Engine {
+	longest := cfg.MaxHold
 	cfg.MaxHold = min(cfg.MaxHold, maxLease)
-	e := &Engine{cfg: cfg, log: log, host: host, upstreams: upstreams, vms: vms, state: host.Pipelines(), withTimeout: withTimeout}
+	e := &Engine{cfg: cfg, longestGrant: longest, log: log, host: host, upstreams: upstreams, vms: vms, state: host.Pipelines(), withTimeout: withTimeout}
 	e.clear()
 	return e
 }
--- a/dispatch/expiry.go
+++ b/dispatch/expiry.go
@@ -95,12 +95,20 @@
 	s.expiryProposedAt = now
 }
 
+// restarted resets what is known of the lease for a newer incarnation, which answered. Its clock has begun anew. An order
+// that was meant for the older one may have given it the longest lease, from a deadline by the older one's clock.
+func (s *session) restarted(now time.Duration) {
+	longest := s.e.longestGrant
+	s.clock, s.deadlineMS = upstreamClock{}, 0
+	s.restartLeaseEnd = now + longest + longest*(slowClockPercent+1)/100 + s.e.cfg.StopGrace + expiryMargin
+}
+
 // leaseExpired reports whether every lease that this leader or an older one granted has certainly
 // expired, including the time that the upstream needs to stop its runs.
 func (s *session) leaseExpired(now time.Duration) bool {
 	grace := s.e.cfg.StopGrace + expiryMargin
 	older := confirmValidity + s.e.cfg.MaxHold + s.e.cfg.MaxHold*(slowClockPercent+1)/100 + grace
-	if now-s.e.leadingSince < older {
+	if now-s.e.leadingSince < older || now < s.restartLeaseEnd {
 		return false
 	}
 	if s.deadlineMS == 0 {
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -116,7 +116,8 @@
 	}
 	s.logger(zerolog.InfoLevel).Int64("new_born", reply.Born).Int("kept", len(seen.Kept)).Int("runs", len(s.u.Runs)).Msg("upstream restarted")
 	s.proposeEnds(s.goneEnds(listed))
-	s.clock, s.deadlineMS, s.lastSequence = upstreamClock{}, 0, 0
+	s.lastSequence = 0
+	s.restarted(s.e.now())
 	s.e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamSeen{UpstreamSeen: seen}}, nil)
 	s.nextProbe = s.e.now() + probeMin
 }
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -40,6 +40,9 @@
 	// milliseconds.
 	deadlineMS int64
 
+	// restartLeaseEnd is until when the upstream's present incarnation may have a lease that was given before its restart was noticed.
+	restartLeaseEnd time.Duration
+
 	orders []order
 	// ordersInFlight is the number of sent orders that are not answered. reconciling is set while
 	// the status request of reconcile is pending, watching while that of watch is.
