dispatch: random lives of upstreams, with claims, crashes and late heartbeats

TestRandomLivesOfUpstreams crashes, cuts and renames upstreams, repeats heartbeats late and adds those of another writer; no task may run twice and all jobs must end. TestJobIsGivenUpForCrashesUnderItsTasks is known red: starts on upstreams that had crashed before count as crashes.

The harness answers at an address for the upstream that is there now, and an end is taken note of only once it exists: a request that named the ends of an older incarnation had counted the newer one's as acknowledged.

--- a/dispatch/upstream_test.go
+++ b/dispatch/upstream_test.go
@@ -160,6 +160,16 @@
 	return f, nil
 }
 
+// otherAt reports whether some upstream answers at an address.
+func (c fleet) otherAt(address string) bool {
+	for id, f := range c.h.upstreams {
+		if cmp.Or(f.address, id) == address && !f.partitioned && !f.gone {
+			return true
+		}
+	}
+	return false
+}
+
 // timeLeft returns the time until the caller stops waiting for an answer.
 func timeLeft(ctx context.Context) time.Duration {
 	deadline, _ := ctx.Deadline()
@@ -236,6 +246,9 @@
 // Status implements Upstreams. It answers at once, whatever the wait.
 func (c fleet) Status(ctx context.Context, to Target, r StatusRequest) (StatusReply, error) {
 	f, err := c.reach(ctx, to)
+	if f == nil && c.otherAt(to.Address) {
+		return StatusReply{Verdict: OtherIncarnation}, nil
+	}
 	if err != nil {
 		return StatusReply{}, err
 	}
@@ -246,7 +259,7 @@
 		return StatusReply{Verdict: Fenced, ClockMS: f.clockMS(), Born: f.born}, nil
 	}
 	f.token = r.Token
-	f.acked = max(f.acked, r.LastEnd)
+	f.acked = max(f.acked, min(r.LastEnd, f.lastNumber))
 	if r.DeadlineMS > 0 {
 		f.deadlineMS = max(f.deadlineMS, min(r.DeadlineMS, f.clockMS()+testHold.Milliseconds()))
 	}
