--- a/dispatch/claim_test.go
+++ b/dispatch/claim_test.go
@@ -180,3 +180,24 @@
 	h.run(6 * time.Second)
 	h.checkAllDone(jobID(1))
 }
+
+// A false heartbeat with a high start, while an upstream was down, once hid the upstream for good when it came back under its identity.
+func TestOddStartHidesNoRestart(t *testing.T) {
+	for _, claimed := range []string{"w1", "elsewhere"} {
+		for _, back := range []string{"w1", "moved"} {
+			h := newHarness(t, "w1")
+			f := h.upstreams["w1"]
+			h.beatFor(3*time.Second, "w1")
+			f.crash()
+			f.partitioned = true
+			h.oddBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Born, u.Address = 1000, claimed })
+			h.run(2 * time.Second)
+			f.partitioned, f.address = false, back
+			h.submit(jobID(1), oneStep(1, 1000))
+			h.beatFor(10*time.Second, "w1")
+			if s := h.jobState(jobID(1)); s != pipeline.Completed {
+				t.Errorf("claimed at %s, back at %s: the job is %s", claimed, back, s)
+			}
+		}
+	}
+}
