dispatch: a false heartbeat with a high start hides no restart

What callers saw: an upstream that had restarted under its identity was never used again, and tasks whose leases had ended there waited without end. While it was down, a heartbeat of another writer had announced an incarnation with a higher start. The heartbeats of the true one were older than that and were passed over; its answers to status requests were those of an incarnation without a heartbeat. Its heartbeats kept it from being removed.

A heartbeat of an older start than the announced one, but newer than the known one's, now counts once a request about the announced one has failed. TestOddStartHidesNoRestart failed before, in each of four cases.

--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -54,15 +54,15 @@
 }
 
 // incarnationClaimed takes note of a heartbeat of a newer incarnation. The known one is asked first if it has answered
-// lately. Further claims don't change whose turn it is.
+// lately. Further claims don't change whose turn it is. An older one than the last counts once that one was asked about in vain.
 func (s *session) incarnationClaimed(reported *pipelinev1.Upstream, now time.Duration) {
-	if s.newIncarnation != nil && s.newIncarnation.GetBorn() >= reported.GetBorn() {
+	if c := s.newIncarnation; c != nil && (c.GetBorn() == reported.GetBorn() || c.GetBorn() > reported.GetBorn() && !s.claimUnconfirmed) {
 		return
 	}
 	if s.newIncarnation == nil {
 		s.askClaimant, s.nextProbe = !s.answers(), now
 	}
-	s.newIncarnation, s.claimedAt = reported, now
+	s.newIncarnation, s.claimedAt, s.claimUnconfirmed = reported, now, false
 	s.transition(lifecycle.SessionSuspect, "received a heartbeat from a newer incarnation")
 }
 
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -55,7 +55,7 @@
 		s.unresponsiveSince = at
 		upstreamsUnresponsive.Add(1)
 	}
-	s.askClaimant = !s.askClaimant
+	s.askClaimant, s.claimUnconfirmed = !s.askClaimant, true
 	s.transition(lifecycle.SessionFail, err.Error())
 	s.withdrawQueued()
 	s.probePause = min(max(s.probePause*2, probeMin), probeMax)
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -24,6 +24,8 @@
 	newIncarnation *pipelinev1.Upstream
 	claimedAt      time.Duration
 	askClaimant    bool
+	// claimUnconfirmed is set once a status request has failed since newIncarnation was announced.
+	claimUnconfirmed bool
 	// rival is another upstream that reported this one's address or VM, last at rivalAt, while it was not known which
 	// of them is there; nil if there is none.
 	rival   *pipelinev1.HeartbeatCall
