--- a/dispatch/claim_test.go
+++ b/dispatch/claim_test.go
@@ -8,6 +8,9 @@
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
 
+// maxUnknown is the number of runs of unknown fate at which a task is held.
+const maxUnknown = 4
+
 // An upstream that answered while the end of its lease was being committed once stayed suspected of a crash for as long as it
 // went on answering.
 func TestAnswerDuringTheExpiryOfALeaseAcquitsTheUpstream(t *testing.T) {
@@ -138,3 +141,63 @@
 		}
 	}
 }
+
+// A task whose lease ran out on four upstreams that could not be called once waited for as long as their heartbeats came.
+func TestHeartbeatsAcquitAnUpstreamThatCannotBeCalled(t *testing.T) {
+	h := newHarness(t, "w1", "w2", "w3", "w4", "w5", "w6")
+	for _, f := range h.upstreams {
+		f.runTime = 5 * time.Second
+	}
+	h.submit(jobID(1), oneStep(1, 5000))
+	for cut := 0; h.now < time.Minute; h.run(heartbeatTime) {
+		for id, f := range h.upstreams {
+			h.beat(id, h.now.Milliseconds())
+			if cut < maxUnknown && f.runs(pipeline.TaskKey{Job: jobID(1)}) {
+				f.partitioned = true
+				cut++
+			}
+		}
+	}
+	if s := h.jobState(jobID(1)); s != pipeline.Completed {
+		t.Errorf("state %s", s)
+	}
+}
+
+// A run that a new incarnation under the same identity had taken on was once declared lost at once, and started again
+// elsewhere.
+func TestRunThatARestartedUpstreamHasKeepsItsLease(t *testing.T) {
+	h := newHarness(t, "w1", "w2")
+	h.upstreams["w2"].draining = true
+	h.sendHeartbeat("w2")
+	h.run(20 * time.Second)
+	h.upstreams["w1"].crash()
+	h.upstreams["w1"].runTime = 3 * time.Second
+	h.submit(jobID(1), oneStep(2, 3000))
+	h.run(500 * time.Millisecond)
+	h.upstreams["w3"] = newFakeUpstream(h, 10)
+	h.sendHeartbeat("w3")
+	h.sendHeartbeat("w1")
+	h.run(6 * time.Second)
+	h.checkAllDone(jobID(1))
+}
+
+// A false heartbeat with a high start, while an upstream was down, once hid the upstream for good when it came back under its identity.
+func TestOddStartHidesNoRestart(t *testing.T) {
+	for _, claimed := range []string{"w1", "elsewhere"} {
+		for _, back := range []string{"w1", "moved"} {
+			h := newHarness(t, "w1")
+			f := h.upstreams["w1"]
+			h.beatFor(3*time.Second, "w1")
+			f.crash()
+			f.partitioned = true
+			h.oddBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Born, u.Address = 1000, claimed })
+			h.run(2 * time.Second)
+			f.partitioned, f.address = false, back
+			h.submit(jobID(1), oneStep(1, 1000))
+			h.beatFor(10*time.Second, "w1")
+			if s := h.jobState(jobID(1)); s != pipeline.Completed {
+				t.Errorf("claimed at %s, back at %s: the job is %s", claimed, back, s)
+			}
+		}
+	}
+}
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -24,6 +24,8 @@
 	newIncarnation *pipelinev1.Upstream
 	claimedAt      time.Duration
 	askClaimant    bool
+	// claimUnconfirmed is set once a status request has failed since newIncarnation was announced.
+	claimUnconfirmed bool
 	// rival is another upstream that reported this one's address or VM, last at rivalAt, while it was not known which
 	// of them is there; nil if there is none.
 	rival   *pipelinev1.HeartbeatCall
@@ -40,6 +42,9 @@
 	// milliseconds.
 	deadlineMS int64
 
+	// restartLeaseEnd is until when the upstream's present incarnation may have a lease that was given before its restart was noticed.
+	restartLeaseEnd time.Duration
+
 	orders []order
 	// ordersInFlight is the number of sent orders that are not answered. reconciling is set while
 	// the status request of reconcile is pending, watching while that of watch is.
@@ -67,7 +72,9 @@
 	// lastSequence is the highest sequence number of a heartbeat of this incarnation.
 	lastSequence int64
 	// stale are the heartbeats below lastSequence that came last.
-	stale staleRun
+	stale beatRow
+	// heardSinceExpiry are the heartbeats of this incarnation since its lease expired.
+	heardSinceExpiry beatRow
 	// unresponsiveSince is when the upstream became unresponsive or suspected.
 	unresponsiveSince time.Duration
 	// openUntil is when the session left the open state last.
