--- a/dispatch/odd_entries_test.go
+++ b/dispatch/bogus_entries_test.go
@@ -15,8 +15,8 @@
 const (
 	// heartbeatTime is the time between two heartbeats of an upstream.
 	heartbeatTime = 1500 * time.Millisecond
-	// oddBorn is the start of an incarnation in the year 2100.
-	oddBorn = 4_102_444_800_000
+	// bogusBorn is the start of an incarnation in the year 2100.
+	bogusBorn = 4_102_444_800_000
 )
 
 // beatFor advances the time while the proper upstreams send heartbeats with rising numbers.
@@ -34,8 +34,8 @@
 		Upstream: h.upstreams[id].describe(id), Sequence: sequence}}})
 }
 
-// oddBeat sends the heartbeat of an upstream after edit has changed it.
-func (h *harness) oddBeat(id string, sequence int64, edit func(*pipelinev1.Upstream)) *pipelinev1.Reply {
+// bogusBeat sends the heartbeat of an upstream after edit has changed it.
+func (h *harness) bogusBeat(id string, sequence int64, edit func(*pipelinev1.Upstream)) *pipelinev1.Reply {
 	u := h.upstreams[id].describe(id)
 	edit(u)
 	return h.call(&pipelinev1.Call{Call: &pipelinev1.Call_Heartbeat{Heartbeat: &pipelinev1.HeartbeatCall{Upstream: u, Sequence: sequence}}})
@@ -61,22 +61,22 @@
 
 // A heartbeat from another writer, under the identity of a sound upstream and with a start in the future, once
 // kept work from it for the rest of the leadership: its leases ran out.
-func TestOddStartShutsNoUpstreamOut(t *testing.T) {
+func TestBogusStartShutsNoUpstreamOut(t *testing.T) {
 	for _, address := range []string{"w1", "elsewhere"} {
 		for _, repeated := range []bool{false, true} {
 			t.Run(fmt.Sprintf("%s, repeated %t", address, repeated), func(t *testing.T) {
 				h := newHarness(t, "w1")
 				h.upstreams["w1"].runTime = 8 * time.Second
 				h.submit(jobID(1), oneStep(2, 8000))
-				odd := func() {
-					h.oddBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Born, u.Address = oddBorn, address })
+				bogus := func() {
+					h.bogusBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Born, u.Address = bogusBorn, address })
 				}
 				h.beatFor(2*time.Second, "w1")
-				odd()
+				bogus()
 				for range 6 {
 					h.beatFor(heartbeatTime, "w1")
 					if repeated {
-						odd()
+						bogus()
 						h.run(700 * time.Millisecond)
 					}
 				}
@@ -88,12 +88,12 @@
 	}
 }
 
-// An odd heartbeat that came before the first proper one once hid the upstream until it was removed as silent.
-func TestOddStartThatCameFirstHidesNoUpstream(t *testing.T) {
+// An bogus heartbeat that came before the first proper one once hid the upstream until it was removed as silent.
+func TestBogusStartThatCameFirstHidesNoUpstream(t *testing.T) {
 	for _, address := range []string{"w1", "elsewhere"} {
 		h := newHarness(t)
 		h.upstreams["w1"] = newFakeUpstream(h, 10)
-		h.oddBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Born, u.Address = oddBorn, address })
+		h.bogusBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Born, u.Address = bogusBorn, address })
 		h.submit(jobID(1), oneStep(1, 1000))
 		h.beatFor(8*time.Second, "w1")
 		h.checkAllDone(jobID(1))
@@ -102,10 +102,10 @@
 
 // After a heartbeat with a number far too high, the proper ones once counted as stale for ever, and what the
 // upstream said of itself was no longer taken over.
-func TestOddSequenceHidesNoHeartbeat(t *testing.T) {
+func TestBogusSequenceHidesNoHeartbeat(t *testing.T) {
 	h := newHarness(t, "w1")
 	h.beatFor(3*time.Second, "w1")
-	h.oddBeat("w1", math.MaxInt64, func(u *pipelinev1.Upstream) { u.Capacity.MilliCores = 64_000 })
+	h.bogusBeat("w1", math.MaxInt64, func(u *pipelinev1.Upstream) { u.Capacity.MilliCores = 64_000 })
 	h.beatFor(12*time.Second, "w1")
 	if got := h.state.Upstreams()["w1"].Capacity.MilliCores; got != 4000 {
 		t.Errorf("the capacity is still %d", got)
@@ -122,7 +122,7 @@
 	h := newHarness(t, "w1")
 	h.beatFor(30*time.Second, "w1")
 	for i := range 6 {
-		h.oddBeat("w1", int64(100+i), func(u *pipelinev1.Upstream) { u.Capacity.MilliCores = 64_000 })
+		h.bogusBeat("w1", int64(100+i), func(u *pipelinev1.Upstream) { u.Capacity.MilliCores = 64_000 })
 	}
 	if got := h.state.Upstreams()["w1"].Capacity.MilliCores; got != 4000 {
 		t.Errorf("the capacity is %d", got)
@@ -131,12 +131,12 @@
 
 // A heartbeat of another identity with the address or the VM of a sound upstream once removed that one, and its
 // runs were started again elsewhere while they went on.
-func TestOddClaimOfAnAddressEndsNoRun(t *testing.T) {
+func TestBogusClaimOfAnAddressEndsNoRun(t *testing.T) {
 	for name, edit := range map[string]func(*pipelinev1.Upstream){
 		"address, newer":        func(u *pipelinev1.Upstream) { u.Born = 20 },
 		"address, same start":   func(*pipelinev1.Upstream) {},
 		"VM":                    func(u *pipelinev1.Upstream) { u.Address, u.Born = "elsewhere", 20 },
-		"VM, in the far future": func(u *pipelinev1.Upstream) { u.Address, u.Born = "elsewhere", oddBorn },
+		"VM, in the far future": func(u *pipelinev1.Upstream) { u.Address, u.Born = "elsewhere", bogusBorn },
 	} {
 		t.Run(name, func(t *testing.T) {
 			h := newHarness(t, "w1", "w2")
@@ -148,7 +148,7 @@
 			h.submit(jobID(1), oneStep(6, 5000))
 			h.beatFor(heartbeatTime, "w1", "w2")
 			for range 3 {
-				h.oddBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Id = "odd"; edit(u) })
+				h.bogusBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Id = "bogus"; edit(u) })
 				h.beatFor(heartbeatTime, "w1", "w2")
 			}
 			h.beatFor(8*time.Second, "w1", "w2")
@@ -170,8 +170,8 @@
 			if leave {
 				h.call(&pipelinev1.Call{Call: &pipelinev1.Call_Leave{Leave: &pipelinev1.LeaveCall{Upstream: "w1"}}})
 			}
-			h.oddBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Born, u.Address = oddBorn, refusedAddress })
-			h.oddBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Id, u.Born = "odd", 20 })
+			h.bogusBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Born, u.Address = bogusBorn, refusedAddress })
+			h.bogusBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Id, u.Born = "bogus", 20 })
 			h.beatFor(heartbeatTime, "w1", "w2")
 		}
 		h.beatFor(8*time.Second, "w1", "w2")
@@ -191,7 +191,7 @@
 			old.crash()
 			old.gone, old.replaced = answer == "nothing listens", answer == "other incarnation"
 			h.upstreams["w9"] = newFakeUpstream(h, 20)
-			h.oddBeat("w9", 1, func(u *pipelinev1.Upstream) { u.Address = "w1" })
+			h.bogusBeat("w9", 1, func(u *pipelinev1.Upstream) { u.Address = "w1" })
 			h.upstreams["w9"].address = "w1"
 			h.run(time.Second)
 			h.beatFor(3*time.Second, "w9")
@@ -203,7 +203,7 @@
 }
 
 // The number of an end that is far too high once had all later ends of the upstream ignored.
-func TestOddNumberOfAnEndHidesNoEnd(t *testing.T) {
+func TestBogusNumberOfAnEndHidesNoEnd(t *testing.T) {
 	for _, number := range []int64{math.MaxInt64, 1 << 40, -1} {
 		h := newHarness(t, "w1")
 		f := h.upstreams["w1"]
@@ -291,20 +291,20 @@
 
 // With a clock near the largest number, the bound of an upstream's clock once overflowed, and the lease of an
 // upstream that fell silent never ran out.
-func TestOddClockLeavesTheLeaseBounded(t *testing.T) {
-	for _, odd := range []int64{math.MaxInt64, math.MaxInt64 - 5000, 1 << 60, maxClockMS, maxClockMS + 1, 1 << 45, -1} {
+func TestBogusClockLeavesTheLeaseBounded(t *testing.T) {
+	for _, bogus := range []int64{math.MaxInt64, math.MaxInt64 - 5000, 1 << 60, maxClockMS, maxClockMS + 1, 1 << 45, -1} {
 		h := newHarness(t, "w1")
 		h.upstreams["w1"].runTime = time.Minute
 		h.submit(jobID(1), oneStep(1, 1000))
 		h.run(2 * time.Second)
-		h.upstreams["w1"].addRows = func(r *StatusReply) { r.ClockMS = odd }
+		h.upstreams["w1"].addRows = func(r *StatusReply) { r.ClockMS = bogus }
 		h.run(2 * time.Second)
 		h.upstreams["w1"].partitioned = true
 		h.upstreams["w2"] = newFakeUpstream(h, 10)
 		h.sendHeartbeat("w2")
 		h.run(15 * time.Second)
 		if s := h.jobState(jobID(1)); s != pipeline.Completed {
-			t.Errorf("clock %d: the job is %s", odd, s)
+			t.Errorf("clock %d: the job is %s", bogus, s)
 		}
 		h.check()
 	}
@@ -339,7 +339,7 @@
 	h.run(500 * time.Millisecond)
 	h.upstreams["w1"].addRows = func(r *StatusReply) {
 		for i := range 20_000 {
-			r.Running = append(r.Running, RunningTask{Run: pipeline.RunKey{TaskKey: pipeline.TaskKey{Job: "odd", Index: int32(i)}, Number: 1}})
+			r.Running = append(r.Running, RunningTask{Run: pipeline.RunKey{TaskKey: pipeline.TaskKey{Job: "bogus", Index: int32(i)}, Number: 1}})
 		}
 	}
 	h.run(time.Second)
@@ -352,10 +352,10 @@
 }
 
 // What an older version accepted stays readable: it is applied, put into a snapshot and restored.
-func TestOddUpstreamOfAnOldLog(t *testing.T) {
+func TestBogusUpstreamOfAnOldLog(t *testing.T) {
 	huge := &pipelinev1.Resources{MilliCores: math.MaxInt64, MemoryMib: math.MaxInt64, Gpus: math.MinInt64}
 	h := newHarness(t, "w1")
-	for i, u := range []*pipelinev1.Upstream{nil, {}, {Id: "odd", Born: math.MaxInt64, Capacity: huge}, {Id: "odd", Born: math.MinInt64, Capacity: huge},
+	for i, u := range []*pipelinev1.Upstream{nil, {}, {Id: "bogus", Born: math.MaxInt64, Capacity: huge}, {Id: "bogus", Born: math.MinInt64, Capacity: huge},
 		{Id: "odd2", Service: "print", Address: "odd2", FailureDomain: "prado", Capacity: huge, Labels: make([]string, 100_000)}} {
 		h.state.Apply(h.wall()+int64(i), &pipelinev1.Command{Command: &pipelinev1.Command_UpstreamSeen{UpstreamSeen: &pipelinev1.UpstreamSeen{Upstream: u}}})
 	}
@@ -382,7 +382,7 @@
 }
 
 // What an upstream says of itself is checked by the leader as well: another process may run an older version.
-func TestLeaderRefusesOddDescriptions(t *testing.T) {
+func TestLeaderRefusesBogusDescriptions(t *testing.T) {
 	h := newHarness(t, "w1")
 	for name, edit := range map[string]func(*pipelinev1.Upstream){
 		"no identity": func(u *pipelinev1.Upstream) { u.Id = "" }, "no service": func(u *pipelinev1.Upstream) { u.Service = "" },
@@ -391,7 +391,7 @@
 		"huge memory": func(u *pipelinev1.Upstream) { u.Capacity.MemoryMib = math.MaxInt64 }, "huge GPUs": func(u *pipelinev1.Upstream) { u.Capacity.Gpus = math.MaxInt64 },
 		"labels": func(u *pipelinev1.Upstream) { u.Labels = make([]string, 1000) }, "control character": func(u *pipelinev1.Upstream) { u.Id = "a\nb" },
 	} {
-		if r := h.oddBeat("w1", 5, edit); r.GetVerdict() != pipelinev1.Verdict_VERDICT_INVALID {
+		if r := h.bogusBeat("w1", 5, edit); r.GetVerdict() != pipelinev1.Verdict_VERDICT_INVALID {
 			t.Errorf("%s: %v", name, r)
 		}
 	}
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -20,17 +20,17 @@
 	staleTime  = 4 * time.Second
 )
 
-// beatRow is a row of heartbeats with rising numbers.
-type beatRow struct {
+// beatStreak is a row of heartbeats with rising numbers.
+type beatStreak struct {
 	beats int
 	last  int64
 	since time.Duration
 }
 
 // add adds a heartbeat and reports whether the row shows that its sender is there.
-func (r *beatRow) add(sequence int64, now time.Duration) bool {
+func (r *beatStreak) add(sequence int64, now time.Duration) bool {
 	if r.beats == 0 || sequence <= r.last {
-		*r = beatRow{since: now}
+		*r = beatStreak{since: now}
 	}
 	r.beats++
 	r.last = sequence
@@ -40,7 +40,7 @@
 // sequenceStale reports whether a heartbeat of the known incarnation is older than another one.
 func (s *session) sequenceStale(sequence int64, now time.Duration) bool {
 	if sequence >= s.lastSequence {
-		s.stale = beatRow{}
+		s.stale = beatStreak{}
 		return false
 	}
 	if !s.stale.add(sequence, now) {
@@ -49,7 +49,7 @@
 	s.logger(zerolog.WarnLevel).Int64("sequence", sequence).Int64("known_sequence", s.lastSequence).
 		Msg("heartbeats go on with lower numbers; the highest one was false")
 	claimsRefuted.Add(1)
-	s.stale = beatRow{}
+	s.stale = beatStreak{}
 	return false
 }
 
@@ -94,12 +94,12 @@
 	return true
 }
 
-// placeClaimed takes note of a heartbeat of another upstream with this one's address or VM.
-func (s *session) placeClaimed(c *pipelinev1.HeartbeatCall, now time.Duration) {
-	if s.rival == nil || s.rival.GetUpstream().GetId() != c.GetUpstream().GetId() {
+// replacementClaimed takes note of a heartbeat of another upstream with this one's address or VM.
+func (s *session) replacementClaimed(c *pipelinev1.HeartbeatCall, now time.Duration) {
+	if s.replacement == nil || s.replacement.GetUpstream().GetId() != c.GetUpstream().GetId() {
 		s.logger(zerolog.InfoLevel).Str("other_upstream", c.GetUpstream().GetId()).Msg("another upstream reports the same address or VM; asking whether this one is still there")
 	}
-	s.rival, s.rivalAt, s.probePause = c, now, 0
+	s.replacement, s.replacementAt, s.probePause = c, now, 0
 	s.suspect(now, "another upstream reports the same address or VM")
 	s.runDueWork(now)
 }
@@ -109,11 +109,11 @@
 	return errors.Is(err, ErrNothingListens) || errors.Is(err, errOtherIncarnation)
 }
 
-// giveUpPlace adds the upstream that has taken the place of this one, once this one is removed.
-func (s *session) giveUpPlace() {
-	if rival := s.rival; rival != nil && s.e.leading && s.e.sessions[rival.GetUpstream().GetId()] == nil {
-		s.rival = nil
-		s.e.addUpstream(rival, func(*pipelinev1.Reply, error) {}, nil)
+// addReplacement adds the upstream that has taken the place of this one, once this one is removed.
+func (s *session) addReplacement() {
+	if replacement := s.replacement; replacement != nil && s.e.leading && s.e.sessions[replacement.GetUpstream().GetId()] == nil {
+		s.replacement = nil
+		s.e.addUpstream(replacement, func(*pipelinev1.Reply, error) {}, nil)
 	}
 }
 
@@ -149,10 +149,10 @@
 // knownIncarnationAnswered settles claims that came before a status request to which the known incarnation has
 // answered.
 func (s *session) knownIncarnationAnswered(reply StatusReply, began time.Duration) {
-	if s.rival != nil && reply.Born != 0 && began >= s.rivalAt {
-		s.logger(zerolog.WarnLevel).Str("other_upstream", s.rival.GetUpstream().GetId()).Msg("the upstream is still there; the heartbeat of the other one was false")
+	if s.replacement != nil && reply.Born != 0 && began >= s.replacementAt {
+		s.logger(zerolog.WarnLevel).Str("other_upstream", s.replacement.GetUpstream().GetId()).Msg("the upstream is still there; the heartbeat of the other one was false")
 		claimsRefuted.Add(1)
-		s.rival = nil
+		s.replacement = nil
 	}
 	if s.newIncarnation == nil || reply.Born == 0 || began < s.claimedAt {
 		return
--- a/dispatch/claim_test.go
+++ b/dispatch/claim_test.go
@@ -13,7 +13,7 @@
 
 // An upstream that answered while the end of its lease was being committed once stayed suspected of a crash for as long as it
 // went on answering.
-func TestAnswerDuringTheExpiryOfALeaseAcquitsTheUpstream(t *testing.T) {
+func TestAnswerDuringTheExpiryOfALeaseClearsTheUpstream(t *testing.T) {
 	h := newHarness(t, "w1")
 	f := h.upstreams["w1"]
 	f.runTime = time.Minute
@@ -34,16 +34,16 @@
 	}
 }
 
-// A replica of an older version, which takes the acquittal of an upstream for a description, once lost the upstream's capacity and
+// A replica of an older version, which takes the report of an upstream for a description, once lost the upstream's capacity and
 // service, and with it the agreement with the other replicas.
-func TestAcquittalLeavesTheDescriptionOfAnOlderVersion(t *testing.T) {
+func TestNoCrashReportLeavesTheDescriptionOfAnOlderVersion(t *testing.T) {
 	h := newHarness(t, "w1")
 	h.upstreams["w1"].runTime = time.Minute
 	h.submit(jobID(1), oneStep(1, 60_000))
-	acquitted := 0
+	reports := 0
 	h.onPropose = func(c *pipelinev1.Command) {
 		if seen := c.GetUpstreamSeen(); seen.GetAlive() {
-			acquitted++
+			reports++
 			if !pipeline.SameUpstream(seen.GetUpstream(), h.state.Upstreams()["w1"].Upstream) {
 				t.Errorf("the description is %v", seen.GetUpstream())
 			}
@@ -54,13 +54,13 @@
 	h.run(10 * time.Second)
 	h.upstreams["w1"].partitioned = false
 	h.run(5 * time.Second)
-	if acquitted == 0 {
-		t.Error("the upstream was not acquitted")
+	if reports == 0 {
+		t.Error("no report was proposed")
 	}
 }
 
 // Heartbeats of ever newer incarnations at an address where nothing answers leave a sound upstream its lease.
-func TestOddStartsThatRiseLeaveTheLease(t *testing.T) {
+func TestBogusStartsThatRiseLeaveTheLease(t *testing.T) {
 	for _, pause := range []time.Duration{time.Second, 500 * time.Millisecond, 300 * time.Millisecond, 100 * time.Millisecond} {
 		t.Run(pause.String(), func(t *testing.T) {
 			h := newHarness(t, "w1")
@@ -68,7 +68,7 @@
 			h.submit(jobID(1), oneStep(2, 12_000))
 			h.run(time.Second)
 			for i := int64(0); h.now < 20*time.Second; i++ {
-				h.oddBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Born, u.Address = 20+i, "elsewhere" })
+				h.bogusBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Born, u.Address = 20+i, "elsewhere" })
 				h.run(pause)
 				if i%4 == 0 {
 					h.beat("w1", h.now.Milliseconds())
@@ -89,7 +89,7 @@
 	h.submit(jobID(1), oneStep(1, 60_000))
 	h.run(2 * tickStep)
 	claim := func() {
-		h.oddBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Id, u.Born = "w9", 20 })
+		h.bogusBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Id, u.Born = "w9", 20 })
 	}
 	f.addRows = func(*StatusReply) { f.answerAt = h.now + 4*tickStep }
 	claim()
@@ -134,7 +134,7 @@
 		old.crash()
 		old.partitioned, old.replaced = false, true
 		h.upstreams["w9"] = newFakeUpstream(h, 20)
-		h.oddBeat("w9", 1, func(u *pipelinev1.Upstream) { u.Address = "w1" })
+		h.bogusBeat("w9", 1, func(u *pipelinev1.Upstream) { u.Address = "w1" })
 		h.run(orderTimeout + probeMin + 2*tickStep)
 		if h.state.Upstreams()["w9"] == nil {
 			t.Errorf("after %v of silence the upstream was not added", at)
@@ -143,7 +143,7 @@
 }
 
 // A task whose lease ran out on four upstreams that could not be called once waited for as long as their heartbeats came.
-func TestHeartbeatsAcquitAnUpstreamThatCannotBeCalled(t *testing.T) {
+func TestHeartbeatsClearAnUpstreamThatCannotBeCalled(t *testing.T) {
 	h := newHarness(t, "w1", "w2", "w3", "w4", "w5", "w6")
 	for _, f := range h.upstreams {
 		f.runTime = 5 * time.Second
@@ -182,7 +182,7 @@
 }
 
 // A false heartbeat with a high start, while an upstream was down, once hid the upstream for good when it came back under its identity.
-func TestOddStartHidesNoRestart(t *testing.T) {
+func TestBogusStartHidesNoRestart(t *testing.T) {
 	for _, claimed := range []string{"w1", "elsewhere"} {
 		for _, back := range []string{"w1", "moved"} {
 			h := newHarness(t, "w1")
@@ -190,7 +190,7 @@
 			h.beatFor(3*time.Second, "w1")
 			f.crash()
 			f.partitioned = true
-			h.oddBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Born, u.Address = 1000, claimed })
+			h.bogusBeat("w1", 1, func(u *pipelinev1.Upstream) { u.Born, u.Address = 1000, claimed })
 			h.run(2 * time.Second)
 			f.partitioned, f.address = false, back
 			h.submit(jobID(1), oneStep(1, 1000))
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -74,24 +74,24 @@
 	return answered && !s.adopted[key] && s.openUntil-at < earlyCrashTime
 }
 
-// acquitExpired proposes that the upstream did not crash under the runs whose lease expired, as it has
+// reportNoCrash proposes that the upstream did not crash under the runs whose lease expired, as it has
 // answered. Their end may be committed after the answer. A replica of an older version takes the command for a
 // heartbeat, so that it has the whole description.
-func (s *session) acquitExpired(now time.Duration) {
-	if len(s.u.Expired) == 0 || now < s.nextAcquittal {
+func (s *session) reportNoCrash(now time.Duration) {
+	if len(s.u.Expired) == 0 || now < s.nextNoCrashReport {
 		return
 	}
-	s.nextAcquittal = now + orderTimeout
+	s.nextNoCrashReport = now + orderTimeout
 	s.e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamSeen{
 		UpstreamSeen: &pipelinev1.UpstreamSeen{Upstream: s.u.Upstream, Alive: true}}}, nil)
 }
 
-// heardAfterExpiry acquits an upstream whose heartbeats go on arriving although it can't be called.
+// heardAfterExpiry clears an upstream whose heartbeats go on arriving although it can't be called.
 func (s *session) heardAfterExpiry(sequence int64, now time.Duration) {
 	if len(s.u.Expired) == 0 {
-		s.heardSinceExpiry = beatRow{}
+		s.heardSinceExpiry = beatStreak{}
 	} else if s.heardSinceExpiry.add(sequence, now) {
-		s.acquitExpired(now)
+		s.reportNoCrash(now)
 	}
 }
 
--- a/dispatch/fuzz_test.go
+++ b/dispatch/fuzz_test.go
@@ -31,10 +31,10 @@
 		job(&pipelinev1.JobSpec{Steps: []*pipelinev1.Step{{Count: 1, DependsOn: []int32{0, -1, math.MaxInt32}}}}),
 		{Call: &pipelinev1.Call_Heartbeat{}}, {Call: &pipelinev1.Call_Heartbeat{Heartbeat: &pipelinev1.HeartbeatCall{}}},
 		{Call: &pipelinev1.Call_Heartbeat{Heartbeat: &pipelinev1.HeartbeatCall{Upstream: upstream, Sequence: math.MaxInt64}}},
-		oddBeatCall("w1", func(u *pipelinev1.Upstream) { u.Born = math.MaxInt64 }),
-		oddBeatCall("w1", func(u *pipelinev1.Upstream) { u.Capacity.MilliCores = pipeline.MaxMilliCores }),
-		oddBeatCall("w8", func(u *pipelinev1.Upstream) { u.Address, u.Born = "w1", math.MaxInt64 }),
-		oddBeatCall("w8", func(u *pipelinev1.Upstream) { u.Labels = make([]string, pipeline.MaxLabels+1) }),
+		bogusBeatCall("w1", func(u *pipelinev1.Upstream) { u.Born = math.MaxInt64 }),
+		bogusBeatCall("w1", func(u *pipelinev1.Upstream) { u.Capacity.MilliCores = pipeline.MaxMilliCores }),
+		bogusBeatCall("w8", func(u *pipelinev1.Upstream) { u.Address, u.Born = "w1", math.MaxInt64 }),
+		bogusBeatCall("w8", func(u *pipelinev1.Upstream) { u.Labels = make([]string, pipeline.MaxLabels+1) }),
 		{Call: &pipelinev1.Call_Leave{}}, {Call: &pipelinev1.Call_Leave{Leave: &pipelinev1.LeaveCall{Upstream: "w1", Born: math.MinInt64}}},
 		{Call: &pipelinev1.Call_PermitPoll{}},
 		{Call: &pipelinev1.Call_PermitPoll{PermitPoll: &pipelinev1.PermitPoll{Process: "p", CanAsk: true, Answer: &pipelinev1.PermitAnswer{
@@ -44,8 +44,8 @@
 	}
 }
 
-// oddBeatCall returns the heartbeat of an upstream after edit has changed it.
-func oddBeatCall(id string, edit func(*pipelinev1.Upstream)) *pipelinev1.Call {
+// bogusBeatCall returns the heartbeat of an upstream after edit has changed it.
+func bogusBeatCall(id string, edit func(*pipelinev1.Upstream)) *pipelinev1.Call {
 	u := newFakeUpstream(&harness{}, 10).describe(id)
 	edit(u)
 	return &pipelinev1.Call{Call: &pipelinev1.Call_Heartbeat{Heartbeat: &pipelinev1.HeartbeatCall{Upstream: u, Sequence: math.MaxInt64}}}
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -79,7 +79,7 @@
 			done(ok, nil)
 			return
 		default:
-			s.placeClaimed(c, e.now())
+			s.replacementClaimed(c, e.now())
 			disputed = true
 		}
 	}
@@ -120,7 +120,7 @@
 			e.log.Info().Err(err).Str("upstream", u.GetId()).Int64("born", u.GetBorn()).Msg("removal of the upstream was not committed")
 			return
 		}
-		s.giveUpPlace()
+		s.addReplacement()
 	})
 }
 
--- a/dispatch/random_test.go
+++ b/dispatch/random_test.go
@@ -65,10 +65,10 @@
 
 // claim sends a heartbeat of another writer about an upstream.
 func (l *randomLives) claim() {
-	l.h.oddBeat(l.pick(), int64(l.rng.IntN(100_000)), func(u *pipelinev1.Upstream) {
+	l.h.bogusBeat(l.pick(), int64(l.rng.IntN(100_000)), func(u *pipelinev1.Upstream) {
 		u.Born += int64(l.rng.IntN(5) - 1)
 		if l.rng.IntN(2) == 0 {
-			u.Id = fmt.Sprintf("odd-%d", l.rng.IntN(3))
+			u.Id = fmt.Sprintf("bogus-%d", l.rng.IntN(3))
 		} else if u.Born == l.h.upstreams[u.GetId()].born {
 			u.Born += 1000
 		}
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -45,8 +45,8 @@
 		s.e.proposeUpstreamGone(s.u)
 		return
 	}
-	if s.rival != nil && certainlyEnded(err) {
-		s.logger(zerolog.InfoLevel).Err(err).Str("other_upstream", s.rival.GetUpstream().GetId()).Int("runs", len(s.u.Runs)).Msg("upstream has ended; another one has its address or VM")
+	if s.replacement != nil && certainlyEnded(err) {
+		s.logger(zerolog.InfoLevel).Err(err).Str("other_upstream", s.replacement.GetUpstream().GetId()).Int("runs", len(s.u.Runs)).Msg("upstream has ended; another one has its address or VM")
 		s.nextProbe = at + probeMax
 		s.e.proposeUpstreamGone(s.u)
 		return
@@ -82,7 +82,7 @@
 	s.knownIncarnationAnswered(reply, began)
 	s.olderReport = nil
 	s.transition(lifecycle.SessionReconcile, "a status request was answered")
-	s.acquitExpired(at)
+	s.reportNoCrash(at)
 	s.resolveUnanswered(reply)
 	s.reconcileRuns(reply, began, at)
 }
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -26,10 +26,10 @@
 	askClaimant    bool
 	// claimUnconfirmed is set once a status request has failed since newIncarnation was announced.
 	claimUnconfirmed bool
-	// rival is another upstream that reported this one's address or VM, last at rivalAt, while it was not known which
+	// replacement is another upstream that reported this one's address or VM, last at replacementAt, while it was not known which
 	// of them is there; nil if there is none.
-	rival   *pipelinev1.HeartbeatCall
-	rivalAt time.Duration
+	replacement   *pipelinev1.HeartbeatCall
+	replacementAt time.Duration
 	// olderReport is the last heartbeat of an older incarnation than the known one, received while that one did
 	// not answer; nil if there is none.
 	olderReport *pipelinev1.Upstream
@@ -72,9 +72,9 @@
 	// lastSequence is the highest sequence number of a heartbeat of this incarnation.
 	lastSequence int64
 	// stale are the heartbeats below lastSequence that came last.
-	stale beatRow
+	stale beatStreak
 	// heardSinceExpiry are the heartbeats of this incarnation since its lease expired.
-	heardSinceExpiry beatRow
+	heardSinceExpiry beatStreak
 	// unresponsiveSince is when the upstream became unresponsive or suspected.
 	unresponsiveSince time.Duration
 	// openUntil is when the session left the open state last.
@@ -90,8 +90,8 @@
 	avoidUntil time.Duration
 	// expiryProposedAt is when the runs were last declared lost because the lease had expired.
 	expiryProposedAt time.Duration
-	// nextAcquittal is the earliest time of the next proposal that the upstream did not crash.
-	nextAcquittal time.Duration
+	// nextNoCrashReport is the earliest time of the next proposal that the upstream did not crash.
+	nextNoCrashReport time.Duration
 	// statusUnanswered is set after an unanswered status request until another one is answered.
 	statusUnanswered bool
 	// removing is set while the removal of the upstream is being committed. No order is sent
@@ -197,7 +197,7 @@
 	case s.removing:
 		return
 	case s.phase == lifecycle.SessionOpen && s.newIncarnation == nil:
-		s.acquitExpired(now)
+		s.reportNoCrash(now)
 		s.sendOrders(now)
 		s.watch(now)
 	case now >= s.nextProbe:
--- a/faults/reported_test.go
+++ b/faults/reported_test.go
@@ -26,7 +26,7 @@
 	restartRevives = "After a restart, a server that had left, or a key that had been withdrawn, was in use again"
 	malformed      = "One malformed message or unexpected error took a whole process down"
 	deadlyTask     = "One request or task crashed server after server"
-	oddEntry       = "One odd entry among those of the workers, left by another writer, ended the processes that read the list, or kept them from following it"
+	bogusEntry     = "One odd entry among those of the workers, left by another writer, ended the processes that read the list, or kept them from following it"
 )
 
 var reportedFailures = []reportedFailure{
@@ -58,12 +58,12 @@
 	{malformed, "the replicated state", "a broken invariant still stops the process", []string{"TestBrokenInvariantStopsTheProcess"}},
 	{deadlyTask, "called upstreams", "one start at most after the third crash, whoever leads; the job fails, its neighbours complete; upstreams that were cut off or left count nothing", []string{"TestTaskThatCrashesItsUpstreamsIsGivenUp", "TestJobIsFailedForUpstreamsThatDidNotCrash"}},
 	{deadlyTask, "polled upstreams, repeatable tasks", "nothing yet; known red", []string{"TestPolledTaskThatCrashesItsUpstreamsIsGivenUp"}},
-	{oddEntry, "heartbeats", "refused for good with 400, in a bounded log line; names and amounts are bounded at the border and by the leader", []string{"TestOddHeartbeatIsRefused", "TestUnusualHeartbeatIsAccepted", "TestLeaderRefusesOddDescriptions", "TestCallThatCannotBeEncodedIsRefusedForGood"}},
-	{oddEntry, "the replicated state: what an older version accepted", "applied, put into snapshots and restored", []string{"TestOddUpstreamOfAnOldLog"}},
-	{oddEntry, "false claims under the identity of a sound upstream", "status requests tell which incarnation is there; a start or a number far too high hides it no longer", []string{"TestOddStartShutsNoUpstreamOut", "TestOddStartThatCameFirstHidesNoUpstream", "TestOddSequenceHidesNoHeartbeat", "TestLateHeartbeatsStayStale"}},
-	{oddEntry, "false claims of an address or a VM", "an upstream is asked before another one takes its place", []string{"TestOddClaimOfAnAddressEndsNoRun", "TestUpstreamTakesThePlaceOfOneThatHasEnded"}},
-	{oddEntry, "lists of VMs, rows of the permit service", "entries are decoded one by one", []string{"TestOddVMLeavesTheListReadable", "TestOddVMDoesNotHideAProperOne", "TestUnreadableListOfVMsIsAnError", "TestOddPermitLeavesTheAnswerReadable"}},
-	{oddEntry, "an upstream's own list", "what can't be read is an error of that call; numbers and clocks are bounded by what the upstream can have reached", []string{"TestOddStatusIsAnError", "TestOddNumberOfAnEndHidesNoEnd", "TestEndsListedOutOfOrder", "TestAcknowledgedEndThatIsListedAgain", "TestOddClockLeavesTheLeaseBounded", "TestClockThatJumpsAheadCountsOnceItAdvances", "TestAnswerWithManyUnknownRuns", "TestLongTextsOfAnUpstreamStayOutOfTheLog", "TestRefusedClaimantEndsNoRun", "FuzzStatusReply"}},
+	{bogusEntry, "heartbeats", "refused for good with 400, in a bounded log line; names and amounts are bounded at the border and by the leader", []string{"TestBogusHeartbeatIsRefused", "TestUnusualHeartbeatIsAccepted", "TestLeaderRefusesBogusDescriptions", "TestCallThatCannotBeEncodedIsRefusedForGood"}},
+	{bogusEntry, "the replicated state: what an older version accepted", "applied, put into snapshots and restored", []string{"TestBogusUpstreamOfAnOldLog"}},
+	{bogusEntry, "false claims under the identity of a sound upstream", "status requests tell which incarnation is there; a start or a number far too high hides it no longer", []string{"TestBogusStartShutsNoUpstreamOut", "TestBogusStartThatCameFirstHidesNoUpstream", "TestBogusSequenceHidesNoHeartbeat", "TestLateHeartbeatsStayStale"}},
+	{bogusEntry, "false claims of an address or a VM", "an upstream is asked before another one takes its place", []string{"TestBogusClaimOfAnAddressEndsNoRun", "TestUpstreamTakesThePlaceOfOneThatHasEnded"}},
+	{bogusEntry, "lists of VMs, rows of the permit service", "entries are decoded one by one", []string{"TestBogusVMLeavesTheListReadable", "TestBogusVMDoesNotHideAProperOne", "TestUnreadableListOfVMsIsAnError", "TestBogusPermitLeavesTheAnswerReadable"}},
+	{bogusEntry, "an upstream's own list", "what can't be read is an error of that call; numbers and clocks are bounded by what the upstream can have reached", []string{"TestBogusStatusIsAnError", "TestBogusNumberOfAnEndHidesNoEnd", "TestEndsListedOutOfOrder", "TestAcknowledgedEndThatIsListedAgain", "TestBogusClockLeavesTheLeaseBounded", "TestClockThatJumpsAheadCountsOnceItAdvances", "TestAnswerWithManyUnknownRuns", "TestLongTextsOfAnUpstreamStayOutOfTheLog", "TestRefusedClaimantEndsNoRun", "FuzzStatusReply"}},
 }
 
 // renderReported renders the section of docs/FAULTS.md on failures that operators reported.
--- a/pipeline/crash.go
+++ b/pipeline/crash.go
@@ -64,7 +64,7 @@
 	return s.nowNS-r.PlacedNS <= int64(crashWindow)
 }
 
-// resolveExpired counts the expired runs of an incarnation as crashes or acquits them.
+// resolveExpired counts the expired runs of an incarnation as crashes or clears them.
 func (s *State) resolveExpired(u *Upstream, crashed bool) {
 	for _, key := range slices.SortedFunc(maps.Keys(u.Expired), compareRuns) {
 		r := u.Expired[key]
