--- a/review/standin/calls.go
+++ b/review/standin/calls.go
@@ -25,17 +25,12 @@
 type config struct {
 	version int
 	keys    []string
-	// service is where the queue sends its tasks, if it isn't the usual one.
-	removed bool
 }
 
 // body returns the configuration as the operator sends it.
 func (c config) body() []byte {
 	routes := []map[string]any{{"name": "r-cpihhac", "host": host, "pathPrefix": prefix, "kind": "unsafe", "timeoutMs": 3000, "targetLatencyMs": 2500,
 		"priority": 1, "service": service, "maxAttempts": 3, "stretch": 2.2, "public": false}}
-	if c.removed {
-		routes = nil
-	}
 	data, err := json.Marshal(map[string]any{"version": c.version, "routes": routes,
 		"services": []map[string]any{{"name": service, "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false, "enforcesCapacity": false, "standby": false}},
 		"limits":   map[string]int{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
