dispatch, pipeline: a cancellation is decided in the log

Hypotheses: (1) the call is handled as a read; (2) the cancellation is committed, and the run is not stopped; (3) the submission is accepted again after the cancellation. The leader's log tells them apart: each cancelled job has the line "job cancellation requested", and none of the five failing jobs that were traced has it, nor a second "job submitted". So (1): jobByID found no job when the call arrived, took the path of a read, and answered with the state of the job that was committed while the quorum confirmed the leadership.

Change: a DELETE is always proposed, with its queue and key, and Apply decides whether there is such a job and whether the key may cancel it. So it takes effect behind every submission that was proposed before it. Entries of older versions have no queue and keep their meaning. The same cause on related paths: the refusals 404 and 401 were decided before the confirmation and given after it, and a read used the key and queue from before it; both are decided again now. A DELETE of a queue's prefix was answered like a count, and is refused with 410. The log line tells the outcome.

--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -71,17 +71,22 @@
 	})
 }
 
-// read answers a call from the local state once a quorum has confirmed the leadership.
-func (e *Engine) read(done replyFunc, answer func() *pipelinev1.Reply) {
+// whenConfirmed calls f once a quorum has confirmed the leadership, and ends the call if it does not.
+func (e *Engine) whenConfirmed(done replyFunc, f func()) {
 	e.host.ConfirmLeadership(func(ok bool) {
 		if !ok {
 			done(nil, control.ErrNotLeader)
 			return
 		}
-		done(answer(), nil)
+		f()
 	})
 }
 
+// read answers a call from the local state once a quorum has confirmed the leadership.
+func (e *Engine) read(done replyFunc, answer func() *pipelinev1.Reply) {
+	e.whenConfirmed(done, func() { done(answer(), nil) })
+}
+
 func (e *Engine) putConfig(c *pipelinev1.Config, done replyFunc) {
 	version := c.GetVersion()
 	e.change(&pipelinev1.Command{Command: &pipelinev1.Command_PutConfig{PutConfig: c}}, func(r *pipelinev1.Reply, err error) {
@@ -106,56 +111,78 @@
 		done(notNow("there is no configuration yet"), nil)
 		return
 	}
+	a, refusal := e.authorize(c)
+	if refusal == nil {
+		e.handleAuthorized(c, a, done)
+		return
+	}
+	// The configuration that allows the call may be committed while the leadership is being confirmed.
+	e.whenConfirmed(done, func() {
+		if a, refusal := e.authorize(c); refusal != nil {
+			done(refusal, nil)
+		} else {
+			e.handleAuthorized(c, a, done)
+		}
+	})
+}
+
+// access is what a call's host, path and key select.
+type access struct {
+	queue *pipelinev1.Queue
+	// team is nil for a call without a known key on an open queue.
+	team *pipelinev1.Team
+	// id is the part of the path after the queue's prefix: a job's identity, or empty for the queue itself.
+	id string
+}
+
+// authorize returns what a call may access by the active configuration, or the refusal of the call.
+func (e *Engine) authorize(c *pipelinev1.JobCall) (access, *pipelinev1.Reply) {
 	q := e.state.Config().Match(c.GetHost(), c.GetPath())
 	if q == nil {
-		e.read(done, func() *pipelinev1.Reply {
-			return verdict(pipelinev1.Verdict_VERDICT_NO_QUEUE, "no queue has this host and path")
-		})
-		return
+		return access{}, verdict(pipelinev1.Verdict_VERDICT_NO_QUEUE, "no queue has this host and path")
 	}
 	team := e.state.Config().TeamOfKey(c.GetKeySha256())
 	if team == nil && !q.GetOpen() {
-		e.read(done, func() *pipelinev1.Reply { return verdict(pipelinev1.Verdict_VERDICT_UNKNOWN_KEY, "the key is unknown") })
-		return
+		return access{}, verdict(pipelinev1.Verdict_VERDICT_UNKNOWN_KEY, "the key is unknown")
 	}
-	id := strings.TrimPrefix(c.GetPath(), q.GetPathPrefix())
+	return access{q, team, strings.TrimPrefix(c.GetPath(), q.GetPathPrefix())}, nil
+}
+
+// handleAuthorized handles a call that the active configuration allows.
+func (e *Engine) handleAuthorized(c *pipelinev1.JobCall, a access, done replyFunc) {
 	switch {
 	case c.GetVerb() == pipelinev1.JobVerb_JOB_VERB_SUBMIT:
-		e.submit(c, q, id, done)
-	case id == "":
-		e.countPending(c, done)
+		e.submit(c, a.queue, a.id, done)
+	case c.GetVerb() == pipelinev1.JobVerb_JOB_VERB_CANCEL && jobIdentity.MatchString(a.id):
+		e.cancel(c, a, done)
 	default:
-		e.jobByID(c, q, team, id, done)
+		e.readQueue(c, done)
 	}
 }
 
-// countPending answers with the number of pending jobs of a queue.
-func (e *Engine) countPending(c *pipelinev1.JobCall, done replyFunc) {
-	e.read(done, func() *pipelinev1.Reply {
-		q := e.state.Config().Match(c.GetHost(), c.GetPath())
-		if q == nil {
-			return verdict(pipelinev1.Verdict_VERDICT_NO_QUEUE, "no queue has this host and path")
-		}
-		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, Pending: e.state.Pending(q.GetName())}
+// cancel proposes to cancel a job. Whether there is such a job is decided when the command is applied: its
+// submission may have been proposed before and not be committed yet.
+func (e *Engine) cancel(c *pipelinev1.JobCall, a access, done replyFunc) {
+	cmd := &pipelinev1.Cancel{Job: a.id, Queue: a.queue.GetName(), KeySha256: c.GetKeySha256()}
+	e.change(&pipelinev1.Command{Command: &pipelinev1.Command_Cancel{Cancel: cmd}}, func(r *pipelinev1.Reply, err error) {
+		e.log.Info().Str("request", a.id).Str("queue", a.queue.GetName()).Str("verdict", r.GetVerdict().String()).Str("state", r.GetJobState()).
+			Err(err).Msg("job cancellation decided")
+		done(r, err)
 	})
 }
 
-// jobByID shows or cancels a job that the caller's team may access.
-func (e *Engine) jobByID(c *pipelinev1.JobCall, q *pipelinev1.Queue, team *pipelinev1.Team, id string, done replyFunc) {
-	allowed := func() *pipeline.Job {
-		j := e.state.Job(id)
-		if j == nil || j.Spec.GetQueue() != q.GetName() || !q.GetOpen() && j.Team != team.GetName() {
-			return nil
-		}
-		return j
-	}
-	if c.GetVerb() == pipelinev1.JobVerb_JOB_VERB_CANCEL && allowed() != nil {
-		e.log.Info().Str("request", id).Str("queue", q.GetName()).Str("state", string(allowed().State)).Msg("job cancellation requested")
-		e.change(&pipelinev1.Command{Command: &pipelinev1.Command_Cancel{Cancel: &pipelinev1.Cancel{Job: id}}}, done)
-		return
-	}
+// readQueue answers with the state of a job, or with the number of pending jobs if the path names none. The
+// call is authorized again when the leadership is confirmed.
+func (e *Engine) readQueue(c *pipelinev1.JobCall, done replyFunc) {
 	e.read(done, func() *pipelinev1.Reply {
-		j := allowed()
+		a, refusal := e.authorize(c)
+		if refusal != nil {
+			return refusal
+		}
+		if a.id == "" && c.GetVerb() == pipelinev1.JobVerb_JOB_VERB_GET {
+			return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, Pending: e.state.Pending(a.queue.GetName())}
+		}
+		j := e.state.JobOf(a.queue, a.team, a.id)
 		if j == nil {
 			return verdict(pipelinev1.Verdict_VERDICT_NO_JOB, "no such job")
 		}
--- a/pipeline/helpers_test.go
+++ b/pipeline/helpers_test.go
@@ -94,3 +94,8 @@
 func (h *harness) end(r *pipelinev1.Run, kind pipelinev1.EndKind, listed int64) {
 	h.apply(&pipelinev1.Command{Command: &pipelinev1.Command_Ends{Ends: &pipelinev1.Ends{Ends: []*pipelinev1.End{{Run: r, Kind: kind, Listed: listed}}}}})
 }
+
+// cancel cancels a job of testQueue.
+func (h *harness) cancel(id string) *pipelinev1.Reply {
+	return h.apply(&pipelinev1.Command{Command: &pipelinev1.Command_Cancel{Cancel: &pipelinev1.Cancel{Job: id, Queue: testQueue, KeySha256: hashOf(testKey)}}}).Reply
+}
--- a/pipeline/state.go
+++ b/pipeline/state.go
@@ -105,7 +105,7 @@
 	case *pipelinev1.Command_Submit:
 		return &Result{Reply: s.submit(c.Submit)}
 	case *pipelinev1.Command_Cancel:
-		return &Result{Reply: s.cancel(c.Cancel.GetJob())}
+		return &Result{Reply: s.cancel(c.Cancel)}
 	case *pipelinev1.Command_UpstreamSeen:
 		s.upstreamSeen(c.UpstreamSeen)
 	case *pipelinev1.Command_UpstreamGone:
@@ -189,6 +189,16 @@
 // Job returns the job with the given ID, or nil.
 func (s *State) Job(id string) *Job { return s.jobs[id] }
 
+// JobOf returns a job of a queue that a team may access, or nil. Anyone may access the jobs of an open queue;
+// team may be nil there.
+func (s *State) JobOf(queue *pipelinev1.Queue, team *pipelinev1.Team, id string) *Job {
+	j := s.jobs[id]
+	if j == nil || j.Spec.GetQueue() != queue.GetName() || !queue.GetOpen() && j.Team != team.GetName() {
+		return nil
+	}
+	return j
+}
+
 // Used returns the amount that the runs of a team reserve.
 func (s *State) Used(team string) Resources { return s.usedByTeam[team] }
 
--- a/pipeline/submit.go
+++ b/pipeline/submit.go
@@ -76,13 +76,9 @@
 // submit accepts a job. It is idempotent: submitting the same job again returns its current state.
 func (s *State) submit(c *pipelinev1.Submit) *pipelinev1.Reply {
 	spec := c.GetSpec()
-	q := s.config.Queue(spec.GetQueue())
-	if q == nil {
-		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NO_QUEUE}
-	}
-	team := s.config.TeamOfKey(c.GetKeySha256())
-	if team == nil && !q.GetOpen() {
-		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_UNKNOWN_KEY}
+	q, team, refused := s.authorize(spec.GetQueue(), c.GetKeySha256())
+	if refused != nil {
+		return refused
 	}
 	if known := s.jobs[spec.GetId()]; known != nil {
 		if !bytes.Equal(known.Digest, c.GetDigest()) || known.Spec.GetQueue() != spec.GetQueue() {
@@ -103,14 +99,35 @@
 	return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(j.State)}
 }
 
-// cancel ends a job. Its runs keep their resources until their ends are recorded.
-func (s *State) cancel(id string) *pipelinev1.Reply {
-	j := s.jobs[id]
+// cancel ends a job that the caller may access. Its runs keep their resources until their ends are recorded.
+func (s *State) cancel(c *pipelinev1.Cancel) *pipelinev1.Reply {
+	j := s.jobs[c.GetJob()]
+	if c.GetQueue() != "" {
+		q, team, refused := s.authorize(c.GetQueue(), c.GetKeySha256())
+		if refused != nil {
+			return refused
+		}
+		j = s.JobOf(q, team, c.GetJob())
+	}
 	if j == nil {
-		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NO_JOB}
+		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NO_JOB, Detail: "no such job"}
 	}
 	if !j.Ended() {
 		s.endJob(j, lifecycle.PipelineCancel)
 	}
 	return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(j.State)}
 }
+
+// authorize returns a queue and the team of the key, or the refusal of a call on the queue with that key. The
+// team is nil for a call without a known key on an open queue.
+func (s *State) authorize(queue string, keySHA256 []byte) (*pipelinev1.Queue, *pipelinev1.Team, *pipelinev1.Reply) {
+	q := s.config.Queue(queue)
+	if q == nil {
+		return nil, nil, &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NO_QUEUE}
+	}
+	team := s.config.TeamOfKey(keySHA256)
+	if team == nil && !q.GetOpen() {
+		return nil, nil, &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_UNKNOWN_KEY}
+	}
+	return q, team, nil
+}
