pipeline: a job cancelled before its submission arrives does not run

Callers that left before their submission was answered, and cancelled at another entry, were told 410, "no such job", and the job ran on for good: the DELETE had overtaken the submission on its way to the leader.

On an open queue the team doesn't count. Replicas must not serve together with older versions, which know no tombstones, for longer than it takes to restart them.

Result: TestJobCancelledBeforeItsSubmissionDoesNotRun, TestTombstoneBelongsToTeamAndQueue and TestTombstonesAreBounded need the tombstones.

--- a/pipeline/cancel_test.go
+++ b/pipeline/cancel_test.go
@@ -1,6 +1,7 @@
 package pipeline
 
 import (
+	"fmt"
 	"testing"
 
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
@@ -44,3 +45,92 @@
 		})
 	}
 }
+
+// sweep applies a Sweep command.
+func (h *harness) sweep() {
+	h.apply(&pipelinev1.Command{Command: &pipelinev1.Command_Sweep{Sweep: &pipelinev1.Sweep{}}})
+}
+
+// restored returns a harness whose state comes from a snapshot of h.
+func (h *harness) restored() *harness {
+	h.t.Helper()
+	out := &harness{State: New(), t: h.t, now: h.now}
+	out.Reset()
+	for _, r := range h.Records() {
+		if err := out.Restore(r); err != nil {
+			h.t.Fatal(err)
+		}
+	}
+	return out
+}
+
+// A job that was cancelled before its submission arrived does not run: the caller was told that there is no such
+// job. That holds over a snapshot, for a resend, and until Retention is over.
+func TestJobCancelledBeforeItsSubmissionDoesNotRun(t *testing.T) {
+	for _, snapshot := range []bool{false, true} {
+		t.Run(fmt.Sprint("snapshot ", snapshot), func(t *testing.T) {
+			h := newHarness(t)
+			if r := h.cancel("a"); r.GetVerdict() != pipelinev1.Verdict_VERDICT_NO_JOB {
+				t.Fatalf("cancellation: %v", r)
+			}
+			h.cancel("old")
+			if snapshot {
+				h = h.restored()
+			}
+			h.now += int64(Retention) / 2
+			h.sweep()
+			for range 2 {
+				if r := h.submit("a", step(1, 1)); r.GetVerdict() != pipelinev1.Verdict_VERDICT_OK || r.GetJobState() != string(Cancelled) {
+					t.Errorf("submission: %v", r)
+				}
+			}
+			if got := h.place(run("a", 0, 0, 1, "w1")); len(got.Refused) != 1 || h.Pending(testQueue) != 0 {
+				t.Errorf("placed %v, %d pending", got.Accepted, h.Pending(testQueue))
+			}
+			h.now += int64(Retention)
+			h.sweep()
+			if r := h.submit("old", step(1, 1)); r.GetJobState() != string(Queued) {
+				t.Errorf("submission long after the cancellation: %v", r)
+			}
+		})
+	}
+}
+
+// A cancellation bars the job of its own team and queue only; on an open queue, whoever submits it.
+func TestTombstoneBelongsToTeamAndQueue(t *testing.T) {
+	h := newHarness(t)
+	cfg := h.config(2)
+	cfg.Teams = append(cfg.Teams, &pipelinev1.Team{Name: "other", KeySha256: [][]byte{hashOf("other")}, Weight: 1})
+	h.put(cfg)
+	for _, id := range []string{"a", "b"} {
+		h.cancel(id)
+	}
+	h.apply(&pipelinev1.Command{Command: &pipelinev1.Command_Cancel{Cancel: &pipelinev1.Cancel{Job: "o", Queue: "open"}}})
+	for _, c := range []struct {
+		key, id, queue string
+		want           JobState
+	}{{"other", "a", testQueue, Queued}, {testKey, "b", "open", Queued}, {testKey, "o", "open", Cancelled}} {
+		r := h.submitAs(c.key, c.id, &pipelinev1.JobSpec{Id: c.id, Queue: c.queue, Steps: []*pipelinev1.Step{step(1, 1)}})
+		if r.GetJobState() != string(c.want) {
+			t.Errorf("job %s: %v, want %s", c.id, r, c.want)
+		}
+	}
+}
+
+// The number of tombstones is bounded; the oldest ones are dropped.
+func TestTombstonesAreBounded(t *testing.T) {
+	h := newHarness(t)
+	for n := range MaxTombstones + 1 {
+		h.cancel(fmt.Sprint(n))
+	}
+	h = h.restored()
+	if n := len(h.tombstones.createdNS); n != MaxTombstones || len(h.tombstones.order) != MaxTombstones {
+		t.Errorf("%d tombstones", n)
+	}
+	if r := h.submit("0", step(1, 1)); r.GetJobState() != string(Queued) {
+		t.Errorf("oldest: %v", r)
+	}
+	if r := h.submit(fmt.Sprint(MaxTombstones), step(1, 1)); r.GetJobState() != string(Cancelled) {
+		t.Errorf("newest: %v", r)
+	}
+}
--- a/pipeline/snapshot.go
+++ b/pipeline/snapshot.go
@@ -26,6 +26,7 @@
 			Upstream: &pipelinev1.UpstreamRecord{Upstream: u.Upstream, LastEnd: u.LastEnd, Sequence: u.Sequence}}})
 	}
 	out = append(out, s.waveRecords()...)
+	out = append(out, s.tombstones.records()...)
 	jobs := slices.SortedFunc(maps.Values(s.jobs), func(a, b *Job) int { return strings.Compare(a.Spec.GetId(), b.Spec.GetId()) })
 	for _, j := range s.endedJobs {
 		out = append(out, &pipelinev1.Record{Record: &pipelinev1.Record_Job{Job: encodeJob(j)}})
@@ -87,6 +88,8 @@
 		s.upstreams[desc.GetId()] = u
 	case *pipelinev1.Record_Wave:
 		s.restoreWave(r.Wave)
+	case *pipelinev1.Record_Tombstone:
+		s.tombstones.add(tombstone{r.Tombstone.GetQueue(), r.Tombstone.GetTeam(), r.Tombstone.GetJob()}, r.Tombstone.GetCreatedNs())
 	case *pipelinev1.Record_Job:
 		return s.restoreJob(r.Job)
 	default:
--- a/pipeline/state.go
+++ b/pipeline/state.go
@@ -29,6 +29,8 @@
 	waves          map[int64]*Wave
 	// endedJobs are the ended jobs in the order in which they ended, for Sweep.
 	endedJobs []*Job
+	// tombstones are of jobs that were cancelled before their submissions arrived.
+	tombstones tombstones
 }
 
 // Observer receives synchronous callbacks while an entry is applied. Changes of waves and deletions by
@@ -74,7 +76,7 @@
 
 // clear drops everything but the observer.
 func (s *State) clear() {
-	s.config, s.endedJobs = nil, nil
+	s.config, s.endedJobs, s.tombstones = nil, nil, newTombstones()
 	s.domainsOut = make(map[string]bool)
 	s.upstreams = make(map[string]*Upstream)
 	s.jobs = make(map[string]*Job)
@@ -139,8 +141,9 @@
 	return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK}
 }
 
-// sweep deletes jobs that ended at least Retention ago and have no run left.
+// sweep deletes tombstones, and jobs without runs, that ended at least Retention ago.
 func (s *State) sweep() {
+	s.tombstones.sweep(s.nowNS)
 	kept := s.endedJobs[:0]
 	for _, j := range s.endedJobs {
 		if s.nowNS-j.EndedNS < int64(Retention) || j.hasRuns() {
--- a/pipeline/submit.go
+++ b/pipeline/submit.go
@@ -89,17 +89,26 @@
 	if problem := CheckSpec(spec); problem != "" {
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_INVALID, Detail: problem}
 	}
+	j := newJob(spec, team.GetName(), q, c.GetDigest(), s.nowNS)
+	if s.tombstones.has(tombstoneOf(q, team, spec.GetId())) {
+		s.addCancelled(j)
+		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(j.State)}
+	}
 	if len(s.jobs)-len(s.endedJobs) >= MaxLiveJobs {
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NOT_NOW, Detail: "too many jobs have not ended", RetryAfterMs: overloadRetryMS}
 	}
-	j := newJob(spec, team.GetName(), q, c.GetDigest(), s.nowNS)
-	s.jobs[spec.GetId()] = j
+	s.addJob(j)
+	return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(j.State)}
+}
+
+func (s *State) addJob(j *Job) {
+	s.jobs[j.Spec.GetId()] = j
 	s.addPending(j, 1)
 	s.observer.JobAdded(j)
-	return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(j.State)}
 }
 
 // cancel ends a job that the caller may access. Its runs keep their resources until their ends are recorded.
+// If no job has the identity, its submission may still be on the way: a tombstone keeps it from running.
 func (s *State) cancel(c *pipelinev1.Cancel) *pipelinev1.Reply {
 	j := s.jobs[c.GetJob()]
 	if c.GetQueue() != "" {
@@ -107,6 +116,10 @@
 		if refused != nil {
 			return refused
 		}
+		if j == nil {
+			s.tombstones.add(tombstoneOf(q, team, c.GetJob()), s.nowNS)
+			return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NO_JOB, Detail: "no such job; if its submission is still on the way, it will not run"}
+		}
 		j = s.JobOf(q, team, c.GetJob())
 	}
 	if j == nil {
