dispatch: reports of an upstream wait for its registration

While the first heartbeat of an upstream is not committed, the leader knows nothing of it: an older heartbeat that arrives meanwhile was committed behind it and made a draining upstream available again, and a leave notice was acknowledged and forgotten.

Change: heartbeats and leave notices of an upstream without a session wait for its uncommitted description. Uncommitted submissions are counted by the same type.

--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -55,9 +55,11 @@
 	epochs map[string]int64
 	// cell is the view of the cell that scheduling rounds decide upon.
 	cell placement.Cell
-	// admission says which new jobs are taken; submitting counts the uncommitted proposals by job.
-	admission   *placement.Admission
-	submitting  map[string]int
+	// admission says which new jobs are taken; submitting are the uncommitted ones.
+	admission  *placement.Admission
+	submitting inFlight
+	// registering are the uncommitted descriptions of upstreams.
+	registering inFlight
 	permits     permitScheduler
 	maintenance maintenance
 	// checkpoints holds the checkpoints that upstreams reported and that no committed end
@@ -95,7 +97,7 @@
 	e.epochs = make(map[string]int64)
 	e.cell = placement.Cell{State: e.state, Steps: make(map[*pipeline.Step]*placement.Work), Prefetched: make(map[*pipeline.Step]*placement.Work),
 		Learner: placement.NewLearner(), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
-	e.admission, e.submitting = placement.NewAdmission(pipeline.MaxLiveJobs), make(map[string]int)
+	e.admission, e.submitting, e.registering = placement.NewAdmission(pipeline.MaxLiveJobs), make(inFlight), make(inFlight)
 	e.checkpoints = make(map[*pipeline.Task]string)
 	e.tickets = make(map[pipeline.RunKey]string)
 	e.roundTrip = roundTrip{}
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -20,6 +20,8 @@
 	s := e.sessions[reported.GetId()]
 	ok := verdict(pipelinev1.Verdict_VERDICT_OK, "")
 	switch {
+	case s == nil && e.awaitRegistration(reported.GetId(), done, func() { e.handleHeartbeat(c, done) }):
+		return
 	case s == nil:
 		e.addUpstream(c, done, ok)
 		return
@@ -90,16 +92,30 @@
 	e.proposeUpstreamSeen(c, done, ok)
 }
 
+// awaitRegistration reports whether the description of an upstream that has no session yet is proposed and
+// not committed. It then calls resume after the commit, or ends the call if the commit fails.
+func (e *Engine) awaitRegistration(id string, done replyFunc, resume func()) bool {
+	return e.registering.wait(id, func(err error) {
+		if err != nil {
+			done(nil, err)
+			return
+		}
+		resume()
+	})
+}
+
 // proposeUpstreamSeen proposes an upstream's new description and answers its heartbeat after the
 // commit.
 func (e *Engine) proposeUpstreamSeen(c *pipelinev1.HeartbeatCall, done replyFunc, ok *pipelinev1.Reply) {
+	registered := e.registering.begin(c.GetUpstream().GetId())
 	e.change(&pipelinev1.Command{Command: &pipelinev1.Command_UpstreamSeen{UpstreamSeen: &pipelinev1.UpstreamSeen{Upstream: c.GetUpstream(), Sequence: c.GetSequence()}}},
 		func(r *pipelinev1.Reply, err error) {
 			if err == nil && r.GetVerdict() == pipelinev1.Verdict_VERDICT_NOT_NOW {
 				done(r, nil)
-				return
+			} else {
+				done(ok, err)
 			}
-			done(ok, err)
+			registered(err)
 		})
 }
 
@@ -129,6 +145,9 @@
 // runs.
 func (e *Engine) handleLeave(c *pipelinev1.LeaveCall, done replyFunc) {
 	s := e.sessions[c.GetUpstream()]
+	if s == nil && e.awaitRegistration(c.GetUpstream(), done, func() { e.handleLeave(c, done) }) {
+		return
+	}
 	if s == nil || c.GetBorn() != 0 && c.GetBorn() != s.u.GetBorn() {
 		done(verdict(pipelinev1.Verdict_VERDICT_OK, "the upstream is not known"), nil)
 		return
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -49,7 +49,7 @@
 // not committed yet. To refuse the latter would say that it never runs.
 func (e *Engine) admits(cmd *pipelinev1.Submit) bool {
 	id := cmd.GetSpec().GetId()
-	return e.state.Job(id) != nil || e.submitting[id] > 0 || e.decideAdmission(cmd).Reason == ""
+	return e.state.Job(id) != nil || e.submitting.has(id) || e.decideAdmission(cmd).Reason == ""
 }
 
 func (e *Engine) decideAdmission(cmd *pipelinev1.Submit) placement.Refusal {
@@ -74,12 +74,9 @@
 // proposeSubmit proposes a job and answers with the result.
 func (e *Engine) proposeSubmit(cmd *pipelinev1.Submit, done replyFunc) {
 	spec := cmd.GetSpec()
-	submitting := e.submitting
-	submitting[spec.GetId()]++
+	submitted := e.submitting.begin(spec.GetId())
 	e.change(&pipelinev1.Command{Command: &pipelinev1.Command_Submit{Submit: cmd}}, func(r *pipelinev1.Reply, err error) {
-		if submitting[spec.GetId()]--; submitting[spec.GetId()] == 0 {
-			delete(submitting, spec.GetId())
-		}
+		submitted(err)
 		e.log.Info().Str("request", spec.GetId()).Str("queue", spec.GetQueue()).Str("verdict", r.GetVerdict().String()).Err(err).
 			Uint64("config_version", e.state.Config().Version()).Msg("job submitted")
 		done(r, err)
