daemon: no refusal is passed on after an attempt of unknown outcome

The leader died with the job in its log and no answer sent; the entry sent the call to the next leader, which knew the key no more.

Hypotheses: (1) the entry passes on the refusal of a later attempt; (2) the new leader accepts the job after the configuration; (3) the entry refuses the call itself. The new leader's "runs placed" tells that the job was accepted 4 ms after it was sent, 0.5 s before the refusal, so not (2); an entry has no configuration on this path, so not (3).

Now every refusal of a call that may have had an effect is withheld after an attempt of unknown outcome, on the called path for callers, operators and upstreams: 401, 404, and also 400 and 409, which a path gets when it selects another queue by then. Reads are exempt, and "no such job" for a cancellation. The log line names the refusal.

--- a/daemon/push.go
+++ b/daemon/push.go
@@ -219,15 +219,34 @@
 	if err := proto.Unmarshal(a.GetPayload(), r); err != nil {
 		return nil, errors.Wrap(entry.ErrUndetermined, err.Error())
 	}
-	if claimsNoEffect(r.GetVerdict()) && a.Uncertain {
-		return nil, errors.Wrap(entry.ErrUndetermined, "an earlier attempt may have had an effect")
+	if a.Uncertain && refusesEffect(call, r.GetVerdict()) {
+		return nil, errors.Wrapf(entry.ErrUndetermined, "an earlier attempt got no answer, and a later one was refused (%s: %s)", r.GetVerdict(), r.GetDetail())
 	}
 	return r, nil
 }
 
-// claimsNoEffect reports whether a verdict tells the caller that the call had no effect.
-func claimsNoEffect(v pipelinev1.Verdict) bool {
-	return v == pipelinev1.Verdict_VERDICT_NOT_NOW || v == pipelinev1.Verdict_VERDICT_OVER_LIMIT || v == pipelinev1.Verdict_VERDICT_OUTDATED
+// refusesEffect reports whether a verdict tells the caller that the call had no effect. After an attempt of
+// unknown outcome that may be false: what was allowed then may be refused now.
+func refusesEffect(call *pipelinev1.Call, v pipelinev1.Verdict) bool {
+	switch {
+	case v == pipelinev1.Verdict_VERDICT_OK || isRead(call):
+		return false
+	case call.GetJob().GetVerb() == pipelinev1.JobVerb_JOB_VERB_CANCEL && v == pipelinev1.Verdict_VERDICT_NO_JOB:
+		// It tells of the job, not of the call.
+		return false
+	}
+	return true
+}
+
+// isRead reports whether a call has no effect.
+func isRead(call *pipelinev1.Call) bool {
+	switch c := call.GetCall().(type) {
+	case *pipelinev1.Call_GetConfig, *pipelinev1.Call_GetWave, *pipelinev1.Call_GetDomainRevision:
+		return true
+	case *pipelinev1.Call_Job:
+		return c.Job.GetVerb() == pipelinev1.JobVerb_JOB_VERB_GET
+	}
+	return false
 }
 
 // Ready implements platform.System.
