entry, state: "not run" is withheld after an attempt of unknown outcome for all calls

Submissions were downgraded already. A change that is sent again with a key that was withdrawn since was answered with "not run" though its operation was decided, and a cancellation with "not cancelled" though an earlier send may have cancelled the request.

Change: unary calls downgrade refusals and the outcomes in their responses as submissions do. A change without a valid key whose operation is known is undetermined. The text of a refused cancellation speaks of this call only.

Result: TestRefusalAfterAnAttemptOfUnknownOutcome in entry (five of six cases) and TestResentChangeWithAWithdrawnKeyIsUndetermined failed before and pass.

--- a/entry/api.go
+++ b/entry/api.go
@@ -169,6 +169,10 @@
 	defer release()
 	resp := connect.NewResponse(new(P))
 	got, err := s.forward(ctx, m, keyHash(req), QM(req.Msg), PM(resp.Msg))
+	if got.uncertain {
+		got.refusal = downgradeNotRun(got.refusal, false)
+		downgradeResponse(resp.Msg)
+	}
 	if got.refusal != nil {
 		err = refusalError(got.refusal)
 	}
--- a/entry/submit.go
+++ b/entry/submit.go
@@ -115,3 +115,16 @@
 	return &apiv1.Outcome{Kind: apiv1.OutcomeKind_OUTCOME_KIND_UNDETERMINED, Reason: o.GetReason(),
 		Detail: o.GetDetail() + "; this send was not taken, an earlier one may have been"}
 }
+
+// downgradeResponse downgrades the outcomes in a response to a call of which an earlier attempt may have had an
+// effect.
+func downgradeResponse(resp any) {
+	switch r := resp.(type) {
+	case *apiv1.ChangeResponse:
+		r.Outcome = downgradeNotRun(r.GetOutcome(), false)
+	case *apiv1.CancelResponse:
+		for _, c := range r.GetResults() {
+			c.Outcome = downgradeNotRun(c.GetOutcome(), false)
+		}
+	}
+}
--- a/state/cancel.go
+++ b/state/cancel.go
@@ -12,8 +12,8 @@
 	response := &apiv1.CancelResponse{}
 	team, refusal := s.Authorize(c.KeySha256, req.GetQueue())
 	if refusal != nil {
-		// The request may still run, so the outcome must not be "not run".
-		refusal = undetermined(refusal.Reason, "not cancelled: %s", refusal.Detail)
+		// The request may still run, so the outcome must not be "not run". An earlier send may have cancelled it.
+		refusal = undetermined(refusal.Reason, "not cancelled by this call: %s", refusal.Detail)
 	}
 	ids := req.GetRequestIds()
 	if refusal == nil && req.GetWholeQueue() {
--- a/state/change.go
+++ b/state/change.go
@@ -15,6 +15,9 @@
 func (s *State) change(c *peerv1.Change) *apiv1.ChangeResponse {
 	req := c.GetRequest()
 	if refusal := s.AuthorizeOperator(c.KeySha256); refusal != nil {
+		if s.HasOperation(req.GetOperationId()) {
+			refusal = undetermined(refusal.Reason, "%s; an earlier send of operation %q was decided", refusal.Detail, req.GetOperationId())
+		}
 		return &apiv1.ChangeResponse{Outcome: refusal, Revision: s.revision}
 	}
 	if !ValidName(req.GetOperationId()) {
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -436,6 +436,26 @@
 	}
 }
 
+// A resend of a change that was decided is not answered with "not run" once its key is withdrawn: the change may be
+// in force.
+func TestResentChangeWithAWithdrawnKeyIsUndetermined(t *testing.T) {
+	h := newHarness(t)
+	h.grantKey("second", "", apiv1.KeyRole_KEY_ROLE_OPERATOR)
+	change := func(op string) *apiv1.ChangeResponse {
+		return h.apply(&peerv1.Command{Command: &peerv1.Command_Change{Change: &peerv1.Change{KeySha256: keyHash("second"),
+			Request: &apiv1.ChangeRequest{OperationId: op, Change: &apiv1.ChangeRequest_PutTeam{PutTeam: &apiv1.Team{Name: "b", Share: 2}}}}}}).Change
+	}
+	if r := change("first"); !r.GetApplied() {
+		t.Fatalf("change: %v", r)
+	}
+	h.mustChange(&apiv1.ChangeRequest{Change: &apiv1.ChangeRequest_WithdrawKey{WithdrawKey: "second"}})
+	for op, want := range map[string]apiv1.OutcomeKind{"first": undeterminedKind, "new": notRunKind} {
+		if r := change(op); r.GetOutcome().GetKind() != want || r.GetApplied() {
+			t.Errorf("operation %s: %v, want %v", op, r, want)
+		}
+	}
+}
+
 func TestJobNumbersCarryTheGroup(t *testing.T) {
 	h := newHarness(t)
 	h.s.settings.Group = 7
