entry, state: a change without a base revision is bound to the one that its operator saw

An operator that got no answer and then puts a failure domain back can see it go out later.

Change: the entry binds such a change to a revision and then checks that the operator's connection is open: first the revision of its view, then the one that the leader names. Apply decides on it only if that revision is in force, and remembers nothing otherwise, so that the same operation may be sent again. Changes with a base revision are sent as before.

--- a/control/handle.go
+++ b/control/handle.go
@@ -89,8 +89,10 @@
 type call struct {
 	ctx context.Context
 	// key is the SHA-256 hash of the caller's key.
-	key    []byte
-	finish func(proto.Message, error)
+	key []byte
+	// seenRevision is the one in a change's ForwardRequest.
+	seenRevision *uint64
+	finish       func(proto.Message, error)
 }
 
 // Handle serves a forwarded call and waits for its result. It is safe for concurrent use.
@@ -110,7 +112,7 @@
 			done <- result{err: raft.ErrNotLeader}
 			return
 		}
-		c.begin(req.GetMethod(), start, call{ctx: ctx, key: req.GetKeySha256(), finish: func(m proto.Message, err error) {
+		c.begin(req.GetMethod(), start, call{ctx: ctx, key: req.GetKeySha256(), seenRevision: req.SeenRevision, finish: func(m proto.Message, err error) {
 			select {
 			case done <- result{m, err}:
 			default:
--- a/entry/admission.go
+++ b/entry/admission.go
@@ -58,6 +58,14 @@
 	return newRefusal(apiv1.Reason_REASON_NO_LEADER, "this entry last heard of a leader %s ago; try another entry", age.Round(100_000_000))
 }
 
+// revision returns the revision of the view, or 0 without a view.
+func (a *admission) revision() uint64 {
+	if a.view == nil {
+		return 0
+	}
+	return a.view.Revision()
+}
+
 // refusalFor converts the view's decision into a refusal, or nil. A call with a key or queue that
 // the view does not know is forwarded to the leader, at a limited rate.
 func (a *admission) refusalFor(d view.Decision) *refusal {
--- a/entry/api.go
+++ b/entry/api.go
@@ -113,6 +113,11 @@
 
 // forward sends one request to the leader and decodes the response into resp.
 func (s *Server) forward(ctx context.Context, m method, key []byte, req, resp proto.Message) (forwardResult, error) {
+	return s.forwardSeen(ctx, m, key, req, resp, nil)
+}
+
+// forwardSeen is forward with the revision that the call is bound to, or nil.
+func (s *Server) forwardSeen(ctx context.Context, m method, key []byte, req, resp proto.Message, seen *uint64) (forwardResult, error) {
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	payload, err := proto.Marshal(req)
@@ -120,7 +125,7 @@
 		return forwardResult{}, connect.NewError(connect.CodeInvalidArgument, err)
 	}
 	answer, err := s.router.Call(ctx, &peerv1.ForwardRequest{Method: m.id, Payload: payload, KeySha256: key,
-		Process: s.process, WallNs: s.events.Clock().Now().WallNS}, m.idempotent)
+		Process: s.process, WallNs: s.events.Clock().Now().WallNS, SeenRevision: seen}, m.idempotent)
 	if err != nil {
 		return forwardResult{}, err
 	}
@@ -153,6 +158,9 @@
 	return s.admission.acquire(m.class)
 }
 
+// sender forwards an admitted request and decodes the response.
+type sender[QM, PM proto.Message] func(ctx context.Context, m method, key []byte, req QM, resp PM) (forwardResult, error)
+
 // unary admits and forwards a call whose refusals are returned as errors.
 func unary[Q, P any, QM interface {
 	*Q
@@ -161,6 +169,20 @@
 	*P
 	proto.Message
 }](ctx context.Context, s *Server, m method, req *connect.Request[Q], authorize func() *refusal) (*connect.Response[P], error) {
+	send := func(ctx context.Context, m method, key []byte, req QM, resp PM) (forwardResult, error) {
+		return s.forward(ctx, m, key, req, resp)
+	}
+	return unaryWith[Q, P, QM, PM](ctx, s, m, req, authorize, send)
+}
+
+// unaryWith is unary with a function that forwards the request.
+func unaryWith[Q, P any, QM interface {
+	*Q
+	proto.Message
+}, PM interface {
+	*P
+	proto.Message
+}](ctx context.Context, s *Server, m method, req *connect.Request[Q], authorize func() *refusal, send sender[QM, PM]) (*connect.Response[P], error) {
 	start := time.Now()
 	release, r := s.admit(m, authorize)
 	if r != nil {
@@ -168,7 +190,7 @@
 	}
 	defer release()
 	resp := connect.NewResponse(new(P))
-	got, err := s.forward(ctx, m, keyHash(req), QM(req.Msg), PM(resp.Msg))
+	got, err := send(ctx, m, keyHash(req), QM(req.Msg), PM(resp.Msg))
 	if got.uncertain {
 		got.refusal = downgradeNotRun(got.refusal, false)
 		downgradeResponse(resp.Msg)
--- a/entry/services.go
+++ b/entry/services.go
@@ -72,11 +72,6 @@
 	return unary[apiv1.ExplainRequest, apiv1.ExplainResponse](ctx, s, methodExplain, req, anyKey)
 }
 
-// Change implements OperatorService. It applies one configuration change.
-func (s *Server) Change(ctx context.Context, req *connect.Request[apiv1.ChangeRequest]) (*connect.Response[apiv1.ChangeResponse], error) {
-	return unary[apiv1.ChangeRequest, apiv1.ChangeResponse](ctx, s, methodChange, req, s.requireRole(req, apiv1.KeyRole_KEY_ROLE_OPERATOR))
-}
-
 // Status implements OperatorService. It returns the state of the cell.
 func (s *Server) Status(ctx context.Context, req *connect.Request[apiv1.StatusRequest]) (*connect.Response[apiv1.StatusResponse], error) {
 	return unary[apiv1.StatusRequest, apiv1.StatusResponse](ctx, s, methodStatus, req, s.requireRole(req, apiv1.KeyRole_KEY_ROLE_OPERATOR))
--- a/entry/uncertain_test.go
+++ b/entry/uncertain_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"context"
+	"slices"
 	"testing"
 	"testing/synctest"
 
@@ -82,3 +84,57 @@
 		})
 	}
 }
+
+// outdatedChange returns a step of a leader that has another revision in force than the change was bound to.
+func outdatedChange(inForce uint64) step {
+	return answers(&apiv1.ChangeResponse{Revision: inForce, Outcome: &apiv1.Outcome{Kind: undetermined, Reason: apiv1.Reason_REASON_REVISION_CONFLICT}})
+}
+
+// TestChangeIsBoundToTheRevisionThatItsOperatorSaw expects a change to be sent with the revision in force, again when
+// another one was made meanwhile, and not after its operator has left. One with a base revision of its own is sent as
+// it is.
+func TestChangeIsBoundToTheRevisionThatItsOperatorSaw(t *testing.T) {
+	applied := answers(&apiv1.ChangeResponse{Applied: true, Outcome: &apiv1.Outcome{Kind: acceptedKind}})
+	for name, c := range map[string]struct {
+		steps []step
+		base  uint64
+		// leavesAfter is the number of sends after which the operator has left; zero means never.
+		leavesAfter int
+		want        []uint64
+		applied     bool
+	}{
+		"nothing between":                {[]step{applied}, 0, 0, []uint64{0}, true},
+		"another change between":         {[]step{outdatedChange(7), applied}, 0, 0, []uint64{0, 7}, true},
+		"two between":                    {[]step{outdatedChange(7), outdatedChange(8), applied}, 0, 0, []uint64{0, 7, 8}, true},
+		"the operator has left":          {[]step{outdatedChange(7), applied}, 0, 1, []uint64{0}, false},
+		"a base revision of its own":     {[]step{applied}, 5, 0, []uint64{noRevision}, true},
+		"refused for that base revision": {[]step{answers(&apiv1.ChangeResponse{Outcome: &apiv1.Outcome{Kind: notRun, Reason: apiv1.Reason_REASON_REVISION_CONFLICT}})}, 5, 0, []uint64{noRevision}, false},
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := &revisionForwarder{scriptedForwarder: scriptedForwarder{steps: c.steps}}
+			ctx := WithCaller(t.Context(), func() bool { return c.leavesAfter > 0 && len(f.revisions) >= c.leavesAfter })
+			r, err := newServer(f).Change(ctx, connect.NewRequest(&apiv1.ChangeRequest{OperationId: "o", BaseRevision: c.base}))
+			if got := err == nil && r.Msg.GetApplied(); got != c.applied || !slices.Equal(f.revisions, c.want) {
+				t.Errorf("got %v, %v, sent with revisions %v, want %v", r, err, f.revisions, c.want)
+			}
+		})
+	}
+}
+
+// noRevision stands for a call that is bound to no revision.
+const noRevision = 1 << 60
+
+// revisionForwarder is a scriptedForwarder that records the revisions of the calls.
+type revisionForwarder struct {
+	scriptedForwarder
+	revisions []uint64
+}
+
+func (f *revisionForwarder) Forward(ctx context.Context, address string, req *peerv1.ForwardRequest) (*peerv1.ForwardResponse, bool, error) {
+	seen := uint64(noRevision)
+	if req.SeenRevision != nil {
+		seen = req.GetSeenRevision()
+	}
+	f.revisions = append(f.revisions, seen)
+	return f.scriptedForwarder.Forward(ctx, address, req)
+}
--- a/state/change.go
+++ b/state/change.go
@@ -11,7 +11,8 @@
 )
 
 // change applies an operator's change once per operation ID. Of several changes with the same
-// base revision only one is applied; the responses to the others name it.
+// base revision only one is applied; the responses to the others name it. A change that was held up on its way
+// while another one was applied is neither applied nor remembered.
 func (s *State) change(c *peerv1.Change) *apiv1.ChangeResponse {
 	req := c.GetRequest()
 	if refusal := s.AuthorizeOperator(c.KeySha256); refusal != nil {
@@ -27,6 +28,10 @@
 	if known := s.operations[req.GetOperationId()]; known != nil {
 		return s.resentChangeResponse(known, digest)
 	}
+	if c.SeenRevision != nil && c.GetSeenRevision() != s.revision {
+		return &apiv1.ChangeResponse{Revision: s.revision, Outcome: undetermined(apiv1.Reason_REASON_REVISION_CONFLICT,
+			"operation %q made another change while this one was on its way; this send was not decided on", s.lastOperation)}
+	}
 	response := s.decideChange(req)
 	s.addOperation(&Operation{ID: req.GetOperationId(), Digest: digest, Response: response, DecidedNS: s.nowNS})
 	return response
--- a/state/state_test.go
+++ b/state/state_test.go
@@ -456,6 +456,34 @@
 	}
 }
 
+// A change that was held up while another one was made is neither applied nor remembered: the same operation may be
+// sent again.
+func TestChangeThatWasHeldUpIsNotDecidedOn(t *testing.T) {
+	h := newHarness(t)
+	domain := func(op string, seen *uint64, st apiv1.DomainState) *apiv1.ChangeResponse {
+		return h.apply(&peerv1.Command{Command: &peerv1.Command_Change{Change: &peerv1.Change{KeySha256: keyHash("operator"), SeenRevision: seen,
+			Request: &apiv1.ChangeRequest{OperationId: op, Change: &apiv1.ChangeRequest_PutFailureDomain{PutFailureDomain: &apiv1.FailureDomain{Name: "d1", State: st}}}}}}).Change
+	}
+	in, out := apiv1.DomainState_DOMAIN_STATE_IN, apiv1.DomainState_DOMAIN_STATE_OUT
+	seen := h.s.Revision()
+	for _, op := range []string{"back", "out-again"} {
+		if r := domain(op, nil, map[string]apiv1.DomainState{"back": in, "out-again": out}[op]); !r.GetApplied() {
+			t.Fatalf("%s: %v", op, r)
+		}
+	}
+	late := domain("held-up", &seen, in)
+	if late.GetApplied() || late.GetOutcome().GetKind() != undeterminedKind || late.GetRevision() != seen+2 || !h.s.Domains()["d1"].Out {
+		t.Errorf("the late change: %v, out is %t", late, h.s.Domains()["d1"].Out)
+	}
+	seen = late.GetRevision()
+	if again := domain("held-up", &seen, in); !again.GetApplied() || again.GetResent() || h.s.Domains()["d1"].Out {
+		t.Errorf("sent again: %v", again)
+	}
+	if resent := domain("held-up", &seen, in); !resent.GetApplied() || !resent.GetResent() {
+		t.Errorf("resent after it was applied: %v", resent)
+	}
+}
+
 func TestJobNumbersCarryTheGroup(t *testing.T) {
 	h := newHarness(t)
 	h.s.settings.Group = 7
