daemon: a replica that can't write its log ends its process

Hypotheses: (1) the process ends and can't start again; (2) the replica has stopped and the process has not; (3) the log is damaged and the replica does not join anew. No process started after the disk was free, so not (1) or (3). The goroutines of a real process whose writes fail show runReplica in Transport.Wait: it waits for senders that end with their context, which ends once runReplica has returned.

Change: the replica has a context of its own, cancelled before the wait. The failure is logged when it happens. A process that has failed gives open calls 0.2 s in place of 2 s.

Result: TestReplicasWithFullDisksComeBack (real processes) failed before, at the first replica, and passes for all five in turn.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -34,6 +34,9 @@
 	// shutdownTimeout bounds how long open calls may take to finish when the peer server or the
 	// admin server shuts down.
 	shutdownTimeout = 2 * time.Second
+	// failureTimeout takes the place of shutdownTimeout in a process that has failed, so that it is started again
+	// soon.
+	failureTimeout = 200 * time.Millisecond
 )
 
 // Daemon is one process of a cell. Its upstreams poll it, unless it is part of a PushDaemon.
@@ -161,12 +164,17 @@
 	return serveHTTP(ctx, s, l)
 }
 
-// serveHTTP serves until ctx ends, then gives open calls shutdownTimeout to finish.
+// serveHTTP serves until ctx ends, then gives open calls shutdownTimeout to finish, or failureTimeout if another part of
+// the process has failed.
 func serveHTTP(ctx context.Context, s *http.Server, l net.Listener) error {
 	done := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		defer close(done)
-		finish, cancel := context.WithTimeout(context.WithoutCancel(ctx), shutdownTimeout)
+		timeout := shutdownTimeout
+		if !errors.Is(context.Cause(ctx), context.Canceled) {
+			timeout = failureTimeout
+		}
+		finish, cancel := context.WithTimeout(context.WithoutCancel(ctx), timeout)
 		defer cancel()
 		if s.Shutdown(finish) != nil {
 			_ = s.Close()
--- a/daemon/replica.go
+++ b/daemon/replica.go
@@ -35,8 +35,10 @@
 }
 
 // runReplica locks and opens the data folder, joins or creates a group and runs the replica until
-// ctx ends.
+// ctx ends or the data folder can't be written.
 func (d *Daemon) runReplica(ctx context.Context, bootstrap bool) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	lock, err := wal.LockFolder(d.settings.DataFolder)
 	if err != nil {
 		return err
@@ -58,10 +60,13 @@
 	d.setReplica(role)
 	defer d.setReplica(nil)
 	d.log.Info().Uint64("replica", uint64(id.Replica)).Uint64("group", id.Group).Msg("replica started")
-	memberCtx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	go d.keepMembership(memberCtx, id, role)
+	go d.keepMembership(ctx, id, role)
 	err = role.node.Run(ctx)
+	if err != nil {
+		d.log.Error().Err(err).Msg("replica failed; the process ends")
+	}
+	// The transport sends until its context ends.
+	cancel()
 	role.transport.Wait()
 	return err
 }
