dispatch: ends are acknowledged only to the incarnation that listed them

Hypotheses: (1) the leader acknowledges the new incarnation's ends with the last number of the old one; (2) the ends are listed and taken for old ones; (3) the runs are declared lost before they are listed. In a run of the case on the code before, both ends are listed as 1 and 2 at 1,107 ms, a status request with lastSeen 2 arrives at 1,319 ms, and no list with both was answered before.

Change: status requests that reconcile acknowledge nothing. Those with a wait acknowledge only what is new, and only when all starts are answered. An answer to an order whose clock the known incarnation can't have had comes from another one: the order counts as unanswered, and a status request with a higher token finds out. Until its heartbeat comes, an incarnation that has answered may have the longest lease, once.

The fake upstreams forget what was acknowledged, as the platform's do.

--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -265,6 +265,9 @@
 	removeUnresponsiveAfter = 30 * time.Second
 	// maxQueuedStops is the number of queued orders to one upstream from which on no more unknown runs are stopped.
 	maxQueuedStops = 1024
+	// startAnswerWait is how long the acknowledgement of ends waits for the answers to starts. After that a status
+	// request acknowledges nothing.
+	startAnswerWait = 50 * time.Millisecond
 	// maxEndsListed is the number of ends at which an upstream's list may be truncated.
 	maxEndsListed = 500
 	// epochBits is the number of low bits of a token that hold the session's epoch; the bits
--- a/dispatch/expiry.go
+++ b/dispatch/expiry.go
@@ -63,6 +63,12 @@
 	return c.ms + (now-c.observedAt).Milliseconds()*(100-slowClockPercent)/100
 }
 
+// canHaveRead reports whether the clock can have had a value between the time when its lower bound was earliest and now; zero
+// means an unknown value. The clock of another incarnation begins anew and is elsewhere.
+func (c *upstreamClock) canHaveRead(ms, earliest int64, now time.Duration) bool {
+	return ms <= 0 || c.ms == 0 || ms >= earliest && ms <= c.ms+(now-c.observedAt+maxClockLead).Milliseconds()
+}
+
 // extendLease returns a new lease deadline by the upstream's clock in milliseconds, or zero if
 // the lease may not be extended.
 func (s *session) extendLease(now time.Duration) int64 {
@@ -98,8 +104,14 @@
 // restarted resets what is known of the lease for a newer incarnation, which answered. Its clock has begun anew. An order
 // that was meant for the older one may have given it the longest lease, from a deadline by the older one's clock.
 func (s *session) restarted(now time.Duration) {
-	longest := s.e.longestGrant
 	s.clock, s.deadlineMS = upstreamClock{}, 0
+	s.leaseOfOtherIncarnation(now)
+}
+
+// leaseOfOtherIncarnation records that another incarnation than the known one has answered, which may have the longest
+// lease.
+func (s *session) leaseOfOtherIncarnation(now time.Duration) {
+	longest := s.e.longestGrant
 	s.restartLeaseEnd = now + longest + longest*(slowClockPercent+1)/100 + s.e.cfg.StopGrace + expiryMargin
 }
 
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -129,6 +129,9 @@
 	start := Start{Order: Order{Task: o.key.TaskKey, Number: o.key.Number, Token: s.token()}, Payload: t.Step.Job().Spec.GetPayload(),
 		DeadlineMS: s.extendLease(now), Checkpoint: t.Checkpoint, Ticket: o.ticket}
 	s.ordersInFlight++
+	if len(s.sent) == 0 {
+		s.startsSince = now
+	}
 	s.sent[o.key] = true
 	ordersSent.Add(1)
 	s.callUpstream(now, func(ctx context.Context, to Target) (OrderReply, error) { return s.e.upstreams.Start(ctx, to, start) },
@@ -144,11 +147,15 @@
 		func(reply OrderReply, err error) { s.stopAnswered(o, reply, err) })
 }
 
+// errClockOfOtherIncarnation is the error of an order whose answer has a clock value that the known incarnation's clock
+// can't have had: the upstream has restarted, and what became of the order is to be found out.
+var errClockOfOtherIncarnation = errors.New("the clock in the answer is that of another incarnation")
+
 // callUpstream sends an order, unless the permission for it expires before, and passes its answer to done
 // on the control goroutine.
 func (s *session) callUpstream(now time.Duration, send func(context.Context, Target) (OrderReply, error), done func(OrderReply, error)) {
 	clock, timeout := s.e.host.Clock(), s.e.roundTrip.timeout()
-	to, permitted := s.target(now, timeout), s.e.permission()
+	to, permitted, earliest := s.target(now, timeout), s.e.permission(), s.clock.lowerBound(now)
 	s.e.async(timeout, func(ctx context.Context) func() {
 		if !permitted() {
 			return func() { done(OrderReply{}, errPermissionExpired) }
@@ -161,6 +168,9 @@
 			s.e.recordOverrun(took, timeout, err)
 			if err != nil {
 				s.wayFailed(to.Via, s.e.now())
+			} else if !s.clock.canHaveRead(reply.ClockMS, earliest, s.e.now()) {
+				s.leaseOfOtherIncarnation(s.e.now())
+				err = errClockOfOtherIncarnation
 			}
 			done(reply, err)
 		}
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -12,18 +12,15 @@
 
 // reconcile reconciles the session with the upstream: it sends a status request without a wait,
 // whose answer says which runs the upstream has. As the request carries a higher token than all
-// unanswered orders, starts that are not in the answer can never take effect.
+// unanswered orders, starts that are not in the answer can never take effect. It acknowledges no ends, as another
+// incarnation may receive it, which numbers its own anew.
 func (s *session) reconcile(now time.Duration) {
 	if s.reconciling || s.ordersInFlight > 0 {
 		return
 	}
 	s.reconciling = true
 	s.epoch++
-	req := StatusRequest{Token: s.token(), LastEnd: s.u.LastEnd}
-	if s.newIncarnation != nil {
-		req.LastEnd = 0
-	}
-	s.requestStatus(now, req, orderTimeout, func(reply StatusReply, err error, at time.Duration) {
+	s.requestStatus(now, StatusRequest{Token: s.token()}, orderTimeout, func(reply StatusReply, err error, at time.Duration) {
 		s.reconciling = false
 		s.e.recordRoundTrip(at-now, err)
 		if err != nil {
@@ -105,6 +102,10 @@
 		return
 	}
 	if s.newIncarnation == nil || s.newIncarnation.GetBorn() != reply.Born {
+		if s.otherBorn != reply.Born {
+			s.otherBorn = reply.Born
+			s.leaseOfOtherIncarnation(s.e.now())
+		}
 		s.probeFailed(s.e.now(), errors.New("another incarnation answered; waiting for its heartbeat"))
 		return
 	}
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -45,6 +45,9 @@
 	// restartLeaseEnd is until when the upstream's present incarnation may have a lease that was given before its restart was noticed.
 	restartLeaseEnd time.Duration
 
+	// otherBorn identifies the last incarnation that answered and that no heartbeat had announced.
+	otherBorn int64
+
 	orders []order
 	// ordersInFlight is the number of sent orders that are not answered. reconciling is set while
 	// the status request of reconcile is pending, watching while that of watch is.
@@ -57,8 +60,9 @@
 	// adopted holds the runs of answeredAt whose beginning this leader has not seen, so that their run
 	// time is not known.
 	adopted map[pipeline.RunKey]bool
-	// sent holds runs whose start order was sent and is not answered.
-	sent map[pipeline.RunKey]bool
+	// sent holds runs whose start order was sent and is not answered; startsSince is when the first of them was.
+	sent        map[pipeline.RunKey]bool
+	startsSince time.Duration
 	// stopping holds runs whose stop is queued, sent or answered.
 	stopping map[pipeline.RunKey]bool
 	// idleSince holds, for runs that use no CPU, when that was first reported.
--- a/dispatch/upstream_test.go
+++ b/dispatch/upstream_test.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"context"
+	"slices"
 	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
@@ -123,7 +124,7 @@
 	}
 	f.born++
 	f.bornAt = f.h.now
-	f.token, f.deadlineMS, f.lastNumber, f.ended = 0, 0, 0, nil
+	f.token, f.deadlineMS, f.lastNumber, f.ended, f.acked = 0, 0, 0, nil, 0
 	clear(f.running)
 	clear(f.stopAt)
 	clear(f.lastEnded)
@@ -267,11 +268,8 @@
 	for key := range f.running {
 		reply.Running = append(reply.Running, RunningTask{Run: key})
 	}
-	for _, e := range f.ended {
-		if e.Number > r.LastEnd {
-			reply.Ended = append(reply.Ended, e)
-		}
-	}
+	f.ended = slices.DeleteFunc(f.ended, func(e EndedTask) bool { return e.Number <= r.LastEnd })
+	reply.Ended = slices.Clone(f.ended)
 	if f.addRows != nil {
 		f.addRows(&reply)
 	}
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -24,9 +24,16 @@
 		}
 		wait = 0
 	}
+	lastEnd := s.endsToAcknowledge()
+	if lastEnd > 0 && len(s.sent) > 0 {
+		if now < s.startsSince+startAnswerWait {
+			return
+		}
+		lastEnd = 0
+	}
 	s.ackDue = 0
 	s.watching = true
-	req := StatusRequest{Token: s.token(), LastEnd: s.u.LastEnd, DeadlineMS: s.extendLease(now), Wait: wait}
+	req := StatusRequest{Token: s.token(), LastEnd: lastEnd, DeadlineMS: s.extendLease(now), Wait: wait}
 	s.requestStatus(now, req, wait+s.e.roundTrip.timeout(), func(reply StatusReply, err error, at time.Duration) {
 		s.watching = false
 		switch {
@@ -52,6 +59,16 @@
 	})
 }
 
+// endsToAcknowledge returns the number up to which ends are to be acknowledged, or zero if all were. Ends are only
+// acknowledged to an upstream that has answered all starts: should it have restarted, the answers show that, and its own
+// ends, which it numbers anew, must not be acknowledged.
+func (s *session) endsToAcknowledge() int64 {
+	if s.ackedEnds >= s.u.LastEnd {
+		return 0
+	}
+	return s.u.LastEnd
+}
+
 // watchWaitTime returns how long a status request may wait for an end. Where nothing urgent runs,
 // an unresponsive upstream may be detected later.
 func (s *session) watchWaitTime() time.Duration {
