dispatch: a job is pending until one of its tasks is known to have started

Cause: a job left the count when a run of it was placed in the log, and did not return when the run had never started. The job's state and the line "run was not started" after "runs placed" rule out a count of another queue or of an older state.

Change: the leader knows for each placed job whether a run is known to have started, counts those without, and shows them as queued. The end of a run that had started is marked in the log, for the next leader.

--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -192,12 +192,33 @@
 			return refusal
 		}
 		if a.id == "" && c.GetVerb() == pipelinev1.JobVerb_JOB_VERB_GET {
-			return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, Pending: e.state.Pending(a.queue.GetName())}
+			return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, Pending: e.countPending(a.queue.GetName())}
 		}
 		j := e.state.JobOf(a.queue, a.team, a.id)
 		if j == nil {
 			return verdict(pipelinev1.Verdict_VERDICT_NO_JOB, "no such job")
 		}
-		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(j.State)}
+		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(e.shownState(j))}
 	})
 }
+
+// countPending returns the number of a queue's jobs that have not ended and of which no run is known to have
+// started. Repeating jobs are not counted.
+func (e *Engine) countPending(queue string) int64 {
+	n := e.state.Pending(queue)
+	for j, unstarted := range e.unstarted {
+		if unstarted && j.Spec.GetQueue() == queue && j.Spec.GetRepeatCount() == 0 {
+			n++
+		}
+	}
+	return n
+}
+
+// shownState returns the state of a job as callers see it: a job that was placed is queued until a run of it is
+// known to have started.
+func (e *Engine) shownState(j *pipeline.Job) pipeline.JobState {
+	if e.unstarted[j] {
+		return pipeline.Queued
+	}
+	return j.State
+}
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -62,6 +62,9 @@
 	registering inFlight
 	permits     permitScheduler
 	maintenance maintenance
+	// unstarted tells of each job that is running in the replicated state whether none of its runs is known to
+	// have started.
+	unstarted map[*pipeline.Job]bool
 	// checkpoints holds the checkpoints that upstreams reported and that no committed end
 	// contains yet.
 	checkpoints map[*pipeline.Task]string
@@ -98,6 +101,7 @@
 	e.cell = placement.Cell{State: e.state, Steps: make(map[*pipeline.Step]*placement.Work), Prefetched: make(map[*pipeline.Step]*placement.Work),
 		Learner: placement.NewLearner(), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	e.admission, e.submitting, e.registering = placement.NewAdmission(pipeline.MaxLiveJobs), make(inFlight), make(inFlight)
+	e.unstarted = make(map[*pipeline.Job]bool)
 	e.checkpoints = make(map[*pipeline.Task]string)
 	e.tickets = make(map[pipeline.RunKey]string)
 	e.roundTrip = roundTrip{}
@@ -124,6 +128,9 @@
 	for _, j := range e.state.Jobs() {
 		if !j.Ended() {
 			e.addJob(j)
+			if j.State == pipeline.Running {
+				e.unstarted[j] = !j.Begun
+			}
 			continue
 		}
 		e.stopRuns(j.LiveRuns(), "the job has ended")
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -124,6 +124,7 @@
 func (e *Engine) proposeUpstreamGone(u *pipeline.Upstream) {
 	s := e.sessions[u.GetId()]
 	if ends := s.goneEnds(nil); len(ends) > 0 {
+		s.markStarted(ends)
 		e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_Ends{Ends: &pipelinev1.Ends{Ends: ends}}}, nil)
 	}
 	s.removing = true
--- a/dispatch/observer.go
+++ b/dispatch/observer.go
@@ -55,6 +55,7 @@
 // JobEnded implements pipeline.Observer.
 func (o *observer) JobEnded(j *pipeline.Job) {
 	e := (*Engine)(o)
+	delete(e.unstarted, j)
 	for _, oc := range j.Occurrences {
 		for _, st := range oc.Steps {
 			e.removeStep(st)
@@ -94,6 +95,9 @@
 // RunPlaced implements pipeline.Observer.
 func (o *observer) RunPlaced(r *pipeline.Run) {
 	e := (*Engine)(o)
+	if _, known := e.unstarted[r.Task.Step.Job()]; !known {
+		e.unstarted[r.Task.Step.Job()] = true
+	}
 	if s := e.sessions[r.Upstream.GetId()]; s != nil {
 		s.enqueueStart(r, e.tickets[r.Key()])
 	}
@@ -104,6 +108,9 @@
 func (o *observer) RunEnded(r *pipeline.Run, kind pipelinev1.EndKind) {
 	e := (*Engine)(o)
 	e.dirty = true
+	if j := r.Task.Step.Job(); j.Begun && !j.Ended() {
+		e.unstarted[j] = false
+	}
 	runsEnded.Add(endNames[kind], 1)
 	if s := e.sessions[r.Upstream.GetId()]; s != nil {
 		if at, answered := s.answeredAt[r.Key()]; answered && !s.adopted[r.Key()] && kind == pipelinev1.EndKind_END_KIND_DONE {
--- a/dispatch/orders.go
+++ b/dispatch/orders.go
@@ -219,7 +219,7 @@
 		s.stopUnknown(o.key)
 		return
 	}
-	s.answeredAt[o.key] = now
+	s.confirmRun(o.run, now)
 }
 
 // startRefused handles the answer that the upstream did not start the run.
--- a/dispatch/status.go
+++ b/dispatch/status.go
@@ -55,7 +55,8 @@
 			continue
 		}
 		if _, known := s.answeredAt[r.Run]; !known && !s.startQueued(r.Run) {
-			s.answeredAt[r.Run], s.adopted[r.Run] = now, true
+			s.adopted[r.Run] = true
+			s.confirmRun(run, now)
 		}
 		if r.Checkpoint != "" {
 			s.e.checkpoints[run.Task] = r.Checkpoint
@@ -138,11 +139,27 @@
 	return ends
 }
 
+// confirmRun records that the upstream has a run.
+func (s *session) confirmRun(r *pipeline.Run, now time.Duration) {
+	s.answeredAt[r.Key()] = now
+	if j := r.Task.Step.Job(); !j.Ended() {
+		s.e.unstarted[j] = false
+	}
+}
+
+// markStarted marks the ends of runs that the upstream is known to have started.
+func (s *session) markStarted(ends []*pipelinev1.End) {
+	for _, e := range ends {
+		_, e.Started = s.answeredAt[runKeyOf(e.GetRun())]
+	}
+}
+
 // proposeEnds proposes ends of runs.
 func (s *session) proposeEnds(ends []*pipelinev1.End) {
 	if len(ends) == 0 {
 		return
 	}
+	s.markStarted(ends)
 	s.e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_Ends{Ends: &pipelinev1.Ends{Ends: ends}}},
 		func(_ *pipeline.Result, err error) {
 			if !s.e.leading || s.e.sessions[s.u.GetId()] != s {
--- a/pipeline/ends.go
+++ b/pipeline/ends.go
@@ -30,6 +30,9 @@
 func (s *State) endRun(r *Run, e *pipelinev1.End) {
 	s.release(r)
 	t := r.Task
+	if e.GetStarted() || e.GetListed() > 0 {
+		t.Step.Job().Begun = true
+	}
 	if e.GetCheckpoint() != "" {
 		s.saveCheckpoint(t, e.GetCheckpoint())
 	}
--- a/pipeline/job.go
+++ b/pipeline/job.go
@@ -12,7 +12,7 @@
 const (
 	// Queued means that no run of the job has been placed.
 	Queued = lifecycle.PipelineQueued
-	// Running means that a run has been placed and the job has not ended.
+	// Running means that a run has been placed and the job has not ended. The run may not have started yet.
 	Running = lifecycle.PipelineRunning
 	// Completed means that all tasks of all occurrences are done.
 	Completed = lifecycle.PipelineCompleted
@@ -39,7 +39,7 @@
 	SubmittedNS int64
 	// EndedNS is the leader time at which the job ended, in Unix nanoseconds; zero before.
 	EndedNS int64
-	// Begun is set once a run has been placed.
+	// Begun is set once a run that its upstream is known to have started has ended.
 	Begun bool
 	// Occurrences are the repetitions of the steps; a job that does not repeat has one.
 	Occurrences []*Occurrence
--- a/pipeline/place.go
+++ b/pipeline/place.go
@@ -249,6 +249,5 @@
 		s.addPending(j, -1)
 	}
 	j.transition(lifecycle.PipelinePlace)
-	j.Begun = true
 	s.observer.RunPlaced(r)
 }
