daemon: a caller that has left is noticed behind unread bytes

The check that an operator still waits saw the end of the stream only if nothing else was unread. A TLS client sends a last record before it, so that on the product's own interface with TLS an order read after a pause passed for one whose operator waits. The condition of an acknowledgement moves into one function.

Result: TestClosedByPeer expects the end of the stream behind an unread request to be noticed; it was not before.

--- a/daemon/domain_order_test.go
+++ b/daemon/domain_order_test.go
@@ -159,8 +159,8 @@
 	}
 }
 
-// A connection counts as closed once its other end is closed, and not while a request is unread or nothing has
-// arrived.
+// A connection counts as closed once its other end is closed, also behind a request that is not read, and not while
+// nothing has arrived or a request is unread.
 func TestClosedByPeer(t *testing.T) {
 	_, client, server := acceptOne(t)
 	conn := server.(*trackedConn)
@@ -170,21 +170,24 @@
 	if _, err := client.Write([]byte("request")); err != nil {
 		t.Fatal(err)
 	}
-	if err := client.(*net.TCPConn).CloseWrite(); err != nil {
-		t.Fatal(err)
-	}
 	for until := time.Now().Add(5 * time.Second); !conn.hasUnread() && time.Now().Before(until); {
 		time.Sleep(time.Millisecond)
 	}
 	if conn.closedByPeer() {
 		t.Error("with an unread request")
 	}
-	if _, err := server.Read(make([]byte, 16)); err != nil {
+	if err := client.(*net.TCPConn).CloseWrite(); err != nil {
 		t.Fatal(err)
 	}
 	for until := time.Now().Add(5 * time.Second); !conn.closedByPeer() && time.Now().Before(until); {
 		time.Sleep(time.Millisecond)
 	}
+	if !conn.closedByPeer() {
+		t.Error("closed behind an unread request")
+	}
+	if _, err := server.Read(make([]byte, 16)); err != nil {
+		t.Fatal(err)
+	}
 	if !conn.closedByPeer() {
 		t.Error("closed")
 	}
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/pkg/errors"
+	"golang.org/x/sys/unix"
 )
 
 // idleAfter is how long after its last response, or after it was accepted, a connection counts as
@@ -90,10 +91,27 @@
 	return err == nil && n > 0
 }
 
-// closedByPeer reports whether the other end has closed the connection. Unread bytes hide that.
+// closedByPeer reports whether the other end has closed the connection, or its half that sends.
 func (c *trackedConn) closedByPeer() bool {
 	n, err := c.peek()
-	return n == 0 && !errors.Is(err, syscall.EAGAIN) && !errors.Is(err, errNoSocket)
+	switch {
+	case errors.Is(err, errNoSocket):
+		return false
+	case n == 0 && !errors.Is(err, syscall.EAGAIN):
+		return true
+	}
+	// Unread bytes, such as the last record of a TLS connection, come before the end of the stream.
+	return c.hungUp()
+}
+
+// hungUp reports whether the end of the stream has arrived, behind whatever is unread.
+func (c *trackedConn) hungUp() (hungUp bool) {
+	_ = c.control(func(fd uintptr) {
+		p := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
+		n, err := unix.Poll(p, 0)
+		hungUp = err == nil && n > 0 && p[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
+	})
+	return hungUp
 }
 
 // errNoSocket reports a connection that is not a socket.
@@ -102,15 +120,7 @@
 // peek returns how many bytes can be read now without blocking, at most one. It returns zero without an
 // error at the end of the stream, and EAGAIN if nothing has arrived.
 func (c *trackedConn) peek() (n int, err error) {
-	socket, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return 0, errNoSocket
-	}
-	raw, err := socket.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	controlErr := raw.Control(func(fd uintptr) {
+	controlErr := c.control(func(fd uintptr) {
 		n, _, err = syscall.Recvfrom(int(fd), make([]byte, 1), syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
 	})
 	if controlErr != nil {
@@ -119,6 +129,20 @@
 	return n, err
 }
 
+// control calls f with the file descriptor of the connection's socket. It returns an error if the connection is
+// closed on this side.
+func (c *trackedConn) control(f func(fd uintptr)) error {
+	socket, ok := c.Conn.(syscall.Conn)
+	if !ok {
+		return errNoSocket
+	}
+	raw, err := socket.SyscallConn()
+	if err != nil {
+		return err
+	}
+	return raw.Control(f)
+}
+
 // Read implements net.Conn.
 func (c *trackedConn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
--- a/dispatch/expiry.go
+++ b/dispatch/expiry.go
@@ -63,8 +63,8 @@
 	return c.ms + (now-c.observedAt).Milliseconds()*(100-slowClockPercent)/100
 }
 
-// canHaveRead reports whether the clock can have had a value between the time when its lower bound was earliest and now; zero
-// means an unknown value. The clock of another incarnation begins anew and is elsewhere.
+// canHaveRead reports whether the clock can have had a value between the time when its lower bound was earliest and now.
+// Zero, an unknown value, is always possible. The clock of another incarnation begins anew and is elsewhere.
 func (c *upstreamClock) canHaveRead(ms, earliest int64, now time.Duration) bool {
 	return ms <= 0 || c.ms == 0 || ms >= earliest && ms <= c.ms+(now-c.observedAt+maxClockLead).Milliseconds()
 }
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -24,12 +24,9 @@
 		}
 		wait = 0
 	}
-	lastEnd := s.endsToAcknowledge()
-	if lastEnd > 0 && len(s.sent) > 0 {
-		if now < s.startsSince+startAnswerWait {
-			return
-		}
-		lastEnd = 0
+	lastEnd, ready := s.acknowledgement(now)
+	if !ready {
+		return
 	}
 	s.ackDue = 0
 	s.watching = true
@@ -59,14 +56,17 @@
 	})
 }
 
-// endsToAcknowledge returns the number up to which ends are to be acknowledged, or zero if all were. Ends are only
+// acknowledgement returns the number up to which a status request acknowledges ends, zero for none. Ends are only
 // acknowledged to an upstream that has answered all starts: should it have restarted, the answers show that, and its own
-// ends, which it numbers anew, must not be acknowledged.
-func (s *session) endsToAcknowledge() int64 {
-	if s.ackedEnds >= s.u.LastEnd {
-		return 0
+// ends, which it numbers anew, must not be acknowledged. The request is not ready while these answers may come soon.
+func (s *session) acknowledgement(now time.Duration) (lastEnd int64, ready bool) {
+	switch {
+	case s.ackedEnds >= s.u.LastEnd:
+		return 0, true
+	case len(s.sent) == 0:
+		return s.u.LastEnd, true
 	}
-	return s.u.LastEnd
+	return 0, now >= s.startsSince+startAnswerWait
 }
 
 // watchWaitTime returns how long a status request may wait for an end. Where nothing urgent runs,
