review: case 8 is now a heartbeat of another writer that takes a worker out of use for good

A heartbeat in which most fields are missing counts, and what it says of draining is never corrected.

--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -32,6 +32,7 @@
 var cases = map[string]func(*trial) error{
 	"gang":    gangAfterCrash,
 	"filler":  fillerAfterLoss,
+	"beat":    foreignHeartbeat,
 	"foreign": foreignEntry,
 	"percent": slowStartup,
 	"crashes": crashingWorker,
