review: case 6 uses a gang of a size that the site has

Cause: the case combined a gang with `antiAffinity`, which no kind of request of the site does. Change: 40 tasks of 30 cores, two on a worker, in place of 20 tasks on workers of their own; room is counted in tasks.

--- a/review/trial/starve.go
+++ b/review/trial/starve.go
@@ -49,8 +49,8 @@
 	t.state(prefix, id)
 }
 
-// freeWorkers counts the workers that are up and have so many cores free, in thousandths. The caller holds the lock.
-func (t *trial) freeWorkers(cpu int64) (n int) {
+// room counts the tasks of so many cores, in thousandths, that fit on the workers that are up. The caller holds the lock.
+func (t *trial) room(cpu int64) (n int) {
 	for _, x := range t.w.workers {
 		free := x.cpu
 		for _, r := range x.runs {
@@ -58,24 +58,24 @@
 				free -= s.CPU
 			}
 		}
-		if x.up && free >= cpu {
-			n++
+		if x.up {
+			n += int(max(0, free) / cpu)
 		}
 	}
 	return n
 }
 
-// gangAfterCrash hands in a gang of 20 tasks, each on a worker of its own, of 48 workers. The worker of one member
-// crashes while the gang works, and comes back.
+// gangAfterCrash hands in a gang of 40 tasks of 30 cores, of which two fit on each of 48 workers. The worker of one
+// member crashes while the gang works, and comes back.
 func gangAfterCrash(t *trial) error {
-	const members, cpu = 20, 10_000
+	const members, cpu = 40, 30_000
 	queue := route{prefix: "/pufi791/", priority: 2, maxAttempts: 3, stretch: 2.2, target: 1200,
 		advice: map[string]any{"decisionMs": 430.0, "perWorkerMs": 6.1, "validMs": 2000}}
 	if err := t.begin(48, 64_000, 262_144, queue); err != nil {
 		return err
 	}
 	j := &job{id: "5c0e7a21d94b36f8", TaskSpec: "catalogo", advice: true, work: 4800 * time.Millisecond,
-		JobSteps: []step{{Count: members, CPU: cpu, MemMB: 2048, EstimateMS: 4800, Gang: true, AntiAffinity: 1}}}
+		JobSteps: []step{{Count: members, CPU: cpu, MemMB: 2048, EstimateMS: 4800, Gang: true}}}
 	if !t.submit(queue.prefix, j) {
 		return fmt.Errorf("the job was not accepted")
 	}
@@ -101,7 +101,7 @@
 			}
 		}
 	}
-	t.checkLost(queue.prefix, j.id, func() bool { return t.freeWorkers(cpu) >= 2*members })
+	t.checkLost(queue.prefix, j.id, func() bool { return t.room(cpu) >= 2*members })
 	return nil
 }
 
@@ -140,6 +140,6 @@
 		}
 		x.crash("srv_crash, gone for good")
 	}
-	t.checkLost(batch.prefix, fills.id, func() bool { return t.freeWorkers(2*2000) >= 1 })
+	t.checkLost(batch.prefix, fills.id, func() bool { return t.room(2000) >= 2 })
 	return nil
 }
