review: case 6, one worker that goes down and up ends a lasting job with all its tasks

Cause: rules AVAIL and LOST. Four runs of one task whose worker crashed end the whole job as failed, so that its other tasks are stopped on sound workers. Change: the case with its claim and script.

--- a/review/trial/label.go
+++ b/review/trial/label.go
@@ -9,33 +9,41 @@
 // lastRunBound is how long after its last run a lasting task may be without one, besides idleBound.
 const lastRunBound = 6 * time.Second
 
-// labelledTask is the task of the lasting job that beginLabelled hands in.
-const labelledTask = "00000000000000aa.0.0.0"
+// labelledJob is the name of the lasting job that beginLabelled hands in.
+const labelledJob = "00000000000000aa"
 
-// beginLabelled starts 10 workers, of which one has the label b, and hands in a lasting job of one task for that label.
-// It returns the job, its queue and the machine with the label.
-func (t *trial) beginLabelled() (*job, route, *machine, error) {
+// beginLabelled starts workers, some of them with the label b, and hands in a lasting job for that label, with one task
+// on each of them. It returns the job, its queue and the machines with the label.
+func (t *trial) beginLabelled(others, labelled, missAllowed int) (*job, route, []*machine, error) {
 	serve := route{prefix: "/pule252/", priority: 1, maxAttempts: 3, stretch: 2.2, target: 2500}
-	if err := t.begin(9, 64_000, 262_144, serve); err != nil {
+	if err := t.begin(others, 64_000, 262_144, serve); err != nil {
 		return nil, serve, nil, err
 	}
-	m := &machine{name: "m-b", done: make(map[int64]bool)}
-	t.w.mu.Lock()
-	t.cloud.machines = append(t.cloud.machines, m)
-	m.worker = &worker{zone: zones[0], rack: "r0-1", ip: t.net + ".60", cpu: 64_000, mem: 262_144, labels: []string{"b"}}
-	t.w.mu.Unlock()
-	if _, err := t.addWorker(m, 0, 0); err != nil {
-		return nil, serve, nil, err
+	for range labelled {
+		if _, err := t.addWorker(nil, 64_000, 262_144, "b"); err != nil {
+			return nil, serve, nil, err
+		}
 	}
 	time.Sleep(time.Second)
-	lasts := &job{id: "00000000000000aa", TaskSpec: "vigia",
-		JobSteps: []step{{Count: 1, CPU: 12_000, MemMB: 2048, EstimateMS: 500, LongRunning: true, Image: "vigia-1", Constraints: "b"}}}
+	lasts := &job{id: labelledJob, TaskSpec: "vigia", JobSteps: []step{{Count: labelled, CPU: 12_000, MemMB: 2048, EstimateMS: 500, LongRunning: true,
+		Image: "vigia-1", Constraints: "b", AntiAffinity: 1, MissAllowed: missAllowed}}}
 	if !t.submit(serve.prefix, lasts) {
 		return nil, serve, nil, fmt.Errorf("the job was not accepted")
 	}
-	err := t.await(10*time.Second, "the task is at work", func() bool { return t.w.lasting[labelledTask] != nil && t.w.lasting[labelledTask].atWork })
-	time.Sleep(2 * time.Second)
-	return lasts, serve, m, err
+	err := t.await(10*time.Second, "all tasks are at work", func() bool { return t.atWork() == labelled })
+	// From here on no task was away within noticeMs.
+	time.Sleep(t.w.notice + time.Second)
+	return lasts, serve, t.cloud.machines[others:], err
+}
+
+// atWork counts the tasks of lasting steps that are at work. The caller holds the lock.
+func (t *trial) atWork() (n int) {
+	for _, l := range t.w.lasting {
+		if l.atWork {
+			n++
+		}
+	}
+	return n
 }
 
 // flapTime and flapPeriod are for_s and gap_s of srv_flap in the site lomos-uy-grown.
@@ -44,13 +52,16 @@
 	flapPeriod = 1400 * time.Millisecond
 )
 
-// crashingWorker lets the worker with the label go down and up, with a period of 1.4 s, for 6.5 s.
+// crashingWorker lets one of 6 workers with the label, of 18 workers in all, go down and up, with a period of 1.4 s, for
+// 6.5 s. A lasting step has a task on each of the 6 and allows one to miss.
 func crashingWorker(t *trial) error {
-	lasts, serve, m, err := t.beginLabelled()
+	t.w.notice = grownNotice
+	lasts, serve, labelled, err := t.beginLabelled(12, 6, 1)
 	if err != nil {
 		return err
 	}
 	if t.trouble {
+		m := labelled[0]
 		for until := time.Now().Add(flapTime); time.Now().Before(until); {
 			m.worker.crash("srv_flap")
 			time.Sleep(flapPeriod / 2)
@@ -60,23 +71,24 @@
 			time.Sleep(flapPeriod / 2)
 		}
 	}
-	t.w.note("the worker is up for good")
-	time.Sleep(10 * time.Second)
+	t.w.note("all workers are up for good")
+	time.Sleep(15 * time.Second)
 	state := t.state(serve.prefix, lasts.id)
 	t.w.mu.Lock()
 	defer t.w.mu.Unlock()
 	if state == "failed" && lasts.ends["failed"] == 0 {
-		t.w.breach("LOST: the job is shown as failed, and none of its %d runs ended as failed", lasts.starts)
+		t.w.breach("LOST: the job is shown as failed, and none of its %d runs ended as failed; %d of its tasks are at work", lasts.starts, t.atWork())
 	}
 	return nil
 }
 
 // foreignHeartbeat sends one heartbeat of another writer for the worker with the label: fields are missing.
 func foreignHeartbeat(t *trial) error {
-	lasts, serve, m, err := t.beginLabelled()
+	lasts, serve, labelled, err := t.beginLabelled(9, 1, 0)
 	if err != nil {
 		return err
 	}
+	m, task := labelled[0], labelledJob+".0.0.0"
 	if t.trouble {
 		t.w.mu.Lock()
 		x := m.worker
@@ -100,7 +112,7 @@
 		}
 		over := !idleSince.IsZero() && time.Since(idleSince) > lastRunBound+idleBound
 		if over {
-			t.w.breach("LOST: task %s, which lasts, has had no run for %s, though its worker %s is up, takes orders and is empty", labelledTask, lastRunBound+idleBound, m.worker.id)
+			t.w.breach("LOST: task %s, which lasts, has had no run for %s, though its worker %s is up, takes orders and is empty", task, lastRunBound+idleBound, m.worker.id)
 		}
 		t.w.mu.Unlock()
 		if over {
--- a/review/trial/waves.go
+++ b/review/trial/waves.go
@@ -76,19 +76,11 @@
 	if !t.submit(serve.prefix, lasts) {
 		return fmt.Errorf("the job was not accepted")
 	}
-	if err := t.await(10*time.Second, "all tasks are at work", func() bool {
-		n := 0
-		for _, l := range t.w.lasting {
-			if l.atWork {
-				n++
-			}
-		}
-		return n == 5
-	}); err != nil {
+	if err := t.await(10*time.Second, "all tasks are at work", func() bool { return t.atWork() == 5 }); err != nil {
 		return err
 	}
 	// Others are at work for longer than noticeMs before the wave.
-	time.Sleep(notice + time.Second)
+	time.Sleep(t.w.notice + time.Second)
 	var free *worker
 	var used []*machine
 	t.w.mu.Lock()
