--- a/review/trial/cell.go
+++ b/review/trial/cell.go
@@ -209,6 +209,12 @@
 	key  = "6x73d3zji9n73hh2b9wu"
 )
 
+// capCPU and capMem are the cap of the tenant, in thousandths of a core and in MB.
+const (
+	capCPU int64 = 6_000_000
+	capMem int64 = 24_000_000
+)
+
 // route is a queue of the configuration.
 type route struct {
 	prefix      string
@@ -235,7 +241,7 @@
 		"services": []map[string]any{{"name": "lomera", "healthPath": "/health", "maxConns": 64, "protocol": "h1", "tls": false, "coldStartS": 0.0, "coldPerS": 0.0,
 			"enforcesCapacity": false, "standby": false}},
 		"limits":  map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": 262144, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
-		"tenants": []map[string]any{{"name": "kaje80", "apiKeys": []string{key}, "priority": 1, "weight": 12, "cap": map[string]int64{"cpu": 6000000, "memMb": 24000000, "gpus": 0}}}}
+		"tenants": []map[string]any{{"name": "kaje80", "apiKeys": []string{key}, "priority": 1, "weight": 12, "cap": map[string]int64{"cpu": capCPU, "memMb": capMem, "gpus": 0}}}}
 	client := &http.Client{Timeout: time.Second}
 	for i := range 200 {
 		to := c.controls()[i%replicas]
--- a/review/trial/label.go
+++ b/review/trial/label.go
@@ -64,8 +64,7 @@
 	var idleSince time.Time
 	for until := time.Now().Add(30 * time.Second); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
 		t.w.mu.Lock()
-		used, total := t.w.use()
-		switch idle := t.w.running(lasts.id) == 0 && 2*used < total; {
+		switch idle := t.w.running(lasts.id) == 0 && t.w.room(lasts.JobSteps[0]) >= 2 && t.w.underHalf(); {
 		case !idle:
 			idleSince = time.Time{}
 		case idleSince.IsZero():
--- a/review/trial/main.go
+++ b/review/trial/main.go
@@ -6,7 +6,9 @@
 import (
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
+	"syscall"
 	"time"
 )
 
@@ -104,13 +106,16 @@
 	return held
 }
 
-// within returns the result of f, or an error if it takes too long.
+// within returns the result of f, or an error if it takes too long or this program is told to end.
 func within(timeout time.Duration, f func() error) error {
-	done := make(chan error, 1)
+	done, signals := make(chan error, 1), make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
 	go func() { done <- f() }()
 	select {
 	case err := <-done:
 		return err
+	case s := <-signals:
+		return fmt.Errorf("the case was ended: %s", s)
 	case <-time.After(timeout):
 		return fmt.Errorf("the case takes longer than %s", timeout)
 	}
--- a/review/trial/starve.go
+++ b/review/trial/starve.go
@@ -14,55 +14,54 @@
 	watchTime = 10 * time.Second
 )
 
-// checkLost applies the end of LOST to a job that can be done: finish after the end of the traffic it is asked for,
-// and it may not have nothing running for idleBound while its turn has come, there is capacity for it twice over, its
+// checkLost applies the end of LOST to a job of one step that can be done: finish after the end of the traffic it is asked
+// for, and it may not have nothing running for idleBound while its turn has come, there is capacity for it twice over, its
 // tenant has under half of its cap and under half of the service's capacity is in use.
-func (t *trial) checkLost(prefix, id string, roomTwice func() bool) {
+func (t *trial) checkLost(prefix string, j *job) {
 	t.w.note("the traffic has ended")
 	time.Sleep(finish)
-	if state := t.state(prefix, id); state == "completed" {
-		return
-	} else if state != "queued" && state != "running" {
-		t.w.mu.Lock()
-		t.w.breach("LOST: %s is shown as %s", id, state)
-		t.w.mu.Unlock()
+	state := t.ask(prefix, j.id)
+	t.w.mu.Lock()
+	switch {
+	case state == "":
+		t.w.breach("LOST: %s got no answer for %s", j.id, watchTime)
+	case state == "410":
+		t.w.breach("LOST: %s is not known", j.id)
+	case (state == "failed" || state == "cancelled") && j.ends["failed"] == 0:
+		t.w.breach("LOST: %s is shown as %s, without an end failed", j.id, state)
+	}
+	t.w.mu.Unlock()
+	if state != "queued" && state != "running" {
 		return
 	}
 	idleSince := time.Now()
 	for until := time.Now().Add(watchTime); time.Now().Before(until); time.Sleep(20 * time.Millisecond) {
 		t.w.mu.Lock()
-		used, total := t.w.use()
-		idle := t.w.running(id) == 0 && roomTwice() && 2*used < total
-		if !idle {
+		if t.w.running(j.id) > 0 || t.w.room(j.JobSteps[0]) < int64(2*j.JobSteps[0].Count) || !t.w.underHalf() {
 			idleSince = time.Now()
 		}
 		over := time.Since(idleSince) > idleBound
 		if over {
-			t.w.breach("LOST: for %s job %s has nothing running while its turn has come, with room for it twice over; %d of %d thousandths of a core are in use",
-				idleBound, id, used, total)
+			t.w.breach("LOST: for %s job %s has nothing running while its turn has come; %d tasks fit where it has %d",
+				idleBound, j.id, t.w.room(j.JobSteps[0]), j.JobSteps[0].Count)
 		}
 		t.w.mu.Unlock()
 		if over {
 			break
 		}
 	}
-	t.state(prefix, id)
+	t.state(prefix, j.id)
 }
 
-// room counts the tasks of so many cores, in thousandths, that fit on the workers that are up. The caller holds the lock.
-func (t *trial) room(cpu int64) (n int) {
-	for _, x := range t.w.workers {
-		free := x.cpu
-		for _, r := range x.runs {
-			if _, s, _ := t.w.stepOf(r.task); s != nil && !s.Fills {
-				free -= s.CPU
-			}
-		}
-		if x.up {
-			n += int(max(0, free) / cpu)
+// ask asks for the state of a job until it is told or 410 is answered, for watchTime; then it returns an empty string.
+func (t *trial) ask(prefix, id string) string {
+	for until := time.Now().Add(watchTime); time.Now().Before(until); time.Sleep(300 * time.Millisecond) {
+		switch state := t.state(prefix, id); state {
+		case "queued", "running", "completed", "failed", "cancelled", "410":
+			return state
 		}
 	}
-	return n
+	return ""
 }
 
 // gangAfterCrash hands in a gang of 40 tasks of 30 cores, of which two fit on each of 48 workers. The worker of one
@@ -101,7 +100,7 @@
 			}
 		}
 	}
-	t.checkLost(queue.prefix, j.id, func() bool { return t.room(cpu) >= 2*members })
+	t.checkLost(queue.prefix, j)
 	return nil
 }
 
@@ -140,6 +139,6 @@
 		}
 		x.crash("srv_crash, gone for good")
 	}
-	t.checkLost(batch.prefix, fills.id, func() bool { return t.room(2000) >= 2 })
+	t.checkLost(batch.prefix, fills)
 	return nil
 }
--- a/review/trial/world.go
+++ b/review/trial/world.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"os"
+	"slices"
 	"strings"
 	"sync"
 	"time"
@@ -144,18 +145,43 @@
 	return n
 }
 
-// use returns the cores in use and those of all workers that are up, in thousandths.
-func (w *world) use() (used, total int64) {
-	for _, x := range w.workers {
-		if !x.up {
+// freeOn returns the cores, in thousandths, and the memory that are free on a worker. The caller holds the lock.
+func (w *world) freeOn(x *worker) (cpu, mem int64) {
+	cpu, mem = x.cpu, x.mem
+	for _, r := range x.runs {
+		_, s, _ := w.stepOf(r.task)
+		if s == nil {
 			continue
 		}
-		total += x.cpu
-		for _, r := range x.runs {
-			if _, s, _ := w.stepOf(r.task); s != nil && !s.Fills {
-				used += s.CPU
-			}
+		mem -= s.MemMB
+		if !s.Fills {
+			cpu -= s.CPU
+		}
+	}
+	return cpu, mem
+}
+
+// underHalf reports whether under half of the service's cores and memory are in use, which is also under half of the
+// tenant's cap. The caller holds the lock.
+func (w *world) underHalf() bool {
+	var cpu, mem, freeCPU, freeMem int64
+	for _, x := range w.workers {
+		if x.up {
+			c, m := w.freeOn(x)
+			cpu, mem, freeCPU, freeMem = cpu+x.cpu, mem+x.mem, freeCPU+c, freeMem+m
 		}
 	}
-	return used, total
+	usedCPU, usedMem := cpu-freeCPU, mem-freeMem
+	return 2*usedCPU < min(cpu, capCPU) && 2*usedMem < min(mem, capMem)
+}
+
+// room returns how many tasks of a step fit on the workers that are up and have its label. The caller holds the lock.
+func (w *world) room(s step) (n int64) {
+	for _, x := range w.workers {
+		if x.up && (s.Constraints == "" || slices.Contains(x.labels, s.Constraints)) {
+			cpu, mem := w.freeOn(x)
+			n += min(max(0, cpu)/s.CPU, max(0, mem)/s.MemMB)
+		}
+	}
+	return n
 }
