placement: a gang that can't hold its upstreams says so

A gang whose plan is refused for the share that reservations may take was logged as lacking capacity, which it has. The reason is now 'too much of the service is reserved to hold the upstreams of the gang'.

--- a/placement/cell.go
+++ b/placement/cell.go
@@ -150,6 +150,8 @@
 	awaited time.Duration
 	// limitAwaited is the time until which the step, a gang, may keep its team's other steps waiting.
 	limitAwaited time.Duration
+	// holdRefused is set while the step, a gang, can't hold the upstreams of its plan because too much is reserved.
+	holdRefused bool
 	// nextPreempt is when the step may preempt other work again.
 	nextPreempt time.Duration
 	// nextReport is when the reason for the step's wait may be reported again.
--- a/placement/gang.go
+++ b/placement/gang.go
@@ -82,6 +82,7 @@
 	}
 	exploreTime := r.ticketTime(d, maxExploredUpstreams)
 	w.nextPlan = r.Now + max(minPlanInterval, time.Duration(planShare*float64(exploreTime)))
+	w.holdRefused = false
 	allowed, unknown := r.gangUpstreams(d)
 	plan, ok := r.planGang(d, allowed)
 	w.plannedStart = plan.start
@@ -434,6 +435,7 @@
 func (r *round) holdUpstreams(d demand, plan gangPlan, ticketTime time.Duration) []*Upstream {
 	before := r.release(d)
 	if !r.keep(d, plan, before, Reservation{For: d.work.Step, From: r.Now, Until: r.Now + ticketTime + holdMargin + ticketLife(d.queue)}) {
+		d.work.holdRefused = true
 		return nil
 	}
 	if plan.preempts && r.Now >= d.work.nextPreempt {
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -18,6 +18,7 @@
 	WaitHeadroom  WaitReason = "capacity is kept free for urgent queues"
 	WaitPermits   WaitReason = "waiting for the answer to a permit question"
 	WaitCaller    WaitReason = "waiting for a process that can put a permit question"
+	WaitHold      WaitReason = "too much of the service is reserved to hold the upstreams of the gang"
 	WaitCapacity  WaitReason = "no upstream that may run the step has capacity"
 	WaitGang      WaitReason = "the upstreams lack capacity for all members of the gang at once"
 )
@@ -92,6 +93,8 @@
 		return WaitPermits
 	case d.work.awaitsCaller:
 		return WaitCaller
+	case d.work.holdRefused:
+		return WaitHold
 	case d.work.Step.Spec.GetGang():
 		return WaitGang
 	}
