placement: a gang asks for tickets also if its upstreams can't all be held

Cause: a gang asked for tickets only if all upstreams of its plan could be reserved meanwhile, and reservations may take at most 40% of the service's cores, counted with all cores of each upstream. A gang on upstreams with more cores was refused each time, and did not ask about others either.

A gang that can start without stopping other work now holds what may be reserved, and asks about all of its upstreams. If work has to be stopped for it and the upstreams can't be held, it asks about those that it doesn't know yet.

--- a/placement/gang.go
+++ b/placement/gang.go
@@ -86,11 +86,14 @@
 	allowed, unknown := r.gangUpstreams(d)
 	plan, ok := r.planGang(d, allowed)
 	w.plannedStart = plan.start
-	if ok && plan.start-r.Now <= reserveAhead {
-		ticketTime := r.ticketTime(d, len(plan.upstreams))
-		if plan.start <= r.Now+time.Duration(ticketLead*float64(ticketTime)) {
-			return [][]*Upstream{r.holdUpstreams(d, plan, ticketTime)}
+	ticketTime := r.ticketTime(d, len(plan.upstreams))
+	switch {
+	case !ok || plan.start-r.Now > reserveAhead:
+	case plan.start <= r.Now+time.Duration(ticketLead*float64(ticketTime)):
+		if r.holdUpstreams(d, plan, ticketTime) {
+			return [][]*Upstream{plan.upstreams}
 		}
+	default:
 		r.reserve(d, plan)
 		if r.awaitsStart(d, plan, unknown, exploreTime) {
 			return nil
@@ -235,21 +238,39 @@
 		})
 		allowed = allowed[:maxPlannedUpstreams]
 	}
-	members := int(math.Ceil(gangSurplus * float64(len(d.tasks))))
-	plan, ok := r.earliestStart(d, allowed, members, false)
-	if !ok || !r.mayReserve(d, plan) {
-		members = len(d.tasks)
-		plan, ok = r.earliestStart(d, allowed, members, false)
-	}
+	plan, members, ok := r.planWithoutStops(d, allowed)
 	if ok && plan.start <= r.Now || !r.mayPreempt(d) {
 		return plan, ok
 	}
-	if atOnce, possible := r.earliestStart(d, allowed, members, true); possible && atOnce.start <= r.Now {
+	if atOnce, possible := r.earliestStart(d, r.gainsOn(d, allowed, true), members); possible && atOnce.start <= r.Now {
+		atOnce.preempts = true
 		return atOnce, true
 	}
 	return plan, ok
 }
 
+// withSurplus returns the number of members for which the start of a gang is planned if there is the capacity.
+func withSurplus(d demand) int { return int(math.Ceil(gangSurplus * float64(len(d.tasks)))) }
+
+// planWithoutStops plans the start of a gang as runs end, and returns the number of members that fit then. It does
+// without the surplus if that lets its upstreams be reserved.
+func (r *round) planWithoutStops(d demand, allowed []*Upstream) (gangPlan, int, bool) {
+	gains := r.gainsOn(d, allowed, false)
+	surplus, members := withSurplus(d), len(d.tasks)
+	plan, ok := r.earliestStart(d, gains, surplus)
+	if ok && plan.start <= r.Now && r.mayReserve(d, plan) {
+		return plan, surplus, true
+	}
+	exact, fits := r.earliestStart(d, gains, members)
+	switch {
+	case !ok:
+		return exact, members, fits
+	case r.mayReserve(d, plan) || plan.start <= r.Now && !r.mayReserve(d, exact):
+		return plan, surplus, true
+	}
+	return exact, members, true
+}
+
 // gain is the number of members that fit on an upstream from some time on, beyond those that fit
 // before.
 type gain struct {
@@ -258,22 +279,26 @@
 	n  int
 }
 
-// earliestStart returns the earliest time at which so many members of a gang fit on some of the
-// upstreams at once, as runs there end, and the upstreams with the most capacity at that time.
-func (r *round) earliestStart(d demand, allowed []*Upstream, members int, preempts bool) (gangPlan, bool) {
-	var gains []gain
+// gainsOn returns the gains on some upstreams in the order of their times, the largest first.
+func (r *round) gainsOn(d demand, allowed []*Upstream, preempts bool) (gains []gain) {
 	for _, u := range allowed {
 		gains = r.appendGains(gains, d, u, preempts)
 	}
 	slices.SortFunc(gains, func(a, b gain) int {
 		return cmp.Or(cmp.Compare(a.at, b.at), cmp.Compare(b.n, a.n), cmp.Compare(a.u.GetId(), b.u.GetId()))
 	})
+	return gains
+}
+
+// earliestStart returns the earliest time at which so many members of a gang fit on some upstreams at once, as
+// runs there end, and the upstreams with the most capacity at that time.
+func (r *round) earliestStart(d demand, gains []gain, members int) (gangPlan, bool) {
 	room := 0
 	fits := make(map[*Upstream]int)
 	for _, g := range gains {
 		fits[g.u] += g.n
 		if room += g.n; room >= members {
-			return gangPlan{start: g.at, upstreams: r.sufficient(d, fits, members), preempts: preempts}, true
+			return gangPlan{start: g.at, upstreams: r.sufficient(d, fits, members)}, true
 		}
 	}
 	return gangPlan{}, false
@@ -381,34 +406,44 @@
 	return n
 }
 
-// reserve keeps work off some upstreams that would delay the planned start of a gang. Without a
-// reservation small steps would take each core as soon as it is free.
+// reserve keeps work off the upstreams of a plan that would delay the planned start of a gang, if all of them may be
+// reserved. Without a reservation small steps would take each core as soon as it is free.
 func (r *round) reserve(d demand, plan gangPlan) {
 	if r.Now-d.work.ReadyAt < reserveAfter {
 		return
 	}
-	before := r.release(d)
-	r.keep(d, plan, before, Reservation{For: d.work.Step, From: plan.start, Until: plan.start + r.ticketTime(d, len(plan.upstreams)) + holdMargin})
+	if before := r.release(d); r.mayReserve(d, plan) {
+		r.keep(d, plan, before, Reservation{For: d.work.Step, From: plan.start, Until: plan.start + r.ticketTime(d, len(plan.upstreams)) + holdMargin})
+	}
 }
 
-// keep reserves the upstreams of a plan, unless too much of the service is reserved already. It
-// reports a reservation if there was none before.
-func (r *round) keep(d demand, plan gangPlan, before int, as Reservation) bool {
-	if !r.mayReserve(d, plan) {
-		return false
-	}
+// keep reserves the upstreams of a plan. It reports a reservation if there was none before.
+func (r *round) keep(d demand, plan gangPlan, before int, as Reservation) {
 	for _, u := range plan.upstreams {
 		u.Reserved = as
 	}
-	if before == 0 {
+	if before == 0 && len(plan.upstreams) > 0 {
 		r.out.Reserved = append(r.out.Reserved, ReservedGang{d.work, len(d.tasks), len(plan.upstreams), plan.cores(), plan.start})
 	}
-	return true
 }
 
 // mayReserve reports whether the upstreams of a plan may be reserved besides those of other gangs.
-func (r *round) mayReserve(d demand, plan gangPlan) bool {
-	return float64(r.reservedCores(d)+plan.cores()) <= maxReserved*float64(r.poolFor(d).totalCores)
+func (r *round) mayReserve(d demand, plan gangPlan) bool { return plan.cores() <= r.reservable(d) }
+
+// reservable returns the cores that may be reserved besides those of other gangs, in thousandths.
+func (r *round) reservable(d demand) int64 {
+	return int64(maxReserved*float64(r.poolFor(d).totalCores)) - r.reservedCores(d)
+}
+
+// reservablePart returns the part of a plan that may be reserved.
+func (r *round) reservablePart(d demand, plan gangPlan) gangPlan {
+	left, n := r.reservable(d), 0
+	for n < len(plan.upstreams) && plan.upstreams[n].Capacity.MilliCores <= left {
+		left -= plan.upstreams[n].Capacity.MilliCores
+		n++
+	}
+	plan.upstreams = plan.upstreams[:n]
+	return plan
 }
 
 // cores returns the size of a plan's upstreams in thousandths of a core.
@@ -429,19 +464,20 @@
 	return cores
 }
 
-// holdUpstreams keeps all other work off the upstreams of a gang that starts as soon as its tickets
-// arrive, and stops the work that gives way to it. It returns the upstreams to ask about; none if too
-// much is reserved for other gangs.
-func (r *round) holdUpstreams(d demand, plan gangPlan, ticketTime time.Duration) []*Upstream {
+// holdUpstreams keeps other work off the upstreams of a gang that starts as soon as its tickets arrive, as far as they
+// may be reserved, and stops the work that gives way to it. It reports whether the gang should ask: it doesn't if
+// upstreams on which work has to be stopped can't be held, as other work would take their capacity.
+func (r *round) holdUpstreams(d demand, plan gangPlan, ticketTime time.Duration) bool {
 	before := r.release(d)
-	if !r.keep(d, plan, before, Reservation{For: d.work.Step, From: r.Now, Until: r.Now + ticketTime + holdMargin + ticketLife(d.queue)}) {
+	if plan.preempts && !r.mayReserve(d, plan) {
 		d.work.holdRefused = true
-		return nil
+		return false
 	}
+	r.keep(d, r.reservablePart(d, plan), before, Reservation{For: d.work.Step, From: r.Now, Until: r.Now + ticketTime + holdMargin + ticketLife(d.queue)})
 	if plan.preempts && r.Now >= d.work.nextPreempt {
 		r.stopForGang(d, plan)
 	}
-	return plan.upstreams
+	return true
 }
 
 // stopForGang stops work of less urgent queues on the upstreams of a plan.
--- /dev/null
+++ b/placement/held_back_test.go
@@ -0,0 +1,53 @@
+package placement
+
+import (
+	"slices"
+	"testing"
+)
+
+// knownOnly leaves a step the answers about some upstreams; the permit service has denied the others.
+func (f *fixture) knownOnly(w *Work, allowed ...string) {
+	for _, u := range f.cell.Upstreams {
+		if !slices.Contains(allowed, u.GetId()) {
+			delete(w.Permits, u.GetId())
+			w.Denied[u.GetId()] = true
+		}
+	}
+}
+
+// asked returns the upstreams of all questions of a decision.
+func asked(d Decision) (out []string) {
+	for _, q := range d.Questions {
+		out = append(out, q.Upstreams...)
+	}
+	return out
+}
+
+// A gang whose tickets have expired asks again, though its upstreams have more cores than reservations may take
+// (review/6).
+func TestGangAboveTheReservedShareAsksAgain(t *testing.T) {
+	f := gangFixture(t)
+	w := f.gang(3, 8000)
+	if d := Decide(f.cell); len(asked(d)) < 3 {
+		t.Errorf("the gang asks about %v; expected three upstreams at least", asked(d))
+	}
+	if held := f.reservedFor(w); float64(len(held)) > maxReserved*float64(len(f.cell.Upstreams)) {
+		t.Errorf("%v are reserved, which is more than the share", held)
+	}
+}
+
+// A gang that can't hold the upstreams on which work would have to be stopped asks about others.
+func TestGangThatCannotHoldItsUpstreamsAsksAboutOthers(t *testing.T) {
+	f := gangFixture(t)
+	saved := tasks(0, 8000, 60_000)
+	saved.Checkpointing = true
+	f.fill("batch", saved, "u0", "u1", "u2")
+	w := f.gang(3, 8000)
+	for _, id := range []string{"u3", "u4", "u5"} {
+		delete(w.Permits, id)
+	}
+	d := Decide(f.cell)
+	if len(d.Stops) > 0 || !slices.Contains(asked(d), "u3") {
+		t.Errorf("the gang asks about %v and stops %d runs; expected a question about u3 to u5", asked(d), len(d.Stops))
+	}
+}
