placement: a gang whose members fit exactly doesn't wait for a surplus

The start is now planned without the surplus if only that lets the gang start at once.

TestGangThatFitsExactlyAsks failed before (no question).

--- a/placement/gang.go
+++ b/placement/gang.go
@@ -253,7 +253,7 @@
 func withSurplus(d demand) int { return int(math.Ceil(gangSurplus * float64(len(d.tasks)))) }
 
 // planWithoutStops plans the start of a gang as runs end, and returns the number of members that fit then. It does
-// without the surplus if that lets its upstreams be reserved.
+// without the surplus if that lets the gang start at once, or its upstreams be reserved.
 func (r *round) planWithoutStops(d demand, allowed []*Upstream) (gangPlan, int, bool) {
 	gains := r.gainsOn(d, allowed, false)
 	surplus, members := withSurplus(d), len(d.tasks)
@@ -265,6 +265,8 @@
 	switch {
 	case !ok:
 		return exact, members, fits
+	case plan.start > r.Now && exact.start <= r.Now:
+		return exact, members, true
 	case r.mayReserve(d, plan) || plan.start <= r.Now && !r.mayReserve(d, exact):
 		return plan, surplus, true
 	}
--- a/placement/held_back_test.go
+++ b/placement/held_back_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"fmt"
 	"slices"
 	"testing"
 )
@@ -51,3 +52,16 @@
 		t.Errorf("the gang asks about %v and stops %d runs; expected a question about u3 to u5", asked(d), len(d.Stops))
 	}
 }
+
+// A gang whose members fit exactly asks, though its surplus does not fit.
+func TestGangThatFitsExactlyAsks(t *testing.T) {
+	f := gangFixture(t)
+	for i := range 3 {
+		f.addUpstream(fmt.Sprintf("w%d", i), 8000)
+	}
+	f.fill("batch", tasks(0, 8000, 60_000), "u2")
+	f.knownOnly(f.gang(4, 4000), "u0", "u1", "u2")
+	if d := Decide(f.cell); !slices.Contains(asked(d), "u0") || !slices.Contains(asked(d), "u1") {
+		t.Errorf("the gang asks about %v; expected u0 and u1", asked(d))
+	}
+}
