placement: a gang asks for tickets for more upstreams than one question takes

Its upstreams are now divided between questions that are put at the same time, as those that explore, and its start is planned on as many upstreams as it may need.

TestGangOnMoreUpstreamsThanAQuestionTakes failed before (it asked about none of 130 upstreams).

--- a/placement/gang.go
+++ b/placement/gang.go
@@ -86,12 +86,12 @@
 	allowed, unknown := r.gangUpstreams(d)
 	plan, ok := r.planGang(d, allowed)
 	w.plannedStart = plan.start
-	ticketTime := r.ticketTime(d, len(plan.upstreams))
+	ticketTime := r.ticketTime(d, min(len(plan.upstreams), maxUpstreamsPerQuestion))
 	switch {
 	case !ok || plan.start-r.Now > reserveAhead:
 	case plan.start <= r.Now+time.Duration(ticketLead*float64(ticketTime)):
 		if r.holdUpstreams(d, plan, ticketTime) {
-			return [][]*Upstream{plan.upstreams}
+			return split(plan.upstreams, maxUpstreamsPerQuestion)
 		}
 	default:
 		r.reserve(d, plan)
@@ -103,6 +103,15 @@
 	return r.explore(d, allowed, unknown)
 }
 
+// split divides upstreams evenly into as few lists of at most `most` as possible.
+func split(list []*Upstream, most int) (out [][]*Upstream) {
+	n := (len(list) + most - 1) / most
+	for i := range n {
+		out = append(out, list[i*len(list)/n:(i+1)*len(list)/n])
+	}
+	return out
+}
+
 // awaitsStart reports whether a gang waits for its planned start rather than asking about further upstreams: if the
 // start is near, was not missed before, and can't be expected sooner on these upstreams. Runs that end later
 // than expected delay a planned start again and again.
@@ -137,7 +146,7 @@
 // many as are expected to have capacity for exploreSurplus times the members when they are idle,
 // together with the known ones. Those with the most capacity now come first. The questions are put at
 // the same time, so that their tickets are valid together.
-func (r *round) explore(d demand, allowed, unknown []*Upstream) (out [][]*Upstream) {
+func (r *round) explore(d demand, allowed, unknown []*Upstream) [][]*Upstream {
 	if d.queue.GetPermits() == nil {
 		return nil
 	}
@@ -151,11 +160,7 @@
 		missing -= share * float64(capacityWhenIdle(d.work.Step, unknown[n]))
 		n++
 	}
-	questions := (n + maxExploredUpstreams - 1) / maxExploredUpstreams
-	for i := range questions {
-		out = append(out, unknown[i*n/questions:(i+1)*n/questions])
-	}
-	return out
+	return split(unknown[:n], maxExploredUpstreams)
 }
 
 // sortByCapacity sorts upstreams by their capacity for members of a gang: now, then when they are idle. Upstreams
@@ -232,11 +237,11 @@
 // planGang plans the start of a gang on upstreams that may run it. Work of less urgent queues is
 // stopped for it if that alone lets it start at once.
 func (r *round) planGang(d demand, allowed []*Upstream) (gangPlan, bool) {
-	if len(allowed) > maxPlannedUpstreams {
+	if most := max(maxPlannedUpstreams, withSurplus(d)); len(allowed) > most {
 		slices.SortFunc(allowed, func(a, b *Upstream) int {
 			return cmp.Or(cmp.Compare(b.free.MilliCores, a.free.MilliCores), cmp.Compare(a.GetId(), b.GetId()))
 		})
-		allowed = allowed[:maxPlannedUpstreams]
+		allowed = allowed[:most]
 	}
 	plan, members, ok := r.planWithoutStops(d, allowed)
 	if ok && plan.start <= r.Now || !r.mayPreempt(d) {
@@ -383,7 +388,7 @@
 		return cmp.Or(compareBools(own(b), own(a)), cmp.Compare(fits[b], fits[a]), cmp.Compare(a.GetId(), b.GetId()))
 	})
 	n, room := 0, 0
-	for n < len(list) && n < maxUpstreamsPerQuestion && room < members {
+	for n < len(list) && room < members {
 		room += fits[list[n]]
 		n++
 	}
--- a/placement/held_back_test.go
+++ b/placement/held_back_test.go
@@ -65,3 +65,22 @@
 		t.Errorf("the gang asks about %v; expected u0 and u1", asked(d))
 	}
 }
+
+// A gang that needs more upstreams than a question may name asks about all of them at once.
+func TestGangOnMoreUpstreamsThanAQuestionTakes(t *testing.T) {
+	const members = maxUpstreamsPerQuestion + 30
+	f := gangFixture(t)
+	for i := range members {
+		f.addUpstream(fmt.Sprintf("w%03d", i), 8000)
+	}
+	f.gang(members, 5000)
+	d := Decide(f.cell)
+	if got := len(asked(d)); got < members {
+		t.Errorf("the gang asks about %d upstreams; expected %d", got, members)
+	}
+	for _, q := range d.Questions {
+		if len(q.Upstreams) > maxUpstreamsPerQuestion {
+			t.Errorf("a question names %d upstreams", len(q.Upstreams))
+		}
+	}
+}
