placement: a gang asks about others if runs that are about to end don't

The end of a run that exceeds its expected time is expected a quarter of that time ahead, for as long as it goes on. If that is within the time in which tickets are requested, a gang asked for the same tickets again and again, and never about upstreams with free capacity that it didn't know: the cause of docs/incidents/step-not-started.md on another path. Now it asks about these once the first start that it waited for is missed.

TestGangWithAnOverdueStartAsksAboutOthers failed before.

--- a/placement/gang.go
+++ b/placement/gang.go
@@ -90,7 +90,8 @@
 	switch {
 	case !ok || plan.start-r.Now > reserveAhead:
 	case plan.start <= r.Now+time.Duration(ticketLead*float64(ticketTime)):
-		if r.holdUpstreams(d, plan, ticketTime) {
+		waits := plan.start <= r.Now || len(unknown) == 0 || r.awaitsStart(d, plan, unknown, exploreTime)
+		if waits && r.holdUpstreams(d, plan, ticketTime) {
 			return split(plan.upstreams, maxUpstreamsPerQuestion)
 		}
 	default:
--- a/placement/held_back_test.go
+++ b/placement/held_back_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"slices"
 	"testing"
+	"time"
 )
 
 // knownOnly leaves a step the answers about some upstreams; the permit service has denied the others.
@@ -84,3 +85,22 @@
 		}
 	}
 }
+
+// A gang does not ask again and again for tickets for upstreams whose runs are always about to end, while it has not
+// asked about others.
+func TestGangWithAnOverdueStartAsksAboutOthers(t *testing.T) {
+	f := gangFixture(t)
+	f.fill("batch", tasks(0, 8000, 20), "u0", "u1")
+	f.cell.WallNS += int64(10 * time.Second)
+	w := f.gang(2, 8000)
+	f.knownOnly(w, "u0", "u1")
+	f.addUpstream("w0", 8000)
+	f.addUpstream("w1", 8000)
+	for from := f.cell.Now; f.cell.Now < from+startBound; f.cell.Now += replayStep {
+		if slices.Contains(asked(Decide(f.cell)), "w0") {
+			return
+		}
+		w.Pending = nil
+	}
+	t.Errorf("the gang asked about the upstreams that are free for the first time after %v", startBound)
+}
