placement: work is stopped for a step within its bound for one upstream

How many members of a gang fit on an upstream after stops there was counted without the step's bound for one upstream. Members that were counted on the first upstreams left none for the others, so that the run that had to be stopped was not, and the gang held its upstreams and asked again and again until that run ended.

TestSpreadGangStopsWorkOnEachUpstream failed before.

--- a/placement/held_back_test.go
+++ b/placement/held_back_test.go
@@ -104,3 +104,17 @@
 	}
 	t.Errorf("the gang asked about the upstreams that are free for the first time after %v", startBound)
 }
+
+// A gang of which an upstream takes one member stops work on each upstream that has none free.
+func TestSpreadGangStopsWorkOnEachUpstream(t *testing.T) {
+	f := gangFixture(t)
+	saved := tasks(0, 8000, 60_000)
+	saved.Checkpointing = true
+	f.fill("batch", saved, "u1")
+	w := f.gang(2, 1000)
+	w.Step.Spec.MaxPerUpstream = 1
+	f.knownOnly(w, "u0", "u1")
+	if d := Decide(f.cell); len(d.Stops) != 1 {
+		t.Errorf("%d runs are stopped; expected the one on u1", len(d.Stops))
+	}
+}
--- a/placement/preempt.go
+++ b/placement/preempt.go
@@ -164,7 +164,7 @@
 // capacity.
 func (r *round) victims(d demand, u *Upstream, most int) (out []*pipeline.Run, freed int) {
 	room := u.free
-	need := d.work.Step.Need
+	fitting := func(room pipeline.Resources) int { return r.countFitting(d.work.Step, u, room, most) }
 	var list []*pipeline.Run
 	r.out.Inspected += len(u.Runs)
 	for _, run := range u.Runs {
@@ -177,17 +177,16 @@
 	}
 	slices.SortFunc(list, compareVictims)
 	for _, run := range list {
-		if room.FitCount(need, most) >= most {
+		before := fitting(room)
+		if before >= most {
 			break
 		}
-		before := room.FitCount(need, most)
-		grown := room.Plus(run.Task.Step.Need)
-		if grown.FitCount(need, most) > before {
+		if grown := room.Plus(run.Task.Step.Need); fitting(grown) > before {
 			out = append(out, run)
 			room = grown
 		}
 	}
-	return out, room.FitCount(need, most)
+	return out, fitting(room)
 }
 
 // resumes reports whether a run can resume from a checkpoint after a stop.
