--- a/placement/held_back_test.go
+++ b/placement/held_back_test.go
@@ -118,3 +118,35 @@
 		t.Errorf("%d runs are stopped; expected the one on u1", len(d.Stops))
 	}
 }
+
+// A step that has waited for a while uses an upstream that is reserved for a gang again and again, in a cell that has
+// room; in a full cell only a lasting one does.
+func TestReservationYieldsWhereThereIsRoom(t *testing.T) {
+	for _, c := range []struct {
+		full, lasting bool
+		waited        time.Duration
+		starts        bool
+	}{
+		{false, false, 0, false},
+		{false, false, reservationPatience, true},
+		{true, false, reservationPatience, false},
+		{true, true, reservationPatience, true},
+	} {
+		t.Run(fmt.Sprintf("full %t, lasting %t, waited %v", c.full, c.lasting, c.waited), func(t *testing.T) {
+			f := gangFixture(t)
+			gang := f.gang(2, 8000)
+			delete(f.cell.Steps, gang.Step)
+			f.upstream("u0").Reserved = Reservation{For: gang.Step, From: f.cell.Now, Until: time.Hour}
+			if c.full {
+				f.fill("batch", tasks(0, 8000, 60_000), "u1", "u2", "u3", "u4", "u5")
+			}
+			st := tasks(1, 1000, 5000)
+			st.Lasting = c.lasting
+			w := NewWork(f.submit("counter", 0, st).Occurrences[0].Steps[0], f.cell.Now-c.waited).withTickets("u0")
+			f.cell.Steps[w.Step] = w
+			if starts := len(Decide(f.cell).Runs) == 1; starts != c.starts {
+				t.Errorf("the step starts: %v; expected %v", starts, c.starts)
+			}
+		})
+	}
+}
