placement: a gang that asks keeps its team waiting by turns only

What a gang needs within its team's limit is kept while its tickets are there or on the way. A gang that asks again and again, as its capacity is about to be free and isn't, so kept small steps of its team waiting for good, though the team used nothing of its limit. A team that uses less than half of it now waits by turns, as where a gang waits for the limit itself.

TestGangThatAsksKeepsItsTeamWaitingByTurns failed before.

--- a/placement/held_back_test.go
+++ b/placement/held_back_test.go
@@ -5,6 +5,9 @@
 	"slices"
 	"testing"
 	"time"
+
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+	"google.golang.org/protobuf/proto"
 )
 
 // knownOnly leaves a step the answers about some upstreams; the permit service has denied the others.
@@ -150,3 +153,22 @@
 		})
 	}
 }
+
+// A gang that asks for tickets again and again does not keep the other steps of a team waiting that uses little of its
+// limit.
+func TestGangThatAsksKeepsItsTeamWaitingByTurns(t *testing.T) {
+	f := gangFixture(t)
+	config := proto.CloneOf(f.cell.State.Config().Config)
+	config.Version, config.Teams[0].Limit = 3, &pipelinev1.Resources{MilliCores: 16_000}
+	f.apply(&pipelinev1.Command{Command: &pipelinev1.Command_PutConfig{PutConfig: config}})
+	gang := f.gang(2, 8000)
+	gang.Pending = []*Question{{Work: gang}}
+	small := NewWork(f.submit("batch", 0, tasks(1, 1000, 100)).Occurrences[0].Steps[0], f.cell.Now).withTickets("u1")
+	f.cell.Steps[small.Step] = small
+	for from := f.cell.Now; f.cell.Now < from+startBound; f.cell.Now += replayStep {
+		if len(Decide(f.cell).Runs) > 0 {
+			return
+		}
+	}
+	t.Errorf("the small step has not started after %v", startBound)
+}
--- a/placement/limit.go
+++ b/placement/limit.go
@@ -110,7 +110,10 @@
 // Otherwise less urgent work of the team would take what the runs that were stopped for the gang have left, and
 // would be stopped in turn, until the gang starts by chance. One gang of a team at a time is waited for so.
 func (r *round) promiseStart(d demand) {
-	if r.lessUrgentExists(d) && len(r.promised[d.work.Step.Job().Team]) == 0 && (len(d.work.Pending) > 0 || d.work.hasTicket(r.Now)) {
+	if !r.lessUrgentExists(d) || len(r.promised[d.work.Step.Job().Team]) > 0 || len(d.work.Pending) == 0 && !d.work.hasTicket(r.Now) {
+		return
+	}
+	if !r.usesLittle(d) || d.work.awaitsLimit(r.Now+promiseTurn, r.Now) {
 		r.promise(d)
 	}
 }
