placement: a seeded test that nothing holds a step back for good in a calm cell

400 cells of 6 to 300 upstreams, with up to eight steps of all sizes: gangs, lasting ones, with bounds for one upstream, labels and racks; queues without permits, with cheap and with costly ones; tickets of any age; upstreams that are avoided; runs that exceed their declared time, and gangs that wait for these.

--- a/placement/started_test.go
+++ b/placement/started_test.go
@@ -61,8 +61,12 @@
 	fitting := 0
 	for _, u := range w.cell.Upstreams {
 		free, total = free+u.Free().MilliCores, total+u.Capacity.MilliCores
-		if u.Usable && w.allows(st, u.GetId()) {
-			fitting += u.Free().FitCount(st.Need, len(st.Tasks))
+		if u.Usable && w.allows(st, u.GetId()) && u.HasLabel(st.Spec.GetConstraint()) {
+			n := u.Free().FitCount(st.Need, len(st.Tasks))
+			if most := st.Spec.GetMaxPerUpstream(); most > 0 {
+				n = min(n, int(most))
+			}
+			fitting += n
 		}
 	}
 	return 2*free > total && fitting >= 2*len(st.Tasks)
