dispatch: a lasting task is at work once its upstream lists it at 100 percent

Cause: a run counted as working one second after its upstream had confirmed it. The percent in the upstream's lists, which says so, was not read. Nor was it passed on by the replicas that carry calls for the leader.

The percent is now decoded, carried by relays (a new field, which older replicas leave out: a wave then waits), and kept for lasting runs with the time of the answer. A task is at work if its session is in order, no stop was ordered, and its upstream has listed it at 100 percent within the last 3 s, whatever this leader or an older one has seen before. A task that never gets to work doesn't count against itself, so that it can be moved. While a wave is open, upstreams with a task that starts up are asked each 0.4 s. Each decision on such a task is logged.

--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -117,6 +117,9 @@
 	Usage int64
 	// UsageKnown is set if the upstream reported the usage.
 	UsageKnown bool
+	// Percent is how far the task has come or, if it lasts, how far its startup has: a lasting task is at
+	// work at 100. It is zero if the upstream does not report it.
+	Percent float64
 }
 
 // EndedTask is the end of a run; an upstream lists it until it is acknowledged.
@@ -223,6 +226,9 @@
 	// nonUrgentWait replaces watchWait where nothing urgent runs. Under low load about half of
 	// the status requests return without an end, and each request is charged.
 	nonUrgentWait = 1600 * time.Millisecond
+	// startupWait replaces them where a task is starting up for which a wave of maintenance waits: its
+	// first answer as being at work is not an end, for which the request would return.
+	startupWait = 400 * time.Millisecond
 	// statusPause delays the next status request so that it returns several ends at once. It is
 	// skipped if the next end may complete an urgent step, that is, if lastTasks or fewer of its
 	// tasks are left.
--- a/dispatch/harness_test.go
+++ b/dispatch/harness_test.go
@@ -56,6 +56,8 @@
 	largest int
 	// onPropose, if set, is called with each command that is proposed.
 	onPropose func(*pipelinev1.Command)
+	// onOrder, if set, is called with each run that a stop or a maintenance is about to end.
+	onOrder func(f *fakeUpstream, key pipeline.RunKey)
 	// relays are the replicas that can carry calls.
 	relays []Relay
 }
@@ -251,6 +253,13 @@
 	}
 }
 
+// ordered reports a run that an order is about to end.
+func (h *harness) ordered(f *fakeUpstream, key pipeline.RunKey) {
+	if h.onOrder != nil {
+		h.onOrder(f, key)
+	}
+}
+
 func (h *harness) cancel(id string) {
 	sum := sha256.Sum256([]byte(testKey))
 	h.call(&pipelinev1.Call{Call: &pipelinev1.Call_Job{Job: &pipelinev1.JobCall{Verb: pipelinev1.JobVerb_JOB_VERB_CANCEL, Host: "h",
--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -2,9 +2,9 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
-	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
@@ -56,9 +56,8 @@
 	// maintenanceTime is the approximate time from the start of a VM's maintenance until the VM is up
 	// again.
 	maintenanceTime = 3 * time.Second
-	// confirmedRunTime is how long ago an upstream must have confirmed a run for the run to count
-	// as working.
-	confirmedRunTime = time.Second
+	// waveReportEvery is the time between two reports that a wave waits for tasks to be at work.
+	waveReportEvery = 2 * time.Second
 )
 
 // maintenance is the state of the maintenance waves. A wave is a set of VMs that undergo
@@ -72,11 +71,16 @@
 	// cordoned holds the upstreams that get no new work because they are being drained for
 	// maintenance.
 	cordoned map[string]bool
+	// waveOpen is set while a wave is open.
+	waveOpen bool
+	// nextReport is when it may be reported again that a wave waits for tasks to be at work.
+	nextReport time.Duration
 }
 
 // advanceWaves lists the VMs and advances all open waves.
 func (e *Engine) advanceWaves(now time.Duration) {
 	waves := e.state.OpenWaves()
+	e.maintenance.waveOpen = len(waves) > 0
 	if len(waves) == 0 || e.vms == nil {
 		if len(e.maintenance.cordoned) > 0 {
 			e.maintenance.cordoned = make(map[string]bool)
@@ -153,7 +157,7 @@
 		switch {
 		case spec.GetLasting() && spec.GetMissAllowed() > 0:
 			protected = true
-			if e.tasksNotRunning(r.Task.Step, now) < int(spec.GetMissAllowed()) {
+			if !s.stopping[key] && e.mayMissOneMore(r, m, now) {
 				s.enqueueStop(r, "maintenance of its VM")
 			}
 		case spec.GetLasting(), spec.GetCheckpointing() && !spec.GetGang():
@@ -165,26 +169,39 @@
 	return !protected && time.Duration(e.host.WallNS())+needed > ends
 }
 
-// tasksNotRunning counts the tasks of a lasting step that have no run confirmed as working.
-func (e *Engine) tasksNotRunning(st *pipeline.Step, now time.Duration) int {
+// mayMissOneMore reports whether the step of a lasting run may miss its task for the maintenance of a VM.
+func (e *Engine) mayMissOneMore(r *pipeline.Run, m VM, now time.Duration) bool {
+	away, may := e.othersNotWorking(r.Task, now), int(r.Task.Step.Spec.GetMissAllowed())
+	stops := away < may
+	if !stops && now < e.maintenance.nextReport {
+		return false
+	}
+	if !stops {
+		e.maintenance.nextReport = now + waveReportEvery
+	}
+	key := r.Key()
+	e.log.Info().Str("request", key.Job).Int32("step", key.Step).Int32("task", key.Index).Int32("run", key.Number).Str("vm", m.Name).Str("upstream", m.Upstream).
+		Int("others_not_at_work", away).Int("may_miss", may).Bool("stopped", stops).Msg("lasting task on a VM of a wave")
+	return stops
+}
+
+// othersNotWorking counts the other tasks of a lasting task's step that have no run at work.
+func (e *Engine) othersNotWorking(of *pipeline.Task, now time.Duration) int {
 	n := 0
-	for _, t := range st.Tasks {
-		atWork := false
-		for _, r := range t.Live {
-			s := e.sessions[r.Upstream.GetId()]
-			if s == nil || s.phase != lifecycle.SessionOpen || s.stopping[r.Key()] {
-				continue
-			}
-			at, answered := s.answeredAt[r.Key()]
-			atWork = atWork || answered && now-at >= confirmedRunTime
-		}
-		if !atWork {
+	for _, t := range of.Step.Tasks {
+		if t != of && !slices.ContainsFunc(t.Live, func(r *pipeline.Run) bool { return e.working(r, now) }) {
 			n++
 		}
 	}
 	return n
 }
 
+// working reports whether a lasting run is at work.
+func (e *Engine) working(r *pipeline.Run, now time.Duration) bool {
+	s := e.sessions[r.Upstream.GetId()]
+	return s != nil && s.working(r.Key(), now)
+}
+
 // orderMaintenance orders the maintenance of a VM.
 func (e *Engine) orderMaintenance(w *pipeline.Wave, m VM) {
 	e.maintenance.busy = true
--- a/dispatch/maintenance_test.go
+++ b/dispatch/maintenance_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -24,7 +26,7 @@
 // List implements VMs.
 func (f *fakeVMs) List(context.Context) ([]VM, error) {
 	var out []VM
-	for _, name := range []string{"m1", "m2", "m3"} {
+	for _, name := range slices.Sorted(maps.Keys(f.upstream)) {
 		at, ordered := f.downAt[name]
 		if ordered && f.h.now-at >= 2*time.Second {
 			delete(f.downAt, name)
@@ -42,6 +44,9 @@
 	f.orders++
 	old := f.h.upstreams[f.upstream[vm]]
 	f.killed += len(old.running)
+	for key := range old.running {
+		f.h.ordered(old, key)
+	}
 	old.crash()
 	old.partitioned = true
 	f.downAt[vm] = f.h.now
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -57,6 +57,8 @@
 	reconciledAt time.Duration
 	// answeredAt holds when the upstream confirmed that it has a run.
 	answeredAt map[pipeline.RunKey]time.Duration
+	// workingAt holds when the upstream last listed a lasting run as at work.
+	workingAt map[pipeline.RunKey]time.Duration
 	// adopted holds the runs of answeredAt whose beginning this leader has not seen, so that their run
 	// time is not known.
 	adopted map[pipeline.RunKey]bool
@@ -132,7 +134,7 @@
 func (e *Engine) openSession(u *pipeline.Upstream) *session {
 	s := &session{e: e, u: u, phase: lifecycle.SessionOpening, hash: hashOf(u.GetId()), epoch: e.epochs[u.GetId()], ackedEnds: u.LastEnd, endsProposed: u.LastEnd, lastHeartbeat: e.now(), lastSequence: u.Sequence,
 		answeredAt: make(map[pipeline.RunKey]time.Duration), adopted: make(map[pipeline.RunKey]bool), sent: make(map[pipeline.RunKey]bool), stopping: make(map[pipeline.RunKey]bool),
-		idleSince: make(map[pipeline.RunKey]time.Duration)}
+		idleSince: make(map[pipeline.RunKey]time.Duration), workingAt: make(map[pipeline.RunKey]time.Duration)}
 	e.sessions[u.GetId()] = s
 	s.view = &placement.Upstream{Upstream: u, Stopping: s.stopping}
 	e.cell.AddUpstream(s.view)
@@ -231,6 +233,7 @@
 // forgetRun removes everything kept for a run that has ended.
 func (s *session) forgetRun(key pipeline.RunKey) {
 	delete(s.answeredAt, key)
+	delete(s.workingAt, key)
 	delete(s.adopted, key)
 	delete(s.sent, key)
 	delete(s.stopping, key)
--- a/dispatch/upstream_test.go
+++ b/dispatch/upstream_test.go
@@ -28,6 +28,8 @@
 	// stopTime is how long a stop takes; stopAt holds when runs that are being stopped end.
 	stopTime time.Duration
 	stopAt   map[pipeline.RunKey]time.Duration
+	// startup is how long a task starts up before it is at work.
+	startup time.Duration
 	// extraPerIndex is how much longer each task of a step runs than the task before it.
 	extraPerIndex time.Duration
 	draining      bool
@@ -220,6 +222,11 @@
 	return Accepted
 }
 
+// percent returns how far the startup of a task has come.
+func (f *fakeUpstream) percent(key pipeline.RunKey) float64 {
+	return 100 * min(1, float64(f.h.now-f.running[key])/float64(max(1, f.startup)))
+}
+
 // Stop implements Upstreams.
 func (c fleet) Stop(ctx context.Context, to Target, o Order) (OrderReply, error) {
 	f, err := c.reach(ctx, to)
@@ -235,7 +242,11 @@
 	f.token = o.Token
 	key := pipeline.RunKey{TaskKey: o.Task, Number: o.Number}
 	f.lastEnded[o.Task] = max(f.lastEnded[o.Task], o.Number)
-	switch _, there := f.running[key]; {
+	_, there := f.running[key]
+	if there {
+		c.h.ordered(f, key)
+	}
+	switch {
 	case there && f.stopTime > 0:
 		f.stopAt[key] = c.h.now + f.stopTime
 	case there:
@@ -266,7 +277,7 @@
 	}
 	reply := StatusReply{Verdict: Accepted, ClockMS: f.clockMS(), Born: f.born}
 	for key := range f.running {
-		reply.Running = append(reply.Running, RunningTask{Run: key})
+		reply.Running = append(reply.Running, RunningTask{Run: key, Percent: f.percent(key)})
 	}
 	f.ended = slices.DeleteFunc(f.ended, func(e EndedTask) bool { return e.Number <= r.LastEnd })
 	reply.Ended = slices.Clone(f.ended)
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -72,12 +72,17 @@
 // watchWaitTime returns how long a status request may wait for an end. Where nothing urgent runs,
 // an unresponsive upstream may be detected later.
 func (s *session) watchWaitTime() time.Duration {
-	for _, r := range s.u.Runs {
-		if s.e.isUrgent(r.Task.Step) {
-			return watchWait
+	wait := nonUrgentWait
+	for key, r := range s.u.Runs {
+		spec := r.Task.Step.Spec
+		switch _, working := s.workingAt[key]; {
+		case s.e.maintenance.waveOpen && spec.GetLasting() && spec.GetMissAllowed() > 0 && !working:
+			return startupWait
+		case s.e.isUrgent(r.Task.Step):
+			wait = watchWait
 		}
 	}
-	return nonUrgentWait
+	return wait
 }
 
 // mayCompleteStep reports whether one of the next ends may complete an urgent step, for which the
--- a/relay/convert.go
+++ b/relay/convert.go
@@ -69,7 +69,7 @@
 	out := &pipelinev1.UpstreamAnswer{Verdict: verdicts[r.Verdict], ClockMs: r.ClockMS, Born: r.Born}
 	for _, x := range r.Running {
 		out.Running = append(out.Running, &pipelinev1.RunningRow{Task: x.Run.Proto(), Number: x.Run.Number, Checkpoint: x.Checkpoint,
-			Usage: x.Usage, UsageKnown: x.UsageKnown})
+			Usage: x.Usage, UsageKnown: x.UsageKnown, Percent: x.Percent})
 	}
 	for _, x := range r.Ended {
 		out.Ended = append(out.Ended, &pipelinev1.EndedRow{Listed: x.Number, Task: x.Run.Proto(), Number: x.Run.Number, Kind: x.Kind, Checkpoint: x.Checkpoint})
@@ -82,7 +82,7 @@
 	out := dispatch.StatusReply{Verdict: fromVerdicts[m.GetVerdict()], ClockMS: m.GetClockMs(), Born: m.GetBorn()}
 	for _, x := range m.GetRunning() {
 		out.Running = append(out.Running, dispatch.RunningTask{Run: pipeline.RunKey{TaskKey: pipeline.TaskKeyOf(x.GetTask()), Number: x.GetNumber()},
-			Checkpoint: x.GetCheckpoint(), Usage: x.GetUsage(), UsageKnown: x.GetUsageKnown()})
+			Checkpoint: x.GetCheckpoint(), Usage: x.GetUsage(), UsageKnown: x.GetUsageKnown(), Percent: x.GetPercent()})
 	}
 	for _, x := range m.GetEnded() {
 		out.Ended = append(out.Ended, dispatch.EndedTask{Number: x.GetListed(), Run: pipeline.RunKey{TaskKey: pipeline.TaskKeyOf(x.GetTask()), Number: x.GetNumber()},
--- a/relay/relay_test.go
+++ b/relay/relay_test.go
@@ -90,7 +90,7 @@
 func TestRelayedCalls(t *testing.T) {
 	run := pipeline.RunKey{TaskKey: testTask, Number: 4}
 	f := &fakeUpstream{order: dispatch.OrderReply{ClockMS: 5}, reply: dispatch.StatusReply{Verdict: dispatch.Accepted, ClockMS: 6, Born: 7,
-		Running: []dispatch.RunningTask{{Run: run, Checkpoint: "c", Usage: 8, UsageKnown: true}},
+		Running: []dispatch.RunningTask{{Run: run, Checkpoint: "c", Usage: 8, UsageKnown: true, Percent: 99.5}},
 		Ended:   []dispatch.EndedTask{{Number: 9, Run: run, Kind: pipelinev1.EndKind_END_KIND_DONE, Checkpoint: "d"}}}}
 	client, _ := newTestRelay(f, &fakeClock{})
 	order := dispatch.Order{Task: testTask, Number: 4, Token: 10}
--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -39,9 +39,16 @@
 
 // running is a run of a task that has not ended.
 type running struct {
-	task  string
-	run   int
-	timer *time.Timer
+	task   string
+	run    int
+	began  time.Time
+	length time.Duration
+	timer  *time.Timer
+}
+
+// percent returns how much of the run is done.
+func (r *running) percent() int {
+	return int(100 * min(1, time.Since(r.began).Seconds()/max(r.length.Seconds(), 0.001)))
 }
 
 // newUpstream starts an upstream that listens on a port of its own.
@@ -120,8 +127,8 @@
 		return
 	default:
 		w.ledger.started(o.Task, o.Run, w.id)
-		run := &running{task: o.Task, run: o.Run}
 		length, _ := time.ParseDuration(o.TaskSpec)
+		run := &running{task: o.Task, run: o.Run, began: time.Now(), length: length}
 		run.timer = time.AfterFunc(length, func() {
 			w.mu.Lock()
 			defer w.mu.Unlock()
@@ -188,7 +195,7 @@
 	}
 	rows := [][]any{}
 	for _, run := range w.running {
-		rows = append(rows, []any{run.task, run.run, "", 100})
+		rows = append(rows, []any{run.task, run.run, "", run.percent()})
 	}
 	_ = json.NewEncoder(rw).Encode(map[string]any{"clockMs": w.clockMS(), "born": w.startedMS, "running": rows, "ended": w.ended})
 }
