dispatch: a cordon ends when its upstream is back

An upstream that came back under its identity after its VM's maintenance got no new work until all waves were completed. A task that may run nowhere else then stayed away, so that a wave that waited for it never ended.

Cordons are now renewed with each listing of the VMs: those of upstreams that don't answer, of VMs that are down, and of VMs whose order was not answered, which may be carried out late, stay; the others follow what the waves need.

TestUpstreamThatIsBackGetsWork failed before (the wave was not completed, one of two tasks ran).

--- a/dispatch/availability_test.go
+++ b/dispatch/availability_test.go
@@ -103,6 +103,7 @@
 
 // rejoin has the upstreams send heartbeats that maintenance has replaced.
 func (f *fakeVMs) rejoin(startup func() time.Duration) {
+	f.advance()
 	for _, name := range slices.Sorted(maps.Keys(f.upstream)) {
 		id := f.upstream[name]
 		if x := f.h.upstreams[id]; x != nil && f.h.engine.sessions[id] == nil && f.h.state.Upstreams()[id] == nil {
--- a/dispatch/crash.go
+++ b/dispatch/crash.go
@@ -16,7 +16,7 @@
 // endedWithNotice reports whether an end of the incarnation is not a crash: it has announced it, or it is
 // the end that its maintenance brings.
 func (s *session) endedWithNotice() bool {
-	return s.u.GetDraining() || s.leaveAnnounced || s.e.maintenance.cordoned[s.u.GetId()]
+	return s.u.GetDraining() || s.leaveAnnounced || s.cordoned()
 }
 
 // goneEnds returns the ends of the runs of an incarnation that certainly no longer exists, but for those
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -106,7 +106,7 @@
 	e.tickets = make(map[pipeline.RunKey]string)
 	e.roundTrip = roundTrip{}
 	e.relays = relays{}
-	e.maintenance = maintenance{cordoned: make(map[string]bool)}
+	e.maintenance = maintenance{}
 }
 
 func (e *Engine) now() time.Duration { return e.host.Clock().Now() }
--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -7,6 +7,7 @@
 
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+	"github.com/pkg/errors"
 )
 
 // VM is the state of a VM as the VM service reports it.
@@ -70,7 +71,9 @@
 	busy bool
 	// cordoned holds the upstreams that get no new work because they are being drained for
 	// maintenance.
-	cordoned map[string]bool
+	cordoned map[string]cordon
+	// unanswered holds the VMs whose last order was not answered.
+	unanswered map[string]bool
 	// waveOpen is set while a wave is open.
 	waveOpen bool
 	// nextReport is when it may be reported again that a wave waits for tasks to be at work.
@@ -82,9 +85,7 @@
 	waves := e.state.OpenWaves()
 	e.maintenance.waveOpen = len(waves) > 0
 	if len(waves) == 0 || e.vms == nil {
-		if len(e.maintenance.cordoned) > 0 {
-			e.maintenance.cordoned = make(map[string]bool)
-		}
+		e.maintenance.cordoned, e.maintenance.unanswered = nil, nil
 		return
 	}
 	if e.maintenance.busy || now < e.maintenance.next || !e.leadershipConfirmed(now) {
@@ -101,8 +102,9 @@
 			}
 			// The list may have taken long, or the process may have been paused.
 			if now := e.now(); e.leadershipConfirmed(now) {
+				before := e.renewCordons(list)
 				for _, w := range e.state.OpenWaves() {
-					e.advanceWave(w, list, now)
+					e.advanceWave(w, list, before, now)
 				}
 			}
 		}
@@ -111,7 +113,7 @@
 
 // advanceWave orders the maintenance of at most one VM. It does so only while fewer VMs of the
 // wave are down than allowed, according to a list that is newer than the last order.
-func (e *Engine) advanceWave(w *pipeline.Wave, list []VM, now time.Duration) {
+func (e *Engine) advanceWave(w *pipeline.Wave, list []VM, before map[string]cordon, now time.Duration) {
 	byName := make(map[string]VM, len(list))
 	for _, m := range list {
 		byName[m.Name] = m
@@ -129,23 +131,29 @@
 			next = append(next, m)
 		}
 	}
-	room := int(w.GetAtOnce()) - down
+	room, late := int(w.GetAtOnce())-down, e.isLate(w, len(next))
 	for i, m := range next {
 		if i >= room {
 			break
 		}
-		e.maintenance.cordoned[m.Upstream] = true
-		if !e.maintenance.busy && e.drainForMaintenance(m, w, len(next), now) {
+		e.cordon(m, before)
+		if !e.maintenance.busy && e.drainForMaintenance(m, late, now) {
 			e.orderMaintenance(w, m)
 		}
 	}
 }
 
+// isLate reports whether the remaining time of a wave is shorter than the maintenance of its remaining VMs takes.
+func (e *Engine) isLate(w *pipeline.Wave, left int) bool {
+	ends := time.Duration(w.BegunNS) + time.Duration(w.GetDurationMs())*time.Millisecond
+	needed := maintenanceTime * time.Duration((left+int(w.GetAtOnce())-1)/int(w.GetAtOnce()))
+	return time.Duration(e.host.WallNS())+needed > ends
+}
+
 // drainForMaintenance moves work off a VM's upstream and reports whether the maintenance may
-// begin. It may begin when no runs are left. It may also begin when the remaining time of the wave
-// is shorter than the maintenance of its remaining VMs takes, and no run is left of a lasting step
-// that limits how many of its tasks may be missing.
-func (e *Engine) drainForMaintenance(m VM, w *pipeline.Wave, left int, now time.Duration) bool {
+// begin. It may begin when no runs are left. It may also begin when the wave
+// would be late and no run is left of a lasting step that limits how many of its tasks may be missing.
+func (e *Engine) drainForMaintenance(m VM, late bool, now time.Duration) bool {
 	s := e.sessions[m.Upstream]
 	if s == nil || len(s.u.Runs) == 0 {
 		return true
@@ -155,7 +163,7 @@
 		r := s.u.Runs[key]
 		spec := r.Task.Step.Spec
 		switch {
-		case spec.GetLasting() && spec.GetMissAllowed() > 0:
+		case isProtected(r):
 			protected = true
 			if !s.stopping[key] && e.mayMissOneMore(r, m, now) {
 				s.enqueueStop(r, "maintenance of its VM")
@@ -164,9 +172,7 @@
 			s.enqueueStop(r, "maintenance of its VM")
 		}
 	}
-	ends := time.Duration(w.BegunNS) + time.Duration(w.GetDurationMs())*time.Millisecond
-	needed := maintenanceTime * time.Duration((left+int(w.GetAtOnce())-1)/int(w.GetAtOnce()))
-	return !protected && time.Duration(e.host.WallNS())+needed > ends
+	return !protected && late
 }
 
 // mayMissOneMore reports whether the step of a lasting run may miss its task for the maintenance of a VM.
@@ -189,17 +195,19 @@
 func (e *Engine) othersNotWorking(of *pipeline.Task, now time.Duration) int {
 	n := 0
 	for _, t := range of.Step.Tasks {
-		if t != of && !slices.ContainsFunc(t.Live, func(r *pipeline.Run) bool { return e.working(r, now) }) {
+		if t != of && !e.anyWorking(t, now) {
 			n++
 		}
 	}
 	return n
 }
 
-// working reports whether a lasting run is at work.
-func (e *Engine) working(r *pipeline.Run, now time.Duration) bool {
-	s := e.sessions[r.Upstream.GetId()]
-	return s != nil && s.working(r.Key(), now)
+// anyWorking reports whether a lasting task has a run at work.
+func (e *Engine) anyWorking(t *pipeline.Task, now time.Duration) bool {
+	return slices.ContainsFunc(t.Live, func(r *pipeline.Run) bool {
+		s := e.sessions[r.Upstream.GetId()]
+		return s != nil && s.working(r.Key(), now)
+	})
 }
 
 // orderMaintenance orders the maintenance of a VM.
@@ -213,6 +221,7 @@
 		}
 		return func() {
 			e.maintenance.busy = false
+			e.recordAnswered(m.Name, err == nil || errors.Is(err, ErrNotSent))
 			e.log.Info().Int64("wave", number).Str("vm", m.Name).Str("upstream", m.Upstream).Str("verdict", string(v)).Err(err).Msg("VM maintenance ordered")
 			switch {
 			case err != nil:
@@ -225,6 +234,18 @@
 	})
 }
 
+// recordAnswered records whether the last order for a VM was answered. One that was not may still be carried out.
+func (e *Engine) recordAnswered(vm string, answered bool) {
+	switch {
+	case answered:
+		delete(e.maintenance.unanswered, vm)
+	case e.maintenance.unanswered == nil:
+		e.maintenance.unanswered = map[string]bool{vm: true}
+	default:
+		e.maintenance.unanswered[vm] = true
+	}
+}
+
 // proposeMaintenanceDone proposes that a VM of a wave needs no further order.
 func (e *Engine) proposeMaintenanceDone(w *pipeline.Wave, vm, reason string) {
 	e.log.Info().Int64("wave", w.GetNumber()).Str("vm", vm).Str("why", reason).Msg("VM of the wave needs no further order")
--- a/dispatch/maintenance_test.go
+++ b/dispatch/maintenance_test.go
@@ -19,26 +19,39 @@
 	upstream map[string]string
 	downAt   map[string]time.Duration
 	mostDown int
-	orders   int
-	killed   int
+	// keepsIdentity is set if upstreams come back under their identities.
+	keepsIdentity bool
+	orders        int
+	killed        int
 }
 
 // List implements VMs.
 func (f *fakeVMs) List(context.Context) ([]VM, error) {
+	f.advance()
 	var out []VM
 	for _, name := range slices.Sorted(maps.Keys(f.upstream)) {
-		at, ordered := f.downAt[name]
-		if ordered && f.h.now-at >= 2*time.Second {
-			delete(f.downAt, name)
-			ordered = false
-			f.upstream[name] += "x"
-			f.h.upstreams[f.upstream[name]] = newFakeUpstream(f.h, 20)
-		}
+		_, ordered := f.downAt[name]
 		out = append(out, VM{Name: name, Up: !ordered, Upstream: f.upstream[name]})
 	}
 	return out, nil
 }
 
+// advance ends the maintenance of VMs that are back: a new upstream joins, or the same one again.
+func (f *fakeVMs) advance() {
+	for name, at := range f.downAt {
+		if f.h.now-at < 2*time.Second {
+			continue
+		}
+		delete(f.downAt, name)
+		if f.keepsIdentity {
+			f.h.upstreams[f.upstream[name]].partitioned = false
+			continue
+		}
+		f.upstream[name] += "x"
+		f.h.upstreams[f.upstream[name]] = newFakeUpstream(f.h, 20)
+	}
+}
+
 // StartMaintenance implements VMs.
 func (f *fakeVMs) StartMaintenance(_ context.Context, vm string, _, _ int64) (MaintenanceVerdict, error) {
 	f.orders++
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -159,8 +159,8 @@
 
 // usable reports whether new work may be placed on the upstream.
 func (s *session) usable(now time.Duration) bool {
-	return s.phase == lifecycle.SessionOpen && !s.removing && s.newIncarnation == nil && !s.u.GetDraining() && now >= s.avoidUntil &&
-		!s.e.maintenance.cordoned[s.u.GetId()] && !s.e.cell.Learner.Failing(s.u.GetId(), now)
+	return !s.cordoned() && s.phase == lifecycle.SessionOpen && !s.removing && s.newIncarnation == nil && !s.u.GetDraining() && now >= s.avoidUntil &&
+		!s.e.cell.Learner.Failing(s.u.GetId(), now)
 }
 
 // answers reports whether the upstream answers, so that its runs can be stopped.
