dispatch: maintenance waits for a placement that was under way at the cordon

A VM was ordered down when its upstream had no runs, also while a placement on it, proposed before it was cordoned, waited for its commit. The run then started, and the maintenance ended it: also one of a step that may miss none, as an order may take 2 s.

TestMaintenanceWaitsForAPlacementUnderWay failed before (the order was given at once).

--- a/dispatch/cordon.go
+++ b/dispatch/cordon.go
@@ -8,6 +8,8 @@
 // cordon keeps new work off an upstream that is being drained for the maintenance of its VM.
 type cordon struct {
 	vm string
+	// places is the number of Place commands that were proposed before.
+	places int64
 }
 
 // cordoned reports whether the upstream gets no new work because of maintenance.
@@ -42,11 +44,17 @@
 	}
 	c, cordoned := before[m.Upstream]
 	if !cordoned {
-		c = cordon{m.Name}
+		c = cordon{m.Name, e.places}
 	}
 	e.maintenance.cordoned[m.Upstream] = c
 }
 
+// placedBeforeCordon reports whether a Place command that was proposed before an upstream was cordoned may still be
+// committed.
+func (e *Engine) placedBeforeCordon(upstream string) bool {
+	return e.placing && e.places == e.maintenance.cordoned[upstream].places
+}
+
 // isProtected reports whether a run belongs to a lasting step that limits how many of its tasks may be missing.
 func isProtected(r *pipeline.Run) bool {
 	spec := r.Task.Step.Spec
--- a/dispatch/cordon_test.go
+++ b/dispatch/cordon_test.go
@@ -3,6 +3,8 @@
 import (
 	"testing"
 	"time"
+
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
 
 // An upstream that comes back under its identity after its VM's maintenance gets work while the wave goes on.
@@ -26,3 +28,27 @@
 		t.Errorf("completed: %t, %d tasks run", h.waveCompleted(), running)
 	}
 }
+
+// Maintenance waits for a placement that was under way when its upstream was cordoned.
+func TestMaintenanceWaitsForAPlacementUnderWay(t *testing.T) {
+	h, f := newWaveHarness(t, 1)
+	h.run(time.Second)
+	h.holdCommits = true
+	st := oneStep(1, 0)
+	st.Lasting = true
+	h.state.Apply(h.wall(), &pipelinev1.Command{Command: &pipelinev1.Command_PutWave{PutWave: &pipelinev1.Wave{Number: 1, Vms: []string{"m1"}, DurationMs: 60_000, AtOnce: 1}}})
+	spec := submitCommand(jobID(1))
+	spec.GetSubmit().GetSpec().Steps = []*pipelinev1.Step{st}
+	h.state.Apply(h.wall(), spec)
+	h.engine.dirty = true
+	h.engine.Flush()
+	h.run(2 * time.Second)
+	if f.orders > 0 {
+		t.Errorf("%d orders while a placement was under way", f.orders)
+	}
+	h.commit()
+	h.run(5 * time.Second)
+	if f.orders != 1 || f.killed > 0 {
+		t.Errorf("%d orders, %d runs were killed; expected one order and none", f.orders, f.killed)
+	}
+}
--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -71,6 +71,7 @@
 		e.tickets[pipeline.RunKey{TaskKey: pipeline.TaskKeyOf(run.GetTask()), Number: run.GetNumber()}] = d.Tickets[i]
 	}
 	e.placing = true
+	e.places++
 	e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_Place{Place: &pipelinev1.Place{Runs: d.Runs}}},
 		func(result *pipeline.Result, err error) {
 			e.placing, e.dirty = false, true
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -70,8 +70,9 @@
 	checkpoints map[*pipeline.Task]string
 	// tickets holds the tickets of placed runs until their start orders are queued.
 	tickets map[pipeline.RunKey]string
-	// placing is set while a Place command waits for its commit.
+	// placing is set while a Place command waits for its commit, and places is the number of those that were proposed.
 	placing bool
+	places  int64
 	// dirty is set when something changed since the last round.
 	dirty bool
 	// longestDelay is how long an answer has waited for the control goroutine, at most, since the last
--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -151,11 +151,17 @@
 }
 
 // drainForMaintenance moves work off a VM's upstream and reports whether the maintenance may
-// begin. It may begin when no runs are left. It may also begin when the wave
+// begin. It may begin when no runs are left and none is being placed. It may also begin when the wave
 // would be late and no run is left of a lasting step that limits how many of its tasks may be missing.
 func (e *Engine) drainForMaintenance(m VM, late bool, now time.Duration) bool {
 	s := e.sessions[m.Upstream]
-	if s == nil || len(s.u.Runs) == 0 {
+	if s == nil {
+		return true
+	}
+	if e.placedBeforeCordon(m.Upstream) {
+		return false
+	}
+	if len(s.u.Runs) == 0 {
 		return true
 	}
 	protected := false
