dispatch: a wave cordons at most a third of a service's upstreams at a time

A wave that allows many VMs to be down at once cordoned as many upstreams from the beginning, up to the whole service, while their short tasks went on. New work, and what had been moved, had no place meanwhile.

At most a third of the service's upstreams that answer are cordoned now, one at least, unless the wave would be late.

TestWaveOnAllVMsLeavesRoom failed before (a new job had not started after 2 s).

--- a/dispatch/cordon.go
+++ b/dispatch/cordon.go
@@ -5,6 +5,10 @@
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 )
 
+// maxCordonedShare is the largest share of a service's upstreams that answer to be cordoned at the same time, as long as
+// a wave is in time. The others run what is moved, and new work.
+const maxCordonedShare = 1.0 / 3
+
 // cordon keeps new work off an upstream that is being drained for the maintenance of its VM.
 type cordon struct {
 	vm string
@@ -37,16 +41,36 @@
 	return before
 }
 
-// cordon cordons the upstream of a VM.
-func (e *Engine) cordon(m VM, before map[string]cordon) {
+// cordon cordons the upstream of a VM, unless too many of its service are. The limit does not hold for a wave that
+// would be late.
+func (e *Engine) cordon(m VM, before map[string]cordon, late bool) bool {
 	if _, cordoned := e.maintenance.cordoned[m.Upstream]; cordoned {
-		return
+		return true
 	}
 	c, cordoned := before[m.Upstream]
 	if !cordoned {
+		if s := e.sessions[m.Upstream]; s != nil && !late && !e.mayCordon(s.u.GetService()) {
+			return false
+		}
 		c = cordon{m.Name, e.places}
 	}
 	e.maintenance.cordoned[m.Upstream] = c
+	return true
+}
+
+// mayCordon reports whether one more upstream of a service may be cordoned.
+func (e *Engine) mayCordon(service string) bool {
+	answer, cordoned := 0, 0
+	for _, s := range e.sessions {
+		if s.u.GetService() != service || s.phase != lifecycle.SessionOpen {
+			continue
+		}
+		answer++
+		if s.cordoned() {
+			cordoned++
+		}
+	}
+	return cordoned < max(1, int(maxCordonedShare*float64(answer)))
 }
 
 // placedBeforeCordon reports whether a Place command that was proposed before an upstream was cordoned may still be
--- a/dispatch/cordon_test.go
+++ b/dispatch/cordon_test.go
@@ -7,6 +7,40 @@
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
 
+// A wave that allows all VMs of a service to be down at once leaves upstreams for the tasks that it moves, and for
+// new work.
+func TestWaveOnAllVMsLeavesRoom(t *testing.T) {
+	h, f := newWaveHarness(t, 3)
+	st := spreadStep(3, 1)
+	a := watchAvailability(h, jobID(1), st)
+	h.submit(jobID(1), st)
+	a.run(2 * time.Second)
+	h.putWave(3, "m1", "m2", "m3")
+	busy := oneStep(30, 60_000)
+	busy.Need.MilliCores = 100
+	h.submit(jobID(2), busy)
+	a.run(100 * time.Millisecond)
+	h.submit(jobID(3), oneStep(1, 1000))
+	a.run(2 * time.Second)
+	if len(h.state.Job(jobID(3)).LiveRuns()) == 0 {
+		t.Error("a new job has not started")
+	}
+	h.cancel(jobID(2))
+	h.cancel(jobID(3))
+	for range 40 {
+		a.run(500 * time.Millisecond)
+		f.rejoin(func() time.Duration { return 0 })
+	}
+	if !h.waveCompleted() || f.killed > 0 || len(a.problems) > 0 {
+		t.Errorf("completed: %t, %d runs were killed, %v", h.waveCompleted(), f.killed, a.problems)
+	}
+	for i := range st.GetCount() {
+		if !a.atWork(i) {
+			t.Errorf("task %d is not at work", i)
+		}
+	}
+}
+
 // An upstream that comes back under its identity after its VM's maintenance gets work while the wave goes on.
 func TestUpstreamThatIsBackGetsWork(t *testing.T) {
 	h, f := newWaveHarness(t, 2)
--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -133,10 +133,9 @@
 	}
 	room, late := int(w.GetAtOnce())-down, e.isLate(w, len(next))
 	for i, m := range next {
-		if i >= room {
+		if i >= room || !e.cordon(m, before, late) {
 			break
 		}
-		e.cordon(m, before)
 		if !e.maintenance.busy && e.drainForMaintenance(m, late, now) {
 			e.orderMaintenance(w, m)
 		}
