dispatch: a lasting task is stopped for a wave only if that helps

A task that had no place elsewhere was stopped for the maintenance of its VM although others of its step, which may not be missed as well, kept the VM from being emptied: it waited for as long as they ran, and the wave did not go on.

It is stopped if it could be placed elsewhere, or if all such tasks of the VM may be missed at once.

TestTaskWithoutAnotherPlaceIsNotStopped failed before (one run was stopped).

--- a/dispatch/cordon.go
+++ b/dispatch/cordon.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"time"
+
 	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 )
@@ -84,3 +86,36 @@
 	spec := r.Task.Step.Spec
 	return spec.GetLasting() && spec.GetMissAllowed() > 0
 }
+
+// hasPlaceElsewhere reports whether a run's task could be placed on another upstream than the one that it is on.
+func (e *Engine) hasPlaceElsewhere(r *pipeline.Run, now time.Duration) bool {
+	w := e.cell.Steps[r.Task.Step]
+	for id, s := range e.sessions {
+		denied := w != nil && w.Denied[id]
+		if s.u != r.Upstream && !denied && s.usable(now) && e.state.CheckUpstream(r.Task.Step, s.u) == "" {
+			return true
+		}
+	}
+	return false
+}
+
+// mayMissAllOn reports whether the protected steps may miss all their tasks on an upstream at once.
+func (e *Engine) mayMissAllOn(s *session, now time.Duration) bool {
+	missing := make(map[*pipeline.Step]int)
+	for _, r := range s.u.Runs {
+		if isProtected(r) {
+			missing[r.Task.Step]++
+		}
+	}
+	for st, n := range missing {
+		for _, t := range st.Tasks {
+			if !t.RunsOn(s.u) && !e.anyWorking(t, now) {
+				n++
+			}
+		}
+		if n > int(st.Spec.GetMissAllowed()) {
+			return false
+		}
+	}
+	return true
+}
--- a/dispatch/cordon_test.go
+++ b/dispatch/cordon_test.go
@@ -41,6 +41,21 @@
 	}
 }
 
+// A task that finds no place elsewhere is not stopped for a wave while its VM can't be emptied.
+func TestTaskWithoutAnotherPlaceIsNotStopped(t *testing.T) {
+	h, _ := newWaveHarness(t, 1)
+	st := oneStep(2, 0)
+	st.Lasting, st.MissAllowed = true, 1
+	a := watchAvailability(h, jobID(1), st)
+	h.submit(jobID(1), st)
+	a.run(2 * time.Second)
+	h.putWave(1, "m1")
+	a.run(20 * time.Second)
+	if a.orders > 0 {
+		t.Errorf("%d runs were stopped", a.orders)
+	}
+}
+
 // An upstream that comes back under its identity after its VM's maintenance gets work while the wave goes on.
 func TestUpstreamThatIsBackGetsWork(t *testing.T) {
 	h, f := newWaveHarness(t, 2)
--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -163,14 +163,14 @@
 	if len(s.u.Runs) == 0 {
 		return true
 	}
-	protected := false
+	protected, mayMissAll := false, e.mayMissAllOn(s, now)
 	for _, key := range s.runKeys() {
 		r := s.u.Runs[key]
 		spec := r.Task.Step.Spec
 		switch {
 		case isProtected(r):
 			protected = true
-			if !s.stopping[key] && e.mayMissOneMore(r, m, now) {
+			if !s.stopping[key] && e.mayMissOneMore(r, m, mayMissAll || e.hasPlaceElsewhere(r, now), now) {
 				s.enqueueStop(r, "maintenance of its VM")
 			}
 		case spec.GetLasting(), spec.GetCheckpointing() && !spec.GetGang():
@@ -180,10 +180,11 @@
 	return !protected && late
 }
 
-// mayMissOneMore reports whether the step of a lasting run may miss its task for the maintenance of a VM.
-func (e *Engine) mayMissOneMore(r *pipeline.Run, m VM, now time.Duration) bool {
+// mayMissOneMore reports whether the step of a lasting run may miss its task for the maintenance of a VM. A task that
+// would only wait, as it has no place elsewhere and the VM can't be emptied, is not stopped.
+func (e *Engine) mayMissOneMore(r *pipeline.Run, m VM, helps bool, now time.Duration) bool {
 	away, may := e.othersNotWorking(r.Task, now), int(r.Task.Step.Spec.GetMissAllowed())
-	stops := away < may
+	stops := away < may && helps
 	if !stops && now < e.maintenance.nextReport {
 		return false
 	}
@@ -192,7 +193,7 @@
 	}
 	key := r.Key()
 	e.log.Info().Str("request", key.Job).Int32("step", key.Step).Int32("task", key.Index).Int32("run", key.Number).Str("vm", m.Name).Str("upstream", m.Upstream).
-		Int("others_not_at_work", away).Int("may_miss", may).Bool("stopped", stops).Msg("lasting task on a VM of a wave")
+		Int("others_not_at_work", away).Int("may_miss", may).Bool("has_place", helps).Bool("stopped", stops).Msg("lasting task on a VM of a wave")
 	return stops
 }
 
