soak: a wave on all VMs beside killed replicas, with a slow upstream

Real processes, a VM service, six upstreams that report the percent of their tasks, one of them slow, and a lasting step of five tasks that may miss one. The replicas are killed in turn, so that the leadership changes, and calls go through relays: the case in which the percent was lost on its way.

--- a/soak/upstream_test.go
+++ b/soak/upstream_test.go
@@ -24,8 +24,15 @@
 	startedMS   int64 // Unix time in ms at which it started
 	server      *http.Server
 	ledger      *ledger
+	// vm is the VM of the upstream; empty if there is no VM service.
+	vm string
+	// startup is how long its tasks start up, which then last; zero if they end after their time.
+	startup time.Duration
+	// availability, if set, checks the orders that end tasks.
+	availability *availability
 
 	mu         sync.Mutex
+	closed     bool
 	token      int64 // highest fencing token accepted
 	deadlineMS int64 // end of the lease on clockMS
 	seq        int64
@@ -46,11 +53,25 @@
 	timer  *time.Timer
 }
 
-// percent returns how much of the run is done.
+// percent returns how much of the run, or of its startup, is done.
 func (r *running) percent() int {
 	return int(100 * min(1, time.Since(r.began).Seconds()/max(r.length.Seconds(), 0.001)))
 }
 
+// close ends the upstream and its runs without listing them.
+func (w *upstream) close() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.closed = true
+	for key, run := range w.running {
+		run.timer.Stop()
+		w.availability.ordered(w, run)
+		delete(w.running, key)
+		w.ledger.ended(run.task, run.run, w.id, "closed")
+	}
+	_ = w.server.Close()
+}
+
 // newUpstream starts an upstream that listens on a port of its own.
 func newUpstream(id, ip string, l *ledger) (*upstream, error) {
 	listener, err := net.Listen("tcp", ip+":0")
@@ -134,6 +155,10 @@
 			defer w.mu.Unlock()
 			w.end(key, "done")
 		})
+		if w.startup > 0 {
+			run.timer.Stop()
+			run.length = w.startup
+		}
 		w.running[key] = run
 	}
 	w.deadlineMS = max(w.deadlineMS, min(o.DeadlineMS, w.clockMS()+maxLease.Milliseconds()))
@@ -162,6 +187,9 @@
 	defer w.mu.Unlock()
 	if o, ok := w.accept(rw, r); ok {
 		w.highestClosedRun[o.Task] = max(w.highestClosedRun[o.Task], o.Run)
+		if run := w.running[fmt.Sprintf("%s/%d", o.Task, o.Run)]; run != nil {
+			w.availability.ordered(w, run)
+		}
 		w.end(fmt.Sprintf("%s/%d", o.Task, o.Run), "stopped")
 		w.reply(rw, http.StatusOK, "")
 	}
@@ -217,13 +245,20 @@
 	}
 }
 
+// isClosed reports whether the upstream has ended.
+func (w *upstream) isClosed() bool {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	return w.closed
+}
+
 // heartbeat announces the upstream, under the address of its relay, every 300 ms to the control
 // addresses in turn.
 func (w *upstream) heartbeat(controls []string, address string, client *http.Client) {
-	for n := 0; ; n++ {
+	for n := 0; !w.isClosed(); n++ {
 		w.seq++
 		body, _ := json.Marshal(map[string]any{"service": "print", "address": address, "zone": "prado", "state": "ready", "slots": 8,
-			"capacity": map[string]int{"cpu": 4000, "memMb": 4000}, "labels": []string{"a", "r1"}, "seqNo": w.seq, "born": w.startedMS})
+			"capacity": map[string]int{"cpu": 4000, "memMb": 4000}, "labels": []string{"a", "r1"}, "machine": w.vm, "seqNo": w.seq, "born": w.startedMS})
 		req, _ := http.NewRequest(http.MethodPut, "http://"+controls[n%len(controls)]+"/api/instances/"+w.id, bytes.NewReader(body))
 		if resp, err := client.Do(req); err == nil {
 			_ = resp.Body.Close()
