--- a/placement/cell.go
+++ b/placement/cell.go
@@ -96,21 +96,6 @@
 	yields map[int32]pipeline.Resources
 }
 
-// Reservation keeps an upstream free for a step.
-type Reservation struct {
-	// For is the step; nil if there is no reservation.
-	For *pipeline.Step
-	// From is the planned start of the step. Work that ends before it may still be placed.
-	From time.Duration
-	// Until is the end of the reservation.
-	Until time.Duration
-}
-
-// keepsOut reports whether a reservation keeps work out that would end at the given time.
-func (r Reservation) keepsOut(st *pipeline.Step, now, end time.Duration) bool {
-	return r.For != nil && r.For != st && now < r.Until && end > r.From && !r.For.Job().Ended()
-}
-
 // Permit allows a step to run on one incarnation of an upstream until the ticket expires.
 type Permit struct {
 	Ticket  string
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 )
@@ -12,9 +11,6 @@
 // chosen.
 const slowPenalty = 0.5
 
-// reservationPatience is how long a step waits for upstreams that are reserved for others, if the cell has room.
-const reservationPatience = 1500 * time.Millisecond
-
 // packedTasks is the number of tasks of a step that an upstream should have capacity for. More
 // capacity makes it no better: it would be taken from gangs and large tasks, which need it in one piece.
 const packedTasks = 4
@@ -55,22 +51,6 @@
 	return w.Step.Spec.GetMaxPerUpstream() == 0 || r.spreadRoom(w.Step, u) > 0
 }
 
-// reservedForOther reports whether a reservation for another step keeps a step off an upstream.
-func (r *round) reservedForOther(w *Work, u *Upstream) bool {
-	return u.Reserved.For != nil && u.Reserved.keepsOut(w.Step, r.Now, r.endOf(w.Step, u)) && !r.outwaitsReservations(w)
-}
-
-// outwaitsReservations reports whether a step has waited so long that it uses upstreams that are reserved for others. A
-// reservation is renewed for as long as the runs that a gang waits for go on. In a full cell all but lasting steps wait
-// for their turn.
-func (r *round) outwaitsReservations(w *Work) bool {
-	if r.Now-w.ReadyAt < reservationPatience {
-		return false
-	}
-	p := r.pool(r.State.JobQueue(w.Step.Job()).GetService())
-	return w.Step.Spec.GetLasting() || 2*p.freeCores >= p.totalCores
-}
-
 // spreadRoom returns how many more tasks of a step with a bound per upstream an upstream may take.
 func (r *round) spreadRoom(st *pipeline.Step, u *Upstream) int {
 	return int(st.Spec.GetMaxPerUpstream()) - u.CountRunsOf(st) - u.placed
--- a/placement/doc.go
+++ b/placement/doc.go
@@ -10,7 +10,8 @@
 //     still be in time.
 //   - A burst of small jobs meets a full cell: headroom.go keeps capacity free for it, preempt.go takes
 //     it from work that can resume, and choose.go keeps a step on few upstreams.
-//   - Gangs wait in a cell that smaller work keeps full: gang.go plans and reserves their start.
+//   - Gangs wait in a cell that smaller work keeps full: gang.go asks for their tickets, plan.go plans their
+//     start, and reserve.go keeps upstreams for it.
 //   - A team waits at its limit: limit.go says which of its steps ask for tickets, and what is kept within the
 //     limit for its gangs; preempt.go stops its less urgent work once that lets a step start.
 //   - More steps wait than the permit service can answer for: ask.go bounds the questions, prefetch.go
