dispatch: a wave on several services goes on where one has enough cordons

The limit on cordons of one service ended the pass over all VMs of a wave. The decision on a protected run is named for what it decides.

--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -133,10 +133,10 @@
 	}
 	room, late := int(w.GetAtOnce())-down, e.isLate(w, len(next))
 	for i, m := range next {
-		if i >= room || !e.cordon(m, before, late) {
+		if i >= room {
 			break
 		}
-		if !e.maintenance.busy && e.drainForMaintenance(m, late, now) {
+		if e.cordon(m, before, late) && !e.maintenance.busy && e.drainForMaintenance(m, late, now) {
 			e.orderMaintenance(w, m)
 		}
 	}
@@ -170,7 +170,7 @@
 		switch {
 		case isProtected(r):
 			protected = true
-			if !s.stopping[key] && e.mayMissOneMore(r, m, mayMissAll || e.hasPlaceElsewhere(r, now), now) {
+			if !s.stopping[key] && e.mayStopForMaintenance(r, m, mayMissAll || e.hasPlaceElsewhere(r, now), now) {
 				s.enqueueStop(r, "maintenance of its VM")
 			}
 		case spec.GetLasting(), spec.GetCheckpointing() && !spec.GetGang():
@@ -180,9 +180,9 @@
 	return !protected && late
 }
 
-// mayMissOneMore reports whether the step of a lasting run may miss its task for the maintenance of a VM. A task that
-// would only wait, as it has no place elsewhere and the VM can't be emptied, is not stopped.
-func (e *Engine) mayMissOneMore(r *pipeline.Run, m VM, helps bool, now time.Duration) bool {
+// mayStopForMaintenance reports whether a run of a protected step may be stopped for the maintenance of a VM: if its
+// step may miss one task more, and stopping it helps, as it has a place elsewhere or the VM can be emptied.
+func (e *Engine) mayStopForMaintenance(r *pipeline.Run, m VM, helps bool, now time.Duration) bool {
 	away, may := e.othersNotWorking(r.Task, now), int(r.Task.Step.Spec.GetMissAllowed())
 	stops := away < may && helps
 	if !stops && now < e.maintenance.nextReport {
@@ -193,7 +193,7 @@
 	}
 	key := r.Key()
 	e.log.Info().Str("request", key.Job).Int32("step", key.Step).Int32("task", key.Index).Int32("run", key.Number).Str("vm", m.Name).Str("upstream", m.Upstream).
-		Int("others_not_at_work", away).Int("may_miss", may).Bool("has_place", helps).Bool("stopped", stops).Msg("lasting task on a VM of a wave")
+		Int("others_not_at_work", away).Int("may_miss", may).Bool("has_place_or_empties", helps).Bool("stopped", stops).Msg("lasting task on a VM of a wave")
 	return stops
 }
 
--- a/placement/calm_test.go
+++ b/placement/calm_test.go
@@ -165,22 +165,20 @@
 			slots <- struct{}{}
 			defer func() { <-slots }()
 			r := newCalmCell(t, seed)
-			var waiting []*pipeline.Step
 			if r.rng.IntN(2) == 0 {
 				r.awaitRunsThatDoNotEnd(r.queues[r.rng.IntN(3)].GetName())
 			}
-			for range 1 + r.rng.IntN(8) {
+			steps := 1 + r.rng.IntN(8)
+			for range steps {
 				queue := r.queues[r.rng.IntN(3)].GetName()
 				j := r.await(queue, r.rng.IntN(2), time.Duration(1+r.rng.IntN(6))*time.Second, r.drawStep(queue))
-				st := j.Occurrences[0].Steps[0]
-				r.drawTickets(r.cell.Steps[st])
-				waiting = append(waiting, st)
+				r.drawTickets(r.cell.Steps[j.Occurrences[0].Steps[0]])
 			}
 			w := watchStarts(r)
 			r.run(calmTime)
 			for st, waits := range w.late {
 				t.Errorf("seed %d: step of queue %s, %d of %d tasks of %v, %v, waited for %v although it could run; %d upstreams, %d steps", seed, st.Job().Spec.GetQueue(),
-					st.Undone, len(st.Tasks), st.Need, st.Spec, waits, len(r.cell.Upstreams), len(waiting))
+					st.Undone, len(st.Tasks), st.Need, st.Spec, waits, len(r.cell.Upstreams), steps)
 			}
 		})
 	}
