soak: a frozen replica is one whose threads have all stopped

The order was sent as soon as SIGSTOP had been. The signal takes effect once a thread of the process has taken it; the others go on until then, and may answer.

Trace (a trial beside twelve busy processes): of 400 freezes of replicas, 249 had threads that ran or slept when they were looked at first; the last one stopped after 31 ms. The test now waits until all threads are stopped, and sends the order then; its checks are the same.

--- a/soak/frozen_order_test.go
+++ b/soak/frozen_order_test.go
@@ -2,9 +2,13 @@
 
 import (
 	"bufio"
+	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"os"
+	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -29,7 +33,7 @@
 	for _, frozen := range r.nodes[:3] {
 		next := r.nodes[replicas-1]
 		r.mustOrderDomain(next, http.MethodPost)
-		_ = frozen.command.Process.Signal(syscall.SIGSTOP)
+		r.freeze(frozen)
 		if status, _ := r.call(http.MethodDelete, r.address(frozen, 1), "/api/evacuation/prado", "", ""); status != 0 {
 			t.Fatalf("the frozen replica answered with %d", status)
 		}
@@ -44,6 +48,38 @@
 	}
 }
 
+// freezeTimeout bounds the time in which the threads of a process stop.
+const freezeTimeout = 10 * time.Second
+
+// freeze stops a node's process and waits until all its threads have stopped: the signal takes effect once one of them
+// has taken it, and until then the others go on and may answer.
+func (r *run) freeze(n *node) {
+	r.t.Helper()
+	_ = n.command.Process.Signal(syscall.SIGSTOP)
+	for until := time.Now().Add(freezeTimeout); !isFrozen(n.command.Process.Pid); time.Sleep(time.Millisecond) {
+		if time.Now().After(until) {
+			r.t.Fatalf("%s has not stopped", n.name)
+		}
+	}
+}
+
+// isFrozen reports whether all threads of a process are stopped.
+func isFrozen(pid int) bool {
+	threads, _ := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	for _, path := range threads {
+		data, err := os.ReadFile(path)
+		if err != nil {
+			return false
+		}
+		// The state follows the name of the program, which is in parentheses and may hold any character.
+		_, state, _ := strings.Cut(string(data[bytes.LastIndexByte(data, ')')+1:]), " ")
+		if !strings.HasPrefix(state, "T") {
+			return false
+		}
+	}
+	return len(threads) > 0
+}
+
 // mustOrderDomain sends an order on the failure domain to a replica until it is acknowledged.
 func (r *run) mustOrderDomain(n *node, method string) {
 	r.t.Helper()
