dispatch, placement: decisions apart from logs, one rule in one place

The decision whether a protected run is stopped for a wave is a value; logging it and stopping the run are apart. Which runs are protected stood in two places. The share of free cores from which reservations yield has a name. No change of behaviour.

--- a/dispatch/maintenance.go
+++ b/dispatch/maintenance.go
@@ -171,8 +171,8 @@
 		switch {
 		case isProtected(r):
 			protected = true
-			if !s.stopping[key] && e.mayStopForMaintenance(r, m, mayMissAll || e.hasPlaceElsewhere(r, now), now) {
-				s.enqueueStop(r, "maintenance of its VM")
+			if !s.stopping[key] {
+				e.drainProtected(s, r, m, mayMissAll, now)
 			}
 		case spec.GetLasting(), spec.GetCheckpointing() && !spec.GetGang():
 			s.enqueueStop(r, "maintenance of its VM")
@@ -181,21 +181,37 @@
 	return !protected && late
 }
 
-// mayStopForMaintenance reports whether a run of a protected step may be stopped for the maintenance of a VM: if its
-// step may miss one task more, and stopping it helps, as it has a place elsewhere or the VM can be emptied.
-func (e *Engine) mayStopForMaintenance(r *pipeline.Run, m VM, helps bool, now time.Duration) bool {
-	away, may := e.othersNotWorking(r.Task, now), int(r.Task.Step.Spec.GetMissAllowed())
-	stops := away < may && helps
-	if !stops && now < e.maintenance.nextReport {
-		return false
+// drainDecision says whether a run of a protected step is stopped for the maintenance of its VM.
+type drainDecision struct {
+	// away is the number of the step's other tasks that are not at work, mayMiss how many it may miss.
+	away, mayMiss int
+	// helps is set if the task has a place elsewhere, or if the VM can be emptied of protected runs.
+	helps bool
+}
+
+// stops reports whether the run is stopped.
+func (d drainDecision) stops() bool { return d.away < d.mayMiss && d.helps }
+
+// drainProtected stops a run of a protected step if its step may miss one task more.
+func (e *Engine) drainProtected(s *session, r *pipeline.Run, m VM, mayMissAll bool, now time.Duration) {
+	d := drainDecision{e.othersNotWorking(r.Task, now), int(r.Task.Step.Spec.GetMissAllowed()), mayMissAll || e.hasPlaceElsewhere(r, now)}
+	e.logDrain(r, m, d, now)
+	if d.stops() {
+		s.enqueueStop(r, "maintenance of its VM")
 	}
-	if !stops {
+}
+
+// logDrain logs the decision on a protected run; that it is not stopped is logged each waveReportEvery at most.
+func (e *Engine) logDrain(r *pipeline.Run, m VM, d drainDecision, now time.Duration) {
+	if !d.stops() {
+		if now < e.maintenance.nextReport {
+			return
+		}
 		e.maintenance.nextReport = now + waveReportEvery
 	}
 	key := r.Key()
 	e.log.Info().Str("request", key.Job).Int32("step", key.Step).Int32("task", key.Index).Int32("run", key.Number).Str("vm", m.Name).Str("upstream", m.Upstream).
-		Int("others_not_at_work", away).Int("may_miss", may).Bool("has_place_or_empties", helps).Bool("stopped", stops).Msg("lasting task on a VM of a wave")
-	return stops
+		Int("others_not_at_work", d.away).Int("may_miss", d.mayMiss).Bool("has_place_or_empties", d.helps).Bool("stopped", d.stops()).Msg("lasting task on a VM of a wave")
 }
 
 // othersNotWorking counts the other tasks of a lasting task's step that have no run at work.
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -74,9 +74,8 @@
 func (s *session) watchWaitTime() time.Duration {
 	wait := nonUrgentWait
 	for key, r := range s.u.Runs {
-		spec := r.Task.Step.Spec
 		switch _, working := s.workingAt[key]; {
-		case s.e.maintenance.waveOpen && spec.GetLasting() && spec.GetMissAllowed() > 0 && !working:
+		case s.e.maintenance.waveOpen && isProtected(r) && !working:
 			return startupWait
 		case s.e.isUrgent(r.Task.Step):
 			wait = watchWait
--- a/placement/calm_test.go
+++ b/placement/calm_test.go
@@ -14,8 +14,8 @@
 const (
 	// calmTime is how long steps wait in a calm cell.
 	calmTime = 10 * time.Second
-	// calmUse is the largest part of the cell that is in use.
-	calmUse = 0.4
+	// overdueUse is the largest share of the cell that runs use which exceed their declared time.
+	overdueUse = 0.2
 )
 
 // calmQueues are queues without permits, with cheap and with costly ones.
@@ -49,7 +49,7 @@
 		total += c
 	}
 	for _, u := range r.cell.Upstreams {
-		if need := u.Capacity.MilliCores * int64(1+r.rng.IntN(3)) / 4; r.rng.IntN(3) == 0 && float64(used+need) < calmUse*float64(total)/2 {
+		if need := u.Capacity.MilliCores * int64(1+r.rng.IntN(3)) / 4; r.rng.IntN(3) == 0 && float64(used+need) < overdueUse*float64(total) {
 			st := tasks(1, need, 1+r.rng.Int64N(5000))
 			st.Checkpointing = r.rng.IntN(2) == 0
 			r.place(r.await("open", 1, calmTime+5*time.Second, st), 0, u.GetId())
--- a/placement/reserve.go
+++ b/placement/reserve.go
@@ -18,6 +18,8 @@
 	holdMargin = 300 * time.Millisecond
 	// reservationPatience is how long a step waits for upstreams that are reserved for others, if the cell has room.
 	reservationPatience = 1500 * time.Millisecond
+	// roomyShare is the share of a service's cores that has to be free for the cell to have room in that sense.
+	roomyShare = 0.5
 )
 
 // Reservation keeps an upstream free for a step.
@@ -155,5 +157,5 @@
 		return false
 	}
 	p := r.pool(r.State.JobQueue(w.Step.Job()).GetService())
-	return w.Step.Spec.GetLasting() || 2*p.freeCores >= p.totalCores
+	return w.Step.Spec.GetLasting() || float64(p.freeCores) >= roomyShare*float64(p.totalCores)
 }
