Answers without a leader: 503 wherever nothing can have been proposed

Cause: a call counted as sent from the moment at which its stream began, also while the connection was still being opened, was made to a paused process, or ended before the leader had proposed anything. Reads without an answer were undetermined as well. Callers got 504, which they can't resend as after 503.

Change: - A stream sends a probe first and writes calls only once its connection is open and, if the process is known to answer probes, has answered. A call with an effect is preceded by a probe after 20 ms without data, in place of 150 ms; reads and permit polls keep 150 ms. - A call on a stream whose connection had ended unnoticed, and that was not written, is made again at once on a new one. - Reads and permit polls are never undetermined. - The leader answers NOT_LEADER for a call that ends before it began, for a submission that ends before it is proposed, and where nothing was proposed when the leadership could not be confirmed.

--- a/control/engine.go
+++ b/control/engine.go
@@ -22,7 +22,8 @@
 	Tick(now time.Duration)
 	// Flush is called before queued commands are proposed.
 	Flush()
-	// Handle serves a forwarded call and calls finish once, immediately or later.
+	// Handle serves a forwarded call and calls finish once, immediately or later, or not at all if MayPropose does
+	// not allow what the call needs.
 	Handle(ctx context.Context, c *pipelinev1.Call, finish func(*pipelinev1.Reply, error))
 }
 
@@ -93,6 +94,9 @@
 		k.finish(nil, notFound("this process serves no jobs of steps"))
 		return
 	}
+	if !isSubmission(m) && !MayPropose(k.ctx) {
+		return
+	}
 	c.engine.Handle(k.ctx, m, func(r *pipelinev1.Reply, err error) {
 		if err != nil {
 			k.finish(nil, err)
@@ -102,6 +106,11 @@
 	})
 }
 
+// isSubmission reports whether a call submits a job. An engine may keep a submission waiting before it proposes it.
+func isSubmission(m *pipelinev1.Call) bool {
+	return m.GetJob().GetVerb() == pipelinev1.JobVerb_JOB_VERB_SUBMIT
+}
+
 // relayReplyAge is the time since a replica's last answer to the leader, in ticks, up to which it
 // counts as able to relay calls. Heartbeats are sent every other tick.
 const relayReplyAge = 6
--- a/control/handle.go
+++ b/control/handle.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"sync/atomic"
 
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	"github.com/bulrushwinch/bulrushwinch/contain"
@@ -22,6 +23,8 @@
 	// errStalePoll ends a poll that a later one or a newer incarnation replaces. Its text is sent
 	// as the detail of a refusal.
 	errStalePoll = errors.New("control: a later poll has been seen")
+	// ErrNothingProposed ends a call for which nothing was proposed when the leadership ended or the call did.
+	ErrNothingProposed = errors.Wrap(ErrNotLeader, "nothing was proposed")
 )
 
 // refusalError ends a call with an outcome that states why it was refused.
@@ -85,6 +88,23 @@
 	err     error
 }
 
+// effect decides once whether a call may have an effect: either its handler is about to cause one, or nobody waits
+// for the call any more and it is withdrawn.
+type effect struct{ decided atomic.Bool }
+
+// effectKey is the context key of the effect of a call that has begun without one.
+type effectKey struct{}
+
+func (e *effect) claim() bool { return e.decided.CompareAndSwap(false, true) }
+
+// MayPropose reports whether something may be proposed for the call with this context. It is false if the call was
+// answered with NOT_LEADER because it ended before. An Engine must ask once before it proposes a submission; all other
+// calls have been claimed before it gets them.
+func MayPropose(ctx context.Context) bool {
+	e, ok := ctx.Value(effectKey{}).(*effect)
+	return !ok || e.claim()
+}
+
 // call is one request on the control goroutine; finish must be called once, immediately or later.
 type call struct {
 	ctx context.Context
@@ -105,6 +125,7 @@
 	}
 	done := make(chan result, 1)
 	leader, passOn := "", false
+	fate := &effect{}
 	err := c.node.Post(ctx, func() {
 		if !c.leading {
 			leader = c.leader.Address
@@ -112,7 +133,10 @@
 			done <- result{err: raft.ErrNotLeader}
 			return
 		}
-		c.begin(req.GetMethod(), start, call{ctx: ctx, key: req.GetKeySha256(), seenRevision: req.SeenRevision, finish: func(m proto.Message, err error) {
+		if fate.decided.Load() || req.GetMethod() != peerv1.Method_METHOD_PIPELINE && !fate.claim() {
+			return
+		}
+		c.begin(req.GetMethod(), start, call{ctx: context.WithValue(ctx, effectKey{}, fate), key: req.GetKeySha256(), seenRevision: req.SeenRevision, finish: func(m proto.Message, err error) {
 			select {
 			case done <- result{m, err}:
 			default:
@@ -129,17 +153,19 @@
 		}
 		return c.respond(r, leader)
 	case <-ctx.Done():
-		return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
 	case <-c.node.Done():
-		return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
 	}
+	if fate.claim() {
+		return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER}
+	}
+	return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
 }
 
 // respond turns the result of a call into a response.
 func (c *Controller) respond(r result, leader string) *peerv1.ForwardResponse {
 	var refused refusalError
 	switch {
-	case errors.Is(r.err, raft.ErrNotLeader), errors.Is(r.err, raft.ErrTransferring):
+	case errors.Is(r.err, raft.ErrNotLeader), errors.Is(r.err, raft.ErrTransferring), errors.Is(r.err, ErrNothingProposed):
 		return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER, LeaderAddress: leader}
 	case errors.Is(r.err, replica.ErrLost), errors.Is(r.err, ErrNotLeader):
 		return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_LOST}
--- a/control/handle_test.go
+++ b/control/handle_test.go
@@ -14,6 +14,7 @@
 	"github.com/bulrushwinch/bulrushwinch/state"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
+	"google.golang.org/protobuf/proto"
 )
 
 // TestPassedOnCallTellsTheTruth passes a call on to a leader and expects NOT_LEADER, which says that it
@@ -92,3 +93,67 @@
 	}()
 	Machine{State: state.New(state.Settings{})}.Apply([]byte("no entry"))
 }
+
+// heldEngine keeps submissions waiting and asks whether it may propose them when they are released.
+type heldEngine struct {
+	failingEngine
+	release  func()
+	proposed bool
+}
+
+func (e *heldEngine) Handle(ctx context.Context, _ *pipelinev1.Call, done func(*pipelinev1.Reply, error)) {
+	e.release = func() {
+		if e.proposed = MayPropose(ctx); e.proposed {
+			done(&pipelinev1.Reply{}, nil)
+		}
+	}
+}
+
+// TestCallThatEndsBeforeItsProposal ends calls at their deadline while the control goroutine is busy, and while a
+// submission waits for something. Each must be answered with NOT_LEADER, as nothing was proposed, and never have an
+// effect after that. A call that has begun otherwise may have had one. All of them were LOST, which callers got as 504.
+func TestCallThatEndsBeforeItsProposal(t *testing.T) {
+	lost, notLeader := peerv1.ForwardStatus_FORWARD_STATUS_LOST, peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER
+	submission := &pipelinev1.Call{Call: &pipelinev1.Call_Job{Job: &pipelinev1.JobCall{Verb: pipelinev1.JobVerb_JOB_VERB_SUBMIT}}}
+	config := &pipelinev1.Call{Call: &pipelinev1.Call_PutConfig{PutConfig: &pipelinev1.PutConfigCall{}}}
+	for name, c := range map[string]struct {
+		call *pipelinev1.Call
+		busy time.Duration
+		want peerv1.ForwardStatus
+		held bool
+	}{
+		"submission, control goroutine busy": {submission, time.Second, notLeader, false},
+		"change, control goroutine busy":     {config, time.Second, notLeader, false},
+		"submission, kept waiting":           {submission, 0, notLeader, true},
+		"change, begun":                      {config, 0, lost, true},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inBubble(t, func(l *leader) {
+				e := &heldEngine{}
+				l.do(func() { l.ctl.SetEngine(e) })
+				if c.busy > 0 {
+					go l.do(func() { time.Sleep(c.busy) })
+					time.Sleep(time.Millisecond)
+				}
+				ctx, cancel := context.WithTimeout(l.ctx, 500*time.Millisecond)
+				defer cancel()
+				payload, _ := proto.Marshal(c.call)
+				if got := l.ctl.Handle(ctx, &peerv1.ForwardRequest{Method: peerv1.Method_METHOD_PIPELINE, Payload: payload}).GetStatus(); got != c.want {
+					t.Errorf("got %v, want %v", got, c.want)
+				}
+				time.Sleep(2 * time.Second)
+				l.do(func() {
+					if (e.release != nil) != c.held {
+						t.Errorf("the engine got the call: %t", e.release != nil)
+					}
+					if e.release != nil {
+						e.release()
+					}
+				})
+				if e.proposed {
+					t.Error("proposed after the call was answered with NOT_LEADER")
+				}
+			})
+		})
+	}
+}
--- a/daemon/push.go
+++ b/daemon/push.go
@@ -10,10 +10,12 @@
 	"sync/atomic"
 	"time"
 
+	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	"github.com/bulrushwinch/bulrushwinch/config"
 	"github.com/bulrushwinch/bulrushwinch/control"
 	"github.com/bulrushwinch/bulrushwinch/dispatch"
 	"github.com/bulrushwinch/bulrushwinch/entry"
+	"github.com/bulrushwinch/bulrushwinch/peer"
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 	"github.com/bulrushwinch/bulrushwinch/platform"
@@ -207,12 +209,18 @@
 	if err != nil {
 		return unencodable, nil
 	}
+	if bounds.NoEffect = hasNoEffect(call); bounds.NoEffect {
+		ctx = peer.WithoutEffect(ctx)
+	}
 	a, err := c.router.CallWithin(ctx, &peerv1.ForwardRequest{Method: peerv1.Method_METHOD_PIPELINE, Payload: payload, Process: c.settings.Name}, true, bounds)
 	if err != nil {
 		return nil, err
 	}
 	c.lastLeaderReply.Store(int64(c.clock.Now()))
 	if a.GetStatus() != peerv1.ForwardStatus_FORWARD_STATUS_OK {
+		if !a.Uncertain && a.GetRefusal().GetKind() == apiv1.OutcomeKind_OUTCOME_KIND_NOT_RUN {
+			return nil, errors.Wrap(entry.ErrNothingProposed, a.GetRefusal().GetDetail())
+		}
 		return nil, errors.Wrap(entry.ErrUndetermined, a.GetRefusal().GetDetail())
 	}
 	r := &pipelinev1.Reply{}
@@ -238,7 +246,11 @@
 	return true
 }
 
-// isRead reports whether a call has no effect.
+// hasNoEffect reports whether a call has no effect that its sender must know of: it is a read, or the poll of a
+// process for permit questions, which is followed by the next one whatever becomes of it.
+func hasNoEffect(call *pipelinev1.Call) bool { return isRead(call) || call.GetPermitPoll() != nil }
+
+// isRead reports whether a call only reads.
 func isRead(call *pipelinev1.Call) bool {
 	switch c := call.GetCall().(type) {
 	case *pipelinev1.Call_GetConfig, *pipelinev1.Call_GetWave, *pipelinev1.Call_GetDomainRevision:
--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -20,7 +20,7 @@
 
 // Handle implements control.Engine. It answers calls about the configuration, failure domains,
 // jobs, upstreams, permit questions and maintenance waves.
-func (e *Engine) Handle(_ context.Context, c *pipelinev1.Call, done func(*pipelinev1.Reply, error)) {
+func (e *Engine) Handle(ctx context.Context, c *pipelinev1.Call, done func(*pipelinev1.Reply, error)) {
 	switch c := c.GetCall().(type) {
 	case *pipelinev1.Call_PutConfig:
 		e.putConfig(c.PutConfig.GetConfig(), done)
@@ -33,7 +33,7 @@
 			return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, DomainRevision: e.state.DomainRevision()}
 		})
 	case *pipelinev1.Call_Job:
-		e.handleJob(c.Job, done)
+		e.handleJob(ctx, c.Job, done)
 	case *pipelinev1.Call_Heartbeat:
 		e.handleHeartbeat(c.Heartbeat, done)
 	case *pipelinev1.Call_Leave:
@@ -75,11 +75,12 @@
 	})
 }
 
-// whenConfirmed calls f once a quorum has confirmed the leadership, and ends the call if it does not.
+// whenConfirmed calls f once a quorum has confirmed the leadership, and ends the call if it does not. Nothing must have
+// been proposed for the call.
 func (e *Engine) whenConfirmed(done replyFunc, f func()) {
 	e.host.ConfirmLeadership(func(ok bool) {
 		if !ok {
-			done(nil, control.ErrNotLeader)
+			done(nil, control.ErrNothingProposed)
 			return
 		}
 		f()
@@ -118,14 +119,14 @@
 }
 
 // handleJob handles a caller's request to submit, show, cancel or count the jobs of a queue.
-func (e *Engine) handleJob(c *pipelinev1.JobCall, done replyFunc) {
+func (e *Engine) handleJob(ctx context.Context, c *pipelinev1.JobCall, done replyFunc) {
 	if e.state.Config() == nil {
 		done(notNow("there is no configuration yet"), nil)
 		return
 	}
 	a, refusal := e.authorize(c)
 	if refusal == nil {
-		e.handleAuthorized(c, a, done)
+		e.handleAuthorized(ctx, c, a, done)
 		return
 	}
 	// The configuration that allows the call may be committed while the leadership is being confirmed.
@@ -133,7 +134,7 @@
 		if a, refusal := e.authorize(c); refusal != nil {
 			done(refusal, nil)
 		} else {
-			e.handleAuthorized(c, a, done)
+			e.handleAuthorized(ctx, c, a, done)
 		}
 	})
 }
@@ -161,10 +162,10 @@
 }
 
 // handleAuthorized handles a call that the active configuration allows.
-func (e *Engine) handleAuthorized(c *pipelinev1.JobCall, a access, done replyFunc) {
+func (e *Engine) handleAuthorized(ctx context.Context, c *pipelinev1.JobCall, a access, done replyFunc) {
 	switch {
 	case c.GetVerb() == pipelinev1.JobVerb_JOB_VERB_SUBMIT:
-		e.submit(c, a.queue, a.id, done)
+		e.submit(ctx, c, a.queue, a.id, done)
 	case c.GetVerb() == pipelinev1.JobVerb_JOB_VERB_CANCEL && jobIdentity.MatchString(a.id):
 		e.cancel(c, a, done)
 	default:
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -1,6 +1,7 @@
 package dispatch
 
 import (
+	"context"
 	"crypto/sha256"
 	"regexp"
 
@@ -15,7 +16,7 @@
 var jobIdentity = regexp.MustCompile(`^[0-9a-f]{16}$`)
 
 // submit validates a job, decides whether it is admitted, and proposes it.
-func (e *Engine) submit(c *pipelinev1.JobCall, q *pipelinev1.Queue, id string, done replyFunc) {
+func (e *Engine) submit(ctx context.Context, c *pipelinev1.JobCall, q *pipelinev1.Queue, id string, done replyFunc) {
 	spec := c.GetSpec()
 	if !jobIdentity.MatchString(id) {
 		done(verdict(pipelinev1.Verdict_VERDICT_INVALID, "a job's identity is 16 hexadecimal digits"), nil)
@@ -29,16 +30,16 @@
 	spec.Id, spec.Queue = id, q.GetName()
 	cmd := &pipelinev1.Submit{KeySha256: c.GetKeySha256(), Spec: spec, Digest: digestOf(spec)}
 	if e.admits(cmd) {
-		e.proposeSubmit(cmd, done)
+		e.proposeSubmit(ctx, cmd, done)
 		return
 	}
 	// Only a leader of now can say that the job is not known and never runs.
 	e.host.ConfirmLeadership(func(ok bool) {
 		switch {
 		case !ok:
-			done(nil, control.ErrNotLeader)
+			done(nil, control.ErrNothingProposed)
 		case e.admits(cmd):
-			e.proposeSubmit(cmd, done)
+			e.proposeSubmit(ctx, cmd, done)
 		default:
 			done(e.refuseJob(cmd), nil)
 		}
@@ -71,8 +72,11 @@
 	return reply
 }
 
-// proposeSubmit proposes a job and answers with the result.
-func (e *Engine) proposeSubmit(cmd *pipelinev1.Submit, done replyFunc) {
+// proposeSubmit proposes a job and answers with the result, unless the call has ended while it waited.
+func (e *Engine) proposeSubmit(ctx context.Context, cmd *pipelinev1.Submit, done replyFunc) {
+	if !control.MayPropose(ctx) {
+		return
+	}
 	spec := cmd.GetSpec()
 	submitted := e.submitting.begin(spec.GetId())
 	e.change(&pipelinev1.Command{Command: &pipelinev1.Command_Submit{Submit: cmd}}, func(r *pipelinev1.Reply, err error) {
--- a/entry/router.go
+++ b/entry/router.go
@@ -41,6 +41,8 @@
 	// the maximum of the budget.
 	retryPerCall = 0.1
 	retryReserve = 100
+	// budgetPause is the time between checks of an empty retry budget.
+	budgetPause = 100 * time.Millisecond
 	// unreachableTime is how long a leader that did not answer counts as unreachable: other replicas
 	// that follow it are asked to pass calls on.
 	unreachableTime = 5 * time.Second
@@ -99,6 +101,8 @@
 	// means no bound but the deadline of the call. Once it may have had one, only an answer tells, and
 	// the call goes on until its deadline.
 	Search time.Duration
+	// NoEffect is set for calls that have no effect, such as reads: one without an answer is never undetermined.
+	NoEffect bool
 }
 
 // routedCall is the state of one call while it is routed.
@@ -121,7 +125,8 @@
 	return r.CallWithin(ctx, req, idempotent, Bounds{Attempt: attemptTimeout})
 }
 
-// CallWithin is Call with the given bounds instead of 2.5 s for each attempt.
+// CallWithin is Call with the given bounds instead of 2.5 s for each attempt. The error of a call with
+// Bounds.NoEffect is always ErrNothingProposed.
 func (r *Router) CallWithin(ctx context.Context, req *peerv1.ForwardRequest, idempotent bool, bounds Bounds) (Answer, error) {
 	r.budget.Deposit()
 	t := &routedCall{router: r, req: req, bounds: bounds, began: time.Now(), backoff: retry.Backoff{Min: routeBackoffMin, Max: r.backoffMax}}
@@ -135,7 +140,9 @@
 		switch {
 		case resp != nil:
 			return Answer{resp, t.uncertain}, nil
-		case end == endNoReply && !idempotent, end != endNoEffect && !r.budget.Withdraw():
+		case end == endNoReply && !idempotent:
+			return Answer{}, t.failure()
+		case end != endNoEffect && !r.awaitRetry(ctx):
 			return Answer{}, t.failure()
 		case pause && retry.Sleep(ctx, t.backoff.Next()) != nil:
 			return Answer{}, t.failure()
@@ -143,6 +150,17 @@
 	}
 }
 
+// awaitRetry takes a retry from the budget. If there is none, it waits for one until the deadline of the call: only the
+// leader's answer tells what became of it. It returns false if there is none by then, or if ctx has no deadline.
+func (r *Router) awaitRetry(ctx context.Context) bool {
+	for !r.budget.Withdraw() {
+		if _, ok := ctx.Deadline(); !ok || retry.Sleep(ctx, budgetPause) != nil {
+			return false
+		}
+	}
+	return true
+}
+
 // failure returns the error of a call that ends without a response, which tells whether it may
 // have had an effect.
 func (t *routedCall) failure() error {
@@ -184,7 +202,7 @@
 		end = endLeadershipLost
 	}
 	t.router.routeFailed(to, err != nil)
-	t.uncertain = t.uncertain || end != endNoEffect
+	t.uncertain = t.uncertain || end != endNoEffect && !t.bounds.NoEffect
 	return nil, true, end
 }
 
--- a/peer/calls.go
+++ b/peer/calls.go
@@ -23,8 +23,14 @@
 	// quietTime is the time without data after which a stream is probed before a call is written to it,
 	// and probeTimeout how long the other end may take to answer the probe: after that the stream ends.
 	// A call that was not written can be made elsewhere without any doubt about its effect.
-	quietTime    = 150 * time.Millisecond
-	probeTimeout = 500 * time.Millisecond
+	// quietTimeNoEffect is quietTime for calls without effect, about which there is no doubt: most calls are
+	// polls, and a probe costs the leader as much as a call.
+	quietTime         = 20 * time.Millisecond
+	quietTimeNoEffect = 150 * time.Millisecond
+	probeTimeout      = 500 * time.Millisecond
+	// maxUnansweredOpenings is the number of streams in a row whose other end did not answer the probe at their
+	// beginning, after which the process is called without one: it may be of a version that answers none.
+	maxUnansweredOpenings = 3
 	// probeReplyID is the identity of the reply to a probe, which is a batch without calls. A server that
 	// answers probes also sends such a reply when a stream begins.
 	probeReplyID = 0
@@ -40,24 +46,65 @@
 // the same time are sent in one message, which costs a fraction of separate requests.
 type callStream struct {
 	stream *connect.BidiStreamForClient[peerv1.CallBatch, peerv1.ReplyBatch]
+	probes *probeHistory
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	queue  chan *queuedCall
-	// answersProbes is set once the other end is known to answer probes. received has an element when
-	// data was received since it was last read; receivedAt is the time of the last data.
-	answersProbes atomic.Bool
-	received      chan struct{}
-	receivedAt    atomic.Pointer[time.Time]
+	// received has an element when data was received since it was last read; receivedAt is the time of the
+	// last data, nil if there was none.
+	received   chan struct{}
+	receivedAt atomic.Pointer[time.Time]
 
 	mu      sync.Mutex
 	nextID  uint64
 	pending map[uint64]chan *peerv1.ForwardResponse
 }
 
+// probeHistory is what the streams to one process have shown about its answers to probes.
+type probeHistory struct {
+	// answers is set once the process is known to answer probes.
+	answers atomic.Bool
+	// unanswered counts the streams in a row that it left without an answer at their beginning.
+	unanswered atomic.Int32
+}
+
+// replied records an answer to a probe.
+func (h *probeHistory) replied() {
+	h.answers.Store(true)
+	h.unanswered.Store(0)
+}
+
+// openingUnanswered records that the probe at the beginning of a stream was not answered.
+func (h *probeHistory) openingUnanswered() {
+	if h.unanswered.Add(1) >= maxUnansweredOpenings {
+		h.answers.Store(false)
+	}
+}
+
 // queuedCall is a call that is either written to the stream or withdrawn by its caller before.
 type queuedCall struct {
 	*peerv1.Call
-	decided atomic.Bool
+	noEffect bool
+	decided  atomic.Bool
+}
+
+// noEffectKey is the context key that marks calls without effect.
+type noEffectKey struct{}
+
+// WithoutEffect returns a context for calls that have no effect, or none that a repetition changes. They are
+// written to a stream that has been quiet for a while without asking first whether the other end is alive.
+func WithoutEffect(ctx context.Context) context.Context {
+	return context.WithValue(ctx, noEffectKey{}, true)
+}
+
+// shortestQuietTime returns how long the stream may have been quiet when calls are written without a probe.
+func shortestQuietTime(calls []*queuedCall) time.Duration {
+	for _, c := range calls {
+		if !c.noEffect {
+			return quietTime
+		}
+	}
+	return quietTimeNoEffect
 }
 
 // claim reports whether the caller of claim decides what becomes of the call: it is true once.
@@ -66,7 +113,7 @@
 // openCallStream opens a stream, which ends when its connection ends or close is called.
 func openCallStream(conn *Conn) *callStream {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	s := &callStream{ctx: ctx, cancel: cancel, stream: conn.Calls(ctx), queue: make(chan *queuedCall, callQueueLength),
+	s := &callStream{ctx: ctx, cancel: cancel, stream: conn.Calls(ctx), probes: &conn.probes, queue: make(chan *queuedCall, callQueueLength),
 		received: make(chan struct{}, 1), pending: make(map[uint64]chan *peerv1.ForwardResponse)}
 	go s.write()
 	go s.read()
@@ -86,19 +133,23 @@
 // write sends queued calls in batches.
 func (s *callStream) write() {
 	defer func() { _ = s.stream.CloseRequest() }()
+	if !s.open() {
+		return
+	}
 	for {
 		select {
 		case <-s.ctx.Done():
 			return
 		case first := <-s.queue:
-			if !s.probe() {
-				return
-			}
 			if s.countPending() > gatherAbove {
 				time.Sleep(gatherTime)
 			}
+			calls := drainBatch(first, s.queue)
+			if !s.probe(shortestQuietTime(calls)) {
+				return
+			}
 			batch := &peerv1.CallBatch{}
-			for _, c := range drainBatch(first, s.queue) {
+			for _, c := range calls {
 				if c.claim() {
 					batch.Calls = append(batch.Calls, c.Call)
 				}
@@ -111,19 +162,32 @@
 	}
 }
 
-// probe returns once a quiet stream has delivered data again, so that the other end is known to be
-// alive. It returns false if the stream has ended.
-func (s *callStream) probe() bool {
-	if at := s.receivedAt.Load(); !s.answersProbes.Load() || time.Since(*at) < quietTime {
+// open sends a first probe, which returns only once the connection is open, so that no call counts as written
+// while it is being opened. It then awaits the reply of a process that is known to answer probes: a connection
+// can also be opened to a process that is paused. It returns false if the stream has ended.
+func (s *callStream) open() bool {
+	if s.stream.Send(&peerv1.CallBatch{}) != nil {
+		return false
+	}
+	return !s.probes.answers.Load() || s.awaitReceived(s.probes.openingUnanswered)
+}
+
+// probe returns once a stream that has been quiet for longer than the given time has delivered data again, so
+// that the other end is known to be alive. It returns false if the stream has ended.
+func (s *callStream) probe(quiet time.Duration) bool {
+	if at := s.receivedAt.Load(); !s.probes.answers.Load() || at != nil && time.Since(*at) < quiet {
 		return true
 	}
 	select {
 	case <-s.received:
 	default:
 	}
-	if s.stream.Send(&peerv1.CallBatch{}) != nil {
-		return false
-	}
+	return s.stream.Send(&peerv1.CallBatch{}) == nil && s.awaitReceived(func() {})
+}
+
+// awaitReceived waits for data. If none arrives within probeTimeout, it calls unanswered and ends the stream. It
+// returns false if the stream has ended.
+func (s *callStream) awaitReceived(unanswered func()) bool {
 	timeout := time.NewTimer(probeTimeout)
 	defer timeout.Stop()
 	select {
@@ -131,6 +195,7 @@
 		return true
 	case <-s.ctx.Done():
 	case <-timeout.C:
+		unanswered()
 		s.cancel(errNoProbeReply)
 	}
 	return false
@@ -172,7 +237,7 @@
 		s.noteReceived()
 		for _, r := range batch.GetReplies() {
 			if r.GetId() == probeReplyID {
-				s.answersProbes.Store(true)
+				s.probes.replied()
 				continue
 			}
 			if reply := s.removePending(r.GetId()); reply != nil {
@@ -186,7 +251,7 @@
 func (s *callStream) call(ctx context.Context, req *peerv1.ForwardRequest) (resp *peerv1.ForwardResponse, sent bool, err error) {
 	id, reply := s.addPending()
 	defer s.removePending(id)
-	c := &queuedCall{Call: &peerv1.Call{Id: id, Request: req}}
+	c := &queuedCall{Call: &peerv1.Call{Id: id, Request: req}, noEffect: ctx.Value(noEffectKey{}) != nil}
 	if deadline, ok := ctx.Deadline(); ok {
 		c.TimeoutMs = max(1, time.Until(deadline).Milliseconds())
 	}
@@ -201,10 +266,15 @@
 	case resp := <-reply:
 		return resp, true, nil
 	case <-ctx.Done():
-		return nil, !c.claim(), ctx.Err()
+		err = ctx.Err()
 	case <-s.ctx.Done():
-		cause := context.Cause(s.ctx)
-		return nil, !c.claim() && !IsDialError(cause), cause
+		err = context.Cause(s.ctx)
+	}
+	select {
+	case resp := <-reply:
+		return resp, true, nil
+	default:
+		return nil, !c.claim() && !IsDialError(err), err
 	}
 }
 
--- a/peer/client.go
+++ b/peer/client.go
@@ -45,6 +45,7 @@
 	peerv1connect.PeerServiceClient
 	transport *http.Transport
 	tracker   *retry.ConnTracker
+	probes    probeHistory
 	mu        sync.Mutex
 	stream    *callStream
 }
@@ -129,6 +130,10 @@
 func (p *Pool) Forward(ctx context.Context, address string, req *peerv1.ForwardRequest) (resp *peerv1.ForwardResponse, sent bool, err error) {
 	c, began := p.Get(address), time.Now()
 	resp, sent, err = c.calls().call(ctx, req)
+	if err != nil && !sent && ctx.Err() == nil && !IsDialError(err) && !errors.Is(err, errNoProbeReply) && !errors.Is(err, errStreamEnded) {
+		// The stream was that of a connection that has ended in the meantime, which says nothing about the process.
+		resp, sent, err = c.calls().call(ctx, req)
+	}
 	if err != nil && (ctx.Err() != nil || errors.Is(err, errNoProbeReply) || connect.CodeOf(err) == connect.CodeDeadlineExceeded) {
 		c.CloseSilentSince(began)
 	}
--- a/peer/serve_calls.go
+++ b/peer/serve_calls.go
@@ -15,10 +15,13 @@
 	maxOpenCalls = 32 << 10
 	// replyQueueLength is the maximum number of replies that wait to be written.
 	replyQueueLength = 1024
+	// replyMargin is the time before the deadline of a call at which its handler ends, so that its response, which
+	// tells whether anything was proposed, still arrives in time. Short calls keep three quarters of their time.
+	replyMargin = 25 * time.Millisecond
 )
 
-// CallHandler handles one forwarded call and returns its response; ctx ends at the deadline of
-// the call or with its stream.
+// CallHandler handles one forwarded call and returns its response; ctx ends shortly before the
+// deadline of the call, or with its stream.
 type CallHandler func(ctx context.Context, req *peerv1.ForwardRequest) *peerv1.ForwardResponse
 
 // ServeCalls handles the calls of a stream, each in its own goroutine. It returns the error with
@@ -69,7 +72,12 @@
 	call := ctx
 	if ms := c.GetTimeoutMs(); ms > 0 {
 		var cancel context.CancelFunc
-		call, cancel = context.WithTimeout(ctx, time.Duration(ms)*time.Millisecond)
+		limit := time.Duration(ms) * time.Millisecond
+		if c.GetRequest().GetMethod() != peerv1.Method_METHOD_RELAY {
+			// The bound of a relayed order allows for the round trip already.
+			limit = max(limit-replyMargin, limit*3/4)
+		}
+		call, cancel = context.WithTimeout(ctx, limit)
 		defer cancel()
 	}
 	reply := &peerv1.Reply{Id: c.GetId(), Response: handle(call, c.GetRequest())}
