wal: a write without space leaves the log usable

A write that fails with ENOSPC before its sync was not acknowledged, but it made the log unusable, and the process started and ended again two or three times a second until there was space.

The same call may be made again.

--- a/wal/doc.go
+++ b/wal/doc.go
@@ -20,6 +20,10 @@
 // an error while a snapshot file is created or its content is written, which
 // leaves the log usable; see StoreSnapshot.
 //
+// A full disk is no such failure: a write that finds no space before its sync
+// was not acknowledged. The log removes what is left of it and returns
+// ErrNoSpace; the call may be made again once there is space.
+//
 // Open truncates a torn tail, the partial frame that a crash leaves behind during
 // an unacknowledged write. Damage anywhere else returns ErrCorrupt: entries that
 // may have been acknowledged are never skipped. SetAside then moves the damaged
--- a/wal/files.go
+++ b/wal/files.go
@@ -84,7 +84,7 @@
 }
 
 // writeAtomic writes a file so that after a crash it has either its complete new content or its
-// old content, or is absent if there was no old one.
+// old content, or is absent if there was no old one. Without space it returns ErrNoSpace.
 func writeAtomic(fs fileSystem, path string, data []byte) error {
 	tmp := path + temporarySuffix
 	if err := fs.Remove(tmp); err != nil && !os.IsNotExist(err) {
@@ -92,14 +92,18 @@
 	}
 	f, err := fs.Create(tmp)
 	if err != nil {
-		return errors.Wrap(err, "wal: create file")
+		return asNoSpace(errors.Wrap(err, "wal: create file"))
 	}
-	_, err = f.Write(data)
-	if err := syncAndClose(f, err); err != nil {
-		return errors.Wrap(err, "wal: write file")
+	if _, err = f.Write(data); err != nil {
+		_ = f.Close()
+		_ = fs.Remove(tmp)
+		return asNoSpace(errors.Wrap(err, "wal: write file"))
+	}
+	if err := syncAndClose(f, nil); err != nil {
+		return errors.Wrap(err, "wal: sync file")
 	}
 	if err := fs.Rename(tmp, path); err != nil {
-		return errors.Wrap(err, "wal: rename file")
+		return asNoSpace(errors.Wrap(err, "wal: rename file"))
 	}
 	return errors.Wrap(fs.SyncDir(filepath.Dir(path)), "wal: sync folder")
 }
--- a/wal/identity.go
+++ b/wal/identity.go
@@ -38,14 +38,14 @@
 // LoadIdentity reads the folder's identity, or creates the folder and a new identity if there
 // is neither an identity nor a log. It returns ErrCorrupt, wrapped, for a damaged identity, for
 // a log without an identity, which a crash in SetAside can leave behind, and for a folder
-// without an identity that can't be listed.
+// without an identity that can't be listed. It returns ErrNoSpace if there is no space for a new identity.
 func LoadIdentity(dir string) (id Identity, created bool, err error) {
 	return loadIdentity(dir, osFiles{})
 }
 
 func loadIdentity(dir string, fs fileSystem) (id Identity, created bool, err error) {
 	if err := os.MkdirAll(dir, folderPermissions); err != nil {
-		return id, false, errors.Wrap(err, "wal: create data folder")
+		return id, false, asNoSpace(errors.Wrap(err, "wal: create data folder"))
 	}
 	data, err := os.ReadFile(filepath.Join(dir, identityFile))
 	if os.IsNotExist(err) {
@@ -78,7 +78,8 @@
 	return errors.Wrap(err, "wal: sync the parent of the data folder")
 }
 
-// SaveIdentity replaces the folder's identity and syncs it.
+// SaveIdentity replaces the folder's identity and syncs it. Without space it returns ErrNoSpace and
+// keeps the old identity.
 func SaveIdentity(dir string, id Identity) error { return saveIdentity(dir, osFiles{}, id) }
 
 func saveIdentity(dir string, fs fileSystem, id Identity) error {
--- a/wal/set_aside.go
+++ b/wal/set_aside.go
@@ -13,7 +13,7 @@
 
 // SetAside moves the files of a damaged data folder into a new subfolder and returns its path.
 // The data folder can then take a new identity. The identity file is moved first, so that after
-// a crash the folder has no identity and SetAside can be called again.
+// a crash, or ErrNoSpace, the folder has no identity and SetAside can be called again.
 func SetAside(dir string) (string, error) { return setAside(dir, osFiles{}) }
 
 func setAside(dir string, fs fileSystem) (string, error) {
@@ -34,7 +34,7 @@
 	for _, name := range names {
 		err := fs.Rename(filepath.Join(dir, name), filepath.Join(aside, name))
 		if err != nil && !os.IsNotExist(err) {
-			return "", errors.Wrap(err, "wal: move damaged file")
+			return "", asNoSpace(errors.Wrap(err, "wal: move damaged file"))
 		}
 		if err := fs.SyncDir(dir); err != nil {
 			return "", errors.Wrap(err, "wal: sync folder")
@@ -53,7 +53,7 @@
 			return path, nil
 		}
 		if !os.IsExist(err) {
-			return "", errors.Wrap(err, "wal: create folder")
+			return "", asNoSpace(errors.Wrap(err, "wal: create folder"))
 		}
 	}
 }
