replica: a node whose disk is full waits instead of ending

A write that found no space ended the node. It now holds back the votes, acknowledgements and commits that follow the write, drops what it receives, does not campaign, and makes the write again every 200 ms. A leader transfers its leadership at once, and resigns after an election timeout if no other voter has taken it; the only voter stays leader. Its owner is told that it no longer leads, so that callers get ErrLost. Metrics: log_no_space, log_waits_for_space.

--- a/raft/election.go
+++ b/raft/election.go
@@ -126,6 +126,14 @@
 	return r.TransferLeadership(next)
 }
 
+// Resign ends the leadership of this replica without a successor, in the same term. Without leadership it
+// does nothing.
+func (r *Raft) Resign() {
+	if r.role == Leader {
+		r.becomeFollower(r.term, None)
+	}
+}
+
 // sendTimeoutNow tells the target of a transfer to start an election if it has the whole log.
 func (r *Raft) sendTimeoutNow() {
 	p := r.progress[r.transferTo]
--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -83,9 +83,11 @@
 	cfg func(*Config)
 	// wrapStorage returns the storage that a node uses in place of its log; nil uses the log.
 	wrapStorage func(raft.ID, *wal.Log) Storage
-	mu          sync.Mutex
-	replicas    map[raft.ID]*testReplica
-	dirs        map[raft.ID]string
+	// onSend is called with each message that a node sends; it may be nil.
+	onSend   func(raft.Message)
+	mu       sync.Mutex
+	replicas map[raft.ID]*testReplica
+	dirs     map[raft.ID]string
 	// isolated holds the replicas whose messages are dropped in both directions.
 	isolated map[raft.ID]bool
 	// transfers counts the snapshots that were sent.
@@ -266,6 +268,11 @@
 }
 
 func (t *testTransport) Send(to raft.Member, messages []raft.Message) {
+	if t.c.onSend != nil {
+		for _, m := range messages {
+			t.c.onSend(m)
+		}
+	}
 	t.c.wg.Add(1)
 	go func() {
 		defer t.c.wg.Done()
--- a/replica/node.go
+++ b/replica/node.go
@@ -48,12 +48,14 @@
 // Storage makes raft state durable; *wal.Log implements it. StoreSnapshot and OpenSnapshot are
 // called from other goroutines, concurrently with the other methods.
 type Storage interface {
-	// Append writes entries and the hard state and syncs them.
+	// Append writes entries and the hard state and syncs them. After wal.ErrNoSpace nothing of them is
+	// kept and the call is made again later; after any other error the node stops.
 	Append(hard raft.HardState, entries []raft.Entry) error
 	// StoreSnapshot writes and syncs a snapshot without installing it. Any error but
 	// wal.ErrFailed leaves the storage usable.
 	StoreSnapshot(s raft.Snapshot, origin wal.Origin, content func(io.Writer) error) error
-	// UseSnapshot installs a stored snapshot; a received one replaces all entries.
+	// UseSnapshot installs a stored snapshot; a received one replaces all entries. It fails as Append
+	// does, and may also be called again after it has succeeded.
 	UseSnapshot(s raft.Snapshot, origin wal.Origin) error
 	// OpenSnapshot returns the newest snapshot and its content.
 	OpenSnapshot() (raft.Snapshot, io.ReadCloser, error)
@@ -87,6 +89,10 @@
 	// Warn is called on the control goroutine with errors, mainly of snapshots, that do not stop
 	// the node. It may be nil.
 	Warn func(error)
+	// NoSpace is called on the control goroutine when a write of the log finds no space, and
+	// SpaceReturned once it has succeeded, with the time between. They may be nil.
+	NoSpace       func(error)
+	SpaceReturned func(waited time.Duration)
 }
 
 // DefaultConfig returns settings for replicas whose network latency is a few milliseconds. The
@@ -144,12 +150,16 @@
 	leadIndex uint64
 	// failure is the error that stops the node.
 	failure error
-	// writing is set while another goroutine makes a leader's entries durable. The write started in
-	// writeTerm, writeTicks ticks ago; its result arrives on writeDone.
+	// writing is set while a leader's entries are made durable. The write, of the entries and the hard
+	// state in write, started in writeTerm, writeTicks ticks ago. While attempting is set, another
+	// goroutine makes an attempt, whose result arrives on writeDone.
 	writing    bool
+	write      raft.Ready
 	writeTerm  uint64
 	writeTicks int
+	attempting bool
 	writeDone  chan error
+	space      spaceState
 	// ctx is the context of Run; background counts the goroutines that Run waits for.
 	ctx        context.Context
 	background sync.WaitGroup
@@ -227,9 +237,7 @@
 		case <-ctx.Done():
 			return nil
 		case <-ticker.C:
-			n.raft.Tick()
-			n.checkStalledWrite()
-			n.owner.Tick()
+			n.tick()
 		case f := <-n.calls:
 			f()
 			n.drainCalls()
@@ -245,7 +253,21 @@
 	return n.failure
 }
 
+func (n *Node[R]) tick() {
+	if !n.halted() {
+		n.raft.Tick()
+	}
+	n.checkStalledWrite()
+	if n.space.short {
+		n.tickWithoutSpace()
+	}
+	n.owner.Tick()
+}
+
 func (n *Node[R]) stop() {
+	if n.space.short {
+		logWaitsForSpace.Add(-1)
+	}
 	close(n.done)
 	n.failPending(ErrLost)
 }
@@ -276,6 +298,10 @@
 }
 
 func (n *Node[R]) step(messages []raft.Message) {
+	if n.halted() {
+		n.noteLeader(messages)
+		return
+	}
 	for _, m := range messages {
 		n.raft.Step(m)
 	}
@@ -305,8 +331,18 @@
 	n.confirmations[n.lastReadID] = done
 }
 
-// process persists, sends and applies what the raft core has ready, until nothing is left.
+// process does what processReady does, unless the node waits for space.
 func (n *Node[R]) process() {
+	if n.halted() {
+		n.endLeadership()
+		return
+	}
+	n.processReady()
+}
+
+// processReady persists, sends and applies what the raft core has ready, until nothing is left or there
+// is no space.
+func (n *Node[R]) processReady() {
 	for n.failure == nil && n.raft.HasReady() {
 		if n.writing && !n.raft.IsLeaderIn(n.writeTerm) {
 			// The node no longer leads in writeTerm: whatever has to be written now must come after
@@ -314,12 +350,20 @@
 			if n.awaitWrite(); n.failure != nil {
 				return
 			}
+			if n.writing {
+				n.endLeadership()
+				return
+			}
 		}
 		rd := n.raft.Ready()
 		n.sendAll(rd.Early)
-		if n.failure = n.persist(rd); n.failure != nil {
+		if err := n.persist(rd); err != nil {
+			n.handleWriteError(err)
 			return
 		}
+		if rd.MustSync && !n.writing {
+			n.spaceReturned()
+		}
 		n.updateRole(rd)
 		n.sendAll(rd.Messages)
 		if rd.Snapshot != nil {
@@ -339,6 +383,17 @@
 	}
 }
 
+// handleWriteError stops the node after a failed write. Without space the work of the Ready is not done,
+// so that the next Ready contains it again.
+func (n *Node[R]) handleWriteError(err error) {
+	if !errors.Is(err, wal.ErrNoSpace) {
+		n.failure = err
+		return
+	}
+	n.waitForSpace(err)
+	n.endLeadership()
+}
+
 func (n *Node[R]) advance(rd raft.Ready) {
 	if rd.AllowsAsyncWrite {
 		n.raft.AdvanceAsync(rd)
@@ -424,31 +479,6 @@
 	}
 }
 
-// sendAll sends messages in one batch per replica, and snapshots in other goroutines.
-func (n *Node[R]) sendAll(messages []raft.Message) {
-	byPeer := make(map[raft.ID][]raft.Message)
-	for _, m := range messages {
-		if m.Type == raft.MsgSnapshot {
-			n.sendSnapshot(m)
-			continue
-		}
-		byPeer[m.To] = append(byPeer[m.To], m)
-	}
-	for id, list := range byPeer {
-		n.transport.Send(n.member(id), list)
-	}
-}
-
-// member returns a member of the group, or a Member with nothing but the ID if there is none.
-func (n *Node[R]) member(id raft.ID) raft.Member {
-	for _, m := range n.raft.Members() {
-		if m.ID == id {
-			return m
-		}
-	}
-	return raft.Member{ID: id}
-}
-
 // Raft returns the raft core, for its status and for membership changes.
 func (n *Node[R]) Raft() *raft.Raft { return n.raft }
 
--- a/replica/write.go
+++ b/replica/write.go
@@ -29,10 +29,18 @@
 func (n *Node[R]) startWrite(rd raft.Ready) {
 	logAppends.Add(1)
 	n.writing, n.writeTerm, n.writeTicks = true, rd.Term, 0
+	n.write = rd
+	n.runWrite()
+}
+
+// runWrite makes one attempt at the write that startWrite has started.
+func (n *Node[R]) runWrite() {
+	hard, entries := n.write.HardState, n.write.Entries
+	n.attempting = true
 	n.background.Add(1)
 	go func() {
 		defer n.background.Done()
-		n.writeDone <- n.storage.Append(rd.HardState, rd.Entries)
+		n.writeDone <- n.storage.Append(hard, entries)
 	}()
 }
 
@@ -40,7 +48,7 @@
 // after which followers replace a silent leader. They don't replace this one, because its
 // heartbeats continue, but nothing is committed.
 func (n *Node[R]) checkStalledWrite() {
-	if !n.writing {
+	if !n.writing || n.space.short {
 		return
 	}
 	n.writeTicks++
@@ -52,23 +60,30 @@
 	}
 }
 
-// finishWrite handles the result of the write that startWrite has started.
+// finishWrite handles the result of an attempt at the write that startWrite has started. Without space
+// the write stays in progress until a later attempt succeeds.
 func (n *Node[R]) finishWrite(err error) {
-	n.writing = false
+	n.attempting = false
+	if errors.Is(err, wal.ErrNoSpace) {
+		n.waitForSpace(err)
+		return
+	}
+	n.writing, n.write = false, raft.Ready{}
 	if err != nil {
 		n.failure = err
 		return
 	}
+	n.spaceReturned()
 	n.raft.ReportEntriesDurable()
 }
 
-// Writing reports whether another goroutine is writing entries. Owner.Flush is called when the
-// write ends.
+// Writing reports whether another goroutine is writing entries, or waits for space to write them.
+// Owner.Flush is called when the write ends.
 func (n *Node[R]) Writing() bool { return n.writing }
 
-// awaitWrite waits for the write in progress, if any.
+// awaitWrite waits for the attempt at a write that is in progress, if any.
 func (n *Node[R]) awaitWrite() {
-	if n.writing {
+	if n.attempting {
 		n.finishWrite(<-n.writeDone)
 	}
 }
