daemon: a process with a full disk stays up

The process waits for space to lock and open its data folder, and while its node waits, with a log line when the wait begins and one when it ends. Everything else that a replica's process serves goes on.

--- a/daemon/folder.go
+++ b/daemon/folder.go
@@ -5,8 +5,10 @@
 	"io"
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/bulrushwinch/bulrushwinch/retry"
 	"github.com/bulrushwinch/bulrushwinch/wal"
 	"github.com/cespare/xxhash/v2"
 	"github.com/pkg/errors"
@@ -40,14 +42,14 @@
 
 // open opens the folder. Damaged content is moved aside, and the replica joins under a new
 // identity; it does not create a group then, because the group that it belonged to may still be
-// running.
+// running. Without space, open waits.
 func (f *folder) open(ctx context.Context, bootstrap bool) (*openedFolder, error) {
 	for {
-		opened, err := f.tryOpen(ctx, bootstrap)
+		opened, err := retryWithoutSpace(ctx, f, func() (*openedFolder, error) { return f.tryOpen(ctx, bootstrap) })
 		if !errors.Is(err, wal.ErrCorrupt) {
 			return opened, err
 		}
-		aside, moveErr := wal.SetAside(f.dir)
+		aside, moveErr := retryWithoutSpace(ctx, f, func() (string, error) { return wal.SetAside(f.dir) })
 		if moveErr != nil {
 			return nil, moveErr
 		}
@@ -57,6 +59,30 @@
 	}
 }
 
+// spaceRetryInterval is the time between two attempts to open a data folder without space.
+const spaceRetryInterval = 500 * time.Millisecond
+
+// retryWithoutSpace makes a call again until it finds space or ctx ends. A call that was interrupted by a lack
+// of space may be made again like one that was interrupted by a crash.
+func retryWithoutSpace[T any](ctx context.Context, f *folder, call func() (T, error)) (T, error) {
+	out, err := call()
+	if !errors.Is(err, wal.ErrNoSpace) {
+		return out, err
+	}
+	began := time.Now()
+	f.log.Error().Err(err).Msg("no space in the data folder; the replica waits to open it")
+	wal.WaitsForSpace.Add(1)
+	defer wal.WaitsForSpace.Add(-1)
+	for errors.Is(err, wal.ErrNoSpace) {
+		if err := retry.Sleep(ctx, spaceRetryInterval); err != nil {
+			return out, err
+		}
+		out, err = call()
+	}
+	f.log.Info().Dur("waited", time.Since(began)).Msg("the data folder has space again")
+	return out, err
+}
+
 func (f *folder) tryOpen(ctx context.Context, bootstrap bool) (*openedFolder, error) {
 	id, created, err := wal.LoadIdentity(f.dir)
 	if err != nil {
--- a/daemon/replica.go
+++ b/daemon/replica.go
@@ -35,17 +35,17 @@
 }
 
 // runReplica locks and opens the data folder, joins or creates a group and runs the replica until
-// ctx ends or the data folder can't be written.
+// ctx ends or the data folder can't be written for another reason than a lack of space.
 func (d *Daemon) runReplica(ctx context.Context, bootstrap bool) error {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
-	lock, err := wal.LockFolder(d.settings.DataFolder)
+	f := &folder{dir: d.settings.DataFolder, log: d.log, joinOnce: d.joinOnce, joinWithRetry: d.joinWithRetry,
+		self: raft.Member{Address: d.settings.PeerAddress, Domain: d.settings.FailureDomain}, initialVoters: d.initialVoters}
+	lock, err := retryWithoutSpace(ctx, f, func() (*wal.FolderLock, error) { return wal.LockFolder(f.dir) })
 	if err != nil {
 		return err
 	}
 	defer func() { _ = lock.Release() }()
-	f := &folder{dir: d.settings.DataFolder, log: d.log, joinOnce: d.joinOnce, joinWithRetry: d.joinWithRetry,
-		self: raft.Member{Address: d.settings.PeerAddress, Domain: d.settings.FailureDomain}, initialVoters: d.initialVoters}
 	opened, err := f.open(ctx, bootstrap)
 	if err != nil {
 		return err
@@ -101,6 +101,12 @@
 		d.tuneNode(&nodeConfig)
 	}
 	nodeConfig.Warn = func(err error) { d.log.Warn().Err(err).Msg("storage error; the replica keeps running") }
+	nodeConfig.NoSpace = func(err error) {
+		d.log.Error().Err(err).Msg("no space for the log; the replica waits and does not lead")
+	}
+	nodeConfig.SpaceReturned = func(waited time.Duration) {
+		d.log.Info().Dur("waited", waited).Msg("the log has space again; the replica continues")
+	}
 	node, err := replica.New(nodeConfig, control.Machine{State: st}, controller, storage, transport, restored)
 	if err != nil {
 		return nil, err
--- a/replica/node.go
+++ b/replica/node.go
@@ -266,7 +266,7 @@
 
 func (n *Node[R]) stop() {
 	if n.space.short {
-		logWaitsForSpace.Add(-1)
+		wal.WaitsForSpace.Add(-1)
 	}
 	close(n.done)
 	n.failPending(ErrLost)
--- a/replica/space.go
+++ b/replica/space.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/raft"
+	"github.com/bulrushwinch/bulrushwinch/wal"
 )
 
 // spaceRetryTicks is the number of ticks between two attempts at a write that finds no space.
@@ -30,7 +31,7 @@
 	logNoSpace.Add(1)
 	if !n.space.short {
 		n.space = spaceState{short: true, since: time.Now()}
-		logWaitsForSpace.Add(1)
+		wal.WaitsForSpace.Add(1)
 		if n.cfg.NoSpace != nil {
 			n.cfg.NoSpace(err)
 		}
@@ -45,7 +46,7 @@
 	}
 	waited := time.Since(n.space.since)
 	n.space = spaceState{}
-	logWaitsForSpace.Add(-1)
+	wal.WaitsForSpace.Add(-1)
 	if n.cfg.SpaceReturned != nil {
 		n.cfg.SpaceReturned(waited)
 	}
--- a/soak/cell_test.go
+++ b/soak/cell_test.go
@@ -28,6 +28,8 @@
 	name, ip, config, log string
 	command               *exec.Cmd
 	ended                 chan struct{}
+	// fullDisk makes the process start on a disk that takes no bytes.
+	fullDisk bool
 }
 
 // cell is a whole system on loopback. Each node has its own IP address; all use the same ports.
@@ -112,6 +114,9 @@
 		c.t.Fatal(err)
 	}
 	n.command = exec.Command(c.binary, "-called", "SOAK_SETTINGS")
+	if n.fullDisk {
+		n.command = exec.Command("sh", "-c", `ulimit -S -f 0 && exec "$0" -called SOAK_SETTINGS`, c.binary)
+	}
 	n.command.Env = append(os.Environ(), "SOAK_SETTINGS="+n.config)
 	n.command.Stdout, n.command.Stderr = log, log
 	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
--- a/wal/lock_linux.go
+++ b/wal/lock_linux.go
@@ -18,10 +18,11 @@
 
 // LockFolder locks a data folder, and creates it if it does not exist. Without the lock, two
 // processes on one folder would vote twice under one identity. It returns ErrInUse, wrapped, if
-// another process, or an earlier call in this one, holds the lock.
+// another process, or an earlier call in this one, holds the lock, and ErrNoSpace if the folder can't be
+// created for lack of space.
 func LockFolder(dir string) (*FolderLock, error) {
 	if err := os.MkdirAll(dir, folderPermissions); err != nil {
-		return nil, errors.Wrap(err, "wal: create data folder")
+		return nil, asNoSpace(errors.Wrap(err, "wal: create data folder"))
 	}
 	f, err := os.Open(dir)
 	if err != nil {
--- a/wal/set_aside.go
+++ b/wal/set_aside.go
@@ -34,6 +34,7 @@
 	for _, name := range names {
 		err := fs.Rename(filepath.Join(dir, name), filepath.Join(aside, name))
 		if err != nil && !os.IsNotExist(err) {
+			_ = fs.Remove(aside) // It is removed only while it is empty.
 			return "", asNoSpace(errors.Wrap(err, "wal: move damaged file"))
 		}
 		if err := fs.SyncDir(dir); err != nil {
--- a/wal/space.go
+++ b/wal/space.go
@@ -1,6 +1,7 @@
 package wal
 
 import (
+	"expvar"
 	"syscall"
 
 	"github.com/bulrushwinch/bulrushwinch/raft"
@@ -11,6 +12,10 @@
 // the same call may be made again.
 var ErrNoSpace = errors.New("wal: no space left in the data folder")
 
+// WaitsForSpace is the metric log_waits_for_space: the number of replicas in this process that wait for
+// space. Whoever waits after ErrNoSpace counts itself.
+var WaitsForSpace = expvar.NewInt("log_waits_for_space")
+
 // causedError is ErrFailed or ErrNoSpace with its cause.
 type causedError struct{ kind, cause error }
 
