ingress: unfinished requests are bounded by a budget of the process

Cause: hertz copies a head that arrives in pieces at each look and keeps the copies, lets the buffers of bodies double, and buffers trailers without a bound; net/http took heads of 1 MB and bodies of up to 256 MB before the cluster secret was checked. Nothing bounded the sum, and the memory was not given back.

Change: a listener in front of hertz holds each request back until it is complete and charges its bytes to a budget of the process, an eighth of memory_mb. Over the budget the request is refused that has made no progress for the longest time, then the largest; heads, empty lines, bodies, times and connections are bounded, and memory is given back. Peer and admin use the limits of net/http; the peer handler checks the secret before it reads a body. Settings are in [limits].

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 GO ?= go
 # Packages whose goroutines share memory are tested with the race detector as well.
-RACE_PACKAGES = ./replica ./control ./peer ./entry ./view ./upstream ./client ./timeline ./retry ./daemon ./pipeline ./dispatch ./platform
+RACE_PACKAGES = ./replica ./control ./peer ./entry ./view ./upstream ./client ./timeline ./retry ./daemon ./pipeline ./dispatch ./platform ./ingress
 
 .PHONY: build demo test check generate bench slopes
 
--- a/config/config.go
+++ b/config/config.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/entry"
+	"github.com/bulrushwinch/bulrushwinch/ingress"
 	"github.com/pkg/errors"
 	"gopkg.in/ini.v1"
 )
@@ -57,6 +58,8 @@
 	DrainDelay time.Duration
 	// Limits are the admission limits of the entry.
 	Limits entry.Limits
+	// Ingress bounds what unfinished requests may hold.
+	Ingress ingress.Limits
 	// PublicTLS, PeerServerTLS and PeerClientTLS are nil for plain TCP.
 	PublicTLS     *tls.Config
 	PeerServerTLS *tls.Config
@@ -180,6 +183,7 @@
 		PollHold:      r.duration("replica", "poll_hold", time.Second, minPollHold, maxPollHold),
 		DrainDelay:    r.duration("entry", "drain_delay", 5*time.Second, 0, maxDrainDelay),
 		Limits:        r.limits(),
+		Ingress:       r.ingressLimits(),
 		LogLevel:      r.choice("log", "level", "info", "debug", "info", "warn", "error"),
 	}
 	r.tls(s)
--- a/config/push.go
+++ b/config/push.go
@@ -6,6 +6,7 @@
 	"slices"
 	"time"
 
+	"github.com/bulrushwinch/bulrushwinch/ingress"
 	"github.com/pkg/errors"
 	"gopkg.in/ini.v1"
 )
@@ -46,6 +47,8 @@
 	DrainTime time.Duration
 	// MemoryBytes is the memory of the VM that the process may use; zero if it is not known.
 	MemoryBytes int64
+	// Ingress bounds what unfinished requests may hold.
+	Ingress ingress.Limits
 	// LogLevel is debug, info, warn or error.
 	LogLevel string
 }
@@ -107,6 +110,7 @@
 		StopGrace:        r.millis("upstreams", "stop_ms", time.Second, 0, maxStop),
 		DrainTime:        time.Duration(r.integer("node", "grace_s", 30, int(minDrain/time.Second), int(maxDrain/time.Second))) * time.Second,
 		MemoryBytes:      int64(r.integer("node", "memory_mb", 0, 0, maxMemory)) << 20,
+		Ingress:          r.ingressLimits(),
 		LogLevel:         r.choice("log", "level", "info", "debug", "info", "warn", "error"),
 	}
 	s.SeedPeers = r.seedPeers(s)
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -12,6 +12,7 @@
 	"github.com/bulrushwinch/bulrushwinch/contain"
 	"github.com/bulrushwinch/bulrushwinch/control"
 	"github.com/bulrushwinch/bulrushwinch/entry"
+	"github.com/bulrushwinch/bulrushwinch/ingress"
 	"github.com/bulrushwinch/bulrushwinch/lease"
 	"github.com/bulrushwinch/bulrushwinch/peer"
 	"github.com/bulrushwinch/bulrushwinch/raft"
@@ -58,7 +59,9 @@
 	// relay carries calls of the leader to upstreams; nil if this process does not.
 	relay *relay.Server
 	// contain ends requests that meet an unexpected error.
-	contain  contain.Reporter
+	contain contain.Reporter
+	// budget bounds what unfinished requests hold.
+	budget   *ingress.Budget
 	tuneNode func(*replica.Config)
 
 	mu      sync.Mutex
@@ -104,6 +107,7 @@
 	d := &Daemon{settings: s, log: log, clock: lease.BootClock{}, contain: contain.NewReporter(log),
 		events: timeline.NewRecorder(s.Name, timeline.NewClock(time.Now), eventCapacity),
 		pool:   peer.NewPool(s.Secret.Reveal(), s.PeerClientTLS)}
+	d.budget = newBudget(s, 0, 2*maxRequestBytes, log)
 	d.view = view.New(d.clock, view.DefaultStaleAfter)
 	d.router = entry.NewRouter(d.pool, s.Replicas)
 	d.entry = entry.NewServer(s.Name, d.router, d.events, d.gatherTimeline, entry.WithView(d.view), entry.WithLimits(s.Limits))
@@ -135,7 +139,7 @@
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return d.servePeers(work) })
 	g.Go(func() error {
-		return serveHTTP(work, &http.Server{Handler: d.health.handler(), ReadHeaderTimeout: readTimeout}, d.listeners.Admin)
+		return d.serveAdmin(work)
 	})
 	if d.settings.HasRole(config.RoleReplica) {
 		g.Go(func() error { return d.runReplica(work, bootstrap) })
@@ -155,7 +159,9 @@
 
 func (d *Daemon) servePeers(ctx context.Context) error {
 	s := peer.NewServer(peer.NewHandler(d.settings.Secret.Reveal(), &peerService{d}, d.contain))
-	l := d.listeners.Peer
+	bounded := d.budget.ListenCounted(d.listeners.Peer, "peer", ingress.PriorityPeers, d.settings.Ingress.Connections)
+	bounded.Bound(s)
+	var l net.Listener = bounded
 	if d.settings.PeerServerTLS != nil {
 		s.TLSConfig = d.settings.PeerServerTLS.Clone()
 		s.TLSConfig.NextProtos = []string{"h2"}
@@ -164,6 +170,23 @@
 	return serveHTTP(ctx, s, l)
 }
 
+// newBudget returns the budget of a process with a VM of memory bytes, or zero, whose largest body has body bytes. It
+// sets limits that the settings lack.
+func newBudget(s *config.Settings, memory, body int64, log zerolog.Logger) *ingress.Budget {
+	if s.Ingress == (ingress.Limits{}) {
+		s.Ingress = ingress.DefaultLimits
+	}
+	return ingress.NewBudget(s.Ingress, s.Ingress.Budget(memory, body), log)
+}
+
+// serveAdmin serves health checks and metrics until ctx ends.
+func (d *Daemon) serveAdmin(ctx context.Context) error {
+	s := &http.Server{Handler: d.health.handler(), ReadTimeout: readTimeout}
+	l := d.budget.ListenCounted(d.listeners.Admin, "admin", ingress.PriorityCallers, d.settings.Ingress.CheckConnections)
+	l.Bound(s)
+	return serveHTTP(ctx, s, l)
+}
+
 // serveHTTP serves until ctx ends, then gives open calls shutdownTimeout to finish, or failureTimeout if another part of
 // the process has failed.
 func serveHTTP(ctx context.Context, s *http.Server, l net.Listener) error {
--- a/daemon/domain_order.go
+++ b/daemon/domain_order.go
@@ -16,10 +16,16 @@
 
 // contextOfConn returns the context of the requests on an accepted connection.
 func contextOfConn(conn net.Conn) context.Context {
-	if c, ok := conn.(*trackedConn); ok {
-		return entry.WithCaller(context.Background(), c.closedByPeer)
+	for {
+		if c, ok := conn.(*trackedConn); ok {
+			return entry.WithCaller(context.Background(), c.closedByPeer)
+		}
+		w, ok := conn.(interface{ NetConn() net.Conn })
+		if !ok {
+			return context.Background()
+		}
+		conn = w.NetConn()
 	}
-	return context.Background()
 }
 
 // orderDomain sends an operator's order on a failure domain to the leader. Such orders have no number that would
--- a/daemon/listener.go
+++ b/daemon/listener.go
@@ -71,6 +71,9 @@
 	lastActivity     time.Time
 }
 
+// NetConn returns the connection below.
+func (c *trackedConn) NetConn() net.Conn { return c.Conn }
+
 // recordActivity records a read (awaitingResponse is true) or a write.
 func (c *trackedConn) recordActivity(awaitingResponse bool) {
 	c.mu.Lock()
--- a/daemon/public.go
+++ b/daemon/public.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"crypto/tls"
+	"io"
+	"net"
 	"net/http"
 	"sync/atomic"
 	"time"
@@ -9,11 +12,11 @@
 	"connectrpc.com/connect"
 	"github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1/bulrushwinchv1connect"
 	"github.com/bulrushwinch/bulrushwinch/entry"
+	"github.com/bulrushwinch/bulrushwinch/ingress"
 	"github.com/bulrushwinch/bulrushwinch/retry"
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
-	"github.com/cloudwego/hertz/pkg/common/config"
 	"github.com/cloudwego/hertz/pkg/common/hlog"
 	"github.com/cloudwego/hertz/pkg/network/standard"
 )
@@ -54,15 +57,13 @@
 
 func newPublicServer(d *Daemon, l *trackingListener) *publicServer {
 	s := &publicServer{listener: l}
-	opts := []config.Option{server.WithListener(l), server.WithTransport(standard.NewTransporter),
-		server.WithMaxRequestBodySize(2 * maxRequestBytes), server.WithDisablePrintRoute(true),
-		server.WithReadTimeout(readTimeout), server.WithIdleTimeout(idleTimeout), server.WithExitWaitTime(drainTimeout),
-		server.WithOnAccept(contextOfConn)}
+	var inner net.Listener = l
 	if d.settings.PublicTLS != nil {
-		opts = append(opts, server.WithTLS(d.settings.PublicTLS))
+		inner = tls.NewListener(l, d.settings.PublicTLS)
 	}
-	s.hertz = server.New(opts...)
-	s.hertz.Use(d.containRequest)
+	bounded := d.budget.Listen(inner, "public", ingress.PriorityCallers, d.settings.Ingress.Connections, 2*maxRequestBytes)
+	s.hertz = newHertz(bounded, 2*maxRequestBytes, drainTimeout)
+	s.hertz.Use(d.containRequest, readBody)
 	handler := adaptor.HertzHandler(PublicHandler(d.entry))
 	s.hertz.POST("/*path", func(ctx context.Context, rc *app.RequestContext) {
 		handler(ctx, rc)
@@ -73,6 +74,28 @@
 	return s
 }
 
+// newHertz returns a server for a listener that holds back requests until they are complete.
+func newHertz(l *ingress.Listener, maxBody int, exitWait time.Duration) *server.Hertz {
+	return server.New(server.WithListener(l), server.WithTransport(standard.NewTransporter), server.WithStreamBody(true),
+		server.WithMaxRequestBodySize(maxBody), server.WithDisablePreParseMultipartForm(true), server.WithDisablePrintRoute(true),
+		server.WithReadTimeout(readTimeout), server.WithIdleTimeout(idleTimeout), server.WithExitWaitTime(exitWait),
+		server.WithOnAccept(contextOfConn))
+}
+
+// readBody reads a body into memory of its exact size. It has arrived already, so this doesn't wait.
+func readBody(ctx context.Context, rc *app.RequestContext) {
+	if n := rc.Request.Header.ContentLength(); n > 0 && rc.Request.IsBodyStream() {
+		body := make([]byte, n)
+		if _, err := io.ReadFull(rc.Request.BodyStream(), body); err != nil {
+			rc.SetConnectionClose()
+			rc.AbortWithStatus(http.StatusBadRequest)
+			return
+		}
+		rc.Request.SetBodyRaw(body)
+	}
+	rc.Next(ctx)
+}
+
 // containRequest answers a request whose handler meets an unexpected error with 500: it may have had an
 // effect.
 func (d *Daemon) containRequest(ctx context.Context, rc *app.RequestContext) {
--- a/daemon/push.go
+++ b/daemon/push.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net"
-	"net/http"
 	"os"
 	"runtime/debug"
 	"sync"
@@ -14,6 +13,7 @@
 	"github.com/bulrushwinch/bulrushwinch/control"
 	"github.com/bulrushwinch/bulrushwinch/dispatch"
 	"github.com/bulrushwinch/bulrushwinch/entry"
+	"github.com/bulrushwinch/bulrushwinch/ingress"
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 	"github.com/bulrushwinch/bulrushwinch/platform"
@@ -21,8 +21,6 @@
 	"github.com/bulrushwinch/bulrushwinch/replica"
 	"github.com/bulrushwinch/bulrushwinch/retry"
 	"github.com/cloudwego/hertz/pkg/app/server"
-	hertzconfig "github.com/cloudwego/hertz/pkg/common/config"
-	"github.com/cloudwego/hertz/pkg/network/standard"
 	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 	"golang.org/x/sync/errgroup"
@@ -56,6 +54,8 @@
 	maxControlBody = 8 << 20
 	// maxFrontBody bounds the body of a caller's request in bytes. The platform allows 256 KiB.
 	maxFrontBody = 512 << 10
+	// maxCheckBody bounds the body of a readiness check in bytes, which has none.
+	maxCheckBody = 4 << 10
 	// unreadyDelay is how long a process that is stopping still accepts new connections, until
 	// the load balancer, which checks once a second, has found it unready twice.
 	unreadyDelay = 2500 * time.Millisecond
@@ -117,8 +117,9 @@
 func NewPushDaemon(path string, s *config.PushSettings, log zerolog.Logger) *PushDaemon {
 	log = log.With().Str("node", s.Name).Logger()
 	inner := &config.Settings{Name: s.Name, FailureDomain: s.FailureDomain, Roles: s.Roles, DataFolder: s.DataFolder,
-		PeerAddress: s.PeerAddress, AdminAddress: s.AdminAddress, Replicas: s.SeedPeers, Voters: control.UnattendedMembershipPolicy.Voters, Limits: entry.DefaultLimits}
+		PeerAddress: s.PeerAddress, AdminAddress: s.AdminAddress, Replicas: s.SeedPeers, Voters: control.UnattendedMembershipPolicy.Voters, Limits: entry.DefaultLimits, Ingress: s.Ingress}
 	c := &PushDaemon{Daemon: New(inner, log), pushSettings: s, path: path}
+	c.budget = newBudget(inner, s.MemoryBytes, maxBodyOf(s), log)
 	c.router = entry.NewRouter(localForwarder{c.Daemon}, s.SeedPeers)
 	c.router.SetBackoffMax(leaderSearchBackoffMax)
 	c.pool.SetDialTimeout(peerDialTimeout)
@@ -151,6 +152,14 @@
 	return dispatch.New(cfg, c.log, host, dispatch.Contain(relay.NewClient(c.upstreams, c.pool, c.settings.Name), c.contain), vms)
 }
 
+// maxBodyOf returns the size in bytes of the largest body that a process takes.
+func maxBodyOf(s *config.PushSettings) int64 {
+	if s.HasRole(config.RoleReplica) {
+		return maxControlBody
+	}
+	return maxFrontBody
+}
+
 // localForwarder handles calls to this process without a connection, and forwards the others.
 type localForwarder struct{ d *Daemon }
 
@@ -262,21 +271,26 @@
 	publicServer
 }
 
-// listen opens a server at an address, with a limit in bytes on request bodies; add registers its
-// paths.
-func (c *PushDaemon) listen(address string, maxBody int, add func(*server.Hertz)) (*pushServer, error) {
-	l, err := net.Listen("tcp", address)
+// pushListener describes a listener: maxBody bounds a request's body in bytes, connections the open connections, and
+// add registers its paths.
+type pushListener struct {
+	name, address        string
+	priority             ingress.Priority
+	connections, maxBody int
+	add                  func(*server.Hertz)
+}
+
+// listen opens a server.
+func (c *PushDaemon) listen(l pushListener) (*pushServer, error) {
+	inner, err := net.Listen("tcp", l.address)
 	if err != nil {
 		return nil, errors.Wrap(err, "daemon: listen")
 	}
-	s := &pushServer{publicServer{listener: newTrackingListener(l)}}
-	opts := []hertzconfig.Option{server.WithListener(s.listener), server.WithTransport(standard.NewTransporter),
-		server.WithMaxRequestBodySize(maxBody), server.WithDisablePrintRoute(true), server.WithReadTimeout(readTimeout),
-		server.WithIdleTimeout(idleTimeout), server.WithExitWaitTime(c.pushSettings.DrainTime),
-		server.WithOnAccept(contextOfConn)}
-	s.hertz = server.New(opts...)
-	s.hertz.Use(c.containRequest)
-	add(s.hertz)
+	s := &pushServer{publicServer{listener: newTrackingListener(inner)}}
+	bounded := c.budget.Listen(s.listener, l.name, l.priority, l.connections, l.maxBody)
+	s.hertz = newHertz(bounded, l.maxBody, c.pushSettings.DrainTime)
+	s.hertz.Use(c.containRequest, readBody)
+	l.add(s.hertz)
 	return s, nil
 }
 
@@ -296,7 +310,7 @@
 	g, work := errgroup.WithContext(work)
 	g.Go(func() error { return c.servePeers(work) })
 	g.Go(func() error {
-		return serveHTTP(work, &http.Server{Handler: c.health.handler(), ReadHeaderTimeout: readTimeout}, c.listeners.Admin)
+		return c.serveAdmin(work)
 	})
 	if c.pushSettings.HasRole(config.RoleReplica) {
 		g.Go(func() error { return c.runReplica(work, c.pushSettings.Bootstrap) })
@@ -331,16 +345,15 @@
 func (c *PushDaemon) openServers() ([]*pushServer, error) {
 	adapter := platform.NewAdapter(c, c.log)
 	var servers []*pushServer
-	for _, item := range []struct {
-		address string
-		maxBody int
-		add     func(*server.Hertz)
-	}{{c.pushSettings.FrontAddress, maxFrontBody, adapter.ServeCallers}, {c.pushSettings.ReadinessAddress, maxFrontBody, adapter.ServeReadiness},
-		{c.pushSettings.ControlAddress, maxControlBody, adapter.ServeControl}} {
-		if item.address == "" {
+	limits := c.settings.Ingress
+	for _, l := range []pushListener{
+		{"front", c.pushSettings.FrontAddress, ingress.PriorityCallers, limits.Connections, maxFrontBody, adapter.ServeCallers},
+		{"readiness", c.pushSettings.ReadinessAddress, ingress.PriorityCallers, limits.CheckConnections, maxCheckBody, adapter.ServeReadiness},
+		{"control", c.pushSettings.ControlAddress, ingress.PriorityControl, limits.Connections, maxControlBody, adapter.ServeControl}} {
+		if l.address == "" {
 			continue
 		}
-		s, err := c.listen(item.address, item.maxBody, item.add)
+		s, err := c.listen(l)
 		if err != nil {
 			return nil, err
 		}
--- a/peer/auth.go
+++ b/peer/auth.go
@@ -51,8 +51,25 @@
 	}
 }
 
+// requireSecret refuses a request without the cluster secret before its body is read, which the interceptor of a unary
+// call can't do.
+func requireSecret(secret string, next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !hasSecret(r.Header, secret) {
+			w.Header().Set("Connection", "close")
+			w.WriteHeader(http.StatusUnauthorized)
+			return
+		}
+		next.ServeHTTP(w, r)
+	})
+}
+
+func hasSecret(h http.Header, secret string) bool {
+	return subtle.ConstantTimeCompare([]byte(h.Get(secretHeader)), []byte(secret)) == 1
+}
+
 func (i secretInterceptor) check(h http.Header) error {
-	if subtle.ConstantTimeCompare([]byte(h.Get(secretHeader)), []byte(i.secret)) != 1 {
+	if !hasSecret(h, i.secret) {
 		return connect.NewError(connect.CodeUnauthenticated, errors.New("wrong cluster secret"))
 	}
 	return nil
--- a/peer/auth_test.go
+++ b/peer/auth_test.go
@@ -1,11 +1,20 @@
 package peer
 
 import (
+	"bufio"
 	"context"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"testing"
+	"time"
 
 	"connectrpc.com/connect"
+	"github.com/bulrushwinch/bulrushwinch/contain"
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"github.com/bulrushwinch/bulrushwinch/peer/v1/peerv1connect"
+	"github.com/rs/zerolog"
 )
 
 // TestWrongSecretIsRefused calls each kind of RPC with a wrong secret. The called handlers are
@@ -42,3 +51,20 @@
 		cancel()
 	}
 }
+
+// A client without the cluster secret is refused before it has sent its body, which would otherwise be held for it.
+func TestSecretIsCheckedBeforeTheBody(t *testing.T) {
+	s := httptest.NewServer(NewHandler("the secret", peerv1connect.UnimplementedPeerServiceHandler{}, contain.NewReporter(zerolog.Nop())))
+	defer s.Close()
+	conn, err := net.Dial("tcp", s.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(successTimeout))
+	_, _ = io.WriteString(conn, "POST /peer.v1.PeerService/Join HTTP/1.1\r\nHost: h\r\nContent-Type: application/proto\r\nContent-Length: 100000000\r\n\r\n")
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || resp.StatusCode != http.StatusUnauthorized {
+		t.Errorf("%v, %v", resp, err)
+	}
+}
--- a/peer/server.go
+++ b/peer/server.go
@@ -14,9 +14,13 @@
 	mux := http.NewServeMux()
 	mux.Handle(peerv1connect.NewPeerServiceHandler(h,
 		connect.WithInterceptors(containInterceptor{r}, secretInterceptor{secret}), connect.WithReadMaxBytes(MaxMessageBytes)))
-	return mux
+	return requireSecret(secret, mux)
 }
 
+// maxFrameBytes is the largest HTTP/2 frame that the server takes. It buffers one for each connection, before it knows
+// whether the client has the cluster secret.
+const maxFrameBytes = 64 << 10
+
 // NewServer returns an HTTP/2 server for the internal protocol, with or without TLS.
 func NewServer(handler http.Handler) *http.Server {
 	protocols := &http.Protocols{}
@@ -24,5 +28,5 @@
 	protocols.SetHTTP2(true)
 	protocols.SetUnencryptedHTTP2(true)
 	return &http.Server{Handler: handler, Protocols: protocols, ReadHeaderTimeout: defaultDialTimeout,
-		HTTP2: &http.HTTP2Config{SendPingTimeout: pingInterval, PingTimeout: pingTimeout}}
+		HTTP2: &http.HTTP2Config{MaxReadFrameSize: maxFrameBytes, SendPingTimeout: pingInterval, PingTimeout: pingTimeout}}
 }
