placement: order by value lost under overload, ask ahead

Where a service has more waiting work than can be done in time, its less urgent steps are ordered by the value that is lost for each core-second, by run times that are regressed on declared ones. Services without overload are decided as before.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -20,6 +20,7 @@
 	}
 	d := placement.Decide(&e.cell)
 	e.load.inspected += int64(d.Inspected)
+	e.recordOverloads(d.Overloads)
 	for _, stop := range d.Stops {
 		e.stopVictim(stop)
 	}
@@ -58,7 +59,7 @@
 			Str("why", string(w.Reason)).Dur("waits", now-w.Work.ReadyAt).Int("permitted", len(w.Work.Permits)).Int("denied", len(w.Work.Denied)).
 			Int64("team_used", e.state.Used(team).MilliCores).Int64("team_limit", e.state.Config().Team(team).GetLimit().GetMilliCores()).
 			Int64("team_used_mib", e.state.Used(team).MemoryMiB).Int64("team_limit_mib", e.state.Config().Team(team).GetLimit().GetMemoryMib()).
-			Int64("free", w.Free).Int64("total", w.Total).Dur("slack", w.Slack).Bool("over_share", w.OverShare).Msg("step waits")
+			Int64("free", w.Free).Int64("total", w.Total).Dur("slack", w.Slack).Bool("over_share", w.OverShare).Bool("overloaded", w.Overloaded).Float64("loss", w.Loss).Msg("step waits")
 	}
 }
 
--- a/dispatch/load.go
+++ b/dispatch/load.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/lifecycle"
+	"github.com/bulrushwinch/bulrushwinch/placement"
 	"github.com/rs/zerolog"
 )
 
@@ -17,6 +18,10 @@
 	// they looked at.
 	decision  interval
 	inspected int64
+	// overloads counts the rounds with an overloaded service, backlog is the largest backlog of one, in seconds of all
+	// its cores.
+	overloads int64
+	backlog   float64
 	// controlDelay is how long results of calls waited for the control goroutine.
 	controlDelay interval
 	// overrun is how long after their timeout unanswered calls to upstreams returned. A process
@@ -68,6 +73,17 @@
 	return line.Dur(name+"_mean", i.mean()).Dur(name+"_max", i.most)
 }
 
+// recordOverloads records the overloaded services of a round.
+func (e *Engine) recordOverloads(list []placement.Overload) {
+	if len(list) > 0 {
+		roundsOverloaded.Add(1)
+		e.load.overloads++
+	}
+	for _, o := range list {
+		e.load.backlog = max(e.load.backlog, o.Backlog)
+	}
+}
+
 // recordOverrun records how late a call without an answer has returned. Errors that came before
 // the timeout don't count.
 func (e *Engine) recordOverrun(took, timeout time.Duration, err error) {
@@ -90,6 +106,7 @@
 		Int64("orders_since", since.orders).Int64("unanswered_since", since.unanswered).Int64("carried_out_since", since.carriedOut).
 		Int64("extended_since", since.extended).Int64("looks_since", since.statusRequests).Int64("runs_since", since.runs).
 		Int64("rounds", e.load.decision.count).Int64("inspected_mean", e.load.inspected/max(1, e.load.decision.count))
+	line = line.Int64("overloaded_rounds", e.load.overloads).Float64("backlog_seconds_max", e.load.backlog)
 	line = e.load.decision.log(line, "decision")
 	line = e.load.controlDelay.log(line, "control_delay")
 	line = e.load.overrun.log(line, "overrun")
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -25,6 +25,7 @@
 	upstreamsUnresponsive = expvar.NewInt("pipeline_upstreams_turned_silent")
 	waysChanged           = expvar.NewInt("pipeline_ways_changed")
 	upstreamsAvoided      = expvar.NewInt("pipeline_upstreams_avoided")
+	roundsOverloaded      = expvar.NewInt("pipeline_rounds_overloaded")
 	runsPreempted         = expvar.NewInt("pipeline_runs_preempted")
 	gangsReserved         = expvar.NewInt("pipeline_gangs_reserved")
 	runsStalled           = expvar.NewInt("pipeline_runs_stalled")
--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -120,12 +120,17 @@
 	return a
 }
 
-// enqueue queues a question by priority.
+// enqueue queues a question by priority; those for work that is past its use come last.
 func (p *permitScheduler) enqueue(q *placement.Question, now time.Duration) {
 	p.nextID++
 	q.ID, q.EnqueuedAt = p.nextID, now
 	at, _ := slices.BinarySearchFunc(p.waiting, q, func(a, b *placement.Question) int {
-		if a.Priority != b.Priority {
+		switch {
+		case a.PastUse != b.PastUse && b.PastUse:
+			return -1
+		case a.PastUse != b.PastUse:
+			return 1
+		case a.Priority != b.Priority:
 			return int(a.Priority - b.Priority)
 		}
 		return int(a.ID) - int(b.ID)
--- a/placement/ask.go
+++ b/placement/ask.go
@@ -60,6 +60,8 @@
 	// Costly is set if only a share of the callers may put such questions at a time.
 	Costly   bool
 	Priority int32
+	// PastUse is set for work whose result comes too late; such questions are put after all others.
+	PastUse bool
 	// EnqueuedAt is when the question was queued, GivenAt when it was given to a caller.
 	EnqueuedAt, GivenAt time.Duration
 	// Expires is when a question that was given to a caller counts as unanswered.
@@ -123,6 +125,10 @@
 	if !r.mayAsk(d) || len(d.work.Pending) > 0 || r.mustLeaveHeadroom(d) {
 		return
 	}
+	if d.pastUse && terms != nil && len(r.Askers.Waiting) > 0 {
+		d.work.awaitsCaller = true
+		return
+	}
 	if terms != nil && !r.Askers.accepts(isCostly(terms), d.queue.GetPriority()) {
 		d.work.awaitsCaller = true
 		return
@@ -145,7 +151,7 @@
 	if terms == nil || len(list) == 0 || !r.Askers.accepts(isCostly(terms), d.queue.GetPriority()) {
 		return
 	}
-	q := &Question{Work: d.work, Priority: d.queue.GetPriority(), Born: make(map[string]int64, len(list)), CostMS: costMS(terms, len(list)), Costly: isCostly(terms)}
+	q := &Question{Work: d.work, Priority: d.queue.GetPriority(), Born: make(map[string]int64, len(list)), CostMS: costMS(terms, len(list)), Costly: isCostly(terms), PastUse: d.pastUse}
 	for _, u := range list {
 		q.Upstreams = append(q.Upstreams, u.GetId())
 		q.Born[u.GetId()] = u.GetBorn()
@@ -158,10 +164,11 @@
 // questionUpstreams returns the upstreams to ask about: as many as are expected to have capacity
 // for the step's tasks, given the share of upstreams that questions usually allow.
 func (r *round) questionUpstreams(d demand) (out []*Upstream) {
+	least, most := questionSize(d)
 	guess := r.Learner.allowedShare(d.work.Step, d.queue.GetPermits())
 	room, wanted := 0.0, capacitySurplus*float64(len(d.tasks))
 	for _, u := range r.rankedUpstreams(d) {
-		if room >= wanted && len(out) >= minQuestionUpstreams || len(out) >= maxQuestionUpstreams {
+		if room >= wanted && len(out) >= least || len(out) >= most {
 			break
 		}
 		out = append(out, u)
@@ -187,6 +194,9 @@
 // capacityFor is like capacity, but also counts what preemption would free, for demands that may
 // preempt.
 func (r *round) capacityFor(d demand, u *Upstream) int {
+	if asksAhead(d) {
+		return r.countFitting(d.work.Step, u, r.freeSoon(d, u), len(d.tasks))
+	}
 	n := r.capacity(d.work.Step, u, len(d.tasks))
 	if n > 0 || !r.mayPreempt(d) {
 		return n
@@ -258,6 +268,9 @@
 func (r *round) worthAsking(d demand, u *Upstream, preempts bool) bool {
 	r.out.Inspected++
 	need := d.work.Step.Need
+	if asksAhead(d) {
+		return r.worthAskingAhead(d, u)
+	}
 	if !u.Usable || !need.Fits(u.free) && !(preempts && need.Fits(r.freeAfterPreemption(u, d.queue.GetPriority()))) {
 		return false
 	}
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -24,6 +24,8 @@
 	Reserved []ReservedGang
 	// Waits are reasons for which steps wait, for the log.
 	Waits []Wait
+	// Overloads are the services whose waiting work can't all be done in time.
+	Overloads []Overload
 	// Inspected is the number of upstreams and runs that the round looked at. Its length follows it.
 	Inspected int
 }
@@ -52,6 +54,8 @@
 	leastUrgent map[string]int32
 	// urgencies caches the urgency of each step.
 	urgencies map[*pipeline.Step]urgency
+	// loads is the waiting work by service.
+	loads map[string]*load
 	// teamRuns caches the runs of teams in the order of compareVictims.
 	teamRuns map[string][]*pipeline.Run
 	// teamReleases caches the expected ends of teams' runs.
@@ -99,7 +103,7 @@
 // newRound prepares the upstreams of a cell for a round.
 func newRound(c *Cell) *round {
 	r := &round{Cell: c, pools: make(map[string]*pool), used: make(map[string]pipeline.Resources), promised: make(map[string][]promise), nextAtLimit: make(map[string]pipeline.Resources),
-		urgencies: make(map[*pipeline.Step]urgency), stopped: make(map[*pipeline.Run]bool),
+		urgencies: make(map[*pipeline.Step]urgency), loads: make(map[string]*load), stopped: make(map[*pipeline.Run]bool),
 		teamRuns: make(map[string][]*pipeline.Run), teamYields: make(map[string][]*teamYield), teamReleases: make(map[string][]release)}
 	r.out.Inspected = len(c.Upstreams)
 	for _, u := range c.Upstreams {
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -29,6 +29,8 @@
 	copies bool
 	// overShare is set while the team uses far more than its share.
 	overShare bool
+	// assessment is what waiting costs the demand if its service is overloaded.
+	assessment
 }
 
 // atOnce returns how many tasks have to be placed at once: all members of a gang, else one.
@@ -41,7 +43,8 @@
 
 // demands returns the steps with tasks to place in scheduling order: by the queue's priority;
 // copies after first runs; teams that are over their share after the others; then by what would be lost
-// by waiting, and among equals the least slack first.
+// by waiting, and among equals the least slack first. Under overload, work past its use comes after all other work, and
+// what is not urgent is ordered by assessment.
 func (r *round) demands() []demand {
 	out := make([]demand, 0, len(r.Steps))
 	for _, w := range r.Steps {
@@ -58,14 +61,15 @@
 		}
 	}
 	r.markOverShare(out)
+	r.assess(out)
 	slices.SortFunc(out, compareDemands)
 	return out
 }
 
 // compareDemands orders demands for scheduling; see demands.
 func compareDemands(a, b demand) int {
-	return cmp.Or(cmp.Compare(a.queue.GetPriority(), b.queue.GetPriority()), compareBools(a.copies, b.copies), compareBools(a.overShare, b.overShare),
-		cmp.Compare(a.urgency.loss(), b.urgency.loss()), cmp.Compare(a.urgency.slack, b.urgency.slack),
+	return cmp.Or(compareBools(a.pastUse, b.pastUse), cmp.Compare(a.queue.GetPriority(), b.queue.GetPriority()), compareBools(a.copies, b.copies), compareBools(a.overShare, b.overShare),
+		compareTriaged(a.assessment, b.assessment), cmp.Compare(a.urgency.loss(), b.urgency.loss()), cmp.Compare(a.urgency.slack, b.urgency.slack),
 		cmp.Compare(a.work.Step.Job().SubmittedNS, b.work.Step.Job().SubmittedNS), compareSteps(a.work.Step, b.work.Step))
 }
 
--- a/placement/deployments_test.go
+++ b/placement/deployments_test.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"testing"
+	"time"
 
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
@@ -91,3 +92,37 @@
 	}
 	return newReplay(tb, seed, queues, classes, deployment{cores: cores, callers: 36, teams: 20, limit: 1.6, skew: 1})
 }
+
+// acquirer returns the load of a deployment whose callers at times compete for too little capacity: 350 upstreams, 20
+// teams and 37 processes that ask the permit service, at a multiple of its usual rate.
+func acquirer(tb testing.TB, seed uint64, load float64) *replay {
+	const upstreams = 350
+	queues := []*pipelinev1.Queue{
+		replayQueue("auth-batch", 0, 4, 1.5, 300, permitTerms(27, 0.39, 2500)),
+		replayQueue("settle-run", 2, 4, 2.2, 1200, permitTerms(507, 7.3, 2500)),
+		replayQueue("dispute-watch", 1, 3, 0, 2500, permitTerms(585, 8.5, 2500)),
+	}
+	classes := []class{
+		{queue: "auth-batch", perSecond: 41.5 * load, steps: 1.6, tasks: 10, seconds: 0.8, milliCores: 8900, memoryMiB: 18000, off: 0.5, allowed: 0.7, fails: 0.005},
+		{queue: "settle-run", perSecond: 4.5 * load, steps: 2, tasks: 21, seconds: 3.8, milliCores: 18000, memoryMiB: 36000, gangs: 0.08, saves: 0.8, off: 0.9, allowed: 0.35, fails: 0.005},
+		{queue: "dispute-watch", perSecond: 0.32 * load, steps: 1, tasks: 20, seconds: 1, milliCores: 18000, memoryMiB: 36000, allowed: 0.35, lasts: 6 * time.Second},
+	}
+	cores := make([]int64, upstreams)
+	for i := range cores {
+		cores[i] = []int64{64000, 128000, 32000, 128000, 64000}[(i*7)%5]
+	}
+	return newReplay(tb, seed, queues, classes, deployment{cores: cores, callers: 37, teams: 20, limit: 1.9, skew: 1.2})
+}
+
+// acquirerDay is the length of the acquirer's worst day, and acquirerBursts are its pressures: a burst of its large
+// jobs beside two teams that send many times their usual, and two more bursts before the cell has caught up.
+const acquirerDay = 34 * time.Second
+
+func acquirerBursts() []pressure {
+	return []pressure{
+		{class: "settle-run", from: 4 * time.Second, to: 9 * time.Second, times: 2.5},
+		{from: 4 * time.Second, to: 9 * time.Second, hot: 6.6, teams: []int{0, 3}},
+		{class: "auth-batch", from: 12 * time.Second, to: 16 * time.Second, times: 1.8},
+		{class: "settle-run", from: 18 * time.Second, to: 22 * time.Second, times: 1.8},
+	}
+}
--- a/placement/headroom.go
+++ b/placement/headroom.go
@@ -4,6 +4,9 @@
 	// headroom is the share of a service's cores that work with time to spare leaves free for
 	// urgent queues. A burst of small jobs takes about an eighth of the cell at once.
 	headroom = 0.12
+	// triageHeadroom is the same under overload, if work that can resume holds what is missing: what is kept free
+	// then costs other work its use.
+	triageHeadroom = 0.06
 	// teamHeadroom is the share of a team's limit that its own work with time to spare leaves
 	// free for the team's urgent queues. Small jobs are a fifth of the work, and two fifths in
 	// bursts.
@@ -35,10 +38,20 @@
 	}
 	p := r.poolFor(d)
 	left := p.freeCores - int64(d.atOnce())*d.work.Step.Need.MilliCores
-	wanted := int64(headroom * float64(p.totalCores))
+	wanted := r.wantedHeadroom(d, p)
 	return left < wanted && (!r.lessUrgentExists(d) || left+r.yieldingCores(p) < wanted)
 }
 
+// wantedHeadroom returns the cores, in thousandths, that a demand leaves free for urgent queues.
+func (r *round) wantedHeadroom(d demand, p *pool) int64 {
+	wanted := int64(headroom * float64(p.totalCores))
+	if !d.triaged {
+		return wanted
+	}
+	least := int64(triageHeadroom * float64(p.totalCores))
+	return max(least, wanted-r.yieldingCores(p))
+}
+
 // mustLeaveTeamHeadroom reports whether a demand would take what its team's urgent queues may need
 // within the team's limit. What needs more than the rest of the limit at once is not held back: it would
 // never start.
--- a/placement/learn.go
+++ b/placement/learn.go
@@ -60,6 +60,8 @@
 	failures  map[string]*average
 	// answers counts, by queue, the upstreams that were asked about and those that were allowed.
 	answers map[string]*answerCount
+	// regressions predict, by queue, run times from declared ones.
+	regressions map[string]*regression
 	// avoided holds, by upstream, the time until which it gets no new work because it failed most
 	// runs.
 	avoided map[string]time.Duration
@@ -104,7 +106,7 @@
 // NewLearner returns a learner that knows nothing.
 func NewLearner() *Learner {
 	return &Learner{queues: make(map[string]*average), upstreams: make(map[string]*speed),
-		failures: make(map[string]*average), answers: make(map[string]*answerCount), avoided: make(map[string]time.Duration)}
+		failures: make(map[string]*average), answers: make(map[string]*answerCount), regressions: make(map[string]*regression), avoided: make(map[string]time.Duration)}
 }
 
 // add adds a sample with a weight of at least rate; the first samples weigh more.
@@ -189,6 +191,7 @@
 	if w != nil {
 		w.meanRunTime.add(float64(took)/l.slowness(id), 0)
 	}
+	l.recordForRegression(st, time.Duration(float64(took)/l.slowness(id)))
 	l.speedOf(id).add(clamp(float64(took)/base, ratioMin, ratioMax))
 	averageOf(l.queues, st.Job().Spec.GetQueue()).add(clamp(float64(took)/float64(declared(st)), ratioMin, ratioMax), learnRate)
 }
--- a/placement/prefetch.go
+++ b/placement/prefetch.go
@@ -40,7 +40,9 @@
 
 // prefetchDemand returns the demand of a step that is not ready yet.
 func (r *round) prefetchDemand(w *Work, q *pipelinev1.Queue) demand {
-	return demand{work: w, tasks: w.Waiting(), queue: q, urgency: r.urgencyOf(w.Step)}
+	d := demand{work: w, tasks: w.Waiting(), queue: q, urgency: r.urgencyOf(w.Step)}
+	r.assessOne(&d)
+	return d
 }
 
 // endsSoon reports whether all tasks of a step are placed or done and the expected end of the
--- /dev/null
+++ b/placement/replay_jobs_test.go
@@ -0,0 +1,74 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+)
+
+// hotTeams returns the teams whose rate a pressure multiplies.
+func (p pressure) hotTeams() []int {
+	if p.teams == nil {
+		return []int{0}
+	}
+	return p.teams
+}
+
+// cancelAfter cancels a job with lasting tasks after some time, which ends their runs.
+func (r *replay) cancelAfter(j *pipeline.Job, after time.Duration) {
+	id, queue := j.Spec.GetId(), j.Spec.GetQueue()
+	r.pending = append(r.pending, event{r.cell.Now + after, func() {
+		live := j.Occurrences[0].Steps[0].LiveRuns()
+		r.apply(&pipelinev1.Command{Command: &pipelinev1.Command_Cancel{Cancel: &pipelinev1.Cancel{Job: id, Queue: queue}}})
+		for _, run := range live {
+			r.stop(run, r.cell.Now)
+		}
+	}})
+}
+
+// lastingPlaced counts a job with lasting tasks as served once all of them run.
+func (r *replay) lastingPlaced(st *pipeline.Step) {
+	id := st.Job().Spec.GetId()
+	job := r.jobs[id]
+	if job == nil || len(st.LiveRuns()) < len(st.Tasks) {
+		return
+	}
+	delete(r.jobs, id)
+	r.count(job, r.cell.Now-job.at)
+}
+
+// count counts a job that took some time.
+func (r *replay) count(j *replayedJob, took time.Duration) {
+	r.credit[j.class].add(j, took)
+	if j.team > 0 {
+		r.others.add(j, took)
+	}
+	if r.finished != nil {
+		r.finished(j, took)
+	}
+}
+
+// credit sums what jobs of one class earned of what they could, in late and in all.
+type credit struct{ earned, owed, late, missed, jobs float64 }
+
+func (c *credit) share() float64 { return c.earned / max(c.owed, 1e-9) }
+
+// add counts a job that took some time.
+func (c *credit) add(job *replayedJob, took time.Duration) {
+	c.owed, c.jobs = c.owed+job.work, c.jobs+1
+	switch {
+	case took <= job.objective:
+		c.earned += job.work
+	case took <= 3*job.objective:
+		c.earned += 0.2 * job.work
+		c.late++
+	default:
+		c.missed++
+	}
+}
+
+// sum adds what other jobs earned.
+func (c *credit) sum(o *credit) {
+	c.earned, c.owed, c.late, c.missed, c.jobs = c.earned+o.earned, c.owed+o.owed, c.late+o.late, c.missed+o.missed, c.jobs+o.jobs
+}
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -40,6 +40,8 @@
 	allowed float64
 	// fails is the share of runs that fail.
 	fails float64
+	// lasts is how long lasting tasks run until their job is cancelled; zero for tasks that end.
+	lasts time.Duration
 }
 
 // pressure multiplies the rate of a class, or takes a share of the upstreams out, for some time.
@@ -49,8 +51,9 @@
 	times    float64
 	// out is the share of the upstreams that get no new work.
 	out float64
-	// hot multiplies the rate of all classes for the largest team.
-	hot float64
+	// hot multiplies the rate of all classes for some teams: the largest, or those of teams.
+	hot   float64
+	teams []int
 }
 
 // replay runs rounds of decisions on a load in virtual time, with a stand-in permit service and
@@ -73,8 +76,11 @@
 	// inspection is how long a round takes for each upstream or run that it inspects, nextRound when
 	// the next one may begin; the pause between rounds is five times their length.
 	inspection, nextRound time.Duration
-	// watch, if set, is called after each step of time.
-	watch func(now time.Duration)
+	// These are called if they are set: watch after each step of time, decided after each round, and finished
+	// with each job and the time that it took.
+	watch    func(now time.Duration)
+	decided  func(d Decision)
+	finished func(j *replayedJob, took time.Duration)
 	// others is what the jobs of all teams but the largest earned.
 	others credit
 }
@@ -97,11 +103,6 @@
 	work      float64
 }
 
-// credit sums what jobs of one class earned of what they could, in late and in all.
-type credit struct{ earned, owed, late, missed, jobs float64 }
-
-func (c *credit) share() float64 { return c.earned / max(c.owed, 1e-9) }
-
 // deployment is the size of a replayed cell.
 type deployment struct {
 	// cores are those of each upstream, in thousandths; callers is the number of processes that ask the
@@ -176,10 +177,7 @@
 		}
 	}
 	for _, j := range r.jobs {
-		r.credit[j.class].add(j, math.MaxInt64)
-		if j.team > 0 {
-			r.others.add(j, math.MaxInt64)
-		}
+		r.count(j, math.MaxInt64)
 	}
 }
 
@@ -196,9 +194,12 @@
 			r.handIn(c, now, r.team())
 		}
 		for _, p := range pressures {
-			if p.hot > 1 && now >= p.from && now < p.to {
-				for range r.poisson((p.hot - 1) * r.teamShare(0) * rate * replayStep.Seconds()) {
-					r.handIn(c, now, 0)
+			if p.hot <= 1 || now < p.from || now >= p.to {
+				continue
+			}
+			for _, team := range p.hotTeams() {
+				for range r.poisson((p.hot - 1) * r.teamShare(team) * rate * replayStep.Seconds()) {
+					r.handIn(c, now, team)
 				}
 			}
 		}
@@ -231,7 +232,7 @@
 	var steps []*pipelinev1.Step
 	for i := range n {
 		estimate := length * (1 - c.off + 2*c.off*r.rng.Float64())
-		st := &pipelinev1.Step{Count: int32(max(1, r.vary(c.tasks, 0.8, 5))), Need: need, EstimateMs: int64(1000 * estimate), Gang: gang, Checkpointing: saves}
+		st := &pipelinev1.Step{Count: int32(max(1, r.vary(c.tasks, 0.8, 5))), Need: need, EstimateMs: int64(1000 * estimate), Gang: gang, Checkpointing: saves, Lasting: c.lasts > 0}
 		if i > 0 {
 			st.DependsOn = []int32{int32(i - 1)}
 		}
@@ -255,6 +256,9 @@
 	r.jobs[j.Spec.GetId()] = &replayedJob{class: c.queue, team: team, at: now, work: 0.3 + 0.7*min(4, work/mean),
 		objective: time.Duration((q.GetStretch()*chain + float64(q.GetTargetLatencyMs())/1000) * float64(time.Second))}
 	r.cell.Steps[j.Occurrences[0].Steps[0]] = NewWork(j.Occurrences[0].Steps[0], now)
+	if c.lasts > 0 {
+		r.cancelAfter(j, c.lasts)
+	}
 }
 
 // teamShare returns the share of the jobs that a team sends.
@@ -315,12 +319,17 @@
 		}
 	}
 	d := Decide(r.cell)
+	if r.decided != nil {
+		r.decided(d)
+	}
 	r.nextRound = now + replayPause*time.Duration(d.Inspected)*r.inspection
 	for _, s := range d.Stops {
 		r.stop(s.Run, now)
 	}
 	r.waiting = append(r.waiting, d.Questions...)
-	slices.SortStableFunc(r.waiting, func(a, b *Question) int { return cmp.Compare(a.Priority, b.Priority) })
+	slices.SortStableFunc(r.waiting, func(a, b *Question) int {
+		return cmp.Or(compareBools(a.PastUse, b.PastUse), cmp.Compare(a.Priority, b.Priority))
+	})
 	r.put(now)
 	if len(d.Runs) > 0 {
 		r.apply(&pipelinev1.Command{Command: &pipelinev1.Command_Place{Place: &pipelinev1.Place{Runs: d.Runs}}})
@@ -413,6 +422,10 @@
 
 // RunPlaced implements pipeline.Observer: the run begins.
 func (r *replay) RunPlaced(run *pipeline.Run) {
+	if run.Task.Step.Spec.GetLasting() {
+		r.lastingPlaced(run.Task.Step)
+		return
+	}
 	length := time.Duration(float64(r.left[run.Task]) * r.speed[run.Upstream.GetId()])
 	kind := pipelinev1.EndKind_END_KIND_DONE
 	for _, c := range r.classes {
@@ -462,32 +475,14 @@
 	}
 	job := r.jobs[j.Spec.GetId()]
 	delete(r.jobs, j.Spec.GetId())
-	if j.State == pipeline.Failed {
+	if job == nil || j.State == pipeline.Failed {
 		return
 	}
-	r.credit[job.class].add(job, r.cell.Now-job.at)
-	if job.team > 0 {
-		r.others.add(job, r.cell.Now-job.at)
-	}
-}
-
-// add counts a job that took some time.
-func (c *credit) add(job *replayedJob, took time.Duration) {
-	c.owed, c.jobs = c.owed+job.work, c.jobs+1
-	switch {
-	case took <= job.objective:
-		c.earned += job.work
-	case took <= 3*job.objective:
-		c.earned += 0.2 * job.work
-		c.late++
-	default:
-		c.missed++
+	if j.HasLastingStep() {
+		r.count(job, math.MaxInt64)
+		return
 	}
-}
-
-// sum adds what other jobs earned.
-func (c *credit) sum(o *credit) {
-	c.earned, c.owed, c.late, c.missed, c.jobs = c.earned+o.earned, c.owed+o.owed, c.late+o.late, c.missed+o.missed, c.jobs+o.jobs
+	r.count(job, r.cell.Now-job.at)
 }
 
 // The other methods of pipeline.Observer.
--- a/placement/urgency.go
+++ b/placement/urgency.go
@@ -80,19 +80,20 @@
 func (r *round) urgencyOf(st *pipeline.Step) urgency {
 	u, known := r.urgencies[st]
 	if !known {
-		u = r.compareToObjective(st, r.State.JobQueue(st.Job()))
+		u = r.compareToObjective(st, r.State.JobQueue(st.Job()), r.Learner.Expected)
 		r.urgencies[st] = u
 	}
 	return u
 }
 
-// compareToObjective compares a job's expected remaining time to its objective.
-func (r *round) compareToObjective(st *pipeline.Step, q *pipelinev1.Queue) urgency {
+// compareToObjective compares a job's remaining time to its objective, by the run time that is expected for the tasks
+// of a step.
+func (r *round) compareToObjective(st *pipeline.Step, q *pipelinev1.Queue, expected func(*pipeline.Step) time.Duration) urgency {
 	j := st.Job()
 	if st.Spec.GetLasting() {
 		return urgency{prospect: inTime}
 	}
-	chain, remaining := r.chains(st.Occurrence, q)
+	chain, remaining := r.chains(st.Occurrence, q, expected)
 	objective := time.Duration(q.GetStretch()*float64(chain)) + time.Duration(q.GetTargetLatencyMs())*time.Millisecond
 	begin := j.SubmittedNS
 	if st.Occurrence.DueNS > 0 {
@@ -111,7 +112,7 @@
 
 // chains returns the expected duration of the longest chain of dependent steps in an occurrence:
 // of all steps, and of the unfinished ones.
-func (r *round) chains(o *pipeline.Occurrence, q *pipelinev1.Queue) (whole, left time.Duration) {
+func (r *round) chains(o *pipeline.Occurrence, q *pipelinev1.Queue, expected func(*pipeline.Step) time.Duration) (whole, left time.Duration) {
 	permit := time.Duration(0)
 	if p := q.GetPermits(); p != nil {
 		permit = time.Duration((p.GetDecisionMs() + permitAllowance*p.GetPerUpstreamMs()) * float64(time.Millisecond))
@@ -123,7 +124,7 @@
 			wholeTo[i] = max(wholeTo[i], wholeTo[d])
 			leftTo[i] = max(leftTo[i], leftTo[d])
 		}
-		t := r.Learner.Expected(st) + permit
+		t := expected(st) + permit
 		wholeTo[i] += t
 		if st.Undone > 0 {
 			leftTo[i] += t
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -15,6 +15,7 @@
 // Reasons to wait, in the order in which they are checked.
 const (
 	WaitTeamLimit WaitReason = "the team's limit is reached"
+	WaitUseful    WaitReason = "its result comes too late, and other work can still be of use"
 	WaitHeadroom  WaitReason = "capacity is kept free for urgent queues"
 	WaitPermits   WaitReason = "waiting for the answer to a permit question"
 	WaitCaller    WaitReason = "waiting for a process that can put a permit question"
@@ -35,6 +36,10 @@
 	Slack time.Duration
 	// OverShare is set if the team uses far more than its share.
 	OverShare bool
+	// Overloaded is set if the service is overloaded; Loss is then the value that is lost for each thousand
+	// core-seconds that others are served first. The most is lost first.
+	Overloaded bool
+	Loss       float64
 	// Gang is set if the step is a gang.
 	Gang *GangWait
 }
@@ -57,7 +62,7 @@
 	w.nextReport = r.Now + reportEvery
 	p := r.poolFor(d)
 	r.out.Waits = append(r.out.Waits, Wait{Work: w, Reason: r.waitReason(d), Tasks: len(d.tasks), Free: p.freeCores,
-		Total: p.totalCores, Slack: d.urgency.slack, OverShare: d.overShare, Gang: r.gangWait(d)})
+		Total: p.totalCores, Slack: d.urgency.slack, OverShare: d.overShare, Overloaded: d.triaged, Loss: 1e6 * d.loss, Gang: r.gangWait(d)})
 }
 
 // gangWait returns what a gang could use now, or nil if the step is not a gang.
@@ -87,6 +92,8 @@
 	switch {
 	case !r.withinLimit(d):
 		return WaitTeamLimit
+	case d.pastUse && len(d.work.Pending) == 0 && !d.work.hasTicket(r.Now):
+		return WaitUseful
 	case r.mustLeaveHeadroom(d):
 		return WaitHeadroom
 	case len(d.work.Pending) > 0:
