--- a/wal/group_process_test.go
+++ b/wal/group_process_test.go
@@ -26,6 +26,8 @@
 	joinTimeout         = 2 * time.Second
 	joinPause           = 200 * time.Millisecond
 	memberCheckInterval = 5 * time.Second
+	// spacePause is the time between two attempts to open a folder on a full disk.
+	spacePause = 500 * time.Millisecond
 	// minVoters is the number of voters below which nothing is proposed.
 	minVoters = 2
 	// linePrefix marks the entries of the test. A batch of commands never begins with it.
@@ -150,6 +152,9 @@
 func (p *process) open() (raft.ID, *wal.Log, raft.DurableState, error) {
 	for {
 		id, log, restored, err := p.tryOpen()
+		if errors.Is(err, wal.ErrNoSpace) && retry.Sleep(p.ctx, spacePause) == nil {
+			continue
+		}
 		if !errors.Is(err, wal.ErrCorrupt) || p.files.Killed() {
 			return id, log, restored, err
 		}
--- a/wal/machine_disk_test.go
+++ b/wal/machine_disk_test.go
@@ -58,6 +58,16 @@
 	d.files.losePower(t, losses[kind])
 }
 
+// SetFull fills the disk, or frees space on it.
+func (d *MachineDisk) SetFull(full bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.files.writesLeft = unlimited
+	if full {
+		d.files.writesLeft = -1
+	}
+}
+
 // Empty removes all that is on the disk. No process may be using it.
 func (d *MachineDisk) Empty(t *testing.T) {
 	t.Helper()
--- a/wal/volatile_files_test.go
+++ b/wal/volatile_files_test.go
@@ -67,7 +67,8 @@
 type volatileFiles struct {
 	osFiles
 	operationsLeft int
-	// writesLeft is the number of writes after which the disk is full.
+	// writesLeft is the number of writes after which the disk is full. Some new files and names find no
+	// space then either.
 	writesLeft int
 	rng        *rand.Rand
 	// syncKeepsName makes the name of a new file durable with the sync of its content.
@@ -96,8 +97,16 @@
 	inode *inode
 }
 
+func (v *volatileFiles) nextName() error {
+	err := v.nextOperation()
+	if err == nil && v.writesLeft < 0 && coin(v.rng) {
+		err = syscall.ENOSPC
+	}
+	return err
+}
+
 func (v *volatileFiles) Create(path string) (file, error) {
-	if err := v.nextOperation(); err != nil {
+	if err := v.nextName(); err != nil {
 		return nil, err
 	}
 	f, err := v.osFiles.Create(path)
@@ -167,7 +176,7 @@
 }
 
 func (v *volatileFiles) Rename(from, to string) error {
-	if err := v.nextOperation(); err != nil {
+	if err := v.nextName(); err != nil {
 		return err
 	}
 	if err := v.osFiles.Rename(from, to); err != nil {
@@ -188,7 +197,7 @@
 }
 
 func (v *volatileFiles) Mkdir(path string) error {
-	if err := v.nextOperation(); err != nil {
+	if err := v.nextName(); err != nil {
 		return err
 	}
 	return v.osFiles.Mkdir(path)
