--- a/daemon/rejoin.go
+++ b/daemon/rejoin.go
@@ -46,12 +46,13 @@
 }
 
 // isMember reports whether this replica has a leader, and its membership lists it with its own
-// address and failure domain. It returns true as well if the replica has stopped.
+// address and failure domain. It returns true as well if the replica has stopped, or waits for space and may
+// know neither the leader nor the members.
 func isMember(ctx context.Context, role *replicaRole, own *peerv1.Member) bool {
 	answer := make(chan bool, 1)
 	err := role.node.Post(ctx, func() {
 		core := role.node.Raft()
-		answer <- core.LeaderID() != raft.None && slices.ContainsFunc(core.Members(), func(m raft.Member) bool {
+		answer <- role.node.WaitsForSpace() || core.LeaderID() != raft.None && slices.ContainsFunc(core.Members(), func(m raft.Member) bool {
 			return uint64(m.ID) == own.GetId() && m.Address == own.GetAddress() && m.Domain == own.GetFailureDomain()
 		})
 	})
--- a/replica/space.go
+++ b/replica/space.go
@@ -26,6 +26,10 @@
 	return n.space.short && !(n.writing && n.raft.IsLeaderIn(n.writeTerm))
 }
 
+// WaitsForSpace reports whether a write of the log waits for space. What the node knows of the group may be
+// outdated then.
+func (n *Node[R]) WaitsForSpace() bool { return n.space.short }
+
 // waitForSpace begins to wait after a write that found no space, or goes on with it.
 func (n *Node[R]) waitForSpace(err error) {
 	logNoSpace.Add(1)
