ingress: a client that takes no response is cut off; fewer copies of heads

Cause: a client that sends requests and reads no response held its connection, its response and its memory for good, and such a connection counts as in work, so that a full listener could not close it.

Change: writes go out in pieces of 64 KiB, each within request_ms; admin gets a write timeout. Lines of a head are copied only if their field matters. BenchmarkSubmit has a case behind the bounds.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -181,7 +181,7 @@
 
 // serveAdmin serves health checks and metrics until ctx ends.
 func (d *Daemon) serveAdmin(ctx context.Context) error {
-	s := &http.Server{Handler: d.health.handler(), ReadTimeout: readTimeout}
+	s := &http.Server{Handler: d.health.handler(), ReadTimeout: readTimeout, WriteTimeout: readTimeout}
 	l := d.budget.ListenCounted(d.listeners.Admin, "admin", ingress.PriorityCallers, d.settings.Ingress.CheckConnections)
 	l.Bound(s)
 	return serveHTTP(ctx, s, l)
--- a/daemon/entry_bench_test.go
+++ b/daemon/entry_bench_test.go
@@ -11,12 +11,14 @@
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	"github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1/bulrushwinchv1connect"
 	"github.com/bulrushwinch/bulrushwinch/entry"
+	"github.com/bulrushwinch/bulrushwinch/ingress"
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
 	"github.com/bulrushwinch/bulrushwinch/timeline"
 	"github.com/cloudwego/hertz/pkg/app"
 	"github.com/cloudwego/hertz/pkg/app/server"
 	"github.com/cloudwego/hertz/pkg/common/adaptor"
 	"github.com/cloudwego/hertz/pkg/network/standard"
+	"github.com/rs/zerolog"
 	"google.golang.org/protobuf/proto"
 )
 
@@ -28,7 +30,7 @@
 }
 
 // BenchmarkSubmit compares an entry with a bare hertz handler that answers the same requests with
-// a fixed body, over loopback connections that are kept alive.
+// a fixed body, alone and behind the bounds on requests, over loopback connections that are kept alive.
 func BenchmarkSubmit(b *testing.B) {
 	payload, _ := proto.Marshal(&apiv1.SubmitResponse{Outcome: &apiv1.Outcome{Kind: apiv1.OutcomeKind_OUTCOME_KIND_ACCEPTED}, JobId: 1})
 	limits := entry.DefaultLimits
@@ -38,12 +40,17 @@
 	bare := func(_ context.Context, rc *app.RequestContext) {
 		rc.Data(http.StatusOK, "application/proto", payload)
 	}
-	for name, handler := range map[string]app.HandlerFunc{"bare": bare, "entry": adaptor.HertzHandler(PublicHandler(api))} {
+	for name, handler := range map[string]app.HandlerFunc{"bare": bare, "bounded": bare, "entry": adaptor.HertzHandler(PublicHandler(api))} {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
 		if err != nil {
 			b.Fatal(err)
 		}
 		h := server.New(server.WithListener(l), server.WithTransport(standard.NewTransporter), server.WithDisablePrintRoute(true))
+		if name == "bounded" {
+			budget := ingress.NewBudget(ingress.DefaultLimits, 32<<20, zerolog.Nop())
+			h = newHertz(budget.Listen(newTrackingListener(l), "bench", ingress.PriorityCallers, 1024, maxRequestBytes), maxRequestBytes, time.Second)
+			h.Use(readBody)
+		}
 		h.POST("/*path", handler)
 		go func() { _ = h.Run() }()
 		transport := &http.Transport{MaxIdleConnsPerHost: 64}
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -232,6 +232,25 @@
 	_, _ = io.CopyN(io.Discard, c.Conn, lingerBytes)
 }
 
+// Write implements net.Conn. A client that takes nothing of a response for the time in which a request must arrive gets
+// no more of it, as it would hold the response and its connection for good.
+func (c *Conn) Write(p []byte) (int, error) {
+	if c.listener.maxBody == 0 {
+		return c.Conn.Write(p)
+	}
+	written := 0
+	for {
+		piece := p[written:min(len(p), written+blockBytes)]
+		if err := c.Conn.SetWriteDeadline(time.Now().Add(c.listener.budget.limits.RequestTime)); err != nil {
+			return written, err
+		}
+		n, err := c.Conn.Write(piece)
+		if written += n; err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
 // closeWrite ends the half of a connection that sends.
 func closeWrite(c net.Conn) {
 	for {
--- a/ingress/conn_test.go
+++ b/ingress/conn_test.go
@@ -160,6 +160,17 @@
 	}
 }
 
+// A client that doesn't read its response doesn't keep its connection.
+func TestUnreadResponsesEnd(t *testing.T) {
+	limits := DefaultLimits
+	limits.RequestTime = 200 * time.Millisecond
+	l := NewBudget(limits, 1<<20, zerolog.Nop()).Listen(nil, "test", PriorityCallers, 1, 1<<10)
+	_, server := net.Pipe()
+	if n, err := newConn(server, l).Write(make([]byte, 1<<20)); err == nil {
+		t.Errorf("%d bytes were written", n)
+	}
+}
+
 // Of the requests that are to be refused, those of callers come before those of upstreams and peers, stalled ones
 // before those that make progress, and large ones before small ones.
 func TestVictimOrder(t *testing.T) {
--- a/ingress/limits.go
+++ b/ingress/limits.go
@@ -20,7 +20,7 @@
 	// CheckConnections those of the listeners for health checks.
 	Connections, CheckConnections int
 	// HeadTime bounds the arrival of a head, StallTime the time without progress of an unfinished request, and
-	// RequestTime the arrival of a whole request.
+	// RequestTime the arrival of a whole request, and the time in which a client takes nothing of a response.
 	HeadTime, StallTime, RequestTime time.Duration
 	// BudgetBytes bounds what all unfinished requests and the bodies of those in work hold; zero derives it.
 	BudgetBytes int64
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -171,8 +171,11 @@
 	return max(length, 0), nil
 }
 
-// field returns the name and value of a line of a head.
+// field returns the name and value of a line of a head whose name begins as those that matter here do.
 func field(line []byte) (name, value string) {
+	if len(line) == 0 || strings.IndexByte("cCtTeE", line[0]) < 0 {
+		return "", ""
+	}
 	at := bytes.IndexByte(line, ':')
 	if at <= 0 || at > maxFieldName {
 		return "", ""
