placement: teams are charged for what they used in the last seconds

Cause: a team was over its share if it used twice the mean of the teams that wait now. Two or three teams at many times their usual raise that mean themselves, so that none of them was over it.

A team is over its share if it used over 1.2 times its part by weight, and 2% of what all used besides. Work of less urgent queues does not count against a team's urgent jobs.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -18,6 +18,7 @@
 	for _, s := range e.sessions {
 		s.view.Usable, s.view.Answers, s.view.Silent = s.usable(now), s.answers(), s.silent()
 	}
+	e.cell.RecentUse.Sample(e.state, now)
 	d := placement.Decide(&e.cell)
 	e.load.inspected += int64(d.Inspected)
 	for _, stop := range d.Stops {
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -100,7 +100,7 @@
 	e.sessions = make(map[string]*session)
 	e.epochs = make(map[string]int64)
 	e.cell = placement.Cell{State: e.state, Steps: make(map[*pipeline.Step]*placement.Work), Prefetched: make(map[*pipeline.Step]*placement.Work),
-		Learner: placement.NewLearner(), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
+		Learner: placement.NewLearner(), RecentUse: placement.NewRecentUse(), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	e.admission, e.submitting, e.registering = placement.NewAdmission(pipeline.MaxLiveJobs), make(inFlight), make(inFlight)
 	e.unstarted = make(map[*pipeline.Job]bool)
 	e.checkpoints = make(map[*pipeline.Task]string)
--- a/placement/cell.go
+++ b/placement/cell.go
@@ -25,6 +25,8 @@
 	Steps, Prefetched map[*pipeline.Step]*Work
 	// Learner predicts run times.
 	Learner *Learner
+	// RecentUse is what teams used lately; nil where only what runs now counts for their shares.
+	RecentUse *RecentUse
 	// Rand varies choices among equals.
 	Rand *rand.Rand
 	// Askers says how many more permit questions can be put soon.
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -10,9 +10,12 @@
 )
 
 const (
-	// overShareFactor is the multiple of the teams' mean weighted use above which a team is over its
-	// share.
-	overShareFactor = 2.0
+	// overShareFactor is the multiple of its share by weight above which a team's recent use is over its
+	// share. Several teams that fill the cell between them can't exceed it by much; with 1.0, teams at their
+	// usual are over it by chance. smallExcess is the part of what all use that a team may use beyond that: for
+	// small teams it is a job or two, which cost the others little.
+	overShareFactor = 1.2
+	smallExcess     = 0.02
 	// stragglerFactor and stragglerSlack set the run time beyond which a copy of a task is worth its
 	// cost. Upstreams differ by a half in speed, and estimates are off by a half as well.
 	stragglerFactor = 2.0
@@ -27,7 +30,7 @@
 	urgency urgency
 	// copies is set when the tasks are stragglers: each has one run, and gets a second one.
 	copies bool
-	// overShare is set while the team uses far more than its share.
+	// overShare is set while the team is over its share.
 	overShare bool
 }
 
@@ -102,29 +105,62 @@
 	return out
 }
 
-// markOverShare marks the demands of teams whose weighted use exceeds overShareFactor times the
-// mean of all teams that have demands.
+// markOverShare marks the demands of teams that are over their share of what work of the demand's priority and
+// more urgent work used lately. Large jobs of a less urgent queue don't count against a team's urgent ones, which
+// come first anyway.
 func (r *round) markOverShare(demands []demand) {
-	shares := make(map[string]float64)
-	sum := 0.0
+	uses := make(map[int32]shares)
+	for i, d := range demands {
+		priority := d.queue.GetPriority()
+		s, known := uses[priority]
+		if !known {
+			s = r.sharesOf(priority, demands)
+			uses[priority] = s
+		}
+		demands[i].overShare = r.overShare(s, d.work.Step.Job().Team)
+	}
+}
+
+// shares are the uses of teams in thousandths of a core, their sum, and what use a weight of one gives a right to.
+type shares struct {
+	byTeam      map[string]float64
+	total, fair float64
+}
+
+// sharesOf returns the shares in the use of a priority and more urgent ones, among the teams that used something
+// or have demands. A mean that counts each team alike would rise with several teams at many times their usual, so
+// that none of them is over it.
+func (r *round) sharesOf(priority int32, demands []demand) shares {
+	s := shares{byTeam: r.usesUpTo(priority)}
 	for _, d := range demands {
-		team := d.work.Step.Job().Team
-		if _, known := shares[team]; !known {
-			shares[team] = r.share(team)
-			sum += shares[team]
+		if d.queue.GetPriority() <= priority {
+			s.byTeam[d.work.Step.Job().Team] += 0
 		}
 	}
-	bound := overShareFactor * sum / float64(max(1, len(shares)))
-	for i := range demands {
-		demands[i].overShare = shares[demands[i].work.Step.Job().Team] > bound
+	weights := 0.0
+	for team, use := range s.byTeam {
+		s.total, weights = s.total+use, weights+r.weight(team)
 	}
+	s.fair = s.total / max(1, weights)
+	return s
+}
+
+// overShare reports whether a team's use is over its share.
+func (r *round) overShare(s shares, team string) bool {
+	return s.byTeam[team] > overShareFactor*s.fair*r.weight(team)+smallExcess*s.total
 }
 
-// share returns the cores that a team uses, in thousandths, divided by its weight.
-func (r *round) share(team string) float64 {
-	weight := int64(1)
-	if t := r.State.Config().Team(team); t != nil {
-		weight = max(1, t.GetWeight())
+// usesUpTo returns, by team, what work of a priority and more urgent work used lately.
+func (r *round) usesUpTo(priority int32) map[string]float64 {
+	if r.RecentUse == nil {
+		now := NewRecentUse()
+		now.Sample(r.State, r.Now)
+		return now.upTo(priority)
 	}
-	return float64(r.State.Used(team).MilliCores) / float64(weight)
+	return r.RecentUse.upTo(priority)
+}
+
+// weight returns the weight of a team, at least one.
+func (r *round) weight(team string) float64 {
+	return float64(max(1, r.State.Config().Team(team).GetWeight()))
 }
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -49,8 +49,9 @@
 	times    float64
 	// out is the share of the upstreams that get no new work.
 	out float64
-	// hot multiplies the rate of all classes for the largest team.
-	hot float64
+	// hot multiplies the rate of all classes for the largest teams, hotTeams their number; zero means one.
+	hot      float64
+	hotTeams int
 }
 
 // replay runs rounds of decisions on a load in virtual time, with a stand-in permit service and
@@ -75,8 +76,9 @@
 	inspection, nextRound time.Duration
 	// watch, if set, is called after each step of time.
 	watch func(now time.Duration)
-	// others is what the jobs of all teams but the largest earned.
-	others credit
+	// others is what the jobs of all teams but the largest earned; largest is the number of those.
+	others  credit
+	largest int
 }
 
 type answering struct {
@@ -120,9 +122,9 @@
 // newReplay returns a replay of a deployment with some classes of jobs.
 func newReplay(tb testing.TB, seed uint64, queues []*pipelinev1.Queue, classes []class, d deployment) *replay {
 	f := &fixture{tb: tb, cell: &Cell{State: pipeline.New(), Steps: make(map[*pipeline.Step]*Work), Prefetched: make(map[*pipeline.Step]*Work), Learner: NewLearner(),
-		Rand: rand.New(rand.NewPCG(seed, 2))}}
+		RecentUse: NewRecentUse(), Rand: rand.New(rand.NewPCG(seed, 2))}}
 	r := &replay{fixture: f, rng: rand.New(rand.NewPCG(seed, 1)), outcomes: rand.New(rand.NewPCG(seed, 3)), queues: queues, classes: classes, speed: make(map[string]float64),
-		callers: make([]*answering, d.callers), jobs: make(map[string]*replayedJob), left: make(map[*pipeline.Task]time.Duration), credit: make(map[string]*credit)}
+		callers: make([]*answering, d.callers), jobs: make(map[string]*replayedJob), left: make(map[*pipeline.Task]time.Duration), credit: make(map[string]*credit), largest: 1}
 	config := &pipelinev1.Config{Version: 1, Document: []byte("text"), Services: []*pipelinev1.Service{{Name: "print"}}, Queues: queues}
 	total, weights := 0.0, 0.0
 	for _, c := range d.cores {
@@ -177,7 +179,7 @@
 	}
 	for _, j := range r.jobs {
 		r.credit[j.class].add(j, math.MaxInt64)
-		if j.team > 0 {
+		if j.team >= r.largest {
 			r.others.add(j, math.MaxInt64)
 		}
 	}
@@ -197,8 +199,10 @@
 		}
 		for _, p := range pressures {
 			if p.hot > 1 && now >= p.from && now < p.to {
-				for range r.poisson((p.hot - 1) * r.teamShare(0) * rate * replayStep.Seconds()) {
-					r.handIn(c, now, 0)
+				for team := range max(1, p.hotTeams) {
+					for range r.poisson((p.hot - 1) * r.teamShare(team) * rate * replayStep.Seconds()) {
+						r.handIn(c, now, team)
+					}
 				}
 			}
 		}
@@ -314,6 +318,7 @@
 			r.cell.Askers.Costly++
 		}
 	}
+	r.cell.RecentUse.Sample(r.cell.State, now)
 	d := Decide(r.cell)
 	r.nextRound = now + replayPause*time.Duration(d.Inspected)*r.inspection
 	for _, s := range d.Stops {
@@ -466,7 +471,7 @@
 		return
 	}
 	r.credit[job.class].add(job, r.cell.Now-job.at)
-	if job.team > 0 {
+	if job.team >= r.largest {
 		r.others.add(job, r.cell.Now-job.at)
 	}
 }
