--- a/placement/replay_jobs_test.go
+++ b/placement/replay_jobs_test.go
@@ -41,7 +41,7 @@
 // count counts a job that took some time.
 func (r *replay) count(j *replayedJob, took time.Duration) {
 	r.credit[j.class].add(j, took)
-	if j.team > 0 {
+	if j.team >= r.largest {
 		r.others.add(j, took)
 	}
 	if r.finished != nil {
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -81,8 +81,9 @@
 	watch    func(now time.Duration)
 	decided  func(d Decision)
 	finished func(j *replayedJob, took time.Duration)
-	// others is what the jobs of all teams but the largest earned.
-	others credit
+	// others is what the jobs of all teams but the largest earned; largest is the number of those.
+	others  credit
+	largest int
 }
 
 type answering struct {
@@ -121,9 +122,9 @@
 // newReplay returns a replay of a deployment with some classes of jobs.
 func newReplay(tb testing.TB, seed uint64, queues []*pipelinev1.Queue, classes []class, d deployment) *replay {
 	f := &fixture{tb: tb, cell: &Cell{State: pipeline.New(), Steps: make(map[*pipeline.Step]*Work), Prefetched: make(map[*pipeline.Step]*Work), Learner: NewLearner(),
-		Rand: rand.New(rand.NewPCG(seed, 2))}}
+		RecentUse: NewRecentUse(), Rand: rand.New(rand.NewPCG(seed, 2))}}
 	r := &replay{fixture: f, rng: rand.New(rand.NewPCG(seed, 1)), outcomes: rand.New(rand.NewPCG(seed, 3)), queues: queues, classes: classes, speed: make(map[string]float64),
-		callers: make([]*answering, d.callers), jobs: make(map[string]*replayedJob), left: make(map[*pipeline.Task]time.Duration), credit: make(map[string]*credit)}
+		callers: make([]*answering, d.callers), jobs: make(map[string]*replayedJob), left: make(map[*pipeline.Task]time.Duration), credit: make(map[string]*credit), largest: 1}
 	config := &pipelinev1.Config{Version: 1, Document: []byte("text"), Services: []*pipelinev1.Service{{Name: "print"}}, Queues: queues}
 	total, weights := 0.0, 0.0
 	for _, c := range d.cores {
@@ -318,6 +319,7 @@
 			r.cell.Askers.Costly++
 		}
 	}
+	r.cell.RecentUse.Sample(r.cell.State, now)
 	d := Decide(r.cell)
 	if r.decided != nil {
 		r.decided(d)
