replica: a replica without space forgets a silent leader

Its raft core stands still, so that calls would be passed on to a lost leader for as long as the disk is full. An incomplete segment no longer counts as a log.

--- a/replica/cluster_test.go
+++ b/replica/cluster_test.go
@@ -58,13 +58,19 @@
 	return strings.Join(m.lines, "\n")
 }
 
-// recordingOwner records whether its node leads.
-type recordingOwner struct{ leading atomic.Bool }
+// recordingOwner records whether its node leads, and the ID of the leader that it follows.
+type recordingOwner struct {
+	leading atomic.Bool
+	leader  atomic.Uint64
+}
 
-func (o *recordingOwner) Lead(uint64)        { o.leading.Store(true) }
-func (o *recordingOwner) Follow(raft.Member) { o.leading.Store(false) }
-func (o *recordingOwner) Tick()              {}
-func (o *recordingOwner) Flush()             {}
+func (o *recordingOwner) Lead(uint64) { o.leading.Store(true) }
+func (o *recordingOwner) Follow(leader raft.Member) {
+	o.leading.Store(false)
+	o.leader.Store(uint64(leader.ID))
+}
+func (o *recordingOwner) Tick()  {}
+func (o *recordingOwner) Flush() {}
 
 // testReplica is a running node with a real data folder.
 type testReplica struct {
--- a/replica/space.go
+++ b/replica/space.go
@@ -15,8 +15,8 @@
 	// short is set from the first attempt at a write that found no space until one succeeds.
 	short bool
 	since time.Time
-	// ticks counts the ticks since then.
-	ticks int
+	// ticks counts the ticks since then, and silentTicks those since a leader was last heard.
+	ticks, silentTicks int
 }
 
 // halted reports whether the node waits for space and must not change its raft core meanwhile: the
@@ -59,6 +59,7 @@
 // tickWithoutSpace gives up the leadership and makes another attempt at the write when it is due.
 func (n *Node[R]) tickWithoutSpace() {
 	n.space.ticks++
+	n.forgetSilentLeader()
 	if n.giveUpLeadership(); n.space.ticks%spaceRetryTicks != 0 || n.attempting {
 		return
 	}
@@ -107,9 +108,24 @@
 func (n *Node[R]) noteLeader(messages []raft.Message) {
 	for _, m := range messages {
 		isLeader := m.Type == raft.MsgHeartbeat || m.Type == raft.MsgAppend
-		if !isLeader || m.To != n.cfg.Raft.ID || m.Term < n.term || m.Term == n.term && m.From == n.leader {
+		if !isLeader || m.To != n.cfg.Raft.ID || m.Term < n.term {
 			continue
 		}
-		n.updateRole(raft.Ready{Role: raft.Follower, Term: m.Term, Leader: m.From})
+		n.space.silentTicks = 0
+		if m.Term != n.term || m.From != n.leader {
+			n.updateRole(raft.Ready{Role: raft.Follower, Term: m.Term, Leader: m.From})
+		}
+	}
+}
+
+// forgetSilentLeader tells the owner that there is no known leader once none was heard for an election
+// timeout, so that no calls are passed on to it.
+func (n *Node[R]) forgetSilentLeader() {
+	if !n.halted() {
+		return
+	}
+	n.space.silentTicks++
+	if n.space.silentTicks == n.cfg.Raft.ElectionTicks && n.leader != raft.None {
+		n.updateRole(raft.Ready{Role: raft.Follower, Term: n.term, Leader: raft.None})
 	}
 }
--- a/replica/space_test.go
+++ b/replica/space_test.go
@@ -160,6 +160,34 @@
 	})
 }
 
+// TestReplicaWithoutSpaceKnowsTheLeader expects that a replica that waits for space tells callers of a new leader, and
+// of none once the leader is silent: calls that it passed on to a lost leader would end without an answer.
+func TestReplicaWithoutSpaceKnowsTheLeader(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c, storages := newFullableCluster(t, 5, nil)
+		old := c.leader()
+		full := old%5 + 1
+		storages[full].setFull(true)
+		c.proposeAll(old, 0, 5)
+		c.setIsolated(old, true)
+		time.Sleep(3 * time.Second)
+		next := c.leader()
+		c.proposeAll(next, 5, 6)
+		if known := c.replicas[full].owner.leader.Load(); known != uint64(next) {
+			t.Errorf("replica %d leads, the replica without space knows %d", next, known)
+		}
+		c.setIsolated(full, true)
+		time.Sleep(time.Second)
+		if known := c.replicas[full].owner.leader.Load(); known != uint64(raft.None) {
+			t.Errorf("the replica without space knows %d, which it has not heard for a second", known)
+		}
+		c.setIsolated(full, false)
+		c.setIsolated(old, false)
+		storages[full].setFull(false)
+		c.expectEqual(1, 2, 3, 4, 5)
+	})
+}
+
 // TestLoneReplicaWaitsForSpace expects that the only voter keeps its leadership, as no other one can
 // take it, and that callers get their results.
 func TestLoneReplicaWaitsForSpace(t *testing.T) {
--- a/wal/set_aside.go
+++ b/wal/set_aside.go
@@ -67,6 +67,9 @@
 		return false, nil
 	}
 	for _, f := range files {
+		if strings.HasSuffix(f.Name(), temporarySuffix) {
+			continue // It is not complete, so that nothing in it was acknowledged.
+		}
 		if strings.HasPrefix(f.Name(), "segment-") || strings.HasPrefix(f.Name(), "snapshot-") {
 			return true, nil
 		}
