ingress: a listener outlives a lack of descriptors

Cause: hertz stops serving after any error of Accept, also EMFILE; the process then lived on without its front or control. With 1,536 connections for each listener, a leader with several connections to each of 350 upstreams could come to its limit of 4,096 descriptors.

Change: the listener closes its stalest connection and tries again; the default of connections is 1,024.

TestAcceptAfterALackOfDescriptors gives the listener EMFILE once.

--- a/ingress/conn_test.go
+++ b/ingress/conn_test.go
@@ -7,7 +7,9 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -160,6 +162,36 @@
 	}
 }
 
+// shortOfFiles is a listener that fails once for a lack of descriptors.
+type shortOfFiles struct {
+	net.Listener
+	failed bool
+}
+
+func (l *shortOfFiles) Accept() (net.Conn, error) {
+	if !l.failed {
+		l.failed = true
+		return nil, &net.OpError{Op: "accept", Err: os.NewSyscallError("accept4", syscall.EMFILE)}
+	}
+	return l.Listener.Accept()
+}
+
+// A listener outlives a lack of descriptors, after which hertz would accept no further connection.
+func TestAcceptAfterALackOfDescriptors(t *testing.T) {
+	inner, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = inner.Close() }()
+	dial(t, inner.Addr().String())
+	l := NewBudget(DefaultLimits, 1<<20, zerolog.Nop()).Listen(&shortOfFiles{Listener: inner}, "test", PriorityCallers, 1, 1<<10)
+	c, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = c.Close()
+}
+
 // A client that doesn't read its response doesn't keep its connection.
 func TestUnreadResponsesEnd(t *testing.T) {
 	limits := DefaultLimits
--- a/ingress/limits.go
+++ b/ingress/limits.go
@@ -29,7 +29,7 @@
 }
 
 // DefaultLimits suit a VM of 184 MB. The largest ordinary head has 16 KiB and arrives within 3 s.
-var DefaultLimits = Limits{HeadBytes: 64 << 10, EmptyBytes: 1 << 10, Connections: 1536, CheckConnections: 128,
+var DefaultLimits = Limits{HeadBytes: 64 << 10, EmptyBytes: 1 << 10, Connections: 1024, CheckConnections: 128,
 	HeadTime: 10 * time.Second, StallTime: 10 * time.Second, RequestTime: 30 * time.Second, ReceiveBuffer: 64 << 10}
 
 const (
--- a/ingress/listener.go
+++ b/ingress/listener.go
@@ -1,9 +1,11 @@
 package ingress
 
 import (
+	"errors"
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -38,10 +40,48 @@
 // receiveBufferer is a connection whose receive buffer has a settable size.
 type receiveBufferer interface{ SetReadBuffer(bytes int) error }
 
+// acceptPause is the time between attempts to accept a connection while descriptors or memory are short.
+const acceptPause = 50 * time.Millisecond
+
+// isExhaustion reports whether Accept failed for a lack of descriptors or memory, or of a connection that was already
+// closed. hertz stops serving after any error.
+func isExhaustion(err error) bool {
+	for _, e := range []syscall.Errno{syscall.EMFILE, syscall.ENFILE, syscall.ENOBUFS, syscall.ENOMEM, syscall.ECONNABORTED} {
+		if errors.Is(err, e) {
+			return true
+		}
+	}
+	return false
+}
+
+// closeStalest closes the connection that has been idle or without progress for the longest time.
+func (l *Listener) closeStalest() {
+	l.mu.Lock()
+	out := l.stalest()
+	delete(l.conns, out)
+	l.mu.Unlock()
+	l.drop(out, refusalFiles)
+}
+
+// drop closes a connection that is out of use, if there is one.
+func (l *Listener) drop(c *Conn, why *refusal) {
+	if c == nil {
+		return
+	}
+	l.budget.log.refused(l.name, why.reason, c.RemoteAddr().String(), time.Now())
+	// Closing a TLS connection may wait for its client.
+	go func() { _ = c.Conn.Close() }()
+}
+
 // Accept implements net.Listener.
 func (l *Listener) Accept() (net.Conn, error) {
 	for {
 		inner, err := l.Listener.Accept()
+		if isExhaustion(err) {
+			l.closeStalest()
+			time.Sleep(acceptPause)
+			continue
+		}
 		if err != nil {
 			return nil, err
 		}
@@ -70,11 +110,7 @@
 	}
 	l.conns[c] = true
 	l.mu.Unlock()
-	if out != nil {
-		l.budget.log.refused(l.name, refusalCrowded.reason, out.RemoteAddr().String(), time.Now())
-		// Closing a TLS connection may wait for its client.
-		go func() { _ = out.Conn.Close() }()
-	}
+	l.drop(out, refusalCrowded)
 	return true
 }
 
--- a/ingress/refusal.go
+++ b/ingress/refusal.go
@@ -25,6 +25,7 @@
 	refusalStalled    = &refusal{"stalled", http.StatusRequestTimeout, 0}
 	refusalBudget     = &refusal{"budget", http.StatusServiceUnavailable, 1}
 	refusalCrowded    = &refusal{"connections", 0, 0}
+	refusalFiles      = &refusal{"descriptors", 0, 0}
 )
 
 // response returns the bytes of the response.
