ingress: refuse requests of ambiguous framing

hertz reads the head of a request again, and took some heads for others than ingress did: of 'Transfer-Encoding:<tab>identity' ingress saw no body and hertz a chunked one, so that the next request was read as body. A length with an encoding, equal lengths, other encodings, folded lines, bare line feeds and HTTP/2.0 were served as well. Heads, chunk lines and trailers are now taken only as RFC 9112 has them; anything else gets 400 and the connection is closed. Lines of a trailer are no longer kept: they held up to 64 KiB that were not charged.

--- a/ingress/body.go
+++ b/ingress/body.go
@@ -76,58 +76,80 @@
 	return n, nil
 }
 
-// takeLine takes the rest of a line in front of a chunk, behind it or of the trailer.
+// takeLine takes the rest of a line in front of a chunk or behind it.
 func (r *request) takeLine(b []byte) (int, error) {
 	n := bytes.IndexByte(b, '\n') + 1
 	whole := n > 0
 	if !whole {
 		n = len(b)
 	}
-	if r.phase == phaseTrailer {
-		if r.trailer += n; r.trailer > r.maxHead {
-			return 0, refusalHead
-		}
-	} else if len(r.line)+n > maxChunkLine {
+	if len(r.line)+n > maxChunkLine {
 		return 0, refusalMalformed
 	}
-	r.line = append(r.line, b[:min(n, maxChunkLine)]...)
+	r.line = append(r.line, b[:n]...)
 	if !whole {
 		return n, nil
 	}
-	line := string(bytes.TrimRight(r.line, "\r\n"))
+	line, ok := strings.CutSuffix(string(r.line), "\r\n")
 	r.line = r.line[:0]
+	if !ok || hasControl(line) {
+		return n, refusalMalformed
+	}
 	return n, r.endLine(line)
 }
 
-// endLine handles a whole line.
+// endLine handles a whole line in front of a chunk or behind it.
 func (r *request) endLine(line string) error {
-	switch r.phase {
-	case phaseChunkEnd:
+	if r.phase == phaseChunkEnd {
 		if line != "" {
 			return refusalMalformed
 		}
 		r.phase = phaseChunkLine
-	case phaseTrailer:
-		if line == "" {
-			r.phase = phaseDone
-		}
-	case phaseChunkLine:
-		digits, _, _ := strings.Cut(line, ";")
-		n, err := strconv.ParseUint(strings.TrimSpace(digits), 16, 62)
-		switch {
-		case err != nil:
-			return refusalMalformed
-		case n > uint64(r.maxBody-r.size):
-			return refusalBody
-		case n == 0:
-			r.phase = phaseTrailer
-		default:
-			r.phase, r.left = phaseChunkData, int(n)
-		}
+		return nil
+	}
+	digits, _, _ := strings.Cut(line, ";")
+	n, err := strconv.ParseUint(strings.TrimRight(digits, " \t"), 16, 62)
+	switch {
+	case err != nil:
+		return refusalMalformed
+	case n > uint64(r.maxBody-r.size):
+		return refusalBody
+	case n == 0:
+		r.phase = phaseTrailer
+	default:
+		r.phase, r.left = phaseChunkData, int(n)
 	}
 	return nil
 }
 
+// skipTrailer skips the rest of a line of the trailer, which ends with an empty one. Its lines are not kept, as they may
+// be as long as a head.
+func (r *request) skipTrailer(b []byte) (int, error) {
+	n := bytes.IndexByte(b, '\n') + 1
+	whole := n > 0
+	if !whole {
+		n = len(b)
+	}
+	if r.trailer += n; r.trailer > r.maxHead {
+		return 0, refusalHead
+	}
+	for _, c := range b[:n] {
+		if (c == '\n') != (r.last == '\r') {
+			return n, refusalMalformed
+		}
+		r.last = c
+	}
+	r.lineLength += n
+	switch {
+	case !whole:
+		return n, nil
+	case r.lineLength == len("\r\n"):
+		r.phase = phaseDone
+	}
+	r.lineLength, r.last = 0, 0
+	return n, nil
+}
+
 // freeFirst frees the first block of the body, which was read.
 func (r *request) freeFirst() {
 	if len(r.blocks) > 0 {
@@ -140,29 +162,3 @@
 func (r *request) parts() [][]byte {
 	return append([][]byte{r.finalHead()}, r.blocks...)
 }
-
-// finalHead returns the head with the length of the body in place of its framing.
-func (r *request) finalHead() []byte {
-	if !r.rewrite {
-		return r.head
-	}
-	out, skipped := make([]byte, 0, len(r.head)+32), false
-	first := true
-	for line := range bytes.Lines(r.head) {
-		if first {
-			out = append(out, line...)
-			out = append(out, "Content-Length: "+strconv.Itoa(r.size)+"\r\n"...)
-			first = false
-			continue
-		}
-		if line[0] != ' ' && line[0] != '\t' {
-			name, _ := field(line)
-			skipped = strings.EqualFold(name, "Transfer-Encoding") || strings.EqualFold(name, "Content-Length") ||
-				strings.EqualFold(name, "Expect") || strings.EqualFold(name, "Trailer")
-		}
-		if !skipped {
-			out = append(out, line...)
-		}
-	}
-	return out
-}
--- a/ingress/request.go
+++ b/ingress/request.go
@@ -1,13 +1,6 @@
 package ingress
 
-import (
-	"bytes"
-	"strconv"
-	"strings"
-)
-
-// maxFieldName is longer than the names of the fields that matter here, in bytes.
-const maxFieldName = 64
+import "bytes"
 
 // phase is the part of a request that is read next.
 type phase int
@@ -36,11 +29,18 @@
 	head      []byte
 	lineStart int
 	empty     int
-	line      []byte
-	trailer   int
-	rewrite   bool
-	chunked   bool
-	expects   bool
+	// line collects the line in front of a chunk or behind it. Of the trailer's bytes and those of its line that is
+	// read, only the numbers are kept, and the last one.
+	line                []byte
+	trailer, lineLength int
+	last                byte
+	rewrite             bool
+	// hasLine is set once the request line was read, which tells oldVersion, HTTP/1.0; length is the announced length of
+	// the body once hasLength is set.
+	hasLine, oldVersion, hasLength bool
+	length                         int
+	chunked                        bool
+	expects                        bool
 	// left is the number of bytes still to come of the body or of the chunk.
 	left   int
 	size   int
@@ -80,6 +80,8 @@
 		return r.takeHead(b)
 	case phaseBody, phaseChunkData:
 		return r.takeData(b)
+	case phaseTrailer:
+		return r.skipTrailer(b)
 	default:
 		return r.takeLine(b)
 	}
@@ -121,64 +123,7 @@
 	if !whole {
 		return n, nil
 	}
-	line := bytes.TrimRight(r.head[r.lineStart:], "\r\n")
+	line := r.head[r.lineStart:]
 	r.lineStart = len(r.head)
-	if len(line) == 0 {
-		return n, r.endHead()
-	}
-	return n, nil
-}
-
-// endHead finds the length of the body.
-func (r *request) endHead() error {
-	length, err := r.parseHead()
-	switch {
-	case err != nil:
-		return err
-	case r.chunked:
-		r.phase = phaseChunkLine
-	case length > r.maxBody:
-		return refusalBody
-	case length == 0:
-		r.phase = phaseDone
-	default:
-		r.phase, r.left = phaseBody, length
-	}
-	r.expects = r.expects && r.phase != phaseDone
-	return nil
-}
-
-// parseHead reads the fields that tell the length of the body.
-func (r *request) parseHead() (length int, err error) {
-	length = -1
-	for line := range bytes.Lines(r.head) {
-		name, value := field(line)
-		switch {
-		case strings.EqualFold(name, "Transfer-Encoding"):
-			if value != "identity" {
-				r.chunked, r.rewrite = true, true
-			}
-		case strings.EqualFold(name, "Content-Length"):
-			n, err := strconv.ParseUint(value, 10, 62)
-			if err != nil || length >= 0 && int(n) != length {
-				return 0, refusalMalformed
-			}
-			length = int(n)
-		case strings.EqualFold(name, "Expect"):
-			r.expects, r.rewrite = strings.EqualFold(value, "100-continue"), true
-		}
-	}
-	return max(length, 0), nil
-}
-
-// field returns the name and value of a line of a head whose name begins as those that matter here do.
-func field(line []byte) (name, value string) {
-	if len(line) == 0 || strings.IndexByte("cCtTeE", line[0]) < 0 {
-		return "", ""
-	}
-	at := bytes.IndexByte(line, ':')
-	if at <= 0 || at > maxFieldName {
-		return "", ""
-	}
-	return string(line[:at]), strings.TrimSpace(string(line[at+1:]))
+	return n, r.headLine(line)
 }
