placement, dispatch: jobs are admitted by what they cost

Cause: with too little capacity every job was taken. What several teams sent beyond their share made the jobs of the others late, and jobs that could not be of use any more waited until their callers had given up.

A new job is refused with 503 if its work is expected to begin after twice the time in which its result is of use, and with 429 if its result is expected after 1.5 times its objective and its team is over its share. Both end at lower bounds. 'job refused' has the figures; pipeline_backlog_core_ms and pipeline_backlog_start_s are new.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -1,6 +1,8 @@
 package dispatch
 
 import (
+	"expvar"
+	"strconv"
 	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
@@ -19,6 +21,7 @@
 		s.view.Usable, s.view.Answers, s.view.Silent = s.usable(now), s.answers(), s.silent()
 	}
 	e.cell.RecentUse.Sample(e.state, now)
+	e.summarize(now)
 	d := placement.Decide(&e.cell)
 	e.load.inspected += int64(d.Inspected)
 	for _, stop := range d.Stops {
@@ -31,6 +34,26 @@
 	e.propose(d)
 }
 
+// summarize computes the backlog that decides on new jobs, if it is due.
+func (e *Engine) summarize(now time.Duration) {
+	if now < e.nextBacklog {
+		return
+	}
+	e.backlog, e.nextBacklog = e.cell.Summarize(e.flow), now+placement.BacklogInterval
+	e.backlog.Waits(func(service string, priority int32, left float64, start time.Duration) {
+		key := service + "/" + strconv.Itoa(int(priority))
+		setFloat(backlogLeft, key, left)
+		setFloat(backlogStart, key, start.Seconds())
+	})
+}
+
+// setFloat sets a number of a metric.
+func setFloat(m *expvar.Map, key string, value float64) {
+	f := new(expvar.Float)
+	f.Set(value)
+	m.Set(key, f)
+}
+
 // stopVictim stops a run to free capacity for a more urgent step.
 func (e *Engine) stopVictim(stop placement.Stop) {
 	runsPreempted.Add(1)
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -58,6 +58,11 @@
 	// admission says which new jobs are taken; submitting are the uncommitted ones.
 	admission  *placement.Admission
 	submitting inFlight
+	// flow measures the work that is admitted and completed; backlog is summarized from it and from the cell, next at
+	// nextBacklog.
+	flow        *placement.Flow
+	backlog     *placement.Backlog
+	nextBacklog time.Duration
 	// registering are the uncommitted descriptions of upstreams.
 	registering inFlight
 	permits     permitScheduler
@@ -102,6 +107,7 @@
 	e.cell = placement.Cell{State: e.state, Steps: make(map[*pipeline.Step]*placement.Work), Prefetched: make(map[*pipeline.Step]*placement.Work),
 		Learner: placement.NewLearner(), RecentUse: placement.NewRecentUse(), Rand: rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64()))}
 	e.admission, e.submitting, e.registering = placement.NewAdmission(pipeline.MaxLiveJobs), make(inFlight), make(inFlight)
+	e.flow, e.backlog, e.nextBacklog = placement.NewFlow(e.now()), nil, 0
 	e.unstarted = make(map[*pipeline.Job]bool)
 	e.checkpoints = make(map[*pipeline.Task]string)
 	e.tickets = make(map[pipeline.RunKey]string)
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -10,6 +10,8 @@
 var (
 	jobsAccepted          = expvar.NewInt("pipeline_jobs_accepted")
 	jobsRefused           = expvar.NewMap("pipeline_jobs_refused")
+	backlogLeft           = expvar.NewMap("pipeline_backlog_core_ms")
+	backlogStart          = expvar.NewMap("pipeline_backlog_start_s")
 	jobsEnded             = expvar.NewMap("pipeline_jobs_ended")
 	jobsFailed            = expvar.NewMap("pipeline_jobs_failed_by_reason")
 	tasksHeld             = expvar.NewInt("pipeline_tasks_held_for_crashes")
--- a/dispatch/observer.go
+++ b/dispatch/observer.go
@@ -49,6 +49,7 @@
 // JobAdded implements pipeline.Observer.
 func (o *observer) JobAdded(j *pipeline.Job) {
 	jobsAccepted.Add(1)
+	o.flow.Admitted(j.Spec, o.state.JobQueue(j), o.cell.Learner, (*Engine)(o).now())
 	(*Engine)(o).addJob(j)
 }
 
@@ -112,6 +113,9 @@
 		e.unstarted[j] = false
 	}
 	runsEnded.Add(endNames[kind], 1)
+	if kind == pipelinev1.EndKind_END_KIND_DONE {
+		e.flow.RunDone(r, e.state.JobQueue(r.Task.Step.Job()), e.cell.Learner, e.now())
+	}
 	if s := e.sessions[r.Upstream.GetId()]; s != nil {
 		if at, answered := s.answeredAt[r.Key()]; answered && !s.adopted[r.Key()] && kind == pipelinev1.EndKind_END_KIND_DONE {
 			e.cell.Learner.RecordRun(r, e.now()-at, e.work(r.Task.Step))
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -53,7 +53,8 @@
 }
 
 func (e *Engine) decideAdmission(cmd *pipelinev1.Submit) placement.Refusal {
-	return e.admission.Decide(e.state.Config().TeamOfKey(cmd.GetKeySha256()), cmd.GetSpec())
+	config := e.state.Config()
+	return e.admission.Decide(config.TeamOfKey(cmd.GetKeySha256()), cmd.GetSpec(), config.Queue(cmd.GetSpec().GetQueue()), e.backlog, e.now())
 }
 
 // refuseJob returns the reply to a job that is not admitted.
@@ -61,10 +62,15 @@
 	refusal := e.decideAdmission(cmd)
 	retry := e.admission.ReturnAfter(refusal, e.now())
 	jobsRefused.Add(string(refusal.Reason), 1)
-	e.log.Info().Str("request", cmd.GetSpec().GetId()).Str("queue", cmd.GetSpec().GetQueue()).Str("why", refusal.Detail).
-		Dur("retry_after", retry).Uint64("config_version", e.state.Config().Version()).Msg("job refused")
+	line := e.log.Info().Str("request", cmd.GetSpec().GetId()).Str("queue", cmd.GetSpec().GetQueue()).Str("why", refusal.Detail).
+		Str("team", e.state.Config().TeamOfKey(cmd.GetKeySha256()).GetName()).Dur("retry_after", retry).Uint64("config_version", e.state.Config().Version())
+	if c := refusal.Cost; c.LateBound > 0 {
+		line = line.Float64("backlog_core_ms", c.BacklogCoreMS).Float64("rate_core_ms_per_s", c.RateCoreMS).Dur("expected_start", c.Start).
+			Dur("expected_end", c.End).Dur("late_bound", c.LateBound)
+	}
+	line.Msg("job refused")
 	reply := verdict(pipelinev1.Verdict_VERDICT_OVER_LIMIT, refusal.Detail)
-	if refusal.Reason == placement.ReasonFull {
+	if refusal.Reason == placement.ReasonFull || refusal.Reason == placement.ReasonTooLate {
 		reply.Verdict = pipelinev1.Verdict_VERDICT_NOT_NOW
 	}
 	reply.RetryAfterMs = retry.Milliseconds()
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -36,6 +36,8 @@
 	ReasonUnservable RefusalReason = "unservable"
 	ReasonTeamShare  RefusalReason = "the team holds its share of the places for jobs"
 	ReasonFull       RefusalReason = "all places for jobs are taken"
+	ReasonTooLate    RefusalReason = "the result would come too late to be of use"
+	ReasonTeamExcess RefusalReason = "the team is over its share of a service that can't do all in time"
 )
 
 // Refusal is a decision not to take a job; its zero value takes the job.
@@ -43,6 +45,9 @@
 	Reason RefusalReason
 	Detail string
 
+	// Cost is what the decision is based on, for refusals by cost.
+	Cost Cost
+
 	// ahead is the number of jobs of holder that have to end first.
 	ahead  int
 	holder *holding
@@ -54,6 +59,8 @@
 	// cell holds the jobs of all teams.
 	cell  holding
 	teams map[string]*holding
+	// refusing are the queues' thresholds that were exceeded last; see above.
+	refusing map[refusalKey]bool
 }
 
 // holding is what the jobs of a team, or all jobs, hold.
@@ -70,7 +77,7 @@
 
 // NewAdmission returns an Admission with a number of places and no jobs.
 func NewAdmission(places int) *Admission {
-	return &Admission{places: places, teams: make(map[string]*holding)}
+	return &Admission{places: places, teams: make(map[string]*holding), refusing: make(map[refusalKey]bool)}
 }
 
 // JobAdded records that a job of a team holds a place.
@@ -85,8 +92,9 @@
 	a.team(team).end(now)
 }
 
-// Decide decides on a new job of a team, which is nil for a job without a key.
-func (a *Admission) Decide(team *pipelinev1.Team, spec *pipelinev1.JobSpec) Refusal {
+// Decide decides on a new job of a team, which is nil for a job without a key. Nothing is refused by its cost to
+// others while the backlog is not known.
+func (a *Admission) Decide(team *pipelinev1.Team, spec *pipelinev1.JobSpec, queue *pipelinev1.Queue, b *Backlog, now time.Duration) Refusal {
 	if detail := unservable(team, spec); detail != "" {
 		return Refusal{Reason: ReasonUnservable, Detail: detail}
 	}
@@ -99,7 +107,7 @@
 	case a.cell.live >= a.places:
 		return a.refusal(ReasonFull, &a.cell, a.cell.live-a.places+1)
 	}
-	return Refusal{}
+	return a.decideCost(t, team.GetName(), spec, queue, b)
 }
 
 // unservable returns why a job can never run under the team's limit, or an empty string.
@@ -138,6 +146,9 @@
 	if r.holder == nil {
 		return 0
 	}
+	if r.Cost.wait > 0 {
+		return r.holder.returnAfter(r.Cost.wait, r.Cost.interval, now) - now
+	}
 	return r.holder.nextReturn(r.ahead, now) - now
 }
 
@@ -171,7 +182,13 @@
 		rate = firstEndRate
 	}
 	interval := time.Duration(float64(time.Second) / rate)
-	wait := min(maxReturn/2, max(minReturn, time.Duration(ahead)*interval))
+	return h.returnAfter(time.Duration(ahead)*interval, interval, now)
+}
+
+// returnAfter returns when the next refused caller should return, if there is room for the first one after some time
+// and for each further one after an interval.
+func (h *holding) returnAfter(wait, interval, now time.Duration) time.Duration {
+	wait = min(maxReturn/2, max(minReturn, wait))
 	h.lastReturn = max(now+wait, h.lastReturn+interval)
 	if h.lastReturn > now+maxReturn {
 		h.lastReturn = now + maxReturn/2
--- /dev/null
+++ b/placement/admit_cost.go
@@ -0,0 +1,96 @@
+package placement
+
+import (
+	"fmt"
+	"time"
+
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+)
+
+// threshold is a bound above which refusal begins, and the lower one below which it ends: callers that were refused
+// return, and must not meet a second wave.
+type threshold struct{ begin, end float64 }
+
+var (
+	// hopeless is the expected wait of a job as a multiple of the time in which its result is still of use. Estimates
+	// of single jobs are off by up to nine tenths, so that only a clear factor tells.
+	hopeless = threshold{begin: 2, end: 1.5}
+	// crowded is the expected end of a job as a multiple of its objective, from which on the excess of teams is
+	// what makes the jobs of others late.
+	crowded = threshold{begin: 1.5, end: 1.1}
+)
+
+// refusalKey is a reason to refuse jobs of a queue.
+type refusalKey struct {
+	queue  string
+	reason RefusalReason
+}
+
+// Cost is what a refusal by cost is based on.
+type Cost struct {
+	// BacklogCoreMS is the work before the job, RateCoreMS how much of it is done a second.
+	BacklogCoreMS, RateCoreMS float64
+	// Start is the expected time until the job's work begins, End until its result, LateBound the time from which on
+	// the result is of no use.
+	Start, End, LateBound time.Duration
+
+	wait, interval time.Duration
+}
+
+// decideCost decides whether a job can be of use with the capacity that there is, and whether it is the excess of a
+// team which makes others late. Lasting, repeating and scheduled jobs have no objective that begins now.
+func (a *Admission) decideCost(t *holding, team string, spec *pipelinev1.JobSpec, queue *pipelinev1.Queue, b *Backlog) Refusal {
+	if b == nil || !b.known || queue == nil || spec.GetRepeatCount() > 0 || spec.GetStartAtMs() > 0 || hasLastingStep(spec) {
+		return Refusal{}
+	}
+	f := b.forecast(spec, queue)
+	usable := max(f.lateBound()-f.chain, time.Millisecond)
+	late := a.exceeds(refusalKey{queue.GetName(), ReasonTooLate}, hopeless, f.start.Seconds()/usable.Seconds())
+	crowd := a.exceeds(refusalKey{queue.GetName(), ReasonTeamExcess}, crowded, f.end().Seconds()/max(f.objective, time.Millisecond).Seconds())
+	switch {
+	case crowd && b.overShare(queue, team):
+		return costRefusal(ReasonTeamExcess, t, f, time.Duration(crowded.end*float64(f.objective))-f.chain)
+	case late:
+		return costRefusal(ReasonTooLate, t, f, time.Duration(hopeless.end*float64(usable)))
+	}
+	return Refusal{}
+}
+
+// exceeds reports whether a value is above a threshold, which has two bounds.
+func (a *Admission) exceeds(key refusalKey, t threshold, value float64) bool {
+	bound := t.begin
+	if a.refusing[key] {
+		bound = t.end
+	}
+	a.refusing[key] = value > bound
+	return value > bound
+}
+
+// costRefusal returns the refusal of a job that would be taken if its work began within some time.
+func costRefusal(reason RefusalReason, t *holding, f forecast, within time.Duration) Refusal {
+	c := Cost{BacklogCoreMS: f.backlog, RateCoreMS: f.rate, Start: f.start, End: f.end(), LateBound: f.lateBound()}
+	c.wait = max(f.start-max(within, 0), time.Millisecond)
+	c.interval = time.Duration(f.work / f.rate * float64(time.Second))
+	return Refusal{Reason: reason, holder: t, Cost: c, Detail: fmt.Sprintf("%s: its result is expected after %v and of use for %v",
+		reason, c.End.Round(100*time.Millisecond), c.LateBound.Round(100*time.Millisecond))}
+}
+
+// overShare reports whether a team is over its share in what a queue's priority and more urgent ones used lately and
+// have left to do.
+func (b *Backlog) overShare(q *pipelinev1.Queue, team string) bool {
+	s := b.services[q.GetService()]
+	if s == nil || s.classes[q.GetPriority()] == nil {
+		return false
+	}
+	return s.classes[q.GetPriority()].overShare[team]
+}
+
+// hasLastingStep reports whether a job runs until it is cancelled.
+func hasLastingStep(spec *pipelinev1.JobSpec) bool {
+	for _, st := range spec.GetSteps() {
+		if st.GetLasting() {
+			return true
+		}
+	}
+	return false
+}
--- a/placement/admit_test.go
+++ b/placement/admit_test.go
@@ -54,7 +54,7 @@
 
 // submit sends one job; a refused caller returns as it is told.
 func (r *admitReplay) submit(team *admitTeam) {
-	refusal := r.admission.Decide(team.Team, &pipelinev1.JobSpec{})
+	refusal := r.admission.Decide(team.Team, &pipelinev1.JobSpec{}, nil, nil, r.now)
 	if refusal.Reason == "" {
 		r.admission.JobAdded(team.GetName())
 		team.live++
@@ -172,7 +172,7 @@
 	}
 	bySecond := make(map[int]int)
 	for range 1000 {
-		bySecond[int(a.ReturnAfter(a.Decide(team, &pipelinev1.JobSpec{}), 0)/time.Second)]++
+		bySecond[int(a.ReturnAfter(a.Decide(team, &pipelinev1.JobSpec{}, nil, nil, 0), 0)/time.Second)]++
 	}
 	for second, n := range bySecond {
 		if n > 50 {
@@ -201,7 +201,7 @@
 		"a job without a key has no limits": {nil, []*pipelinev1.Step{step(100, 4001, true)}, ""},
 	} {
 		a := NewAdmission(admitPlaces)
-		r := a.Decide(c.team, &pipelinev1.JobSpec{Steps: c.steps})
+		r := a.Decide(c.team, &pipelinev1.JobSpec{Steps: c.steps}, nil, nil, 0)
 		if (r.Reason == ReasonUnservable) != (c.reason != "") || !strings.HasPrefix(r.Detail, c.reason) {
 			t.Errorf("%s: %+v", name, r)
 		}
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -114,7 +114,13 @@
 		priority := d.queue.GetPriority()
 		s, known := uses[priority]
 		if !known {
-			s = r.sharesOf(priority, demands)
+			inUse := r.usesUpTo(priority)
+			for _, other := range demands {
+				if other.queue.GetPriority() <= priority {
+					inUse[other.work.Step.Job().Team] += 0
+				}
+			}
+			s = r.sharesOf(inUse)
 			uses[priority] = s
 		}
 		demands[i].overShare = r.overShare(s, d.work.Step.Job().Team)
@@ -127,18 +133,11 @@
 	total, fair float64
 }
 
-// sharesOf returns the shares in the use of a priority and more urgent ones, among the teams that used something
-// or have demands. A mean that counts each team alike would rise with several teams at many times their usual, so
-// that none of them is over it.
-func (r *round) sharesOf(priority int32, demands []demand) shares {
-	s := shares{byTeam: r.usesUpTo(priority)}
-	for _, d := range demands {
-		if d.queue.GetPriority() <= priority {
-			s.byTeam[d.work.Step.Job().Team] += 0
-		}
-	}
-	weights := 0.0
-	for team, use := range s.byTeam {
+// sharesOf returns the shares of teams in some uses, which they may have of zero. A mean that counts each team alike
+// would rise with several teams at many times their usual, so that none of them is over it.
+func (r *round) sharesOf(uses map[string]float64) shares {
+	s, weights := shares{byTeam: uses}, 0.0
+	for team, use := range uses {
 		s.total, weights = s.total+use, weights+r.weight(team)
 	}
 	s.fair = s.total / max(1, weights)
--- a/placement/learn.go
+++ b/placement/learn.go
@@ -124,8 +124,8 @@
 }
 
 // declared returns the run time that the job declares for one task of the step.
-func declared(st *pipeline.Step) time.Duration {
-	if ms := st.Spec.GetEstimateMs(); ms > 0 {
+func declared(st *pipelinev1.Step) time.Duration {
+	if ms := st.GetEstimateMs(); ms > 0 {
 		return time.Duration(ms) * time.Millisecond
 	}
 	return defaultEstimate
@@ -133,8 +133,13 @@
 
 // Expected returns the expected run time of one task of the step on an upstream of average speed.
 func (l *Learner) Expected(st *pipeline.Step) time.Duration {
+	return l.expectedOf(st.Job().Spec.GetQueue(), st.Spec)
+}
+
+// expectedOf is Expected for a step of a job that may not be accepted.
+func (l *Learner) expectedOf(queue string, st *pipelinev1.Step) time.Duration {
 	ratio := 1.0
-	if a := l.queues[st.Job().Spec.GetQueue()]; a != nil {
+	if a := l.queues[queue]; a != nil {
 		ratio = a.value
 	}
 	return time.Duration(float64(declared(st)) * ratio)
@@ -190,7 +195,7 @@
 		w.meanRunTime.add(float64(took)/l.slowness(id), 0)
 	}
 	l.speedOf(id).add(clamp(float64(took)/base, ratioMin, ratioMax))
-	averageOf(l.queues, st.Job().Spec.GetQueue()).add(clamp(float64(took)/float64(declared(st)), ratioMin, ratioMax), learnRate)
+	averageOf(l.queues, st.Job().Spec.GetQueue()).add(clamp(float64(took)/float64(declared(st.Spec)), ratioMin, ratioMax), learnRate)
 }
 
 // clamp limits x to the range from least to most.
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -74,6 +74,8 @@
 	// inspection is how long a round takes for each upstream or run that it inspects, nextRound when
 	// the next one may begin; the pause between rounds is five times their length.
 	inspection, nextRound time.Duration
+	// admission decides on jobs that are handed in, if it is set; see admit.
+	admission *replayAdmission
 	// watch, if set, is called after each step of time.
 	watch func(now time.Duration)
 	// others is what the jobs of all teams but the largest earned; largest is the number of those.
@@ -244,21 +246,29 @@
 	if unservable(r.cell.State.Config().GetTeams()[team], &pipelinev1.JobSpec{Steps: steps}) != "" {
 		return
 	}
-	j := r.submit(c.queue, team, steps...)
-	q := r.cell.State.JobQueue(j)
-	permit := q.GetPermits().GetDecisionMs() + 30*q.GetPermits().GetPerUpstreamMs()
-	chain := float64(n) * (length + permit/1000)
-	work := 0.0
-	for _, st := range j.Occurrences[0].Steps {
-		for _, t := range st.Tasks {
-			r.left[t] = time.Duration(length * (0.85 + 0.3*r.rng.Float64()) * float64(time.Second))
-			work += r.left[t].Seconds() * float64(st.Need.MilliCores)
+	var lefts []time.Duration
+	for _, st := range steps {
+		for range st.Count {
+			lefts = append(lefts, time.Duration(length*(0.85+0.3*r.rng.Float64())*float64(time.Second)))
 		}
 	}
-	mean := c.steps * c.tasks * c.seconds * c.milliCores
-	r.jobs[j.Spec.GetId()] = &replayedJob{class: c.queue, team: team, at: now, work: 0.3 + 0.7*min(4, work/mean),
-		objective: time.Duration((q.GetStretch()*chain + float64(q.GetTargetLatencyMs())/1000) * float64(time.Second))}
-	r.cell.Steps[j.Occurrences[0].Steps[0]] = NewWork(j.Occurrences[0].Steps[0], now)
+	r.admit(c, now, team, steps, func() {
+		j := r.submit(c.queue, team, steps...)
+		q := r.cell.State.JobQueue(j)
+		permit := q.GetPermits().GetDecisionMs() + 30*q.GetPermits().GetPerUpstreamMs()
+		chain := float64(n) * (length + permit/1000)
+		work := 0.0
+		for _, st := range j.Occurrences[0].Steps {
+			for _, t := range st.Tasks {
+				r.left[t], lefts = lefts[0], lefts[1:]
+				work += r.left[t].Seconds() * float64(st.Need.MilliCores)
+			}
+		}
+		mean := c.steps * c.tasks * c.seconds * c.milliCores
+		r.jobs[j.Spec.GetId()] = &replayedJob{class: c.queue, team: team, at: now, work: 0.3 + 0.7*min(4, work/mean),
+			objective: time.Duration((q.GetStretch()*chain + float64(q.GetTargetLatencyMs())/1000) * float64(time.Second))}
+		r.cell.Steps[j.Occurrences[0].Steps[0]] = NewWork(j.Occurrences[0].Steps[0], r.cell.Now)
+	})
 }
 
 // teamShare returns the share of the jobs that a team sends.
@@ -319,6 +329,7 @@
 		}
 	}
 	r.cell.RecentUse.Sample(r.cell.State, now)
+	r.admission.summarize(r)
 	d := Decide(r.cell)
 	r.nextRound = now + replayPause*time.Duration(d.Inspected)*r.inspection
 	for _, s := range d.Stops {
@@ -433,6 +444,7 @@
 	delete(r.upstream(run.Upstream.GetId()).Stopping, run.Key())
 	st := run.Task.Step
 	if kind == pipelinev1.EndKind_END_KIND_DONE {
+		r.admission.runDone(r, run)
 		r.cell.Learner.RecordRun(run, time.Duration(r.cell.WallNS-run.PlacedNS), r.cell.Steps[st])
 		return
 	}
@@ -465,6 +477,7 @@
 		delete(r.cell.Steps, st)
 		delete(r.cell.Prefetched, st)
 	}
+	r.admission.jobEnded(r, j)
 	job := r.jobs[j.Spec.GetId()]
 	delete(r.jobs, j.Spec.GetId())
 	if j.State == pipeline.Failed {
--- a/placement/urgency.go
+++ b/placement/urgency.go
@@ -112,10 +112,7 @@
 // chains returns the expected duration of the longest chain of dependent steps in an occurrence:
 // of all steps, and of the unfinished ones.
 func (r *round) chains(o *pipeline.Occurrence, q *pipelinev1.Queue) (whole, left time.Duration) {
-	permit := time.Duration(0)
-	if p := q.GetPermits(); p != nil {
-		permit = time.Duration((p.GetDecisionMs() + permitAllowance*p.GetPerUpstreamMs()) * float64(time.Millisecond))
-	}
+	permit := permitTime(q)
 	wholeTo := make([]time.Duration, len(o.Steps))
 	leftTo := make([]time.Duration, len(o.Steps))
 	for i, st := range o.Steps {
@@ -133,6 +130,12 @@
 	return whole, left
 }
 
+// permitTime returns the time for a permit question that is included in the objective for each step.
+func permitTime(q *pipelinev1.Queue) time.Duration {
+	p := q.GetPermits()
+	return time.Duration((p.GetDecisionMs() + permitAllowance*p.GetPerUpstreamMs()) * float64(time.Millisecond))
+}
+
 // Urgent reports whether a step belongs to one of the most urgent queues and is not lasting.
 func Urgent(s *pipeline.State, st *pipeline.Step) bool {
 	return !st.Spec.GetLasting() && s.JobQueue(st.Job()).GetPriority() == urgentPriority
