entry, daemon: a process bounds the callers' calls that it forwards

Cause: in push mode nothing bounded the calls in flight before an entry's link of 2 Mbit/s or its memory was full; cancellations then wait behind submissions.

Change: at most 256 calls and 512 KiB in flight; submissions take up to 70% of either, reads and cancellations 92%. Above that 503 with Retry-After, before anything is forwarded. Calls of operators and upstreams are not counted.

--- a/daemon/push.go
+++ b/daemon/push.go
@@ -101,6 +101,8 @@
 	permits      *platform.Permits
 	upstreams    *platform.Upstreams
 
+	// inFlight bounds the callers' calls that this process forwards; nil bounds none.
+	inFlight *entry.InFlight
 	draining atomic.Bool
 	// lastLeaderReply is the time of the leader's last reply in nanoseconds of the daemon's
 	// clock; zero means none yet.
@@ -118,7 +120,7 @@
 	log = log.With().Str("node", s.Name).Logger()
 	inner := &config.Settings{Name: s.Name, FailureDomain: s.FailureDomain, Roles: s.Roles, DataFolder: s.DataFolder,
 		PeerAddress: s.PeerAddress, AdminAddress: s.AdminAddress, Replicas: s.SeedPeers, Voters: control.UnattendedMembershipPolicy.Voters, Limits: entry.DefaultLimits}
-	c := &PushDaemon{Daemon: New(inner, log), pushSettings: s, path: path}
+	c := &PushDaemon{Daemon: New(inner, log), pushSettings: s, path: path, inFlight: entry.NewInFlight(entry.MaxCallsInFlight, entry.MaxBytesInFlight)}
 	c.router = entry.NewRouter(localForwarder{c.Daemon}, s.SeedPeers)
 	c.router.SetBackoffMax(leaderSearchBackoffMax)
 	c.pool.SetDialTimeout(peerDialTimeout)
@@ -171,7 +173,14 @@
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK}, nil
 	}
 	bounds := entry.Bounds{Attempt: callTimeout}
-	if call.GetJob() != nil {
+	if job := call.GetJob(); job != nil {
+		if c.inFlight != nil {
+			end, ok := c.inFlight.Acquire(job.GetVerb() == pipelinev1.JobVerb_JOB_VERB_SUBMIT, int64(proto.Size(call)))
+			if !ok {
+				return overloaded, nil
+			}
+			defer end()
+		}
 		bounds.Search = leaderSearchTime
 		if c.router.LeaderlessFor() > leaderlessLimit {
 			bounds.Search = leaderlessWait
@@ -183,6 +192,10 @@
 	return c.callWithin(ctx, call, bounds)
 }
 
+// overloaded is the reply to a caller's call that is refused before it is forwarded. Calls end within three seconds.
+var overloaded = &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NOT_NOW, Detail: "this process is overloaded with calls; nothing was proposed",
+	RetryAfterMs: entry.LeaderlessReturn.Milliseconds()}
+
 // isRedundantHeartbeat reports whether a heartbeat brings nothing new: what it describes is
 // committed, and this process has contact with the leader. Such heartbeats are not forwarded: 350
 // upstreams send 235 heartbeats a second, which cost the leader a twentieth of its processor.
