placement: callers that are refused by cost return one after the other within their patience

Cause: a caller that was told to return after more than its patience of 3 s took a turn of those that do return, so that later ones were told longer times than there was reason for.

--- a/placement/admit.go
+++ b/placement/admit.go
@@ -73,6 +73,8 @@
 	endsAt time.Duration
 	// lastReturn is the latest time at which a refused caller was asked to return.
 	lastReturn time.Duration
+	// lastCostReturn is the same for callers that were refused by cost.
+	lastCostReturn time.Duration
 }
 
 // NewAdmission returns an Admission with a number of places and no jobs.
@@ -147,7 +149,7 @@
 		return 0
 	}
 	if r.Cost.wait > 0 {
-		return r.holder.returnAfter(r.Cost.wait, r.Cost.interval, now) - now
+		return r.holder.costReturn(r.Cost.wait, r.Cost.interval, now) - now
 	}
 	return r.holder.nextReturn(r.ahead, now) - now
 }
@@ -182,13 +184,7 @@
 		rate = firstEndRate
 	}
 	interval := time.Duration(float64(time.Second) / rate)
-	return h.returnAfter(time.Duration(ahead)*interval, interval, now)
-}
-
-// returnAfter returns when the next refused caller should return, if there is room for the first one after some time
-// and for each further one after an interval.
-func (h *holding) returnAfter(wait, interval, now time.Duration) time.Duration {
-	wait = min(maxReturn/2, max(minReturn, wait))
+	wait := min(maxReturn/2, max(minReturn, time.Duration(ahead)*interval))
 	h.lastReturn = max(now+wait, h.lastReturn+interval)
 	if h.lastReturn > now+maxReturn {
 		h.lastReturn = now + maxReturn/2
--- a/placement/admit_cost.go
+++ b/placement/admit_cost.go
@@ -20,6 +20,10 @@
 	crowded = threshold{begin: 1.5, end: 1.1}
 )
 
+// callerPatience is how long callers try to hand a job in. One that is told to return later does not, and takes no
+// turn among those that do.
+const callerPatience = 3 * time.Second
+
 // refusalKey is a reason to refuse jobs of a queue.
 type refusalKey struct {
 	queue  string
@@ -75,6 +79,16 @@
 		reason, c.End.Round(100*time.Millisecond), c.LateBound.Round(100*time.Millisecond))}
 }
 
+// costReturn returns when the next caller of a team that is refused by cost should return, if there is room for the
+// first one after some time and for each further one after an interval.
+func (h *holding) costReturn(wait, interval, now time.Duration) time.Duration {
+	at := max(now+max(minReturn, wait), h.lastCostReturn+interval)
+	if at <= now+callerPatience {
+		h.lastCostReturn = at
+	}
+	return min(at, now+maxReturn)
+}
+
 // overShare reports whether a team is over its share in what a queue's priority and more urgent ones used lately and
 // have left to do.
 func (b *Backlog) overShare(q *pipelinev1.Queue, team string) bool {
--- a/placement/admit_replay_test.go
+++ b/placement/admit_replay_test.go
@@ -188,3 +188,20 @@
 		}
 	}
 }
+
+// Callers that are refused at once return one after the other; those for which there is no room within their patience
+// are told so, and take no turn of callers that come later.
+func TestReturnsByCostAreSpreadWithinPatience(t *testing.T) {
+	h := &holding{}
+	const interval = 100 * time.Millisecond
+	bySecond := make(map[int]int)
+	for range 1000 {
+		bySecond[int(h.costReturn(time.Second, interval, 0)/time.Second)]++
+	}
+	if bySecond[1] != 10 || bySecond[2] != 10 || bySecond[0] > 0 {
+		t.Errorf("callers return by second: %v", bySecond)
+	}
+	if after := h.costReturn(time.Second, interval, 5*time.Second) - 5*time.Second; after != time.Second {
+		t.Errorf("a caller that is refused later is told to return after %v", after)
+	}
+}
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -101,11 +101,6 @@
 	work      float64
 }
 
-// credit sums what jobs of one class earned of what they could, in late and in all.
-type credit struct{ earned, owed, late, missed, jobs float64 }
-
-func (c *credit) share() float64 { return c.earned / max(c.owed, 1e-9) }
-
 // deployment is the size of a replayed cell.
 type deployment struct {
 	// cores are those of each upstream, in thousandths; callers is the number of processes that ask the
@@ -489,25 +484,6 @@
 	}
 }
 
-// add counts a job that took some time.
-func (c *credit) add(job *replayedJob, took time.Duration) {
-	c.owed, c.jobs = c.owed+job.work, c.jobs+1
-	switch {
-	case took <= job.objective:
-		c.earned += job.work
-	case took <= 3*job.objective:
-		c.earned += 0.2 * job.work
-		c.late++
-	default:
-		c.missed++
-	}
-}
-
-// sum adds what other jobs earned.
-func (c *credit) sum(o *credit) {
-	c.earned, c.owed, c.late, c.missed, c.jobs = c.earned+o.earned, c.owed+o.owed, c.late+o.late, c.missed+o.missed, c.jobs+o.jobs
-}
-
 // The other methods of pipeline.Observer.
 func (r *replay) ConfigChanged()                     {}
 func (r *replay) DomainChanged(string, bool)         {}
