--- a/placement/admit.go
+++ b/placement/admit.go
@@ -36,6 +36,8 @@
 	ReasonUnservable RefusalReason = "unservable"
 	ReasonTeamShare  RefusalReason = "the team holds its share of the places for jobs"
 	ReasonFull       RefusalReason = "all places for jobs are taken"
+	ReasonTooLate    RefusalReason = "the result would come too late to be of use"
+	ReasonTeamExcess RefusalReason = "the team is over its share of a service that can't do all in time"
 )
 
 // Refusal is a decision not to take a job; its zero value takes the job.
@@ -43,6 +45,9 @@
 	Reason RefusalReason
 	Detail string
 
+	// Cost is what the decision is based on, for refusals by cost.
+	Cost Cost
+
 	// ahead is the number of jobs of holder that have to end first.
 	ahead  int
 	holder *holding
@@ -54,6 +59,8 @@
 	// cell holds the jobs of all teams.
 	cell  holding
 	teams map[string]*holding
+	// refusing are the queues' thresholds that were exceeded last; see above.
+	refusing map[refusalKey]bool
 }
 
 // holding is what the jobs of a team, or all jobs, hold.
@@ -61,16 +68,20 @@
 	weight int64
 	// live is the number of places.
 	live int
+	// admitted is the decaying number of jobs that were taken lately.
+	admitted jobRate
 	// ends is the decaying number of ends at endsAt; divided by endsMemory it is their rate.
 	ends   float64
 	endsAt time.Duration
 	// lastReturn is the latest time at which a refused caller was asked to return.
 	lastReturn time.Duration
+	// lastCostReturn is the same for callers that were refused by cost.
+	lastCostReturn time.Duration
 }
 
 // NewAdmission returns an Admission with a number of places and no jobs.
 func NewAdmission(places int) *Admission {
-	return &Admission{places: places, teams: make(map[string]*holding)}
+	return &Admission{places: places, teams: make(map[string]*holding), refusing: make(map[refusalKey]bool)}
 }
 
 // JobAdded records that a job of a team holds a place.
@@ -85,8 +96,9 @@
 	a.team(team).end(now)
 }
 
-// Decide decides on a new job of a team, which is nil for a job without a key.
-func (a *Admission) Decide(team *pipelinev1.Team, spec *pipelinev1.JobSpec) Refusal {
+// Decide decides on a new job of a team, which is nil for a job without a key. Nothing is refused by its cost to
+// others while the backlog is not known.
+func (a *Admission) Decide(team *pipelinev1.Team, spec *pipelinev1.JobSpec, queue *pipelinev1.Queue, b *Backlog, now time.Duration) Refusal {
 	if detail := unservable(team, spec); detail != "" {
 		return Refusal{Reason: ReasonUnservable, Detail: detail}
 	}
@@ -99,7 +111,7 @@
 	case a.cell.live >= a.places:
 		return a.refusal(ReasonFull, &a.cell, a.cell.live-a.places+1)
 	}
-	return Refusal{}
+	return a.decideCost(t, team.GetName(), spec, queue, b, now)
 }
 
 // unservable returns why a job can never run under the team's limit, or an empty string.
@@ -138,6 +150,9 @@
 	if r.holder == nil {
 		return 0
 	}
+	if r.Cost.wait > 0 {
+		return r.holder.costReturn(r.Cost.wait, r.Cost.interval, now) - now
+	}
 	return r.holder.nextReturn(r.ahead, now) - now
 }
 
@@ -159,7 +174,12 @@
 
 // endsNow returns the decayed number of ends.
 func (h *holding) endsNow(now time.Duration) float64 {
-	return h.ends * math.Exp(-(now-h.endsAt).Seconds()/endsMemory.Seconds())
+	return h.ends * decay(now-h.endsAt, endsMemory)
+}
+
+// decay returns what is left of a decaying sum after some time.
+func decay(after, constant time.Duration) float64 {
+	return math.Exp(-after.Seconds() / constant.Seconds())
 }
 
 // nextReturn returns when the next refused caller should return, if that many jobs have to end first:
--- a/placement/estimate.go
+++ b/placement/estimate.go
@@ -52,7 +52,7 @@
 		g = &regression{}
 		l.regressions[queue] = g
 	}
-	g.add(declared(st), took)
+	g.add(declared(st.Spec), took)
 }
 
 // Likely returns the likely run time of one task of the step on an upstream of average speed. Expected scales
@@ -60,7 +60,7 @@
 // and long runs.
 func (l *Learner) Likely(st *pipeline.Step) time.Duration {
 	if g := l.regressions[st.Job().Spec.GetQueue()]; g != nil && g.count >= regressionMin {
-		return g.predict(declared(st))
+		return g.predict(declared(st.Spec))
 	}
 	return l.Expected(st)
 }
