placement: ask for three times the room under overload, inspect less

Steps with tickets for the same upstreams take each other's room, so that a question for 1.3 times the need is followed by another. What other work would yield was collected in each overloaded round, and steps without a valid ticket went through their expired ones.

--- a/placement/ask.go
+++ b/placement/ask.go
@@ -156,7 +156,7 @@
 		q.Upstreams = append(q.Upstreams, u.GetId())
 		q.Born[u.GetId()] = u.GetBorn()
 	}
-	d.work.Pending = append(d.work.Pending, q)
+	d.work.Pending, d.work.ticketless = append(d.work.Pending, q), false
 	r.Askers.add(q)
 	r.out.Questions = append(r.out.Questions, q)
 }
@@ -164,9 +164,9 @@
 // questionUpstreams returns the upstreams to ask about: as many as are expected to have capacity
 // for the step's tasks, given the share of upstreams that questions usually allow.
 func (r *round) questionUpstreams(d demand) (out []*Upstream) {
-	least, most := questionSize(d)
+	least, most, surplus := questionSize(d)
 	guess := r.Learner.allowedShare(d.work.Step, d.queue.GetPermits())
-	room, wanted := 0.0, capacitySurplus*float64(len(d.tasks))
+	room, wanted := 0.0, surplus*float64(len(d.tasks))
 	for _, u := range r.rankedUpstreams(d) {
 		if room >= wanted && len(out) >= least || len(out) >= most {
 			break
@@ -243,7 +243,7 @@
 	if len(list) == 0 {
 		return nil
 	}
-	enough, inspected := rankedSample, min(inspectedSample, len(list))
+	enough, inspected := sampleSize(d), min(inspectedSample, len(list))
 	if rack != "" {
 		enough, inspected = len(list), len(list)
 	}
--- a/placement/cell.go
+++ b/placement/cell.go
@@ -119,6 +119,8 @@
 	// or stalled there.
 	Avoided map[string]time.Duration
 
+	// ticketless is set once all tickets have expired, until the next question is composed.
+	ticketless bool
 	// awaitsCaller is set while there is no question because enough others wait for a caller.
 	awaitsCaller bool
 	// rack is the rack chosen for tasks that should run together; it is kept until rackUntil.
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -27,12 +27,18 @@
 		}
 		return out
 	}
+	if d.work.ticketless {
+		return nil
+	}
 	r.out.Inspected += len(d.work.Permits)
-	for id := range d.work.Permits {
+	valid := false
+	for id, p := range d.work.Permits {
+		valid = valid || r.Now < p.Expires
 		if u := r.byID[id]; u != nil && d.work.hasPermit(u, r.Now) && r.fits(d.work, u) {
 			out = append(out, u)
 		}
 	}
+	d.work.ticketless = !valid && len(d.work.Pending) == 0
 	slices.SortFunc(out, func(a, b *Upstream) int { return cmp.Compare(a.GetId(), b.GetId()) })
 	return out
 }
--- a/placement/headroom.go
+++ b/placement/headroom.go
@@ -38,17 +38,17 @@
 	}
 	p := r.poolFor(d)
 	left := p.freeCores - int64(d.atOnce())*d.work.Step.Need.MilliCores
-	wanted := r.wantedHeadroom(d, p)
+	wanted := r.wantedHeadroom(d, p, left)
 	return left < wanted && (!r.lessUrgentExists(d) || left+r.yieldingCores(p) < wanted)
 }
 
-// wantedHeadroom returns the cores, in thousandths, that a demand leaves free for urgent queues.
-func (r *round) wantedHeadroom(d demand, p *pool) int64 {
-	wanted := int64(headroom * float64(p.totalCores))
-	if !d.triaged {
+// wantedHeadroom returns the cores, in thousandths, that a demand leaves free for urgent queues, where so many would
+// be left. What other work would yield is collected only if it decides.
+func (r *round) wantedHeadroom(d demand, p *pool, left int64) int64 {
+	wanted, least := int64(headroom*float64(p.totalCores)), int64(triageHeadroom*float64(p.totalCores))
+	if !d.triaged || left >= wanted || left < least {
 		return wanted
 	}
-	least := int64(triageHeadroom * float64(p.totalCores))
 	return max(least, wanted-r.yieldingCores(p))
 }
 
--- a/placement/question_plan.go
+++ b/placement/question_plan.go
@@ -7,10 +7,15 @@
 )
 
 const (
-	// minTriageUpstreams and maxTriageUpstreams bound the upstreams of a costly question under overload. Callers are
-	// then busy: thirty more upstreams add a third to a question's time and twice the tickets, and a second
-	// question costs all of it again.
-	minTriageUpstreams, maxTriageUpstreams = 30, 60
+	// minTriageUpstreams is the least number of upstreams of a costly question under overload; the most is what the
+	// platform accepts. Callers are then busy: twenty more upstreams add a quarter to a question's time, and a
+	// second question costs all of it again.
+	minTriageUpstreams = 30
+	// triageSurplus is the capacity to ask for under overload, as a multiple of what is needed: other steps with
+	// tickets for the same upstreams take some of it.
+	triageSurplus = 3.0
+	// triageSample is the number of upstreams that are ranked for such a question.
+	triageSample = 120
 	// awaitedLife is the share of its tickets' life in which a step counts on work to end on the upstreams that
 	// it asks about.
 	awaitedLife = 0.3
@@ -23,12 +28,21 @@
 	return d.triaged && terms != nil && isCostly(terms) && !d.work.Step.Spec.GetGang()
 }
 
-// questionSize returns the least and the largest number of upstreams of a question.
-func questionSize(d demand) (least, most int) {
+// questionSize returns the least and the largest number of upstreams of a question, and the capacity to ask for as a
+// multiple of what is needed.
+func questionSize(d demand) (least, most int, surplus float64) {
 	if asksAhead(d) {
-		return minTriageUpstreams, maxTriageUpstreams
+		return minTriageUpstreams, maxUpstreamsPerQuestion, triageSurplus
 	}
-	return minQuestionUpstreams, maxQuestionUpstreams
+	return minQuestionUpstreams, maxQuestionUpstreams, capacitySurplus
+}
+
+// sampleSize returns the number of upstreams that are ranked for a question.
+func sampleSize(d demand) int {
+	if asksAhead(d) {
+		return triageSample
+	}
+	return rankedSample
 }
 
 // worthAskingAhead reports whether an upstream is expected to have capacity for a task of a demand while its
@@ -40,7 +54,7 @@
 // freeSoon returns what is expected to be free on an upstream when the answer to a question about it is there, or
 // soon after.
 func (r *round) freeSoon(d demand, u *Upstream) pipeline.Resources {
-	until := r.Now + r.ticketTime(d, maxTriageUpstreams) + time.Duration(awaitedLife*float64(ticketLife(d.queue)))
+	until := r.Now + r.ticketTime(d, maxUpstreamsPerQuestion) + time.Duration(awaitedLife*float64(ticketLife(d.queue)))
 	free := u.free
 	for _, e := range r.endsOn(u) {
 		if e.at > until {
