placement: work yields as past its use only with a margin

A job whose expected result was a little too late by rough run times stood behind all other work for up to 30 s, and was lost.

--- a/placement/value.go
+++ b/placement/value.go
@@ -16,6 +16,10 @@
 	// reachableSlack is the slack, as a share of the remaining time, below which a job is not expected to be in
 	// time under overload: its steps wait for tickets and for other steps' tasks.
 	reachableSlack = 0.25
+	// pastUseMargin is the share of the remaining time, and pastUseSlack the time beyond it, by which the result must be
+	// expected too late for a job to yield: run times are known roughly, and a job that yields in error is lost.
+	pastUseMargin = 0.5
+	pastUseSlack  = time.Second
 	// maxYield is how long past its use a job stands behind the work that can still be of use. After that it goes
 	// first in its queue, so that it ends however long the overload lasts.
 	maxYield = 30 * time.Second
@@ -67,7 +71,8 @@
 	likely := r.likelyUrgencyOf(d.work.Step)
 	past := -likely.slack
 	d.urgency = likely
-	d.pastUse = likely.prospect == tooLate && past < maxYield
+	certain := time.Duration(pastUseMargin*float64(likely.remaining)) + pastUseSlack
+	d.pastUse = likely.prospect == tooLate && past > certain && past < maxYield
 	if d.queue.GetPriority() == urgentPriority {
 		return
 	}
