--- a/placement/admit.go
+++ b/placement/admit.go
@@ -37,7 +37,7 @@
 	ReasonTeamShare  RefusalReason = "the team holds its share of the places for jobs"
 	ReasonFull       RefusalReason = "all places for jobs are taken"
 	ReasonTooLate    RefusalReason = "the result would come too late to be of use"
-	ReasonTeamExcess RefusalReason = "the team is over its share of a service that can't do all in time"
+	ReasonTeamExcess RefusalReason = "the team is over its share, and the result would come too late to be of use"
 )
 
 // Refusal is a decision not to take a job; its zero value takes the job.
--- a/placement/admit_cost.go
+++ b/placement/admit_cost.go
@@ -15,9 +15,9 @@
 	// hopeless is the expected wait of a job as a multiple of the time in which its result is still of use. Estimates
 	// of single jobs are off by up to nine tenths, so that only a clear factor tells.
 	hopeless = threshold{begin: 2, end: 1.5}
-	// crowded is the expected end of a job as a multiple of its objective, from which on the excess of teams is
-	// what makes the jobs of others late.
-	crowded = threshold{begin: 1.5, end: 1.1}
+	// excess is the expected end of a job as a multiple of its late bound, for jobs of a team that is over its share:
+	// what it sends beyond that is what makes the jobs of others late.
+	excess = threshold{begin: 1, end: 0.75}
 )
 
 // callerPatience is how long callers try to hand a job in. One that is told to return later does not, and takes no
@@ -41,8 +41,8 @@
 	wait, interval time.Duration
 }
 
-// decideCost decides whether a job can be of use with the capacity that there is, and whether it is the excess of a
-// team which makes others late. Lasting, repeating and scheduled jobs have no objective that begins now.
+// decideCost decides whether a job can be of use with the capacity that there is. Jobs of a team that is over its share
+// are refused first. Lasting, repeating and scheduled jobs have no objective that begins now.
 func (a *Admission) decideCost(t *holding, team string, spec *pipelinev1.JobSpec, queue *pipelinev1.Queue, b *Backlog) Refusal {
 	if b == nil || !b.known || queue == nil || spec.GetRepeatCount() > 0 || spec.GetStartAtMs() > 0 || hasLastingStep(spec) {
 		return Refusal{}
@@ -50,10 +50,10 @@
 	f := b.forecast(spec, queue)
 	usable := max(f.lateBound()-f.chain, time.Millisecond)
 	late := a.exceeds(refusalKey{queue.GetName(), ReasonTooLate}, hopeless, f.start.Seconds()/usable.Seconds())
-	crowd := a.exceeds(refusalKey{queue.GetName(), ReasonTeamExcess}, crowded, f.end().Seconds()/max(f.objective, time.Millisecond).Seconds())
+	tooMuch := a.exceeds(refusalKey{queue.GetName(), ReasonTeamExcess}, excess, f.end().Seconds()/max(f.lateBound(), time.Millisecond).Seconds())
 	switch {
-	case crowd && b.overShare(queue, team):
-		return costRefusal(ReasonTeamExcess, t, f, time.Duration(crowded.end*float64(f.objective))-f.chain)
+	case tooMuch && b.overShare(queue, team):
+		return costRefusal(ReasonTeamExcess, t, f, time.Duration(excess.end*float64(f.lateBound()))-f.chain)
 	case late:
 		return costRefusal(ReasonTooLate, t, f, time.Duration(hopeless.end*float64(usable)))
 	}
--- a/placement/backlog.go
+++ b/placement/backlog.go
@@ -14,7 +14,8 @@
 	// BacklogKnown is the time after the begin of a leadership from which on its Backlog is known: until then the
 	// rates are of too few runs, and upstreams have not been heard of.
 	BacklogKnown = 5 * time.Second
-	// BacklogInterval is the time between two summaries. One costs about as much as a look at each run and step.
+	// BacklogInterval is the time between two summaries, each of which looks at all tasks of steps that are ready
+	// (1.1 ms for 8,500 tasks).
 	BacklogInterval = 250 * time.Millisecond
 	// minThroughput is the part of the capacity that a service is assumed to complete at least, so that little
 	// demand, or a stall of some seconds, does not look like a lack of capacity.
--- a/placement/recent_use.go
+++ b/placement/recent_use.go
@@ -14,7 +14,7 @@
 	// RecentUseKnown is the time after the begin of a leadership from which on what a team used before it has
 	// little effect (e^-3) on its recent use.
 	RecentUseKnown = 3 * recentWindow
-	// recentInterval is the shortest time between two samples. A sample takes about 0.3 ms for 3,000 runs.
+	// recentInterval is the shortest time between two samples, each of which looks at all runs (about 0.05 us a run).
 	recentInterval = 100 * time.Millisecond
 )
 
