raft: the first election after a restart of all comes sooner, and succeeds on slow disks

Cause: the timeout of a first election was 150 to 300 ms and never grew.

Change: the first timeout is one tick of 50 ms, and grows by a factor of four with each election since the start, up to ElectionTicks. Pre-votes keep it from disturbing a leader.

--- a/daemon/push.go
+++ b/daemon/push.go
@@ -78,9 +78,9 @@
 	// ms. A disk that is thirty times slower takes 180 ms a sync, which must not end a
 	// leadership.
 	electionTicks = 9
-	// firstElectionTicks lets replicas that have all restarted elect a leader after 150 to 300 ms
-	// instead of the 600 to 1,200 ms of the default; jobs have about a second to spare.
-	firstElectionTicks = 3
+	// firstElectionTicks lets replicas that have all restarted elect a leader within 50 to 80 ms, as
+	// calls are refused until then.
+	firstElectionTicks = 1
 	// learnerLag is how many entries a standby, which is a learner, may be behind before the leader
 	// sends it entries without waiting for its next heartbeat reply. It is about a second's worth.
 	// Nine replicas have four standbys; sending them each entry at once took half of the leader's
--- a/raft/election.go
+++ b/raft/election.go
@@ -17,7 +17,6 @@
 // campaign starts a pre-vote, or an election if pre is false. A forced election is one that the leader
 // asked for in a transfer; voters take part in it although the leader is alive.
 func (r *Raft) campaign(pre, forced bool) {
-	r.resetTimeout()
 	r.leader = None
 	r.votes = map[ID]bool{r.cfg.ID: true}
 	term, kind := r.term+1, MsgPreVote
@@ -30,6 +29,7 @@
 		r.vote = r.cfg.ID
 		term = r.term
 	}
+	r.resetTimeout()
 	var context uint64
 	if forced {
 		context = 1
--- a/raft/raft.go
+++ b/raft/raft.go
@@ -7,6 +7,15 @@
 	"github.com/pkg/errors"
 )
 
+const (
+	// firstElectionGrowth is the factor by which the timeout of a first election grows with each election that was
+	// held since the replica started. An election takes 20 ms where a sync takes 8, and 370 ms on a disk that takes
+	// 180.
+	firstElectionGrowth = 4
+	// maxFirstElectionGrowth bounds the exponent of that growth.
+	maxFirstElectionGrowth = 4
+)
+
 // Config holds the settings of one replica.
 type Config struct {
 	// ID identifies the replica; it must not be None.
@@ -17,7 +26,8 @@
 	ElectionTicks int
 	// FirstElectionTicks is the minimum election timeout, in ticks, of a replica that has not
 	// known a leader since it started. Zero means ElectionTicks. A low value does not disrupt an
-	// existing leader whose messages have not arrived yet, since the pre-vote fails.
+	// existing leader whose messages have not arrived yet, since the pre-vote fails. Once votes were
+	// cast, the timeout is longer, so that a slow disk has time to write them.
 	FirstElectionTicks int
 	// HeartbeatTicks is the interval between heartbeats, in ticks.
 	HeartbeatTicks int
@@ -85,6 +95,8 @@
 	electionTimeout  int
 	// lastContact is what the last leader told about silent members.
 	lastContact leaderContact
+	// startTerm is the term in which this replica started.
+	startTerm uint64
 	// heardLeader is set once this replica has known a leader since it started, or led itself.
 	heardLeader bool
 
@@ -124,6 +136,7 @@
 		cfg:            cfg,
 		rng:            rand.New(rand.NewPCG(cfg.Seed, uint64(cfg.ID))),
 		term:           from.HardState.Term,
+		startTerm:      from.HardState.Term,
 		vote:           from.HardState.Vote,
 		savedHardState: from.HardState,
 		members:        from.Snapshot.Members,
@@ -261,11 +274,22 @@
 	r.electionElapsed = 0
 	ticks := r.cfg.ElectionTicks
 	if !r.heardLeader && r.cfg.FirstElectionTicks > 0 {
-		ticks = r.cfg.FirstElectionTicks
+		ticks = r.firstElectionTicks()
 	}
 	r.electionTimeout = ticks + r.rng.IntN(ticks)
 }
 
+// firstElectionTicks returns the minimum election timeout, in ticks, of a replica that has not known a leader since it
+// started. It grows with the elections since then, which need a write at the candidate and at its voters, up to
+// ElectionTicks.
+func (r *Raft) firstElectionTicks() int {
+	ticks := r.cfg.FirstElectionTicks
+	for range min(r.term-r.startTerm, maxFirstElectionGrowth) {
+		ticks *= firstElectionGrowth
+	}
+	return min(ticks, r.cfg.ElectionTicks)
+}
+
 func (r *Raft) becomeFollower(term uint64, leader ID) {
 	if term != r.term {
 		r.term = term
