dispatch: the first permit poll of a process is answered at once

Cause: the call with which a process searches for the leader is often its permit poll. Where it reached the leader without a hint, the leader held it for 1.5 s; the other calls of the process waited for the search and were refused, and the process counted as unready. After a loss of power of all replicas one of three entries gave its first answer 1,656 ms after the restart, the others after 208 and 215 ms.

Change: a leader answers the first poll of each process at once.

--- a/dispatch/permit.go
+++ b/dispatch/permit.go
@@ -67,9 +67,10 @@
 }
 
 // poll handles a poll: it processes the answer that the poll contains, and holds the poll until
-// there is a question for the caller.
+// there is a question for the caller. It answers the first poll of a process at once.
 func (p *permitScheduler) poll(e *Engine, m *pipelinev1.PermitPoll, done replyFunc) {
 	now := e.now()
+	known := len(p.callers)
 	c := p.caller(m.GetProcess())
 	if c.pendingPoll != nil {
 		c.pendingPoll(verdict(pipelinev1.Verdict_VERDICT_OK, "a newer poll came"), nil)
@@ -84,6 +85,17 @@
 		}
 	}
 	p.assign(now)
+	if len(p.callers) > known && c.pendingPoll != nil {
+		// The first answer tells the process who leads: its other calls wait for that, and so does its readiness.
+		c.answerEmpty(e)
+	}
+}
+
+// answerEmpty answers the caller's held poll without a question.
+func (c *caller) answerEmpty(e *Engine) {
+	held := c.pendingPoll
+	c.pendingPoll = nil
+	held(&pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, Replicas: e.cfg.Replicas()}, nil)
 }
 
 // questionUnanswered handles a question that was not answered. The next round asks again if the
@@ -177,8 +189,7 @@
 	kept := p.callers[:0]
 	for _, c := range p.callers {
 		if c.pendingPoll != nil && now >= c.pollUntil {
-			c.pendingPoll(&pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, Replicas: e.cfg.Replicas()}, nil)
-			c.pendingPoll = nil
+			c.answerEmpty(e)
 		}
 		if c.current != nil && now >= c.current.Expires {
 			p.questionUnanswered(e, c.current)
