--- a/placement/demand.go
+++ b/placement/demand.go
@@ -12,10 +12,10 @@
 const (
 	// overShareFactor is the multiple of its share by weight above which a team's recent use is over its
 	// share. Several teams that fill the cell between them can't exceed it by much; with 1.0, teams at their
-	// usual are over it by chance. smallExcess is the part of what all use that a team may use beyond that: for
+	// usual are over it by chance. smallExcess is the part of what all use that a team may exceed its share by: for
 	// small teams it is a job or two, which cost the others little.
 	overShareFactor = 1.2
-	smallExcess     = 0.02
+	smallExcess     = 0.03
 	// stragglerFactor and stragglerSlack set the run time beyond which a copy of a task is worth its
 	// cost. Upstreams differ by a half in speed, and estimates are off by a half as well.
 	stragglerFactor = 2.0
@@ -146,7 +146,8 @@
 
 // overShare reports whether a team's use is over its share.
 func (r *round) overShare(s shares, team string) bool {
-	return s.byTeam[team] > overShareFactor*s.fair*r.weight(team)+smallExcess*s.total
+	part := s.fair * r.weight(team)
+	return s.byTeam[team] > max(overShareFactor*part, part+smallExcess*s.total)
 }
 
 // usesUpTo returns, by team, what work of a priority and more urgent work used lately.
