dispatch: answer where a job would go without submitting it

A wait or a refusal could only be explained once the job had been sent. Engine.Where runs the leader's own round (placement.Decide's code) on a copy of the cell with the job added, and Admission.Decide on a copy of the admission, so that neither the replicated state nor the leader's work, learner and reservations change, and no caller is counted. One question is answered a second, on the control goroutine, after uncommitted placements.

--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -62,6 +62,7 @@
 	registering inFlight
 	permits     permitScheduler
 	maintenance maintenance
+	where       whereDesk
 	// unstarted tells of each job that is running in the replicated state whether none of its runs is known to
 	// have started.
 	unstarted map[*pipeline.Job]bool
@@ -107,7 +108,7 @@
 	e.tickets = make(map[pipeline.RunKey]string)
 	e.roundTrip = roundTrip{}
 	e.relays = relays{}
-	e.maintenance = maintenance{unanswered: make(map[string]bool)}
+	e.maintenance, e.where = maintenance{unanswered: make(map[string]bool)}, whereDesk{}
 }
 
 func (e *Engine) now() time.Duration { return e.host.Clock().Now() }
@@ -148,6 +149,7 @@
 		e.state.Observe(nil)
 	}
 	e.permits.fail(control.ErrNotLeader)
+	e.where.fail(control.ErrNotLeader)
 	e.clear()
 }
 
@@ -213,6 +215,7 @@
 
 // Flush implements control.Engine. It runs a scheduling round if one is due.
 func (e *Engine) Flush() {
+	e.answerWhere()
 	if !e.leading || !e.dirty || e.placing {
 		return
 	}
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -64,10 +64,7 @@
 	jobsRefused.Add(string(refusal.Reason), 1)
 	e.log.Info().Str("request", cmd.GetSpec().GetId()).Str("queue", cmd.GetSpec().GetQueue()).Str("why", refusal.Detail).
 		Dur("retry_after", retry).Uint64("config_version", e.state.Config().Version()).Msg("job refused")
-	reply := verdict(pipelinev1.Verdict_VERDICT_OVER_LIMIT, refusal.Detail)
-	if refusal.Reason == placement.ReasonFull {
-		reply.Verdict = pipelinev1.Verdict_VERDICT_NOT_NOW
-	}
+	reply := verdict(refusalVerdict(refusal), refusal.Detail)
 	reply.RetryAfterMs = retry.Milliseconds()
 	return reply
 }
--- /dev/null
+++ b/dispatch/where.go
@@ -0,0 +1,151 @@
+package dispatch
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/control"
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+	"github.com/bulrushwinch/bulrushwinch/placement"
+	"github.com/pkg/errors"
+)
+
+const (
+	// whereInterval is the shortest time between two answers of Where, which take up to two rounds each.
+	whereInterval = time.Second
+	// maxWhereTasks bounds the tasks of a job that Where is asked about. Users' largest jobs have a hundred.
+	maxWhereTasks = 512
+	// whereJob is the identity of the job that Where adds to a copy of the cell. No accepted job has it.
+	whereJob = "where"
+)
+
+// ErrWhereBusy refuses a call of Where because another one waits, or was answered within whereInterval.
+var ErrWhereBusy = errors.New("dispatch: one question about a job is answered a second")
+
+// whereQuestion is a call of Where that waits for the commit of the last round's placements.
+type whereQuestion struct {
+	team string
+	spec *pipelinev1.JobSpec
+	done func(*Where, error)
+}
+
+// whereDesk bounds how often Where is answered.
+type whereDesk struct {
+	waiting *whereQuestion
+	// next is when the next question is taken.
+	next time.Duration
+}
+
+// Where answers where a job of a team would go now and why, or why it would wait or be refused. The job is not
+// submitted, and nothing of the leader's state changes. The team is empty for a job without a key. It must be
+// called on the control goroutine; done is called there, now or once no placements are uncommitted. It gets
+// control.ErrNotLeader where this replica does not lead, and ErrWhereBusy if there are too many questions.
+func (e *Engine) Where(team string, spec *pipelinev1.JobSpec, done func(*Where, error)) {
+	now := e.now()
+	switch {
+	case !e.leading:
+		done(nil, control.ErrNotLeader)
+	case e.where.waiting != nil || now < e.where.next:
+		done(nil, ErrWhereBusy)
+	default:
+		e.where.next = now + whereInterval
+		e.where.waiting = &whereQuestion{team, spec, done}
+		e.answerWhere()
+	}
+}
+
+// answerWhere answers the question that waits, if there is one and the replicated state holds all placements.
+func (e *Engine) answerWhere() {
+	q := e.where.waiting
+	if q == nil || e.placing {
+		return
+	}
+	e.where.waiting = nil
+	began := e.now()
+	answer := e.whereOf(q)
+	e.log.Info().Str("queue", answer.Queue).Str("team", q.team).Bool("admitted", answer.Admitted).Str("why", answer.Reason).
+		Dur("took", e.now()-began).Msg("asked where a job would go")
+	q.done(answer, nil)
+}
+
+// fail ends the question that waits.
+func (d *whereDesk) fail(err error) {
+	if d.waiting != nil {
+		d.waiting.done(nil, err)
+	}
+	d.waiting = nil
+}
+
+// whereOf decides on a question.
+func (e *Engine) whereOf(q *whereQuestion) *Where {
+	out := &Where{Queue: q.spec.GetQueue(), Team: q.team, ConfigVersion: e.state.Config().Version(), Confirmed: e.leadershipConfirmed(e.now())}
+	if e.state.Config() == nil {
+		return out.refuse(notNow("there is no configuration yet"))
+	}
+	q.spec.Id = whereJob
+	job, refusal := e.state.Draft(q.spec, q.team, e.host.WallNS())
+	if refusal == nil {
+		refusal = e.refusalOf(job)
+	}
+	if refusal != nil {
+		return out.refuse(refusal)
+	}
+	out.Admitted = true
+	out.describe(e, job)
+	var steps []*pipeline.Step
+	for _, o := range job.Occurrences {
+		for _, st := range o.Steps {
+			if st.Ready() {
+				steps = append(steps, st)
+			}
+		}
+	}
+	cell := e.cellNow()
+	now, next := placement.ForecastSteps(cell, steps)
+	out.Now, out.Next = e.stepsOf(cell, now), e.stepsOf(cell, next)
+	return out
+}
+
+// refusalOf returns the reply to the submission of a job that is not admitted, or nil. No caller is counted.
+func (e *Engine) refusalOf(j *pipeline.Job) *pipelinev1.Reply {
+	if e.host.Voters() < e.cfg.MinVoters {
+		return notNow("the group has too few voters yet")
+	}
+	tasks := 0
+	for _, s := range j.Spec.GetSteps() {
+		tasks += int(s.GetCount()) * len(j.Occurrences)
+	}
+	if tasks > maxWhereTasks {
+		return verdict(pipelinev1.Verdict_VERDICT_INVALID, fmt.Sprintf("questions are answered about jobs of at most %d tasks; submissions may have more", maxWhereTasks))
+	}
+	admission := e.admission.Copy()
+	r := admission.Decide(e.state.Config().Team(j.Team), j.Spec)
+	if r.Reason == "" {
+		return nil
+	}
+	reply := verdict(refusalVerdict(r), r.Detail)
+	reply.RetryAfterMs = admission.ReturnAfter(r, e.now()).Milliseconds()
+	return reply
+}
+
+// refusalVerdict returns the verdict on a job that is not admitted.
+func refusalVerdict(r placement.Refusal) pipelinev1.Verdict {
+	if r.Reason == placement.ReasonFull {
+		return pipelinev1.Verdict_VERDICT_NOT_NOW
+	}
+	return pipelinev1.Verdict_VERDICT_OVER_LIMIT
+}
+
+// cellNow returns a copy of the cell as a round that begins now would see it.
+func (e *Engine) cellNow() *placement.Cell {
+	now, cell := e.now(), e.cell.Copy()
+	cell.Now, cell.WallNS, cell.Askers = now, e.host.WallNS(), e.permits.askers()
+	for id, s := range e.sessions {
+		if u := cell.Upstream(id); u != nil {
+			u.Usable, u.Answers, u.Silent = s.usable(now), s.answers(), s.silent()
+		}
+	}
+	cell.RecentUse.Sample(e.state, now)
+	return cell
+}
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -73,7 +73,12 @@
 // composes the permit questions that are missing.
 func Decide(c *Cell) Decision {
 	r := newRound(c)
-	for _, d := range r.demands() {
+	return r.decide(r.demands())
+}
+
+// decide runs the round on demands in scheduling order.
+func (r *round) decide(demands []demand) Decision {
+	for _, d := range demands {
 		if len(r.out.Runs) >= maxRunsPerRound {
 			break
 		}
--- /dev/null
+++ b/placement/forecast.go
@@ -0,0 +1,175 @@
+package placement
+
+import (
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+)
+
+// WaitRound is the reason of a forecast for a step that a round does not reach, since other work fills the round.
+const WaitRound WaitReason = "other work fills this round; its turn is in a later one"
+
+// hasRoom counts, in Forecast.Upstreams, the upstreams that can take a task of the step.
+const hasRoom = "can take a task now"
+
+// Forecast says what a round decides on a step that was not submitted.
+type Forecast struct {
+	Step *pipeline.Step
+	// Due is unset if the step's occurrence is not due; nothing else is set then.
+	Due bool
+	// Turn is the step's position among the Of steps with tasks to place, from 1 on.
+	Turn, Of int
+	// Upstreams counts the upstreams of the step's service by what keeps its tasks off them.
+	Upstreams map[string]int
+	// Rack is the rack on which the step's tasks should run; empty if any will do.
+	Rack string
+	// Runs are the runs that the round places.
+	Runs []*pipelinev1.Run
+	// Asks are the identities of the upstreams that the permit service is asked about.
+	Asks []string
+	// Stops are the runs that give way to the step.
+	Stops []*pipeline.Run
+	// Reserved is the number of upstreams that are reserved for the step, a gang.
+	Reserved int
+	// Wait says why tasks wait, and gives the figures behind it. Its Reason is empty if all tasks are placed.
+	Wait Wait
+	// Remaining is the expected run time of the job; InTime is set if it can meet its objective, and Useful if
+	// its result can still be of value.
+	Remaining      time.Duration
+	InTime, Useful bool
+}
+
+// ForecastSteps runs a round on a copy of the cell in which the steps of a job that is not known are ready now,
+// and returns what it decides on them. No known job may have the job's identity. The next forecasts are for those of which tasks wait, once they have waited long enough to preempt other
+// work and if all the upstreams that they ask about are allowed.
+func ForecastSteps(c *Cell, steps []*pipeline.Step) (now, next []Forecast) {
+	first, second := make([]*Work, len(steps)), make([]*Work, len(steps))
+	waits := false
+	for i, st := range steps {
+		first[i] = NewWork(st, c.Now)
+	}
+	now = forecast(c, first)
+	for i, f := range now {
+		second[i] = NewWork(steps[i], c.Now-preemptAfter)
+		for _, id := range f.Asks {
+			second[i].Permits[id] = Permit{Born: c.byID[id].GetBorn(), Expires: c.Now + ticketLife(c.State.JobQueue(f.Step.Job()))}
+		}
+		waits = waits || f.Wait.Reason != ""
+	}
+	if !waits {
+		return now, nil
+	}
+	for _, f := range forecast(c, second) {
+		if at := stepIndex(steps, f.Step); now[at].Wait.Reason != "" {
+			next = append(next, f)
+		}
+	}
+	return now, next
+}
+
+func stepIndex(steps []*pipeline.Step, st *pipeline.Step) int {
+	for i := range steps {
+		if steps[i] == st {
+			return i
+		}
+	}
+	return -1
+}
+
+// forecast runs one round on a copy of the cell with more work.
+func forecast(c *Cell, works []*Work) []Forecast {
+	own := c.Copy()
+	for _, w := range works {
+		own.Steps[w.Step] = w
+	}
+	r := newRound(own)
+	demands := r.demands()
+	out := make([]Forecast, len(works))
+	for i, w := range works {
+		out[i] = r.beforeRound(w, demands)
+	}
+	r.decide(demands)
+	for i, w := range works {
+		r.afterRound(&out[i], w)
+	}
+	return out
+}
+
+// beforeRound returns a step's turn among the demands of a round, and its figures before the round.
+func (r *round) beforeRound(w *Work, demands []demand) Forecast {
+	f := Forecast{Step: w.Step, Of: len(demands)}
+	for i, d := range demands {
+		if d.work != w {
+			continue
+		}
+		f.Due, f.Turn, f.Upstreams, f.Wait, f.Remaining = true, i+1, r.countObstacles(d), r.figuresOf(d), d.urgency.remaining
+		f.Wait.Reason = WaitRound
+		f.InTime, f.Useful = d.urgency.prospect == inTime, d.urgency.prospect != tooLate
+	}
+	return f
+}
+
+// countObstacles counts the upstreams of a demand's service by the first reason that keeps its tasks off them.
+func (r *round) countObstacles(d demand) map[string]int {
+	out := make(map[string]int)
+	for _, u := range r.Upstreams {
+		if u.GetService() == d.queue.GetService() {
+			out[r.obstacle(d, u)]++
+		}
+	}
+	return out
+}
+
+// obstacle returns the first reason that keeps tasks of a demand off an upstream.
+func (r *round) obstacle(d demand, u *Upstream) string {
+	reason := r.State.CheckUpstream(d.work.Step, u.Upstream)
+	switch {
+	case reason != "" && reason != pipeline.PlaceNoCapacity:
+		return string(reason)
+	case !u.Usable:
+		return "does not take new work"
+	case reason != "":
+		return string(reason)
+	case r.reservedForOther(d.work, u):
+		return "is reserved for a gang"
+	}
+	return hasRoom
+}
+
+// afterRound adds what the round has decided on a step.
+func (r *round) afterRound(f *Forecast, w *Work) {
+	for _, run := range r.out.Runs {
+		key := pipeline.TaskKeyOf(run.GetTask())
+		if key.Index = 0; key == w.Key() {
+			f.Runs = append(f.Runs, run)
+		}
+	}
+	for _, q := range w.Pending {
+		f.Asks = append(f.Asks, q.Upstreams...)
+	}
+	for _, s := range r.out.Stops {
+		if s.For == w.Step {
+			f.Stops = append(f.Stops, s.Run)
+		}
+	}
+	for _, u := range r.Upstreams {
+		if u.Reserved.For == w.Step {
+			f.Reserved++
+		}
+	}
+	if f.Due {
+		f.Rack = r.preferredRack(w)
+	}
+	if len(f.Runs) == len(w.Step.Tasks) {
+		f.Wait.Reason, f.Wait.Tasks = "", 0
+	}
+	for _, d := range r.unplaced {
+		if d.work == w {
+			f.Wait = r.waitOf(d)
+		}
+	}
+}
+
+// Slowness returns the expected run time on an upstream relative to one of average speed.
+func (l *Learner) Slowness(upstream string) float64 { return l.slowness(upstream) }
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -60,9 +60,21 @@
 		return
 	}
 	w.nextReport = r.Now + reportEvery
+	r.out.Waits = append(r.out.Waits, r.waitOf(d))
+}
+
+// waitOf returns why a demand waits.
+func (r *round) waitOf(d demand) Wait {
+	w := r.figuresOf(d)
+	w.Reason, w.Gang = r.waitReason(d), r.gangWait(d)
+	return w
+}
+
+// figuresOf returns the figures of a demand, without a reason to wait.
+func (r *round) figuresOf(d demand) Wait {
 	p := r.poolFor(d)
-	r.out.Waits = append(r.out.Waits, Wait{Work: w, Reason: r.waitReason(d), Tasks: len(d.tasks), Free: p.freeCores,
-		Total: p.totalCores, Slack: d.urgency.slack, OverShare: d.overShare, Overloaded: d.triaged, Loss: 1e6 * d.loss, Gang: r.gangWait(d)})
+	return Wait{Work: d.work, Tasks: len(d.tasks), Free: p.freeCores, Total: p.totalCores, Slack: d.urgency.slack,
+		OverShare: d.overShare, Overloaded: d.triaged, Loss: 1e6 * d.loss}
 }
 
 // gangWait returns what a gang could use now, or nil if the step is not a gang.
