bulrushwinch where: ask the leader where a job would go

POST /debug/where at the admin address takes a pipeline.v1.JobSpec as JSON and the team's name; the command asks the given admin addresses until the one that leads answers. Processes that do not lead answer 421.

--- a/cmd/bulrushwinch/operators.go
+++ b/cmd/bulrushwinch/operators.go
@@ -13,7 +13,7 @@
 
 func operatorCommands() []*command {
 	return []*command{statusCommand(), timelineCommand(), teamCommand(), queueCommand(), keyCommand(), keyHashCommand(),
-		domainCommand(), replicaCommand(), traceCommand()}
+		domainCommand(), replicaCommand(), traceCommand(), whereCommand()}
 }
 
 func statusCommand() *command {
--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -179,9 +179,9 @@
 	return ingress.NewBudget(s.Ingress, s.Ingress.Budget(memory, body), log)
 }
 
-// serveAdmin serves health checks and metrics until ctx ends.
+// serveAdmin serves health checks, metrics and questions about jobs until ctx ends.
 func (d *Daemon) serveAdmin(ctx context.Context) error {
-	s := &http.Server{Handler: d.health.handler(), ReadTimeout: readTimeout, WriteTimeout: readTimeout}
+	s := &http.Server{Handler: d.adminHandler(), ReadTimeout: readTimeout, WriteTimeout: readTimeout}
 	l := d.budget.ListenCounted(d.listeners.Admin, "admin", ingress.PriorityCallers, d.settings.Ingress.CheckConnections)
 	l.Bound(s)
 	return serveHTTP(ctx, s, l)
--- a/daemon/replica.go
+++ b/daemon/replica.go
@@ -32,6 +32,8 @@
 	node       *replica.Node[[]state.Result]
 	controller *control.Controller
 	transport  *peer.Transport
+	// where answers questions about jobs; nil where upstreams poll.
+	where whereEngine
 }
 
 // runReplica locks and opens the data folder, joins or creates a group and runs the replica until
@@ -90,8 +92,11 @@
 		cfg.Membership = *d.membership
 	}
 	controller := control.New(cfg, st, lease.BootClock{}, d.events)
+	var where whereEngine
 	if d.newEngine != nil {
-		controller.SetEngine(d.newEngine(controller))
+		engine := d.newEngine(controller)
+		controller.SetEngine(engine)
+		where, _ = engine.(whereEngine)
 	}
 	controller.SetPassOn(d.pool.Forward)
 	controller.SetContain(d.contain)
@@ -112,7 +117,7 @@
 		return nil, err
 	}
 	controller.Attach(node)
-	return &replicaRole{group: id.Group, node: node, controller: controller, transport: transport}, nil
+	return &replicaRole{group: id.Group, node: node, controller: controller, transport: transport, where: where}, nil
 }
 
 // joinOnce asks every other replica once to admit this one to its group. It returns the group, or
