--- a/cmd/bulrushwinch/where.go
+++ b/cmd/bulrushwinch/where.go
@@ -167,6 +167,9 @@
 		s.printWhereStep("now", step)
 	}
 	for _, step := range w.Next {
+		if len(step.Upstreams) == 0 && len(step.Stops) == 0 && step.Reserved == 0 {
+			continue
+		}
 		s.printWhereStep("later, if all upstreams that are asked about are allowed", step)
 	}
 	return nil
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -127,6 +127,8 @@
 	switch {
 	case reason != "" && reason != pipeline.PlaceNoCapacity:
 		return string(reason)
+	case !d.work.Step.Need.Fits(u.Capacity):
+		return "is too small for a task of the step"
 	case !u.Usable:
 		return "does not take new work"
 	case reason != "":
