where: the waiting tasks of a job that was accepted

A wait could be asked about only for a job of the same shape. A request's identity now gives the forecast for the tasks of that job that wait, with the tickets that it has. Log lines of questions hold no names of the caller's choice.

--- a/cmd/bulrushwinch/where.go
+++ b/cmd/bulrushwinch/where.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"flag"
@@ -44,23 +45,30 @@
 func whereCommand() *command {
 	var v whereFlags
 	return &command{name: "where", synopsis: "show where a job of steps would go now, without submitting it", ownTimeout: whereTimeout,
-		usage: `where -admin ADDRESSES -team T -queue Q [flags] | where -admin ADDRESSES -team T -f FILE
+		usage: `where -admin ADDRESSES -team T -queue Q [flags] | where -admin ADDRESSES -team T -f FILE |
+       where -admin ADDRESSES REQUEST_ID
   Shows whether the leader would accept a job now, which upstreams its tasks would get or be asked
-  about, and why they would wait. Nothing is submitted. ADDRESSES are admin addresses of replicas;
-  the one that leads answers, one question a second. FILE holds a pipeline.v1.JobSpec as JSON.
+  about, and why they would wait; with REQUEST_ID, the same of the waiting tasks of a job that was
+  accepted. Nothing is submitted. ADDRESSES are admin addresses of replicas; the one that leads
+  answers, one question a second. FILE holds a pipeline.v1.JobSpec as JSON.
   Example: bulrushwinch where -admin 127.0.0.1:9464 -team montevideo -queue labels -tasks 4 -cores 2
   Example: bulrushwinch where -admin 127.0.0.1:9464 -team montevideo -f job.json
+  Example: bulrushwinch where -admin 127.0.0.1:9464 5c0e7a21d94b36f8
 `,
 		bind: v.bind,
 		run: func(ctx context.Context, s *session, args []string) error {
 			if v.admin == "" {
 				v.admin = s.env(adminVariable)
 			}
+			query := url.Values{"team": {v.team}}
+			if len(args) == 1 {
+				query = url.Values{"request": args}
+			}
 			spec, err := v.spec(args)
 			if err != nil {
 				return err
 			}
-			data, err := askWhere(ctx, strings.Split(v.admin, ","), v.team, spec)
+			data, err := askWhere(ctx, strings.Split(v.admin, ","), query, spec)
 			if err != nil {
 				return err
 			}
@@ -81,12 +89,20 @@
 	f.DurationVar(&v.expected, "expected", time.Second, "expected run `time` of a task")
 }
 
-// spec returns the job that the flags describe.
+// spec returns the job that the flags describe; nil if an argument names a request.
 func (v *whereFlags) spec(args []string) (*pipelinev1.JobSpec, error) {
-	if len(args) > 0 || v.admin == "" || (v.file == "") == (v.queue == "") {
-		return nil, usageError("where takes -admin and either -f or -queue, and no arguments")
+	given := len(args)
+	for _, source := range []string{v.file, v.queue} {
+		if source != "" {
+			given++
+		}
 	}
-	if v.file == "" {
+	switch {
+	case v.admin == "" || given != 1:
+		return nil, usageError("where takes -admin and one of -f, -queue and REQUEST_ID")
+	case len(args) == 1:
+		return nil, nil
+	case v.file == "":
 		return &pipelinev1.JobSpec{Queue: v.queue, Steps: []*pipelinev1.Step{{Count: int32(v.tasks), Gang: v.gang, Lasting: v.lasting, EstimateMs: v.expected.Milliseconds(),
 			Need: &pipelinev1.Resources{MilliCores: int64(v.cores * 1000), MemoryMib: v.memoryMiB}}}}, nil
 	}
@@ -102,14 +118,14 @@
 }
 
 // askWhere asks one address after the other until one that leads answers, and returns its answer.
-func askWhere(ctx context.Context, addresses []string, team string, spec *pipelinev1.JobSpec) ([]byte, error) {
+func askWhere(ctx context.Context, addresses []string, query url.Values, spec *pipelinev1.JobSpec) ([]byte, error) {
 	body, err := protojson.Marshal(spec)
 	if err != nil {
 		return nil, errors.Wrap(err, "encode the job")
 	}
 	last := errors.New("no admin address was given")
 	for _, address := range addresses {
-		data, status, err := postWhere(ctx, address, team, body)
+		data, status, err := postWhere(ctx, address, query, body)
 		switch {
 		case err == nil && status == http.StatusOK:
 			return data, nil
@@ -124,10 +140,10 @@
 	return nil, errors.Wrap(last, "no process that leads answered; the last one")
 }
 
-func postWhere(ctx context.Context, address, team string, body []byte) ([]byte, int, error) {
+func postWhere(ctx context.Context, address string, query url.Values, body []byte) ([]byte, int, error) {
 	ctx, cancel := context.WithTimeout(ctx, whereAttempt)
 	defer cancel()
-	target := url.URL{Scheme: "http", Host: address, Path: "/debug/where", RawQuery: url.Values{"team": {team}}.Encode()}
+	target := url.URL{Scheme: "http", Host: address, Path: "/debug/where", RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodPost, target.String(), bytes.NewReader(body))
 	if err != nil {
 		return nil, 0, usageError(err.Error())
@@ -161,8 +177,11 @@
 		}
 		return nil
 	}
-	s.printf("accepted: queue %s of priority %d, service %s, configuration %d\n", w.Queue, w.Priority, w.Service, w.ConfigVersion)
+	s.printf("%s: queue %s of priority %d, service %s, configuration %d\n", cmp.Or(w.State, "accepted"), w.Queue, w.Priority, w.Service, w.ConfigVersion)
 	s.printf("team %s uses %s of %s\n", orDash(w.Team), needsText(w.TeamUse), limitText(w.TeamLimit))
+	if len(w.Now) == 0 {
+		s.printf("no task of a step that is ready waits\n")
+	}
 	for _, step := range w.Now {
 		s.printWhereStep("now", step)
 	}
--- a/cmd/bulrushwinch/where_test.go
+++ b/cmd/bulrushwinch/where_test.go
@@ -22,12 +22,16 @@
 				Asks:      []dispatch.WhereUpstream{{ID: "printer-2", Slowness: 1.3}}, Waiting: 1, Why: "waiting for the answer to a permit question", Overloaded: true}},
 			Next: []dispatch.WhereStep{{Stops: []dispatch.WhereStop{{Request: "5c0e7a21d94b36f8", Task: 4, Upstream: "printer-2"}}, Reserved: 2}}},
 	}
+	known := &dispatch.Where{Queue: "labels", Confirmed: true, Admitted: true, State: "running", Service: "print"}
 	follower := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		http.Error(w, "not the leader", http.StatusMisdirectedRequest)
 	}))
 	defer follower.Close()
 	leader := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		answer := answers[r.URL.Query().Get("team")]
+		if r.URL.Query().Get("request") == "5c0e7a21d94b36f8" {
+			answer = known
+		}
 		if answer == nil {
 			http.Error(w, "one question about a job is answered a second", http.StatusTooManyRequests)
 			return
@@ -38,6 +42,7 @@
 	first, second := strings.TrimPrefix(follower.URL, "http://"), strings.TrimPrefix(leader.URL, "http://")
 	admin := "where -admin " + first + "," + second
 	got := runTool(t, second, admin+" -team montevideo -queue labels -tasks 2", admin+" -team full -queue labels", admin+" -team busy -queue labels",
+		admin+" 5c0e7a21d94b36f8", admin+" -queue labels 5c0e7a21d94b36f8",
 		"where -admin "+first+" -queue labels", "where -queue labels", "where -admin x -queue labels -f job.json")
 	goldie.New(t, goldie.WithFixtureDir(fixtures)).Assert(t, "where", []byte(strings.ReplaceAll(string(got), first, "FOLLOWER")))
 }
--- a/daemon/where.go
+++ b/daemon/where.go
@@ -27,7 +27,7 @@
 
 // whereEngine answers where a job would go; see dispatch.Engine.Where.
 type whereEngine interface {
-	Where(team string, spec *pipelinev1.JobSpec, done func(*dispatch.Where, error))
+	Where(q dispatch.WhereQuestion, done func(*dispatch.Where, error))
 }
 
 // adminHandler serves health checks, metrics and questions about jobs.
@@ -38,22 +38,23 @@
 	return mux
 }
 
-// serveWhere answers where a job would go. The body is a pipeline.v1.JobSpec as JSON with its queue, and the
-// parameter "team" names the team.
+// serveWhere answers where a job would go. The parameter "request" is the identity of a known job. Without it, the body
+// is a pipeline.v1.JobSpec as JSON with its queue, and the parameter "team" names the team.
 func (d *Daemon) serveWhere(w http.ResponseWriter, r *http.Request) {
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxWhereBody))
 	if err != nil {
 		http.Error(w, err.Error(), http.StatusRequestEntityTooLarge)
 		return
 	}
-	spec := &pipelinev1.JobSpec{}
-	if err := protojson.Unmarshal(body, spec); err != nil {
+	query := r.URL.Query()
+	q := dispatch.WhereQuestion{Request: query.Get("request"), Team: query.Get("team"), Spec: &pipelinev1.JobSpec{}}
+	if err := protojson.Unmarshal(body, q.Spec); err != nil && q.Request == "" {
 		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), whereTimeout)
 	defer cancel()
-	answer, err := d.askWhere(ctx, r.URL.Query().Get("team"), spec)
+	answer, err := d.askWhere(ctx, q)
 	if err != nil {
 		refuseWhere(w, err)
 		return
@@ -81,7 +82,7 @@
 }
 
 // askWhere has the engine of this process's replica answer on the control goroutine.
-func (d *Daemon) askWhere(ctx context.Context, team string, spec *pipelinev1.JobSpec) (*dispatch.Where, error) {
+func (d *Daemon) askWhere(ctx context.Context, q dispatch.WhereQuestion) (*dispatch.Where, error) {
 	role := d.currentReplica()
 	if role == nil || role.where == nil {
 		return nil, errNoPipelines
@@ -92,7 +93,7 @@
 	}
 	answered := make(chan result, 1)
 	if err := role.node.Post(ctx, func() {
-		role.where.Where(team, spec, func(a *dispatch.Where, err error) { answered <- result{a, err} })
+		role.where.Where(q, func(a *dispatch.Where, err error) { answered <- result{a, err} })
 	}); err != nil {
 		return nil, errors.Wrap(err, "daemon: ask where a job would go")
 	}
@@ -107,9 +108,9 @@
 }
 
 // Where implements whereEngine.
-func (e tunedEngine) Where(team string, spec *pipelinev1.JobSpec, done func(*dispatch.Where, error)) {
+func (e tunedEngine) Where(q dispatch.WhereQuestion, done func(*dispatch.Where, error)) {
 	if w, ok := e.Engine.(whereEngine); ok {
-		w.Where(team, spec, done)
+		w.Where(q, done)
 		return
 	}
 	done(nil, errNoPipelines)
--- a/dispatch/where.go
+++ b/dispatch/where.go
@@ -9,6 +9,7 @@
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 	"github.com/bulrushwinch/bulrushwinch/placement"
 	"github.com/pkg/errors"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
@@ -26,25 +27,33 @@
 // ErrWhereBusy refuses a call of Where because another one waits, or was answered a moment ago.
 var ErrWhereBusy = errors.New("dispatch: one question about a job is answered a second, and fewer if the answers take long")
 
-// whereQuestion is a call of Where that waits for the commit of the last round's placements.
-type whereQuestion struct {
-	team string
-	spec *pipelinev1.JobSpec
+// WhereQuestion asks where a job would go: a known one if Request is set, else one that a team might submit.
+type WhereQuestion struct {
+	// Request is the identity of a job.
+	Request string
+	// Team is empty for a job without a key.
+	Team string
+	Spec *pipelinev1.JobSpec
+}
+
+// waitingWhere is a question that waits for the commit of the last round's placements.
+type waitingWhere struct {
+	WhereQuestion
 	done func(*Where, error)
 }
 
 // whereDesk bounds how often Where is answered.
 type whereDesk struct {
-	waiting *whereQuestion
+	waiting *waitingWhere
 	// next is when the next question is taken.
 	next time.Duration
 }
 
-// Where answers where a job of a team would go now and why, or why it would wait or be refused. The job is not
-// submitted, and nothing of the leader's state changes. The team is empty for a job without a key. It must be
-// called on the control goroutine; done is called there, now or once no placements are uncommitted. It gets
-// control.ErrNotLeader where this replica does not lead, and ErrWhereBusy if there are too many questions.
-func (e *Engine) Where(team string, spec *pipelinev1.JobSpec, done func(*Where, error)) {
+// Where answers where a job would go now and why, or why it would wait or be refused. Nothing is submitted, and
+// nothing of the leader's state changes. It must be called on the control goroutine; done is called there, now or
+// once no placements are uncommitted. It gets control.ErrNotLeader where this replica does not lead, and
+// ErrWhereBusy if there are too many questions.
+func (e *Engine) Where(q WhereQuestion, done func(*Where, error)) {
 	now := e.now()
 	switch {
 	case !e.leading:
@@ -53,7 +62,7 @@
 		done(nil, ErrWhereBusy)
 	default:
 		e.where.next = now + whereInterval
-		e.where.waiting = &whereQuestion{team, spec, done}
+		e.where.waiting = &waitingWhere{q, done}
 		e.answerWhere()
 	}
 }
@@ -66,11 +75,15 @@
 	}
 	e.where.waiting = nil
 	began := e.now()
-	answer := e.whereOf(q)
+	answer := e.whereOf(q.WhereQuestion)
 	took := e.now() - began
 	e.where.next = max(e.where.next, began+time.Duration(float64(took)/whereShare))
-	e.log.Info().Str("queue", answer.Queue).Str("team", q.team).Bool("admitted", answer.Admitted).Str("why", answer.Reason).
-		Dur("took", took).Msg("asked where a job would go")
+	line := e.log.Info()
+	if answer.Admitted {
+		// The names of a refused job are of any length.
+		line = line.Str("request", q.Request).Str("queue", answer.Queue).Str("team", answer.Team)
+	}
+	line.Bool("admitted", answer.Admitted).Str("why", answer.Reason).Dur("took", took).Msg("asked where a job would go")
 	q.done(answer, nil)
 }
 
@@ -82,34 +95,47 @@
 	d.waiting = nil
 }
 
-// whereOf decides on a question.
-func (e *Engine) whereOf(q *whereQuestion) *Where {
-	out := &Where{Queue: q.spec.GetQueue(), Team: q.team, ConfigVersion: e.state.Config().Version(), Confirmed: e.leadershipConfirmed(e.now())}
-	if e.state.Config() == nil {
-		return out.refuse(notNow("there is no configuration yet"))
-	}
-	q.spec.Id = whereJob
-	job, refusal := e.state.Draft(q.spec, q.team, e.host.WallNS())
-	if refusal == nil {
-		refusal = e.refusalOf(job)
-	}
+// whereOf answers a question.
+func (e *Engine) whereOf(q WhereQuestion) *Where {
+	out := &Where{Queue: q.Spec.GetQueue(), Team: q.Team, ConfigVersion: e.state.Config().Version(), Confirmed: e.leadershipConfirmed(e.now())}
+	job, steps, refusal := e.whereSteps(q)
 	if refusal != nil {
 		return out.refuse(refusal)
 	}
 	out.Admitted = true
 	out.describe(e, job)
-	var steps []*pipeline.Step
+	cell := e.cellNow()
+	now, next := placement.ForecastSteps(cell, steps)
+	out.Now, out.Next = stepsOf(cell, now), stepsOf(cell, next)
+	return out
+}
+
+// whereSteps returns the job of a question and its steps that are ready and have waiting tasks, or a refusal.
+func (e *Engine) whereSteps(q WhereQuestion) (job *pipeline.Job, steps []*pipeline.Step, refusal *pipelinev1.Reply) {
+	if e.state.Config() == nil {
+		return nil, nil, notNow("there is no configuration yet")
+	}
+	if q.Request == "" {
+		spec := proto.CloneOf(q.Spec)
+		spec.Id = whereJob
+		if job, refusal = e.state.Draft(spec, q.Team, e.host.WallNS()); refusal == nil {
+			refusal = e.refusalOf(job)
+		}
+	} else if job = e.state.Job(q.Request); job == nil {
+		refusal = verdict(pipelinev1.Verdict_VERDICT_NO_JOB, "no such job")
+	}
+	if refusal != nil {
+		return nil, nil, refusal
+	}
 	for _, o := range job.Occurrences {
 		for _, st := range o.Steps {
-			if st.Ready() {
+			w := e.cell.Steps[st]
+			if q.Request == "" && st.Ready() || w != nil && len(w.Waiting()) > 0 {
 				steps = append(steps, st)
 			}
 		}
 	}
-	cell := e.cellNow()
-	now, next := placement.ForecastSteps(cell, steps)
-	out.Now, out.Next = e.stepsOf(cell, now), e.stepsOf(cell, next)
-	return out
+	return job, steps, nil
 }
 
 // refusalOf returns the reply to the submission of a job that is not admitted, or nil. No caller is counted.
--- a/dispatch/where_answer.go
+++ b/dispatch/where_answer.go
@@ -24,6 +24,8 @@
 	Reason       string `json:"reason,omitempty"`
 	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
 
+	// State is the state of a known job.
+	State     string     `json:"state,omitempty"`
 	Service   string     `json:"service,omitempty"`
 	Priority  int32      `json:"priority"`
 	TeamUse   WhereNeeds `json:"team_use"`
@@ -105,17 +107,20 @@
 // describe adds the figures of a job's queue and team.
 func (w *Where) describe(e *Engine, j *pipeline.Job) {
 	q := e.state.JobQueue(j)
+	if w.Queue, w.Team = j.Spec.GetQueue(), j.Team; j.Spec.GetId() != whereJob {
+		w.State = string(e.shownState(j))
+	}
 	w.Service, w.Priority = q.GetService(), q.GetPriority()
 	w.TeamUse = WhereNeeds(e.state.Used(j.Team))
 	w.TeamLimit = WhereNeeds(pipeline.ResourcesFromProto(e.state.Config().Team(j.Team).GetLimit()))
 }
 
 // stepsOf describes the forecasts for steps.
-func (e *Engine) stepsOf(cell *placement.Cell, list []placement.Forecast) (out []WhereStep) {
+func stepsOf(cell *placement.Cell, list []placement.Forecast) (out []WhereStep) {
 	for _, f := range list {
 		s := WhereStep{Occurrence: f.Step.Occurrence.Index, Step: f.Step.Index}
 		if f.Due {
-			e.addForecast(cell, &s, f)
+			addForecast(cell, &s, f)
 		} else {
 			s.DueMS = max(1, (f.Step.Occurrence.DueNS-cell.WallNS)/int64(time.Millisecond))
 		}
@@ -124,7 +129,7 @@
 	return out
 }
 
-func (e *Engine) addForecast(cell *placement.Cell, s *WhereStep, f placement.Forecast) {
+func addForecast(cell *placement.Cell, s *WhereStep, f placement.Forecast) {
 	w := f.Wait
 	s.Turn, s.Of, s.Rack, s.Obstacles, s.Reserved = f.Turn, f.Of, f.Rack, f.Upstreams, f.Reserved
 	s.Waiting, s.Why, s.Free, s.Total = w.Tasks, string(w.Reason), w.Free, w.Total
@@ -133,12 +138,14 @@
 	for _, r := range f.Runs {
 		at := slices.IndexFunc(s.Upstreams, func(u WhereUpstream) bool { return u.ID == r.GetUpstream() })
 		if at < 0 {
-			s.Upstreams, at = append(s.Upstreams, e.whereUpstream(cell, r.GetUpstream())), len(s.Upstreams)
+			s.Upstreams, at = append(s.Upstreams, whereUpstream(cell, r.GetUpstream())), len(s.Upstreams)
 		}
 		s.Upstreams[at].Tasks++
 	}
 	for _, id := range f.Asks {
-		s.Asks = append(s.Asks, e.whereUpstream(cell, id))
+		if cell.Upstream(id) != nil {
+			s.Asks = append(s.Asks, whereUpstream(cell, id))
+		}
 	}
 	for _, r := range f.Stops {
 		key := r.Key()
@@ -146,7 +153,7 @@
 	}
 }
 
-func (e *Engine) whereUpstream(cell *placement.Cell, id string) WhereUpstream {
+func whereUpstream(cell *placement.Cell, id string) WhereUpstream {
 	u := cell.Upstream(id)
 	return WhereUpstream{ID: id, FailureDomain: u.GetFailureDomain(), Rack: u.GetRack(), Free: WhereNeeds(u.Free()), Slowness: cell.Learner.Slowness(id)}
 }
--- a/dispatch/where_test.go
+++ b/dispatch/where_test.go
@@ -80,11 +80,16 @@
 }
 
 // askWhere asks where a job would go, and fails the test if that changes the leader's state.
-func (h *harness) askWhere(spec *pipelinev1.JobSpec) (answer *Where) {
+func (h *harness) askWhere(spec *pipelinev1.JobSpec) *Where {
+	h.t.Helper()
+	return h.askWhereOf(WhereQuestion{Team: "montevideo", Spec: spec})
+}
+
+func (h *harness) askWhereOf(q WhereQuestion) (answer *Where) {
 	h.t.Helper()
 	h.engine.where.next = 0
 	before := h.leaderState()
-	h.engine.Where("montevideo", proto.CloneOf(spec), func(w *Where, err error) {
+	h.engine.Where(q, func(w *Where, err error) {
 		if answer = w; err != nil {
 			h.t.Fatal(err)
 		}
@@ -156,6 +161,10 @@
 			if (now.Waiting > 0) != (now.Why != "") {
 				t.Errorf("%d tasks wait: %q", now.Waiting, now.Why)
 			}
+			known := h.askWhereOf(WhereQuestion{Request: jobID(2)})
+			if !known.Admitted || len(known.Now) != min(1, now.Waiting) || len(known.Now) > 0 && known.Now[0].Waiting != now.Waiting {
+				t.Errorf("of the submitted job: %+v; want the %d tasks that wait", known, now.Waiting)
+			}
 		})
 	}
 }
@@ -225,7 +234,7 @@
 	var answers []*Where
 	var failures []error
 	ask := func() {
-		h.engine.Where("montevideo", proto.CloneOf(spec), func(w *Where, err error) {
+		h.engine.Where(WhereQuestion{Team: "montevideo", Spec: spec}, func(w *Where, err error) {
 			if err != nil {
 				failures = append(failures, err)
 				return
--- a/placement/copy.go
+++ b/placement/copy.go
@@ -33,13 +33,18 @@
 func copyWorks(list map[*pipeline.Step]*Work) map[*pipeline.Step]*Work {
 	out := make(map[*pipeline.Step]*Work, len(list))
 	for st, w := range list {
-		own := *w
-		own.Pending = slices.Clone(w.Pending)
-		out[st] = &own
+		out[st] = w.copy()
 	}
 	return out
 }
 
+// copy returns a copy that shares the answers of the permit service.
+func (w *Work) copy() *Work {
+	out := *w
+	out.Pending = slices.Clone(w.Pending)
+	return &out
+}
+
 func (u *RecentUse) copy() *RecentUse {
 	if u == nil {
 		return nil
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"maps"
 	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
@@ -13,7 +14,7 @@
 // hasRoom counts, in Forecast.Upstreams, the upstreams that can take a task of the step.
 const hasRoom = "can take a task now"
 
-// Forecast says what a round decides on a step that was not submitted.
+// Forecast says what a round would decide on a step.
 type Forecast struct {
 	Step *pipeline.Step
 	// Due is unset if the step's occurrence is not due; nothing else is set then.
@@ -40,21 +41,19 @@
 	InTime, Useful bool
 }
 
-// ForecastSteps runs a round on a copy of the cell in which the steps of a job that is not known are ready now,
-// and returns what it decides on them. No known job may have the job's identity. The next forecasts are for those of which tasks wait, once they have waited long enough to preempt other
-// work and if all the upstreams that they ask about are allowed.
+// ForecastSteps runs a round on a copy of the cell, and returns what it decides on some steps: those that wait in the
+// cell, or those of a job that is not known, as if they were ready now. No known job may have that one's identity. The
+// next forecasts are for the steps of which tasks wait, once they have waited long enough to preempt other work and if
+// all the upstreams that they ask about are allowed.
 func ForecastSteps(c *Cell, steps []*pipeline.Step) (now, next []Forecast) {
 	first, second := make([]*Work, len(steps)), make([]*Work, len(steps))
 	waits := false
 	for i, st := range steps {
-		first[i] = NewWork(st, c.Now)
+		first[i] = c.workOf(st)
 	}
 	now = forecast(c, first)
 	for i, f := range now {
-		second[i] = NewWork(steps[i], c.Now-preemptAfter)
-		for _, id := range f.Asks {
-			second[i].Permits[id] = Permit{Born: c.byID[id].GetBorn(), Expires: c.Now + ticketLife(c.State.JobQueue(f.Step.Job()))}
-		}
+		second[i] = c.workIfAllowed(steps[i], f.Asks)
 		waits = waits || f.Wait.Reason != ""
 	}
 	if !waits {
@@ -68,6 +67,27 @@
 	return now, next
 }
 
+// workOf returns a copy of what is known of a step; nothing is of one that does not wait in the cell.
+func (c *Cell) workOf(st *pipeline.Step) *Work {
+	if w := c.Steps[st]; w != nil {
+		return w.copy()
+	}
+	return NewWork(st, c.Now)
+}
+
+// workIfAllowed is like workOf once some upstreams are allowed and the step may preempt.
+func (c *Cell) workIfAllowed(st *pipeline.Step, asked []string) *Work {
+	w := c.workOf(st)
+	w.ReadyAt, w.nextPreempt, w.nextPlan = min(w.ReadyAt, c.Now-preemptAfter), 0, 0
+	w.Pending, w.Permits = nil, maps.Clone(w.Permits)
+	for _, id := range asked {
+		if u := c.byID[id]; u != nil {
+			w.Permits[id] = Permit{Born: u.GetBorn(), Expires: c.Now + ticketLife(c.State.JobQueue(st.Job()))}
+		}
+	}
+	return w
+}
+
 func stepIndex(steps []*pipeline.Step, st *pipeline.Step) int {
 	for i := range steps {
 		if steps[i] == st {
@@ -163,7 +183,7 @@
 	if f.Due {
 		f.Rack = r.preferredRack(w)
 	}
-	if len(f.Runs) == len(w.Step.Tasks) {
+	if len(f.Runs) == f.Wait.Tasks {
 		f.Wait.Reason, f.Wait.Tasks = "", 0
 	}
 	for _, d := range r.unplaced {
