--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -70,10 +70,7 @@
 			Dur("expected_end", c.End).Dur("late_bound", c.LateBound)
 	}
 	line.Msg("job refused")
-	reply := verdict(pipelinev1.Verdict_VERDICT_OVER_LIMIT, refusal.Detail)
-	if refusal.Reason == placement.ReasonFull || refusal.Reason == placement.ReasonTooLate {
-		reply.Verdict = pipelinev1.Verdict_VERDICT_NOT_NOW
-	}
+	reply := verdict(refusalVerdict(refusal), refusal.Detail)
 	reply.RetryAfterMs = retry.Milliseconds()
 	return reply
 }
