--- a/placement/admit_cost.go
+++ b/placement/admit_cost.go
@@ -17,7 +17,7 @@
 	hopeless = threshold{begin: 2, end: 1.5}
 	// excess is the expected end of a job as a multiple of its late bound, for jobs of a team that is over its share:
 	// what it sends beyond that is what makes the jobs of others late.
-	excess = threshold{begin: 1, end: 0.75}
+	excess = threshold{begin: 1.75, end: 1.3}
 )
 
 // callerPatience is how long callers try to hand a job in. One that is told to return later does not, and takes no
@@ -47,7 +47,7 @@
 	if b == nil || !b.known || queue == nil || spec.GetRepeatCount() > 0 || spec.GetStartAtMs() > 0 || hasLastingStep(spec) {
 		return Refusal{}
 	}
-	f := b.forecast(spec, queue)
+	f := b.forecast(team, spec, queue)
 	usable := max(f.lateBound()-f.chain, time.Millisecond)
 	late := a.exceeds(refusalKey{queue.GetName(), ReasonTooLate}, hopeless, f.start.Seconds()/usable.Seconds())
 	tooMuch := a.exceeds(refusalKey{queue.GetName(), ReasonTeamExcess}, excess, f.end().Seconds()/max(f.lateBound(), time.Millisecond).Seconds())
--- a/placement/backlog.go
+++ b/placement/backlog.go
@@ -137,14 +137,18 @@
 	overShare map[string]bool
 }
 
-// waitingJob is a job's work that is left, and the part of it that does not run yet, in core-milliseconds.
-type waitingJob struct{ left, waiting float64 }
+// waitingJob is the work of a team's job that is left, and the part of it that does not run yet, in core-milliseconds.
+type waitingJob struct {
+	team          string
+	left, waiting float64
+}
 
-// before returns the waiting work of a class that a new job finds before it: of the jobs with less left to do, as
-// these lose more for each core-second that they wait.
-func (c *classBacklog) before(own float64) (work float64) {
+// before returns the waiting work of a class that a team's new job with some work of its own finds before it. Teams that
+// are over their share come after the others, and among jobs that are not urgent those with more left to do after
+// those with less, as they lose less for each core-second that they wait.
+func (c *classBacklog) before(team string, own float64) (work float64) {
 	for _, j := range c.jobs {
-		if j.left <= own {
+		if j.left <= own && (c.overShare[team] || !c.overShare[j.team]) {
 			work += j.waiting
 		}
 	}
@@ -189,7 +193,7 @@
 	left, waitingBefore := class.left, class.waiting
 	defer func() {
 		if waits := class.waiting - waitingBefore; waits > 0 {
-			class.jobs = append(class.jobs, waitingJob{class.left - left, waits})
+			class.jobs = append(class.jobs, waitingJob{st.Job().Team, class.left - left, waits})
 		}
 	}()
 	for _, other := range st.Occurrence.Steps {
@@ -265,17 +269,20 @@
 	return min(max(s.rate, minThroughput*s.capacity), max(s.capacity, 1))
 }
 
-// ahead returns the work, in core-milliseconds, that a new job of a priority with some work of its own finds before
-// it, and the rate at which it is done beside the more urgent work that keeps coming. Urgent jobs are served in the
-// order of their slack, so that all of those that wait count.
-func (s *serviceBacklog) ahead(priority int32, own float64) (work, rate float64) {
+// ahead returns the work, in core-milliseconds, that a team's new job of a priority with some work of its own finds
+// before it, and the rate at which it is done beside the more urgent work that keeps coming.
+func (s *serviceBacklog) ahead(priority int32, team string, own float64) (work, rate float64) {
 	rate = s.throughput()
+	if priority == urgentPriority {
+		// Urgent jobs are served in the order of their slack, whatever their work.
+		own = math.Inf(1)
+	}
 	for p, c := range s.classes {
 		switch {
-		case p < priority || p == urgentPriority:
+		case p < priority:
 			work += c.waiting
 		case p == priority:
-			work += c.before(own)
+			work += c.before(team, own)
 		}
 		if p < priority {
 			rate -= c.admitted
@@ -289,7 +296,13 @@
 func (b *Backlog) Waits(f func(service string, priority int32, left float64, start time.Duration)) {
 	for name, s := range b.services {
 		for priority, c := range s.classes {
-			waiting, rate := s.ahead(priority, math.Inf(1))
+			_, rate := s.ahead(priority, "", math.Inf(1))
+			waiting := 0.0
+			for p, other := range s.classes {
+				if p <= priority {
+					waiting += other.waiting
+				}
+			}
 			f(name, priority, c.left, time.Duration(waiting/rate*float64(time.Second)))
 		}
 	}
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -22,8 +22,8 @@
 // lateBound returns the time from which on the result is of no value.
 func (f forecast) lateBound() time.Duration { return lateFactor * f.objective }
 
-// forecast returns what a new job can expect of the backlog.
-func (b *Backlog) forecast(spec *pipelinev1.JobSpec, q *pipelinev1.Queue) forecast {
+// forecast returns what a new job of a team can expect of the backlog.
+func (b *Backlog) forecast(team string, spec *pipelinev1.JobSpec, q *pipelinev1.Queue) forecast {
 	f := forecast{}
 	f.work, f.chain = ownWork(spec, q, b.learner)
 	// A single estimate may be a tenth of the truth; a job that looks short is taken for an average one.
@@ -32,7 +32,7 @@
 	}
 	f.objective = time.Duration(q.GetStretch()*float64(f.chain)) + time.Duration(q.GetTargetLatencyMs())*time.Millisecond
 	if s := b.services[q.GetService()]; s != nil && s.capacity > 0 {
-		f.backlog, f.rate = s.ahead(q.GetPriority(), f.work)
+		f.backlog, f.rate = s.ahead(q.GetPriority(), team, f.work)
 		f.start = time.Duration(f.backlog / f.rate * float64(time.Second))
 	}
 	return f
