ingress, peer: bound the messages of the peer protocol

The peer listener of push mode has no cluster secret, one message could hold 256 MB, also compressed, and nothing bounded all streams together. A call without room is answered NOT_LEADER, as nothing was proposed. The budget accounts for holders in place of connections, and the complete body of an HTTP/1 request to an http.Server can't be refused any more.

What is released while memory is given back now counts for the next time: its garbage stayed resident (171 MB after the clients of a crowd had gone).

--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -5,6 +5,7 @@
 	"runtime"
 	"runtime/debug"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/rs/zerolog"
@@ -28,33 +29,62 @@
 	mu   sync.Mutex
 	used int64
 	peak int64
-	// conns holds the connections with a request that is being read.
-	conns     map[*Conn]bool
+	// reading holds the holders whose request or message is being read.
+	reading   map[*holder]bool
 	releasing bool
 	released  time.Time
 }
 
+// holder is what holds memory of a Budget: a connection of HTTP/1, a stream of HTTP/2 or calls in work.
+type holder struct {
+	priority Priority
+	// progress is the time in Unix nanoseconds when something last happened.
+	progress atomic.Int64
+	// wake ends a blocked read.
+	wake func()
+
+	// held and refused are guarded by the budget's mutex, and gone, which is set when the holder has ended.
+	held    int64
+	refused error
+	gone    bool
+}
+
 // NewBudget returns a budget of max bytes.
 func NewBudget(l Limits, max int64, log zerolog.Logger) *Budget {
 	budgetGauge.Set(max)
-	return &Budget{limits: l, max: max, log: newReporter(log), conns: make(map[*Conn]bool)}
+	return &Budget{limits: l, max: max, log: newReporter(log), reading: make(map[*holder]bool)}
 }
 
 // charge adds n bytes to what c holds. If that exceeds the budget, it refuses other requests, or returns
 // refusalBudget if c's own is to be refused first.
-func (b *Budget) charge(c *Conn, n int64) error {
+func (b *Budget) charge(c *holder, n int64) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	if c.refused != nil || c.gone {
 		return c.refusalLocked()
 	}
-	b.conns[c] = true
+	b.reading[c] = true
+	return b.takeLocked(c, n)
+}
+
+// hold adds n bytes that c holds in work, for which other requests may be refused.
+func (b *Budget) hold(c *holder, n int64) error {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	err := b.takeLocked(c, n)
+	if err != nil {
+		b.releaseLocked(c)
+	}
+	return err
+}
+
+func (b *Budget) takeLocked(c *holder, n int64) error {
 	c.held += n
 	b.used += n
 	b.peak = max(b.peak, b.used)
 	for b.used > b.max {
 		v := b.victim(time.Now())
-		if v == nil || v == c {
+		if v == nil || v == c || v.priority > c.priority {
 			return refusalBudget
 		}
 		b.dropLocked(v)
@@ -63,53 +93,53 @@
 	return nil
 }
 
-// victim returns the connection whose request is to be refused first.
-func (b *Budget) victim(now time.Time) *Conn {
-	list, conns := make([]holding, 0, len(b.conns)), make([]*Conn, 0, len(b.conns))
-	for c := range b.conns {
-		list = append(list, holding{c.listener.priority, now.Sub(time.Unix(0, c.progress.Load())), c.held})
-		conns = append(conns, c)
+// victim returns the holder whose request is to be refused first.
+func (b *Budget) victim(now time.Time) *holder {
+	list, holders := make([]holding, 0, len(b.reading)), make([]*holder, 0, len(b.reading))
+	for c := range b.reading {
+		list = append(list, holding{c.priority, now.Sub(time.Unix(0, c.progress.Load())), c.held})
+		holders = append(holders, c)
 	}
 	if i := victim(list); i >= 0 {
-		return conns[i]
+		return holders[i]
 	}
 	return nil
 }
 
-// dropLocked refuses a connection's unfinished request and wakes its reader.
-func (b *Budget) dropLocked(c *Conn) {
+// dropLocked refuses a holder's unfinished request and wakes its reader.
+func (b *Budget) dropLocked(c *holder) {
 	c.refused = refusalBudget
 	b.used -= c.held
 	c.held = 0
-	delete(b.conns, c)
+	delete(b.reading, c)
 	c.wake()
 }
 
 // begin ends the reading of a request, which can't be refused by another one from then on; its bytes stay charged.
-func (b *Budget) begin(c *Conn) error {
+func (b *Budget) begin(c *holder) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	delete(b.conns, c)
+	delete(b.reading, c)
 	return c.refusalLocked()
 }
 
-// refusalOf returns the refusal of a connection's request, if there is one.
-func (b *Budget) refusalOf(c *Conn) error {
+// refusalOf returns the refusal of a holder's request, if there is one.
+func (b *Budget) refusalOf(c *holder) error {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	return c.refusalLocked()
 }
 
 // refusalLocked returns why no further bytes are taken, or nil.
-func (c *Conn) refusalLocked() error {
+func (c *holder) refusalLocked() error {
 	if c.refused == nil && c.gone {
 		return net.ErrClosed
 	}
 	return c.refused
 }
 
-// leave ends the accounting of a connection that is closed.
-func (b *Budget) leave(c *Conn) {
+// leave ends the accounting of a holder that has ended.
+func (b *Budget) leave(c *holder) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	c.gone = true
@@ -117,14 +147,14 @@
 }
 
 // release returns all that c holds.
-func (b *Budget) release(c *Conn) {
+func (b *Budget) release(c *holder) {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	b.releaseLocked(c)
 }
 
-func (b *Budget) releaseLocked(c *Conn) {
-	delete(b.conns, c)
+func (b *Budget) releaseLocked(c *holder) {
+	delete(b.reading, c)
 	b.used -= c.held
 	c.held = 0
 	usedGauge.Set(b.used)
@@ -136,9 +166,10 @@
 
 // giveBack gives unused memory back to the system. What a sync.Pool holds is garbage only after a second collection.
 func (b *Budget) giveBack() {
-	runtime.GC()
-	debug.FreeOSMemory()
+	// What is released from now on may be missed by the collections below, so it counts for the next time.
 	b.mu.Lock()
-	defer b.mu.Unlock()
 	b.peak, b.releasing, b.released = b.used, false, time.Now()
+	b.mu.Unlock()
+	runtime.GC()
+	debug.FreeOSMemory()
 }
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -23,9 +23,9 @@
 type Conn struct {
 	net.Conn
 	listener *Listener
-	// progress is the time in Unix nanoseconds when something last happened; working is set while a request is in work.
-	progress atomic.Int64
-	working  atomic.Bool
+	holder   holder
+	// working is set while a request is in work.
+	working atomic.Bool
 
 	request request
 	began   time.Time
@@ -36,19 +36,15 @@
 	pending []byte
 	err     error
 	closed  sync.Once
-
-	// held and refused are guarded by the budget's mutex.
-	held    int64
-	refused error
-	gone    bool
 }
 
 func newConn(inner net.Conn, l *Listener) *Conn {
 	c := &Conn{Conn: inner, listener: l}
+	c.holder.priority, c.holder.wake = l.priority, c.wake
 	limits := l.budget.limits
 	c.request = request{maxHead: limits.HeadBytes, maxEmpty: limits.EmptyBytes, maxBody: l.maxBody,
-		charge: func(n int) error { return l.budget.charge(c, int64(n)) }}
-	c.progress.Store(time.Now().UnixNano())
+		charge: func(n int) error { return l.budget.charge(&c.holder, int64(n)) }}
+	c.holder.progress.Store(time.Now().UnixNano())
 	return c
 }
 
@@ -83,9 +79,9 @@
 // collect reads one request. The previous one has been answered, as the reader wants the next.
 func (c *Conn) collect(scratch []byte) error {
 	c.request.reset()
-	c.listener.budget.release(c)
+	c.listener.budget.release(&c.holder)
 	c.began = time.Time{}
-	c.progress.Store(time.Now().UnixNano())
+	c.holder.progress.Store(time.Now().UnixNano())
 	if c.working.Swap(false) && c.evicted() {
 		return io.EOF
 	}
@@ -97,7 +93,7 @@
 			return err
 		}
 	}
-	if err := c.listener.budget.begin(c); err != nil {
+	if err := c.listener.budget.begin(&c.holder); err != nil {
 		return err
 	}
 	if !c.working.CompareAndSwap(false, true) {
@@ -134,7 +130,7 @@
 		}
 		n, err := c.Conn.Read(to)
 		if n > 0 {
-			c.progress.Store(time.Now().UnixNano())
+			c.holder.progress.Store(time.Now().UnixNano())
 			r.advance(n)
 		}
 		return c.readError(err)
@@ -157,7 +153,7 @@
 // start records progress.
 func (c *Conn) start() {
 	now := time.Now()
-	c.progress.Store(now.UnixNano())
+	c.holder.progress.Store(now.UnixNano())
 	if c.began.IsZero() {
 		c.began = now
 	}
@@ -187,7 +183,7 @@
 		return err
 	}
 	// A refusal by another request sets a deadline in the past, which the one above may have replaced.
-	return c.listener.budget.refusalOf(c)
+	return c.listener.budget.refusalOf(&c.holder)
 }
 
 // readError returns what an error of a read means for the request.
@@ -195,7 +191,7 @@
 	if err == nil {
 		return nil
 	}
-	if refused := c.listener.budget.refusalOf(c); refused != nil {
+	if refused := c.listener.budget.refusalOf(&c.holder); refused != nil {
 		return refused
 	}
 	if errors.Is(err, os.ErrDeadlineExceeded) && !c.began.IsZero() {
@@ -212,7 +208,7 @@
 	begun := !c.began.IsZero()
 	c.request.reset()
 	c.request.head, c.pending = nil, nil
-	c.listener.budget.release(c)
+	c.listener.budget.release(&c.holder)
 	c.err = err
 	if begun {
 		// The server is to close the connection without a response of its own.
@@ -272,7 +268,7 @@
 		c.listener.mu.Lock()
 		delete(c.listener.conns, c)
 		c.listener.mu.Unlock()
-		c.listener.budget.leave(c)
+		c.listener.budget.leave(&c.holder)
 	})
 	return c.Conn.Close()
 }
--- a/ingress/conn_test.go
+++ b/ingress/conn_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"os"
+	"runtime"
 	"strings"
 	"syscall"
 	"testing"
@@ -234,7 +235,32 @@
 		t.Error(err)
 	}
 	_ = c.Close()
-	if err := b.charge(c, 1); err == nil || b.used != 0 || len(b.conns) != 0 {
-		t.Errorf("%d bytes charged, %d connections, %v", b.used, len(b.conns), err)
+	if err := b.charge(&c.holder, 1); err == nil || b.used != 0 || len(b.reading) != 0 {
+		t.Errorf("%d bytes charged, %d connections, %v", b.used, len(b.reading), err)
+	}
+}
+
+// What is released while memory is given back counts for the next time: else its garbage would stay.
+func TestGiveBackAfterGiveBack(t *testing.T) {
+	b := NewBudget(DefaultLimits, 1<<30, zerolog.Nop())
+	c := &holder{}
+	if err := b.charge(c, 64<<20); err != nil {
+		t.Fatal(err)
+	}
+	// The finalizer runs during the collections.
+	released := make(chan struct{})
+	runtime.SetFinalizer(&struct{ big [1 << 10]byte }{}, func(any) {
+		b.release(c)
+		close(released)
+	})
+	b.mu.Lock()
+	b.releasing = true
+	b.mu.Unlock()
+	b.giveBack()
+	<-released
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if !b.releasing {
+		t.Error("memory is not given back again")
 	}
 }
--- a/ingress/listener.go
+++ b/ingress/listener.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -19,6 +20,8 @@
 	maxConns int
 	// maxBody bounds a body in bytes; with zero, requests are passed on as they arrive, for a server with its own limits.
 	maxBody int
+	// streams counts the open streams of HTTP/2.
+	streams atomic.Int64
 
 	mu    sync.Mutex
 	conns map[*Conn]bool
@@ -120,7 +123,7 @@
 	for {
 		var out *Conn
 		for c := range l.conns {
-			if !c.working.Load() && (out == nil || c.progress.Load() < out.progress.Load()) {
+			if !c.working.Load() && (out == nil || c.holder.progress.Load() < out.holder.progress.Load()) {
 				out = c
 			}
 		}
@@ -137,7 +140,7 @@
 	if c == nil {
 		return
 	}
-	c.progress.Store(time.Now().UnixNano())
+	c.holder.progress.Store(time.Now().UnixNano())
 	c.working.Store(s == http.StateActive)
 }
 
--- a/ingress/refusal.go
+++ b/ingress/refusal.go
@@ -25,6 +25,7 @@
 	refusalStalled    = &refusal{"stalled", http.StatusRequestTimeout, 0}
 	refusalBudget     = &refusal{"budget", http.StatusServiceUnavailable, 1}
 	refusalCrowded    = &refusal{"connections", 0, 0}
+	refusalStreams    = &refusal{"streams", http.StatusServiceUnavailable, 0}
 	refusalFiles      = &refusal{"descriptors", 0, 0}
 )
 
--- a/ingress/server.go
+++ b/ingress/server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
@@ -29,11 +30,15 @@
 // idleTime closes a connection on which no request arrives.
 const idleTime = 2 * time.Minute
 
-// boundBodies charges the body of an HTTP/1 request to the budget while it is read. HTTP/2 has its own flow control.
+// boundBodies charges the body of an HTTP/1 request to the budget while it is read, and the messages of an HTTP/2 stream.
 func (l *Listener) boundBodies(next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		c, _ := r.Context().Value(connKey{}).(*Conn)
-		if r.ProtoMajor != 1 || r.ContentLength == 0 || c == nil {
+		if r.ProtoMajor == 2 {
+			l.serveStream(next, w, r)
+			return
+		}
+		if r.ContentLength == 0 || c == nil {
 			next.ServeHTTP(w, r)
 			return
 		}
@@ -43,7 +48,7 @@
 			w.WriteHeader(refusalBody.status)
 			return
 		}
-		defer l.budget.release(c)
+		defer l.budget.release(&c.holder)
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(l.budget.limits.RequestTime))
 		w.Header().Set("Connection", "close")
 		r.Body = &chargedBody{http.MaxBytesReader(w, r.Body, maxPlainBody), c}
@@ -60,15 +65,22 @@
 // Read implements io.Reader.
 func (b *chargedBody) Read(p []byte) (int, error) {
 	n, err := b.ReadCloser.Read(p)
+	c := b.conn
 	if n == 0 {
+		if errors.Is(err, io.EOF) {
+			_ = c.listener.budget.begin(&c.holder)
+		}
 		return n, err
 	}
-	c := b.conn
-	c.progress.Store(time.Now().UnixNano())
+	c.holder.progress.Store(time.Now().UnixNano())
 	// The reader's buffer doubles as it grows.
-	if refused := c.listener.budget.charge(c, 2*int64(n)); refused != nil {
+	if refused := c.listener.budget.charge(&c.holder, 2*int64(n)); refused != nil {
 		c.listener.budget.log.refused(c.listener.name, refusalBudget.reason, c.RemoteAddr().String(), time.Now())
 		return 0, refused
 	}
+	if errors.Is(err, io.EOF) {
+		// The handler has the whole body, and is not aborted for another request.
+		_ = c.listener.budget.begin(&c.holder)
+	}
 	return n, err
 }
--- a/peer/calls.go
+++ b/peer/calls.go
@@ -144,7 +144,7 @@
 			if s.countPending() > gatherAbove {
 				time.Sleep(gatherTime)
 			}
-			calls := drainBatch(first, s.queue)
+			calls := drainBatch(first, s.queue, func(c *queuedCall) int { return len(c.GetRequest().GetPayload()) })
 			if !s.probe(shortestQuietTime(calls)) {
 				return
 			}
@@ -211,13 +211,14 @@
 	}
 }
 
-// drainBatch returns first and the other queued elements, up to maxBatch in total.
-func drainBatch[T any](first T, queue <-chan T) []T {
-	batch := []T{first}
-	for len(batch) < maxBatch {
+// drainBatch returns first and the other queued elements, up to maxBatch in total, or until their sizes in bytes add up to
+// batchBytes.
+func drainBatch[T any](first T, queue <-chan T, size func(T) int) []T {
+	batch, bytes := []T{first}, size(first)
+	for len(batch) < maxBatch && bytes < batchBytes {
 		select {
 		case next := <-queue:
-			batch = append(batch, next)
+			batch, bytes = append(batch, next), bytes+size(next)
 		default:
 			return batch
 		}
--- a/peer/client.go
+++ b/peer/client.go
@@ -24,8 +24,12 @@
 	pingTimeout  = 3 * time.Second
 	// idleTimeout is how long a connection without calls is kept.
 	idleTimeout = time.Minute
-	// MaxMessageBytes is the maximum size of one message of the internal protocol.
+	// MaxMessageBytes is the maximum size of a message that a client takes. Servers, some of which have no cluster secret
+	// to check, take less.
 	MaxMessageBytes = 256 << 20
+	// batchBytes is the size of the contents at which a batch of calls or of raft messages is closed, so that only its
+	// last element can take it beyond that.
+	batchBytes = 4 << 20
 )
 
 // Pool keeps one client per address. It is safe for concurrent use.
--- a/peer/serve_calls.go
+++ b/peer/serve_calls.go
@@ -6,13 +6,17 @@
 	"time"
 
 	"connectrpc.com/connect"
+	"github.com/bulrushwinch/bulrushwinch/ingress"
 	peerv1 "github.com/bulrushwinch/bulrushwinch/peer/v1"
+	"google.golang.org/protobuf/proto"
 )
 
 const (
 	// maxOpenCalls is the maximum number of concurrent calls of one stream; further ones are
 	// not read until one of them ends.
 	maxOpenCalls = 32 << 10
+	// openCallBytes is charged for each open call beside its size.
+	openCallBytes = 512
 	// replyQueueLength is the maximum number of replies that wait to be written.
 	replyQueueLength = 1024
 	// replyMargin is the time before the deadline of a call at which its handler ends, so that its response, which
@@ -52,8 +56,15 @@
 			case <-ctx.Done():
 				return ctx.Err()
 			}
+			// What the call holds is charged before the next batch is read, which ends the charge of this one.
+			release, err := ingress.Hold(ctx, openCallBytes+proto.Size(c))
 			work.Go(func() {
 				defer func() { <-open }()
+				if err != nil {
+					answerCall(ctx, c, refuseCall, replies)
+					return
+				}
+				defer release()
 				answerCall(ctx, c, handle, replies)
 			})
 		}
@@ -68,6 +79,11 @@
 	}
 }
 
+// refuseCall answers a call for which there is no room: nothing is proposed for it, as by a replica that does not lead.
+func refuseCall(context.Context, *peerv1.ForwardRequest) *peerv1.ForwardResponse {
+	return &peerv1.ForwardResponse{Status: peerv1.ForwardStatus_FORWARD_STATUS_NOT_LEADER}
+}
+
 func answerCall(ctx context.Context, c *peerv1.Call, handle CallHandler, replies chan<- *peerv1.Reply) {
 	call := ctx
 	if ms := c.GetTimeoutMs(); ms > 0 {
@@ -98,7 +114,7 @@
 			if len(open) > gatherAbove {
 				time.Sleep(gatherTime)
 			}
-			if stream.Send(&peerv1.ReplyBatch{Replies: drainBatch(first, replies)}) != nil {
+			if stream.Send(&peerv1.ReplyBatch{Replies: drainBatch(first, replies, func(r *peerv1.Reply) int { return len(r.GetResponse().GetPayload()) })}) != nil {
 				return
 			}
 		}
--- a/peer/transport.go
+++ b/peer/transport.go
@@ -93,7 +93,11 @@
 				s.close()
 				s = openRaftStream(t.ctx, t.pool.Get(address), t.ackTimeout)
 			}
-			s.send(t.batch(drainMessages(messages, queue)))
+			for messages = drainMessages(messages, queue); len(messages) > 0 && !s.ended(); {
+				n := prefixOfBytes(messages, batchBytes)
+				s.send(t.batch(messages[:n]))
+				messages = messages[n:]
+			}
 		}
 	}
 }
@@ -110,6 +114,21 @@
 	}
 }
 
+// prefixOfBytes returns how many messages from the start are one batch: entries of limit bytes, and whatever the last one
+// has beyond them.
+func prefixOfBytes(messages []raft.Message, limit int) int {
+	size := 0
+	for i, m := range messages {
+		for _, e := range m.Entries {
+			size += len(e.Data)
+		}
+		if size >= limit {
+			return i + 1
+		}
+	}
+	return len(messages)
+}
+
 func (t *Transport) batch(messages []raft.Message) *peerv1.RaftBatch {
 	out := &peerv1.RaftBatch{Group: t.group, SenderId: uint64(t.self.ID), SenderAddress: t.self.Address}
 	for _, m := range messages {
