--- a/ingress/conn_test.go
+++ b/ingress/conn_test.go
@@ -20,7 +20,13 @@
 	"github.com/rs/zerolog"
 )
 
-// serveEcho serves a listener with hertz and answers with the method, the length and the body.
+// echo answers with the method, the length and the body.
+func echo(_ context.Context, rc *app.RequestContext) {
+	body, err := io.ReadAll(rc.RequestBodyStream())
+	rc.String(http.StatusOK, "%s %d %s %v", rc.Method(), len(body), body, err)
+}
+
+// serveEcho serves a listener with hertz.
 func serveEcho(t *testing.T, l Limits, budget int64, maxConns, maxBody int) string {
 	t.Helper()
 	inner, err := net.Listen("tcp", "127.0.0.1:0")
@@ -29,10 +35,7 @@
 	}
 	s := server.New(server.WithTransport(standard.NewTransporter), server.WithStreamBody(true), server.WithDisablePrintRoute(true),
 		server.WithListener(NewBudget(l, budget, zerolog.Nop()).Listen(inner, "test", PriorityCallers, maxConns, maxBody)))
-	s.Any("/", func(_ context.Context, rc *app.RequestContext) {
-		body, err := io.ReadAll(rc.RequestBodyStream())
-		rc.String(http.StatusOK, "%s %d %s %v", rc.Method(), len(body), body, err)
-	})
+	s.Any("/", echo)
 	go func() { _ = s.Run() }()
 	t.Cleanup(func() { _ = s.Close() })
 	return inner.Addr().String()
