--- a/ingress/random_test.go
+++ b/ingress/random_test.go
@@ -1,6 +1,9 @@
 package ingress
 
 import (
+	"bytes"
+	"context"
+	"encoding/binary"
 	"io"
 	"math/rand/v2"
 	"net"
@@ -52,9 +55,15 @@
 	h := server.New(server.WithTransport(standard.NewTransporter), server.WithStreamBody(true), server.WithDisablePrintRoute(true), server.WithListener(l))
 	h.Any("/", echo)
 	go func() { _ = h.Run() }()
-	plain := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	plain := &http.Server{Protocols: &http.Protocols{}, Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 		_, _ = io.Copy(io.Discard, r.Body)
+		if release, err := Hold(r.Context(), 64<<10); err == nil {
+			time.Sleep(time.Millisecond)
+			release()
+		}
 	})}
+	plain.Protocols.SetHTTP1(true)
+	plain.Protocols.SetUnencryptedHTTP2(true)
 	lc := b.ListenCounted(counted, "plain", PriorityPeers, 24)
 	lc.Bound(plain)
 	go func() { _ = plain.Serve(lc) }()
@@ -67,11 +76,14 @@
 		clients.Go(func() {
 			rng := rand.New(rand.NewPCG(seed, 1))
 			for range 12 {
-				address := inner.Addr().String()
-				if rng.IntN(4) == 0 {
-					address = counted.Addr().String()
+				switch rng.IntN(4) {
+				case 0:
+					randomStream(rng, counted.Addr().String())
+				case 1:
+					randomClient(rng, counted.Addr().String())
+				default:
+					randomClient(rng, inner.Addr().String())
 				}
-				randomClient(rng, address)
 			}
 		})
 	}
@@ -121,6 +133,33 @@
 	}
 }
 
+// randomStream sends messages on a stream of HTTP/2, of which the last one may lack its end, and leaves at some point.
+func randomStream(rng *rand.Rand, address string) {
+	protocols := &http.Protocols{}
+	protocols.SetUnencryptedHTTP2(true)
+	transport := &http.Transport{Protocols: protocols}
+	defer transport.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Duration(rng.IntN(100))*time.Millisecond)
+	defer cancel()
+	var text []byte
+	for range 1 + rng.IntN(3) {
+		size := 1 << rng.IntN(19)
+		text = append(binary.BigEndian.AppendUint32(append(text, 0), uint32(size)), make([]byte, size)...)
+	}
+	body := bytes.NewReader(text[:1+rng.IntN(len(text))])
+	req, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+"/", io.NopCloser(body))
+	if err != nil {
+		return
+	}
+	if rng.IntN(3) > 0 {
+		req.Header.Set("Content-Type", "application/connect+proto")
+	}
+	if resp, err := transport.RoundTrip(req); err == nil {
+		_, _ = io.Copy(io.Discard, resp.Body)
+		_ = resp.Body.Close()
+	}
+}
+
 // openConns returns the connections that a listener counts.
 func openConns(l *Listener) []*Conn {
 	l.mu.Lock()
