--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -64,6 +64,8 @@
 		return c.refusalLocked()
 	}
 	b.reading[c] = true
+	// Calls in work don't count: ordinary ones come and go, and are too small for a collection of all garbage to pay.
+	b.peak = max(b.peak, b.used+n)
 	return b.takeLocked(c, n)
 }
 
@@ -81,7 +83,6 @@
 func (b *Budget) takeLocked(c *holder, n int64) error {
 	c.held += n
 	b.used += n
-	b.peak = max(b.peak, b.used)
 	for b.used > b.max {
 		v := b.victim(time.Now())
 		if v == nil || v == c || v.priority > c.priority {
