--- a/ingress/budget.go
+++ b/ingress/budget.go
@@ -23,14 +23,17 @@
 // Budget accounts for the memory of all unfinished requests of a process, and of the bodies of those in work.
 type Budget struct {
 	limits Limits
-	max    int64
-	log    *reporter
+	// max is the size of the budget in bytes.
+	max int64
+	log *reporter
 
-	mu   sync.Mutex
+	mu sync.Mutex
+	// used is the sum of what is held in bytes, and peak its maximum since memory was last given back.
 	used int64
 	peak int64
 	// reading holds the holders whose request or message is being read.
-	reading   map[*holder]bool
+	reading map[*holder]bool
+	// releasing is set while giveBack is scheduled; released is when it last began.
 	releasing bool
 	released  time.Time
 }
@@ -43,7 +46,8 @@
 	// wake ends a blocked read.
 	wake func()
 
-	// held and refused are guarded by the budget's mutex, and gone, which is set when the holder has ended.
+	// The budget's mutex guards held, the bytes charged; refused, why the request was refused for another one; and gone,
+	// which is set once the holder has ended.
 	held    int64
 	refused error
 	gone    bool
@@ -80,6 +84,8 @@
 	return err
 }
 
+// takeLocked adds n bytes to what c holds and refuses others while the budget is exceeded. It returns refusalBudget if c
+// comes first among those to be refused, or no one else can be.
 func (b *Budget) takeLocked(c *holder, n int64) error {
 	c.held += n
 	b.used += n
--- a/ingress/conn.go
+++ b/ingress/conn.go
@@ -19,7 +19,7 @@
 	readBytes = 4 << 10
 )
 
-// Conn is a connection whose reader gets only complete requests, one at a time.
+// Conn is a connection whose reader gets only complete requests, one at a time, unless its listener is of ListenCounted.
 type Conn struct {
 	net.Conn
 	listener *Listener
@@ -82,6 +82,7 @@
 	c.listener.budget.release(&c.holder)
 	c.began = time.Time{}
 	c.holder.progress.Store(time.Now().UnixNano())
+	// stalest sets working when it takes the connection out of use.
 	if c.working.Swap(false) && c.evicted() {
 		return io.EOF
 	}
@@ -97,6 +98,7 @@
 		return err
 	}
 	if !c.working.CompareAndSwap(false, true) {
+		// The listener has closed the connection to make room.
 		return io.EOF
 	}
 	c.out, c.headRead = c.request.parts(), false
