daemon: the budget of a replica holds the largest raft message

A replica with less than 136 MB had a budget below the largest one, 17 MiB, and could never have taken a log entry with a configuration of 8 MiB behind other commands.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -170,12 +170,19 @@
 	return serveHTTP(ctx, s, l)
 }
 
+// largestPeerMessage is the size in bytes of the largest message of raft, with some room: a batch of 4 MiB, and beyond it
+// one log entry that holds a configuration of 8 MiB behind other commands of 4 MiB.
+const largestPeerMessage = 17 << 20
+
 // newBudget returns the budget of a process with a VM of memory bytes, or zero, whose largest body has body bytes. It
 // sets limits that the settings lack.
 func newBudget(s *config.Settings, memory, body int64, log zerolog.Logger) *ingress.Budget {
 	if s.Ingress == (ingress.Limits{}) {
 		s.Ingress = ingress.DefaultLimits
 	}
+	if s.HasRole(config.RoleReplica) {
+		body = max(body, largestPeerMessage)
+	}
 	return ingress.NewBudget(s.Ingress, s.Ingress.Budget(memory, body), log)
 }
 
