--- a/placement/copy.go
+++ b/placement/copy.go
@@ -10,7 +10,8 @@
 
 // Copy returns a copy of the cell. A round on the copy changes nothing of the original; the two share what rounds
 // only read: the replicated state, the learner and the answers of the permit service. The copy has a random
-// source of its own, so that it does not consume numbers of the original's.
+// source of its own, so that it does not consume numbers of the original's. Maps and slices that rounds change in place
+// have to be copied here.
 func (c *Cell) Copy() *Cell {
 	out := *c
 	out.RecentUse = c.RecentUse.copy()
