--- a/ingress/process_test.go
+++ b/ingress/process_test.go
@@ -71,12 +71,13 @@
 
 // process is one process of the system on loopback.
 type process struct {
+	host  string
 	ports [portCount]int
 	pid   int
 	ended chan struct{}
 }
 
-func (p *process) address(port int) string { return fmt.Sprintf("127.0.0.1:%d", p.ports[port]) }
+func (p *process) address(port int) string { return fmt.Sprintf("%s:%d", p.host, p.ports[port]) }
 
 // startProcess starts the daemon with settings that name its addresses, and waits for its health check.
 func startProcess(t *testing.T, flags []string, settings func(p *process, dir string) string) *process {
@@ -129,11 +130,17 @@
 	return p
 }
 
-// choosePorts chooses ports that are free.
+// hosts counts the addresses that processes were given.
+var hosts int
+
+// choosePorts chooses ports that are free, on a loopback address of the process's own: on 127.0.0.1, from which all
+// clients connect, a connection of another test may take a port before the process listens.
 func (p *process) choosePorts(t *testing.T) {
 	t.Helper()
+	hosts++
+	p.host = fmt.Sprintf("127.%d.%d.%d", 100+os.Getpid()/250%100, os.Getpid()%250+1, hosts%250+1)
 	for i := range p.ports {
-		l, err := net.Listen("tcp", "127.0.0.1:0")
+		l, err := net.Listen("tcp", p.host+":0")
 		if err != nil {
 			t.Fatal(err)
 		}
