--- a/daemon/gc.go
+++ b/daemon/gc.go
@@ -13,7 +13,7 @@
 // lead allocates little, so that frequent collections cost it little time; a leader's processor binds in bursts.
 const (
 	gcPercentStandby = 40
-	gcPercentLeader  = 100
+	gcPercentLeader  = 200
 	gcPercentEntry   = 50
 )
 
--- a/placement/replay_jobs_test.go
+++ b/placement/replay_jobs_test.go
@@ -1,6 +1,7 @@
 package placement
 
 import (
+	"math"
 	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
@@ -15,6 +16,21 @@
 	return p.teams
 }
 
+// poisson draws a number of arrivals with some mean.
+func (r *replay) poisson(mean float64) int {
+	n, p, least := 0, r.rng.Float64(), math.Exp(-mean)
+	for p > least {
+		n, p = n+1, p*r.rng.Float64()
+	}
+	return n
+}
+
+// vary returns a value around a mean.
+func (r *replay) vary(mean, spread, most float64) float64 {
+	sigma := math.Sqrt(math.Log(1 + spread*spread))
+	return min(most*mean, mean*math.Exp(sigma*r.rng.NormFloat64()-sigma*sigma/2))
+}
+
 // cancelAfter cancels a job with lasting tasks after some time, which ends their runs.
 func (r *replay) cancelAfter(j *pipeline.Job, after time.Duration) {
 	id, queue := j.Spec.GetId(), j.Spec.GetQueue()
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -210,20 +210,6 @@
 	}
 }
 
-func (r *replay) poisson(mean float64) int {
-	n, p, least := 0, r.rng.Float64(), math.Exp(-mean)
-	for p > least {
-		n, p = n+1, p*r.rng.Float64()
-	}
-	return n
-}
-
-// vary returns a value around a mean.
-func (r *replay) vary(mean, spread, most float64) float64 {
-	sigma := math.Sqrt(math.Log(1 + spread*spread))
-	return min(most*mean, mean*math.Exp(sigma*r.rng.NormFloat64()-sigma*sigma/2))
-}
-
 // handIn hands in one job of a team, unless it can never run.
 func (r *replay) handIn(c class, now time.Duration, team int) {
 	gang, saves := r.rng.Float64() < c.gangs, r.rng.Float64() < c.saves
