placement: shares over a window count only under overload

Cause: a team that used 1.2 times its part by weight lately was over its share in calm services as well: it came after the others and might not preempt. Change: where a service is not overloaded, the rule is that of before, twice the mean of what runs now. TestCalmServiceDoesNotChargeRecentUse fails before; the tests of one, two and three hot teams pass.

--- a/placement/demand.go
+++ b/placement/demand.go
@@ -10,6 +10,9 @@
 )
 
 const (
+	// meanFactor is the multiple of the teams' mean weighted use above which a team is over its share where a service is
+	// not overloaded.
+	meanFactor = 2.0
 	// overShareFactor is the multiple of its share by weight above which a team's recent use is over its
 	// share. Several teams that fill the cell between them can't exceed it by much; with 1.0, teams at their
 	// usual are over it by chance. smallExcess is the part of what all use that a team may exceed its share by: for
@@ -63,6 +66,7 @@
 			out = append(out, demand{work: w, tasks: tasks, queue: q, copies: copies, urgency: r.urgencyOf(w.Step)})
 		}
 	}
+	r.measureLoads(out)
 	r.markOverShare(out)
 	r.assess(out)
 	slices.SortFunc(out, compareDemands)
@@ -109,13 +113,19 @@
 	return out
 }
 
-// markOverShare marks the demands of teams that are over their share of what work of the demand's priority and
-// more urgent work used lately. Large jobs of a less urgent queue don't count against a team's urgent ones, which
-// come first anyway.
+// markOverShare marks the demands of teams that are over their share. In an overloaded service that is decided by what
+// work of the demand's priority and more urgent work used lately; large jobs of a less urgent queue don't count against a
+// team's urgent ones, which come first anyway. Elsewhere all can be done in time, and only teams that use far more than
+// others now come later.
 func (r *round) markOverShare(demands []demand) {
+	overMean := r.teamsOverMean(demands)
 	uses := make(map[int32]shares)
 	for i, d := range demands {
-		priority := d.queue.GetPriority()
+		team, priority := d.work.Step.Job().Team, d.queue.GetPriority()
+		if !r.overloaded(d.queue.GetService()) {
+			demands[i].overShare = overMean[team]
+			continue
+		}
 		s, known := uses[priority]
 		if !known {
 			inUse := r.usesUpTo(priority)
@@ -127,10 +137,27 @@
 			s = r.sharesOf(inUse)
 			uses[priority] = s
 		}
-		demands[i].overShare = r.overShare(s, d.work.Step.Job().Team)
+		demands[i].overShare = r.overShare(s, team)
 	}
 }
 
+// teamsOverMean returns the teams whose weighted use exceeds meanFactor times the mean of all teams that have demands.
+func (r *round) teamsOverMean(demands []demand) map[string]bool {
+	uses, sum := make(map[string]float64), 0.0
+	for _, d := range demands {
+		team := d.work.Step.Job().Team
+		if _, known := uses[team]; !known {
+			uses[team] = float64(r.State.Used(team).MilliCores) / r.weight(team)
+			sum += uses[team]
+		}
+	}
+	out := make(map[string]bool)
+	for team, use := range uses {
+		out[team] = use > meanFactor*sum/float64(len(uses))
+	}
+	return out
+}
+
 // shares are the uses of teams in thousandths of a core, their sum, and what use a weight of one gives a right to.
 type shares struct {
 	byTeam      map[string]float64
--- a/placement/hot_teams_test.go
+++ b/placement/hot_teams_test.go
@@ -94,3 +94,23 @@
 		t.Errorf("%v after the change of leader its view differs by %.0f thousandths of a core", RecentUseKnown, d)
 	}
 }
+
+// Where all can be done in time, a team that uses more than its part by weight is not behind the others: large teams of a
+// small cell would be late on calm days (worst team 0.87 in place of 0.99 of what it could earn).
+func TestCalmServiceDoesNotChargeRecentUse(t *testing.T) {
+	f := newFixture(t, 2)
+	f.addUpstream("u0", 64000)
+	busy := f.submit("batch", 0, tasks(1, 32000, 1000))
+	f.place(busy, 0, "u0")
+	f.cell.RecentUse = NewRecentUse()
+	f.cell.RecentUse.Sample(f.cell.State, 0)
+	for team := range 2 {
+		st := f.submit("batch", team, tasks(1, 8000, 1000)).Occurrences[0].Steps[0]
+		f.cell.Steps[st] = NewWork(st, 0)
+	}
+	for _, d := range newRound(f.cell).demands() {
+		if d.overShare {
+			t.Errorf("%s is over its share in a calm service", d.work.Step.Job().Team)
+		}
+	}
+}
--- a/placement/value.go
+++ b/placement/value.go
@@ -56,16 +56,21 @@
 
 // assess assesses demands of overloaded services.
 func (r *round) assess(demands []demand) {
-	r.measureLoads(demands)
 	for i := range demands {
 		r.assessOne(&demands[i])
 	}
 }
 
+// overloaded reports whether more work waits for a service than can be done in time.
+func (r *round) overloaded(service string) bool {
+	l := r.loads[service]
+	return l != nil && l.overloaded
+}
+
 // assessOne assesses a demand if its service is overloaded.
 func (r *round) assessOne(d *demand) {
 	l := r.loads[d.queue.GetService()]
-	if l == nil || !l.overloaded || d.copies || d.work.Step.Spec.GetLasting() {
+	if !r.overloaded(d.queue.GetService()) || d.copies || d.work.Step.Spec.GetLasting() {
 		return
 	}
 	likely := r.likelyUrgencyOf(d.work.Step)
