dispatch: a status request that was not sent is tried on the next way at once

When all replicas return from a loss of power, the new leader sends its first status requests through relays that are not up yet.

A request that certainly was not sent, and failed within 100 ms, is sent on the next way at once, once on each. Slower failures may be the upstream's and pause as before. TestRelayThatIsNotUpCostsNoPause fails without the change (session silent).

--- a/dispatch/api.go
+++ b/dispatch/api.go
@@ -207,6 +207,9 @@
 	// wayTime is how long a session uses another way to its upstream than the best one, after that one
 	// failed.
 	wayTime = 10 * time.Second
+	// quickFailure is the time within which a call that was not sent is tried on the next way at once. Dials
+	// within a region that fail do so sooner.
+	quickFailure = 100 * time.Millisecond
 	// maxOrders is the number of concurrent orders to one upstream. The tasks of a step go to few
 	// upstreams; sent one after the other, the last of them is answered after 50 ms in the median
 	// and 200 ms at the 90th percentile. A replica has 4,096 file descriptors for 350 upstreams,
--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -23,6 +23,11 @@
 	s.requestStatus(now, StatusRequest{Token: s.token()}, orderTimeout, func(reply StatusReply, err error, at time.Duration) {
 		s.reconciling = false
 		s.e.recordRoundTrip(at-now, err)
+		if err != nil && s.triesOtherWay(err, at-now) {
+			s.reconcile(at)
+			return
+		}
+		s.waysTried = 0
 		if err != nil {
 			s.probeFailed(at, err)
 			return
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -109,7 +109,9 @@
 	// wayUntil. hash spreads upstreams over relays.
 	way      int
 	wayUntil time.Duration
-	hash     uint32
+	// waysTried counts the ways on which the last status request was not sent.
+	waysTried int
+	hash      uint32
 	// leaveAnnounced is set once the upstream has announced that it is shutting down, at
 	// leaveAnnouncedAt.
 	leaveAnnounced   bool
--- a/dispatch/upstream_test.go
+++ b/dispatch/upstream_test.go
@@ -54,8 +54,8 @@
 	startDelay, startAnswerDelay time.Duration
 	starts                       int
 	// deaf holds the ways on which calls arrive and answers are lost, lost those on which calls are
-	// lost; the empty way is the direct one.
-	deaf, lost map[string]bool
+	// lost, down those whose relay is not up; the empty way is the direct one.
+	deaf, lost, down map[string]bool
 	// calls counts the calls by way.
 	calls map[string]int
 	acked int64
@@ -147,6 +147,9 @@
 	if to.Address == refusedAddress {
 		return nil, ErrNothingListens
 	}
+	if f != nil && f.down[to.Via] {
+		return f, ErrNotSent
+	}
 	if f != nil && to.Address != cmp.Or(f.address, to.Upstream) {
 		f.answerAt = c.h.now + timeLeft(ctx)
 		return nil, errUnanswered
--- a/dispatch/way.go
+++ b/dispatch/way.go
@@ -5,6 +5,8 @@
 	"hash/fnv"
 	"slices"
 	"time"
+
+	"github.com/pkg/errors"
 )
 
 // relays are the replicas that can carry calls to upstreams, by failure domain.
@@ -64,6 +66,15 @@
 	return ""
 }
 
+// count returns the number of ways to an upstream in a failure domain.
+func (r *relays) count(domain string) int {
+	n := len(r.byDomain[domain]) + 1 + len(r.domains)
+	if len(r.byDomain[domain]) > 0 {
+		n--
+	}
+	return n
+}
+
 // hashOf returns a hash of an upstream's identity.
 func hashOf(id string) uint32 {
 	h := fnv.New32a()
@@ -101,3 +112,15 @@
 	s.way++
 	s.wayUntil = now + wayTime
 }
+
+// triesOtherWay reports whether a status request that failed after some time is to be sent at once on the next
+// way, and counts it. That says nothing of the upstream: the relay is not up yet, as after a loss of power. A
+// failure that took long may be the upstream's, whose work must not wait for all ways to fail.
+func (s *session) triesOtherWay(err error, took time.Duration) bool {
+	if !errors.Is(err, ErrNotSent) || errors.Is(err, ErrNothingListens) || took > quickFailure ||
+		s.waysTried+1 >= s.e.relays.count(s.u.GetFailureDomain()) {
+		return false
+	}
+	s.waysTried++
+	return true
+}
--- a/dispatch/way_test.go
+++ b/dispatch/way_test.go
@@ -126,6 +126,24 @@
 	}
 }
 
+// A new leader whose relays are not up yet reaches an upstream on the next way without a pause. With a pause
+// after the first failure a tenth of the upstreams were silent for 0.25 s after a loss of power.
+func TestRelayThatIsNotUpCostsNoPause(t *testing.T) {
+	h := relayed(t, "w1")
+	h.upstreams["w1"].down = map[string]bool{"near-1": true, "near-2": true}
+	h.newLeader()
+	h.run(2 * tickStep)
+	if got := h.engine.sessions["w1"].phase; got != lifecycle.SessionOpen {
+		t.Errorf("the session is %s", got)
+	}
+	h.upstreams["w1"].down = map[string]bool{"near-1": true, "near-2": true, "": true, "far": true}
+	h.newLeader()
+	h.run(2 * tickStep)
+	if got := h.engine.sessions["w1"].phase; got != lifecycle.SessionSilent {
+		t.Errorf("on no way: the session is %s", got)
+	}
+}
+
 // Whatever ways lose or delay, on whichever side of the upstream, and however often the leader
 // changes, no task runs twice at a time or again after its end, and all jobs end.
 func TestOneRunAtATimeOverLossyWays(t *testing.T) {
