replica, daemon: metric group_members

In push mode no process showed who votes, so neither an operator nor a test could tell whether a lost voter had been replaced. Each replica now publishes the newest membership that it knows to be committed, and /debug/vars lists its members as voter or learner by peer address.

--- a/daemon/daemon.go
+++ b/daemon/daemon.go
@@ -242,4 +242,5 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.replica = r
+	currentReplica.Store(r)
 }
--- a/daemon/health.go
+++ b/daemon/health.go
@@ -10,6 +10,7 @@
 
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	"github.com/bulrushwinch/bulrushwinch/lifecycle"
+	"github.com/bulrushwinch/bulrushwinch/raft"
 	"github.com/bulrushwinch/bulrushwinch/timeline"
 	"github.com/bulrushwinch/bulrushwinch/view"
 	"github.com/rs/zerolog"
@@ -22,6 +23,8 @@
 var (
 	readyGauge  = expvar.NewInt("ready")
 	currentView atomic.Pointer[view.Store]
+	// currentReplica is the replica that was started last, nil after its end.
+	currentReplica atomic.Pointer[replicaRole]
 )
 
 func init() {
@@ -39,6 +42,24 @@
 		}
 		return -1
 	}))
+	expvar.Publish("group_members", expvar.Func(func() any {
+		if r := currentReplica.Load(); r != nil {
+			return memberRoles(r.node.Members())
+		}
+		return map[string]string{}
+	}))
+}
+
+// memberRoles returns "voter" or "learner" by peer address.
+func memberRoles(members []raft.Member) map[string]string {
+	roles := make(map[string]string, len(members))
+	for _, m := range members {
+		roles[m.Address] = "learner"
+		if m.Voter {
+			roles[m.Address] = "voter"
+		}
+	}
+	return roles
 }
 
 // health tracks the daemon's lifecycle state and serves it to the load balancer.
--- a/replica/node_test.go
+++ b/replica/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"io"
 	"os"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -165,7 +166,8 @@
 }
 
 // TestEmptiedDisk empties the folder of a voter, restarts it as a learner under a new identity,
-// replaces the old voter by it, and then stops the replica of a second VM.
+// replaces the old voter by it, and then stops the replica of a second VM. Before that, both replicas must know the
+// committed membership: whoever waits for it before the next loss would wait for ever.
 func TestEmptiedDisk(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		c := newCluster(t, 3, frequentSnapshots)
@@ -189,6 +191,14 @@
 		c.changeMembers(leader, func(m []raft.Member) []raft.Member {
 			return append(m[:emptied-1], m[emptied:]...)
 		})
+		c.expectEqual(leader, fresh)
+		time.Sleep(time.Second)
+		for _, id := range []raft.ID{leader, fresh} {
+			want := c.replicas[leader].node.Raft().Members()
+			if got := c.replicas[id].node.Members(); !slices.Equal(got, want) {
+				t.Errorf("replica %d knows the members %v, expected %v", id, got, want)
+			}
+		}
 		c.stop(other)
 		c.proposeAll(c.leader(), 50, 60)
 		c.expectEqual(leader, fresh)
