placement: replay of refused callers that return; cost to others tried

The replay compares hysteresis and spread of Retry-After and shows what is refused again, by kind of job, for the teams at many times their usual, for the others and for the worst tenth of the teams.

--- a/placement/admit_replay_test.go
+++ b/placement/admit_replay_test.go
@@ -20,6 +20,10 @@
 	// refusals counts refusals by reason, lost the jobs whose callers gave up, by queue.
 	refusals map[RefusalReason]int
 	lost     map[string]int
+	// way is how callers that return are treated, waves counts what they met, gaveUp holds those that did not.
+	way    retryWay
+	waves  waves
+	gaveUp []*replayedJob
 }
 
 // patience is how long callers try to hand a job in.
@@ -60,7 +64,9 @@
 	var attempt func(n int)
 	attempt = func(n int) {
 		now := r.cell.Now
+		a.way.beforeDecision(a.admission)
 		refusal := a.admission.Decide(config.GetTeams()[team], spec, q, a.backlog, now)
+		a.waves.count(n, refusal)
 		if refusal.Reason == "" {
 			a.admission.JobAdded(teamName(team))
 			a.admission.JobAdmitted(teamName(team), now)
@@ -69,6 +75,7 @@
 			return
 		}
 		a.refusals[refusal.Reason]++
+		a.way.beforeReturn(&refusal)
 		after := a.admission.ReturnAfter(refusal, now)
 		if after = (after + time.Second - 1).Truncate(time.Second); n == 5 || now+after > at+patience {
 			r.lose(c, team, steps)
@@ -87,6 +94,7 @@
 	}
 	j := &replayedJob{class: c.queue, team: team, work: 0.3 + 0.7*min(4, work/(c.steps*c.tasks*c.seconds*c.milliCores))}
 	r.admission.lost[c.queue]++
+	r.admission.gaveUp = append(r.admission.gaveUp, j)
 	r.credit[c.queue].add(j, math.MaxInt64)
 	if team >= r.largest {
 		r.others.add(j, math.MaxInt64)
