--- a/placement/replay_jobs_test.go
+++ b/placement/replay_jobs_test.go
@@ -1,7 +1,10 @@
 package placement
 
 import (
+	"fmt"
+	"hash/fnv"
 	"math"
+	"math/rand/v2"
 	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
@@ -64,3 +67,18 @@
 		r.finished(j, took)
 	}
 }
+
+// outcome draws a number that decides how a run ends.
+func (r *replay) outcome(run *pipeline.Run, nth int) float64 {
+	if !r.fixedOutcomes {
+		return r.outcomes.Float64()
+	}
+	return drawn(run.Task.Key(), run.Key(), nth)
+}
+
+// drawn returns a number from 0 to 1 that depends on some values alone.
+func drawn(values ...any) float64 {
+	h := fnv.New64a()
+	_, _ = fmt.Fprint(h, values...)
+	return rand.New(rand.NewPCG(h.Sum64(), 0)).Float64()
+}
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -34,6 +34,8 @@
 	milliCores, memoryMiB float64
 	// gangs and saves are the shares of jobs whose steps are gangs, and that write checkpoints.
 	gangs, saves float64
+	// forks is the share of jobs whose steps all follow the first one, rather than each other.
+	forks float64
 	// off is how far declared run times are off, as a share.
 	off float64
 	// allowed is the share of upstreams that may run a step.
@@ -76,6 +78,8 @@
 	// inspection is how long a round takes for each upstream or run that it inspects, nextRound when
 	// the next one may begin; the pause between rounds is five times their length.
 	inspection, nextRound time.Duration
+	// fixedOutcomes makes a run's outcome depend on its task and number alone, not on what else was placed.
+	fixedOutcomes bool
 	// admission decides on jobs that are handed in, if it is set; see admit.
 	admission *replayAdmission
 	// These are called if they are set: watch after each step of time, decided after each round, and finished
@@ -102,6 +106,7 @@
 	class     string
 	team      int
 	gang      bool
+	straggles bool
 	at        time.Duration
 	objective time.Duration
 	work      float64
@@ -219,12 +224,16 @@
 	}
 	length := r.vary(c.seconds, 0.5, 2.5)
 	need := &pipelinev1.Resources{MilliCores: int64(r.vary(c.milliCores, 0.4, 1.7)), MemoryMib: int64(r.vary(c.memoryMiB, 0.5, 2))}
+	forks := c.forks > 0 && r.rng.Float64() < c.forks
 	var steps []*pipelinev1.Step
 	for i := range n {
 		estimate := length * (1 - c.off + 2*c.off*r.rng.Float64())
 		st := &pipelinev1.Step{Count: int32(max(1, r.vary(c.tasks, 0.8, 5))), Need: need, EstimateMs: int64(1000 * estimate), Gang: gang, Checkpointing: saves, Lasting: c.lasts > 0}
 		if i > 0 {
 			st.DependsOn = []int32{int32(i - 1)}
+			if forks {
+				st.DependsOn[0] = 0
+			}
 		}
 		steps = append(steps, st)
 	}
@@ -241,7 +250,11 @@
 		j := r.submit(c.queue, team, steps...)
 		q := r.cell.State.JobQueue(j)
 		permit := q.GetPermits().GetDecisionMs() + 30*q.GetPermits().GetPerUpstreamMs()
-		chain := float64(n) * (length + permit/1000)
+		long := n
+		if forks {
+			long = min(n, 2)
+		}
+		chain := float64(long) * (length + permit/1000)
 		work := 0.0
 		for _, st := range j.Occurrences[0].Steps {
 			for _, t := range st.Tasks {
@@ -429,8 +442,8 @@
 	length := time.Duration(float64(r.left[run.Task]) * r.speed[run.Upstream.GetId()])
 	kind := pipelinev1.EndKind_END_KIND_DONE
 	for _, c := range r.classes {
-		if c.queue == run.Task.Step.Job().Spec.GetQueue() && r.outcomes.Float64() < c.fails {
-			kind, length = pipelinev1.EndKind_END_KIND_FAILED, time.Duration(r.outcomes.Float64()*float64(length))
+		if c.queue == run.Task.Step.Job().Spec.GetQueue() && r.outcome(run, 0) < c.fails {
+			kind, length = pipelinev1.EndKind_END_KIND_FAILED, time.Duration(r.outcome(run, 1)*float64(length))
 		}
 	}
 	r.pending = append(r.pending, event{r.cell.Now + length + replayDelay, func() { r.end(run, kind) }})
