placement, dispatch: learn distributions of run times

Cause: a run that takes long was compared to an average only. Declared times are off by up to nine tenths, so that twice the average is usual in one queue and hardly ever seen in another.

Runs that were stopped because a copy was done count as longer than they ran. Decisions do not use them yet.

--- a/dispatch/observer.go
+++ b/dispatch/observer.go
@@ -118,9 +118,7 @@
 		e.flow.RunDone(r, e.state.JobQueue(r.Task.Step.Job()), e.cell.Learner, e.now())
 	}
 	if s := e.sessions[r.Upstream.GetId()]; s != nil {
-		if at, answered := s.answeredAt[r.Key()]; answered && !s.adopted[r.Key()] && kind == pipelinev1.EndKind_END_KIND_DONE {
-			e.cell.Learner.RecordRun(r, e.now()-at, e.work(r.Task.Step))
-		}
+		s.learnRunTime(r, kind)
 		s.forgetRun(r.Key())
 	}
 	if kind == pipelinev1.EndKind_END_KIND_DONE || kind == pipelinev1.EndKind_END_KIND_FAILED {
--- a/placement/learn.go
+++ b/placement/learn.go
@@ -65,6 +65,8 @@
 	// avoided holds, by upstream, the time until which it gets no new work because it failed most
 	// runs.
 	avoided map[string]time.Duration
+	// runTimes holds distributions of run times.
+	runTimes *runTimes
 }
 
 // answerCount counts upstreams in the answers of the permit service.
@@ -106,7 +108,8 @@
 // NewLearner returns a learner that knows nothing.
 func NewLearner() *Learner {
 	return &Learner{queues: make(map[string]*average), upstreams: make(map[string]*speed),
-		failures: make(map[string]*average), answers: make(map[string]*answerCount), regressions: make(map[string]*regression), avoided: make(map[string]time.Duration)}
+		failures: make(map[string]*average), answers: make(map[string]*answerCount), regressions: make(map[string]*regression), avoided: make(map[string]time.Duration),
+		runTimes: newRunTimes()}
 }
 
 // add adds a sample with a weight of at least rate; the first samples weigh more.
@@ -184,10 +187,11 @@
 // RecordRun records the run time of a run that completed. The other tasks of its step predict the
 // run time elsewhere better than the declared estimate does; w may be nil.
 func (l *Learner) RecordRun(r *pipeline.Run, took time.Duration, w *Work) {
-	st := r.Task.Step
-	if st.Spec.GetLasting() || st.Spec.GetGang() || r.Task.Checkpoint != "" {
+	if !hasWholeRun(r) {
 		return
 	}
+	st := r.Task.Step
+	l.recordRatio(r, took, false)
 	base := float64(l.Expected(st))
 	if w != nil && w.meanRunTime.count >= minSiblings {
 		base = w.meanRunTime.value
--- /dev/null
+++ b/placement/runtimes_test.go
@@ -0,0 +1,96 @@
+package placement
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+)
+
+// learnRuns records runs of a queue on an upstream, whose times are off the declared ones by a half, and that take so
+// many times as long as on others.
+func (l *Learner) learnRuns(rng *rand.Rand, runs int, queue, image string, u *pipelinev1.Upstream, slowness float64) {
+	for range runs {
+		estimate := int64(300 + rng.IntN(900))
+		st := &pipeline.Step{Occurrence: &pipeline.Occurrence{Job: &pipeline.Job{Spec: &pipelinev1.JobSpec{Queue: queue}}},
+			Spec: &pipelinev1.Step{Count: 1, EstimateMs: estimate, Image: image}}
+		took := float64(estimate) * math.Exp(0.5*rng.NormFloat64()) * slowness
+		l.RecordRun(&pipeline.Run{Task: &pipeline.Task{Step: st}, Upstream: &pipeline.Upstream{Upstream: u}}, time.Duration(took*float64(time.Millisecond)), nil)
+	}
+}
+
+// After a change of leader, run times must soon be known as well as before: until then stragglers are found late.
+func TestNewLeaderRelearnsRunTimes(t *testing.T) {
+	u := &pipelinev1.Upstream{Id: "u0", Service: "print"}
+	key := distributionKey{queue: "settle", image: "a", kind: kindOf(u)}
+	for seed := range uint64(10) {
+		rng, old, next := rand.New(rand.NewPCG(seed, 1)), NewLearner(), NewLearner()
+		old.learnRuns(rng, 5000, "settle", "a", u, 1)
+		next.learnRuns(rng, relearnRuns, "settle", "a", u, 1)
+		before, after := old.runTimes.lookup(key), next.runTimes.lookup(key)
+		if after == nil {
+			t.Fatal("the new leader knows no distribution")
+		}
+		for _, q := range []float64{0.5, 0.95} {
+			if x, y := before.quantile(q), after.quantile(q); math.Abs(y/x-1) > relearnMargin {
+				t.Errorf("seed %d: the ratio at %v is %.2f for the old leader and %.2f for the new one", seed, q, x, y)
+			}
+		}
+	}
+}
+
+// Images are named by callers. Any number of them must not take more memory than distributions may, nor displace
+// those that are in use.
+func TestDistributionsAreBounded(t *testing.T) {
+	l, rng := NewLearner(), rand.New(rand.NewPCG(1, 1))
+	u := &pipelinev1.Upstream{Id: "u0", Service: "print"}
+	l.learnRuns(rng, 2*relearnRuns, "settle", "used", u, 1)
+	for i := range 3 * maxDistributions {
+		l.learnRuns(rng, 1, "settle", fmt.Sprint("image", i), u, 1)
+		l.learnRuns(rng, 1, "settle", "used", u, 1)
+	}
+	if n := len(l.runTimes.byKey); n > maxDistributions {
+		t.Errorf("%d distributions are kept, more than %d", n, maxDistributions)
+	}
+	d := l.runTimes.byKey[distributionKey{byKind, "settle", "used", kindOf(u)}]
+	if d == nil || d.curve == nil {
+		t.Fatal("the distribution in use was displaced")
+	}
+	// A point of a curve takes three words.
+	if n := 2*(windowParts+1)*d.ended.Current.ByteSize() + 24*len(d.ended.Merge().Distribution()); n > distributionBytes {
+		t.Errorf("a distribution takes %d bytes, more than %d", n, distributionBytes)
+	}
+	if c := l.runTimes.lookup(distributionKey{queue: "settle", image: "other", kind: "other"}); c != l.runTimes.byKey[distributionKey{level: byQueue, queue: "settle"}].curve {
+		t.Error("an image without runs does not fall back to its queue")
+	}
+}
+
+// Runs that a copy cut short must count as longer than they ran: counted as ended, or left out, they make stragglers
+// look like runs that are about to end.
+func TestRunsThatWereCutShortAreLonger(t *testing.T) {
+	d := &distribution{ended: newRatios()}
+	for i := range 110 {
+		switch {
+		case i < 50:
+			d.add(1.5, true)
+		case i < 60:
+			d.add(3, false)
+		default:
+			d.add(1, false)
+		}
+	}
+	c := newCurve(d)
+	if math.Abs(c.mean-2.09) > 0.15 {
+		t.Errorf("the mean is %.2f; expected 1 + 2 x 60/110", c.mean)
+	}
+	if got := c.remaining(1.2); math.Abs(got-1.8) > 0.15 {
+		t.Errorf("a run that has taken 1.2 takes %.2f more; expected 1.8", got)
+	}
+	if got := c.remaining(20); got < 10 {
+		t.Errorf("a run that has taken far longer than all others takes %.2f more", got)
+	}
+}
