placement, dispatch: copies by expected remaining time, within a budget

Cause: a task got a copy once twice its expected run time had passed since the placement. Runs that had merely started late got copies, as did tasks that are long anywhere, and nothing bounded what copies use.

Change: the time of a run counts from the answer to its start, and for a run that a new leader finds from the first status that lists it. A task gets a copy if its upstream does not answer, or if the expected remaining time, weighed with the share of the queue's copies that end first, is well above what a copy takes. Copies use at most 25% of a service's cores, 5% where the upstreams answer, and 1% in an overloaded service, where only slow or silent upstreams count. Each copy is logged with its figures; metrics count copies that started, ended first and were refused. A run that is stopped because its copy was done is recorded as cut short. Where run times are not known, the bound on them is as before.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -32,6 +32,7 @@
 		e.permits.enqueue(q, now)
 	}
 	e.logDecision(d)
+	e.logCopies(d)
 	e.propose(d)
 }
 
--- a/dispatch/observer.go
+++ b/dispatch/observer.go
@@ -104,6 +104,9 @@
 		s.enqueueStart(r, e.tickets[r.Key()])
 	}
 	delete(e.tickets, r.Key())
+	if isCopy(r) {
+		copiesStarted.Add(1)
+	}
 }
 
 // RunEnded implements pipeline.Observer.
@@ -121,6 +124,7 @@
 		s.learnRunTime(r, kind)
 		s.forgetRun(r.Key())
 	}
+	e.recordCopyEnd(r, kind)
 	if kind == pipelinev1.EndKind_END_KIND_DONE || kind == pipelinev1.EndKind_END_KIND_FAILED {
 		e.recordEnd(r, kind == pipelinev1.EndKind_END_KIND_FAILED)
 	}
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -136,7 +136,7 @@
 		answeredAt: make(map[pipeline.RunKey]time.Duration), adopted: make(map[pipeline.RunKey]bool), sent: make(map[pipeline.RunKey]bool), stopping: make(map[pipeline.RunKey]bool),
 		idleSince: make(map[pipeline.RunKey]time.Duration), workingAt: make(map[pipeline.RunKey]time.Duration)}
 	e.sessions[u.GetId()] = s
-	s.view = &placement.Upstream{Upstream: u, Stopping: s.stopping}
+	s.view = &placement.Upstream{Upstream: u, Stopping: s.stopping, Answered: s.answeredAt}
 	e.cell.AddUpstream(s.view)
 	s.logger(zerolog.InfoLevel).Str("service", u.GetService()).Str("failure_domain", u.GetFailureDomain()).
 		Int("runs", len(u.Runs)).Msg("upstream session opened")
--- a/placement/cell.go
+++ b/placement/cell.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
 
 // Cell is the leader's view of its cell. Decide changes nothing but the Reserved fields of the
@@ -72,6 +73,9 @@
 	Answers, Silent bool
 	// Stopping holds the runs whose stop was ordered and whose end is not known yet.
 	Stopping map[pipeline.RunKey]bool
+	// Answered holds when the upstream confirmed that it has a run, or listed one whose start this leader has not
+	// seen.
+	Answered map[pipeline.RunKey]time.Duration
 	// Reserved keeps other steps off the upstream.
 	Reserved Reservation
 
@@ -88,6 +92,9 @@
 	// computed from; nil until the first run on the upstream has ended.
 	slowness float64
 	speed    *speed
+	// kind is the kind of the upstream, composed from the description kindFrom.
+	kind     string
+	kindFrom *pipelinev1.Upstream
 	// fitting and fittingWhenIdle are the capacity for members of the gang that is being considered.
 	fitting, fittingWhenIdle int
 	// placed counts the round's placements of the step that is being placed.
@@ -141,6 +148,8 @@
 	limitAwaited time.Duration
 	// holdRefused is set while the step, a gang, can't hold the upstreams of its plan because too much is reserved.
 	holdRefused bool
+	// copyRefused holds the tasks whose copy was refused by the budget.
+	copyRefused map[int32]bool
 	// nextPreempt is when the step may preempt other work again.
 	nextPreempt time.Duration
 	// nextReport is when the reason for the step's wait may be reported again.
--- a/placement/copy.go
+++ b/placement/copy.go
@@ -42,7 +42,7 @@
 // copy returns a copy that shares the answers of the permit service.
 func (w *Work) copy() *Work {
 	out := *w
-	out.Pending = slices.Clone(w.Pending)
+	out.Pending, out.copyRefused = slices.Clone(w.Pending), maps.Clone(w.copyRefused)
 	return &out
 }
 
--- a/placement/decide.go
+++ b/placement/decide.go
@@ -26,6 +26,10 @@
 	Waits []Wait
 	// Overloads are the services whose waiting work can't all be done in time.
 	Overloads []Overload
+	// Copies are those of Runs that are second runs of their tasks, CopiesRefused the number of tasks whose copy is refused
+	// by the budget for the first time.
+	Copies        []Copy
+	CopiesRefused int
 	// Inspected is the number of upstreams and runs that the round looked at. Its length follows it.
 	Inspected int
 }
@@ -64,6 +68,9 @@
 	teamYields map[string][]*teamYield
 	// stopped are the runs that the round stops.
 	stopped map[*pipeline.Run]bool
+	// timings caches what is known of run times, copyCases why tasks should have copies.
+	timings   map[timingKey]timing
+	copyCases map[*pipeline.Task]Copy
 	// unplaced are the demands that found no place, or not for all tasks.
 	unplaced []demand
 	out      Decision
@@ -100,6 +107,9 @@
 	// thousandths of a core.
 	usable                []*Upstream
 	freeCores, totalCores int64
+	// fastest is the least slowness of usable, copies what copies use.
+	fastest float64
+	copies  copyUse
 	// yielding caches the cores that urgent queues may take from other work.
 	yielding      int64
 	knowsYielding bool
@@ -109,7 +119,8 @@
 func newRound(c *Cell) *round {
 	r := &round{Cell: c, pools: make(map[string]*pool), used: make(map[string]pipeline.Resources), promised: make(map[string][]promise), nextAtLimit: make(map[string]pipeline.Resources),
 		urgencies: make(map[*pipeline.Step]urgency), loads: make(map[string]*load), stopped: make(map[*pipeline.Run]bool),
-		teamRuns: make(map[string][]*pipeline.Run), teamYields: make(map[string][]*teamYield), teamReleases: make(map[string][]release)}
+		teamRuns: make(map[string][]*pipeline.Run), teamYields: make(map[string][]*teamYield), teamReleases: make(map[string][]release),
+		timings: make(map[timingKey]timing), copyCases: make(map[*pipeline.Task]Copy)}
 	r.out.Inspected = len(c.Upstreams)
 	for _, u := range c.Upstreams {
 		u.free, u.placed, u.yields, u.knowsWhenIdle, u.knowsEnds, u.suspect = u.Free(), 0, nil, false, false, nil
@@ -134,6 +145,9 @@
 
 // add adds an upstream that may get new work.
 func (p *pool) add(u *Upstream) {
+	if len(p.usable) == 0 || u.slowness < p.fastest {
+		p.fastest = u.slowness
+	}
 	p.usable = append(p.usable, u)
 	p.freeCores += u.free.MilliCores
 	p.totalCores += u.Capacity.MilliCores
@@ -150,6 +164,11 @@
 func (r *round) placeStep(d demand) {
 	st := d.work.Step
 	gang := st.Spec.GetGang()
+	if d.copies {
+		if d.tasks = r.allowedCopies(d); len(d.tasks) == 0 {
+			return
+		}
+	}
 	if gang && !r.withinLimit(d) {
 		r.promiseNextEnds(d)
 	}
@@ -165,6 +184,9 @@
 		if u == nil || r.offPreferredRack(d.work, u) && rackUnasked || !gang && (!r.withinLimit(d) || r.mustLeaveHeadroom(d)) {
 			break
 		}
+		if d.copies && !r.worthOn(t, u) {
+			return
+		}
 		r.assign(d, t, u)
 	}
 	rest := d.tasks[len(r.out.Runs)-from:]
@@ -209,6 +231,9 @@
 	}
 	r.out.Runs = append(r.out.Runs, &pipelinev1.Run{Task: t.Key().Proto(), Number: number, Upstream: u.GetId(), Born: u.GetBorn()})
 	r.out.Tickets = append(r.out.Tickets, d.work.Permits[u.GetId()].Ticket)
+	if d.copies {
+		r.takeCopy(d, t)
+	}
 }
 
 // unassign takes the placements of a step back, which are those from an index on.
--- a/placement/demand.go
+++ b/placement/demand.go
@@ -3,7 +3,6 @@
 import (
 	"cmp"
 	"slices"
-	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
@@ -19,10 +18,6 @@
 	// small teams it is a job or two, which cost the others little.
 	overShareFactor = 1.2
 	smallExcess     = 0.03
-	// stragglerFactor and stragglerSlack set the run time beyond which a copy of a task is worth its
-	// cost. Upstreams differ by a half in speed, and estimates are off by a half as well.
-	stragglerFactor = 2.0
-	stragglerSlack  = 200 * time.Millisecond
 )
 
 // demand is a step together with its tasks that are to be placed.
@@ -58,8 +53,11 @@
 			continue
 		}
 		tasks, copies := w.Waiting(), false
-		if len(tasks) == 0 && w.Step.Spec.GetCopies() {
-			tasks, copies = r.stragglers(w), true
+		if w.Step.Spec.GetCopies() {
+			r.countCopies(w)
+			if len(tasks) == 0 {
+				tasks, copies = r.stragglers(w), true
+			}
 		}
 		if len(tasks) > 0 {
 			q := r.State.JobQueue(w.Step.Job())
@@ -96,23 +94,6 @@
 	return 1
 }
 
-// stragglers returns the tasks whose only run takes much longer than expected or is on an
-// upstream that does not answer.
-func (r *round) stragglers(w *Work) []*pipeline.Task {
-	var out []*pipeline.Task
-	bound := time.Duration(stragglerFactor*float64(r.Learner.Expected(w.Step))) + stragglerSlack
-	for _, t := range w.Step.Tasks {
-		if t.Done || len(t.Live) != 1 || r.State.Exhausted(t) || t.Held() {
-			continue
-		}
-		u := r.byID[t.Live[0].Upstream.GetId()]
-		if time.Duration(r.WallNS-t.Live[0].PlacedNS) > bound || u == nil || u.Silent {
-			out = append(out, t)
-		}
-	}
-	return out
-}
-
 // markOverShare marks the demands of teams that are over their share. In an overloaded service that is decided by what
 // work of the demand's priority and more urgent work used lately; large jobs of a less urgent queue don't count against a
 // team's urgent ones, which come first anyway. Elsewhere all can be done in time, and only teams that use far more than
--- a/placement/learn.go
+++ b/placement/learn.go
@@ -65,8 +65,9 @@
 	// avoided holds, by upstream, the time until which it gets no new work because it failed most
 	// runs.
 	avoided map[string]time.Duration
-	// runTimes holds distributions of run times.
+	// runTimes holds distributions of run times, copyWins the share of copies that were done first.
 	runTimes *runTimes
+	copyWins map[copyClass]*average
 }
 
 // answerCount counts upstreams in the answers of the permit service.
@@ -109,7 +110,7 @@
 func NewLearner() *Learner {
 	return &Learner{queues: make(map[string]*average), upstreams: make(map[string]*speed),
 		failures: make(map[string]*average), answers: make(map[string]*answerCount), regressions: make(map[string]*regression), avoided: make(map[string]time.Duration),
-		runTimes: newRunTimes()}
+		runTimes: newRunTimes(), copyWins: make(map[copyClass]*average)}
 }
 
 // add adds a sample with a weight of at least rate; the first samples weigh more.
@@ -154,6 +155,8 @@
 // term and over the last runs.
 type speed struct {
 	steady, recent average
+	// slowRuns is the number of last runs that all were slower than usual by slowdownFactor.
+	slowRuns int
 }
 
 // slowness returns the expected run time on an upstream relative to one of average speed.
@@ -173,14 +176,22 @@
 	if s == nil {
 		return 1
 	}
-	trust := float64(s.steady.count) / float64(s.steady.count+trustRuns)
-	lasting := 1 + (s.steady.value-1)*trust
+	lasting := s.lasting()
 	if s.recent.count >= minSiblings && s.recent.value > slowdownFactor*lasting {
 		return s.recent.value
 	}
 	return lasting
 }
 
+// lasting returns the long-term part of the slowness.
+func (s *speed) lasting() float64 {
+	if s == nil {
+		return 1
+	}
+	trust := float64(s.steady.count) / float64(s.steady.count+trustRuns)
+	return 1 + (s.steady.value-1)*trust
+}
+
 // slow reports whether urgent tasks should avoid the upstream.
 func (l *Learner) slow(upstream string) bool { return l.slowness(upstream) > slowBound }
 
@@ -220,6 +231,10 @@
 
 // add adds the run time of a run relative to its expected run time.
 func (s *speed) add(sample float64) {
+	s.slowRuns++
+	if sample < slowdownFactor*s.lasting() {
+		s.slowRuns = 0
+	}
 	s.steady.add(clamp(sample, steadyMin, steadyMax), steadyRate)
 	s.recent.add(sample, recentRate)
 }
--- a/placement/replay_test.go
+++ b/placement/replay_test.go
@@ -42,8 +42,14 @@
 	fails float64
 	// lasts is how long lasting tasks run until their job is cancelled; zero for tasks that end.
 	lasts time.Duration
+	// copies is set if tasks may have copies; long is the share of tasks that take longTask times as long as others.
+	copies bool
+	long   float64
 }
 
+// longTask is how many times as long as others a long task takes.
+const longTask = 7
+
 // pressure multiplies the rate of a class, or takes a share of the upstreams out, for some time.
 type pressure struct {
 	class    string
@@ -83,6 +89,10 @@
 	watch    func(now time.Duration)
 	decided  func(d Decision)
 	finished func(j *replayedJob, took time.Duration)
+	// startDelay, if it is set, returns how long after its placement a run begins. Upstreams then confirm starts.
+	startDelay func() time.Duration
+	// copiesFirst is the number of copies that were done before the first run of their task.
+	copiesFirst int
 	// others is what the jobs of all teams but the largest earned; largest is the number of those.
 	others  credit
 	largest int
@@ -222,7 +232,7 @@
 	var steps []*pipelinev1.Step
 	for i := range n {
 		estimate := length * (1 - c.off + 2*c.off*r.rng.Float64())
-		st := &pipelinev1.Step{Count: int32(max(1, r.vary(c.tasks, 0.8, 5))), Need: need, EstimateMs: int64(1000 * estimate), Gang: gang, Checkpointing: saves, Lasting: c.lasts > 0}
+		st := &pipelinev1.Step{Count: int32(max(1, r.vary(c.tasks, 0.8, 5))), Need: need, EstimateMs: int64(1000 * estimate), Gang: gang, Checkpointing: saves, Lasting: c.lasts > 0, Copies: c.copies}
 		if i > 0 {
 			st.DependsOn = []int32{int32(i - 1)}
 		}
@@ -235,6 +245,9 @@
 	for _, st := range steps {
 		for range st.Count {
 			lefts = append(lefts, time.Duration(length*(0.85+0.3*r.rng.Float64())*float64(time.Second)))
+			if c.long > 0 && r.rng.Float64() < c.long {
+				lefts[len(lefts)-1] *= longTask
+			}
 		}
 	}
 	r.admit(c, now, team, steps, func() {
@@ -433,16 +446,17 @@
 			kind, length = pipelinev1.EndKind_END_KIND_FAILED, time.Duration(r.outcomes.Float64()*float64(length))
 		}
 	}
-	r.pending = append(r.pending, event{r.cell.Now + length + replayDelay, func() { r.end(run, kind) }})
+	r.pending = append(r.pending, event{r.begin(run) + length + replayDelay, func() { r.end(run, kind) }})
 }
 
 // RunEnded implements pipeline.Observer.
 func (r *replay) RunEnded(run *pipeline.Run, kind pipelinev1.EndKind) {
 	delete(r.upstream(run.Upstream.GetId()).Stopping, run.Key())
 	st := run.Task.Step
+	r.copyEnded(run, kind)
 	if kind == pipelinev1.EndKind_END_KIND_DONE {
 		r.admission.runDone(r, run)
-		r.cell.Learner.RecordRun(run, time.Duration(r.cell.WallNS-run.PlacedNS), r.cell.Steps[st])
+		r.cell.Learner.RecordRun(run, r.ran(run), r.cell.Steps[st])
 		return
 	}
 	if st.Spec.GetGang() {
--- a/placement/runtimes.go
+++ b/placement/runtimes.go
@@ -171,6 +171,14 @@
 	return strings.Join(append([]string{u.GetService(), strconv.FormatInt(c.GetMilliCores(), 10), strconv.FormatInt(c.GetMemoryMib(), 10)}, u.GetLabels()...), "\x00")
 }
 
+// ownKind returns the kind of the upstream; it composes the kind once for each description.
+func (u *Upstream) ownKind() string {
+	if u.kindFrom != u.Upstream.Upstream {
+		u.kind, u.kindFrom = kindOf(u.Upstream.Upstream), u.Upstream.Upstream
+	}
+	return u.kind
+}
+
 // recordRatio records how long a run took relative to its likely time, once the latter is learned.
 func (l *Learner) recordRatio(r *pipeline.Run, took time.Duration, cut bool) {
 	st := r.Task.Step
@@ -196,3 +204,42 @@
 	st := r.Task.Step
 	return !st.Spec.GetLasting() && !st.Spec.GetGang() && r.Task.Checkpoint == ""
 }
+
+// timing is what is known of the run time of a step's tasks on one kind of upstream.
+type timing struct {
+	// curve is the distribution of the ratio of run times to scale, nil if it is not known. scale is in nanoseconds, for
+	// an upstream of average speed: what the step's declared time leads to, or what its tasks that are done took if
+	// that is longer. The first tasks to be done are the short ones.
+	curve *curve
+	scale float64
+}
+
+// timingKey identifies a timing in a round.
+type timingKey struct {
+	step *pipeline.Step
+	kind string
+}
+
+// timingOf returns the timing of a step's tasks on an upstream. It is looked up once in a round for each kind of
+// upstream.
+func (r *round) timingOf(st *pipeline.Step, u *Upstream) timing {
+	key := timingKey{st, u.ownKind()}
+	t, known := r.timings[key]
+	if known {
+		return t
+	}
+	t.curve = r.Learner.runTimes.lookup(distributionKey{queue: st.Job().Spec.GetQueue(), image: st.Spec.GetImage(), kind: key.kind})
+	if t.curve != nil {
+		t.scale = float64(r.Learner.Likely(st))
+		if w := r.Steps[st]; w != nil && w.meanRunTime.count >= minSiblings {
+			t.scale = max(t.scale, w.meanRunTime.value/t.curve.mean)
+		}
+	}
+	r.timings[key] = t
+	return t
+}
+
+// expected returns the expected run time on an upstream with some slowness.
+func (t timing) expected(slowness float64) time.Duration {
+	return time.Duration(t.scale * t.curve.mean * slowness)
+}
