--- a/placement/learn.go
+++ b/placement/learn.go
@@ -65,6 +65,9 @@
 	// avoided holds, by upstream, the time until which it gets no new work because it failed most
 	// runs.
 	avoided map[string]time.Duration
+	// runTimes holds distributions of run times, copyWins the share of copies that were done first.
+	runTimes *runTimes
+	copyWins map[copyClass]*average
 }
 
 // answerCount counts upstreams in the answers of the permit service.
@@ -106,7 +109,8 @@
 // NewLearner returns a learner that knows nothing.
 func NewLearner() *Learner {
 	return &Learner{queues: make(map[string]*average), upstreams: make(map[string]*speed),
-		failures: make(map[string]*average), answers: make(map[string]*answerCount), regressions: make(map[string]*regression), avoided: make(map[string]time.Duration)}
+		failures: make(map[string]*average), answers: make(map[string]*answerCount), regressions: make(map[string]*regression), avoided: make(map[string]time.Duration),
+		runTimes: newRunTimes(), copyWins: make(map[copyClass]*average)}
 }
 
 // add adds a sample with a weight of at least rate; the first samples weigh more.
@@ -151,6 +155,8 @@
 // term and over the last runs.
 type speed struct {
 	steady, recent average
+	// slowRuns is the number of last runs that all were slower than usual by slowdownFactor.
+	slowRuns int
 }
 
 // slowness returns the expected run time on an upstream relative to one of average speed.
@@ -170,24 +176,33 @@
 	if s == nil {
 		return 1
 	}
-	trust := float64(s.steady.count) / float64(s.steady.count+trustRuns)
-	lasting := 1 + (s.steady.value-1)*trust
+	lasting := s.lasting()
 	if s.recent.count >= minSiblings && s.recent.value > slowdownFactor*lasting {
 		return s.recent.value
 	}
 	return lasting
 }
 
+// lasting returns the long-term part of the slowness.
+func (s *speed) lasting() float64 {
+	if s == nil {
+		return 1
+	}
+	trust := float64(s.steady.count) / float64(s.steady.count+trustRuns)
+	return 1 + (s.steady.value-1)*trust
+}
+
 // slow reports whether urgent tasks should avoid the upstream.
 func (l *Learner) slow(upstream string) bool { return l.slowness(upstream) > slowBound }
 
 // RecordRun records the run time of a run that completed. The other tasks of its step predict the
 // run time elsewhere better than the declared estimate does; w may be nil.
 func (l *Learner) RecordRun(r *pipeline.Run, took time.Duration, w *Work) {
-	st := r.Task.Step
-	if st.Spec.GetLasting() || st.Spec.GetGang() || r.Task.Checkpoint != "" {
+	if !hasWholeRun(r) {
 		return
 	}
+	st := r.Task.Step
+	l.recordRatio(r, took, false)
 	base := float64(l.Expected(st))
 	if w != nil && w.meanRunTime.count >= minSiblings {
 		base = w.meanRunTime.value
@@ -216,6 +231,10 @@
 
 // add adds the run time of a run relative to its expected run time.
 func (s *speed) add(sample float64) {
+	s.slowRuns++
+	if sample < slowdownFactor*s.lasting() {
+		s.slowRuns = 0
+	}
 	s.steady.add(clamp(sample, steadyMin, steadyMax), steadyRate)
 	s.recent.add(sample, recentRate)
 }
