peer: probe timeout of a pool; tests that do not count on a quick machine

TestSlowCallLeavesLiveConnectionAlone and TestSilentConnectionIsReplaced assumed that a connection is opened, and a probe answered, within the product's timeouts. On a busy machine they are not: the server closes a connection whose first bytes take longer than ReadHeaderTimeout (1 s), and a probe ends a stream after 500 ms. Data that was read after the silent call had begun, although sent before, would also keep its connection open; the test now waits 200 ms for it.

The timeouts are right for the product, whose callers repeat such calls, and stay. A pool holds its probe timeout, so that these tests, which are not about opening or probing, set it and the others to 30 s. All checks are unchanged. The tests of probes use the product's timeouts as before.

--- a/peer/calls.go
+++ b/peer/calls.go
@@ -47,6 +47,9 @@
 type callStream struct {
 	stream *connect.BidiStreamForClient[peerv1.CallBatch, peerv1.ReplyBatch]
 	probes *probeHistory
+	// probeTimeout is how long the other end may take to answer a probe.
+	probeTimeout time.Duration
+
 	ctx    context.Context
 	cancel context.CancelCauseFunc
 	queue  chan *queuedCall
@@ -113,7 +116,7 @@
 // openCallStream opens a stream, which ends when its connection ends or close is called.
 func openCallStream(conn *Conn) *callStream {
 	ctx, cancel := context.WithCancelCause(context.Background())
-	s := &callStream{ctx: ctx, cancel: cancel, stream: conn.Calls(ctx), probes: &conn.probes, queue: make(chan *queuedCall, callQueueLength),
+	s := &callStream{ctx: ctx, cancel: cancel, stream: conn.Calls(ctx), probes: &conn.probes, probeTimeout: conn.probeTimeout, queue: make(chan *queuedCall, callQueueLength),
 		received: make(chan struct{}, 1), pending: make(map[uint64]chan *peerv1.ForwardResponse)}
 	go s.write()
 	go s.read()
@@ -188,7 +191,7 @@
 // awaitReceived waits for data. If none arrives within probeTimeout, it calls unanswered and ends the stream. It
 // returns false if the stream has ended.
 func (s *callStream) awaitReceived(unanswered func()) bool {
-	timeout := time.NewTimer(probeTimeout)
+	timeout := time.NewTimer(s.probeTimeout)
 	defer timeout.Stop()
 	select {
 	case <-s.received:
--- a/peer/client.go
+++ b/peer/client.go
@@ -42,24 +42,27 @@
 	// dialTimeout bounds the opening of a connection. The first packet to a machine that is
 	// powered off is retransmitted only after a second, so a new dial is faster.
 	dialTimeout time.Duration
-	mu          sync.Mutex
-	conns       map[string]*Conn
+	// probeTimeout is how long a process may take to answer a probe.
+	probeTimeout time.Duration
+	mu           sync.Mutex
+	conns        map[string]*Conn
 }
 
 // Conn is a client of one process; it may use several connections. It is safe for concurrent use.
 type Conn struct {
 	// PeerServiceClient calls the service of the process.
 	peerv1connect.PeerServiceClient
-	transport *http.Transport
-	tracker   *retry.ConnTracker
-	probes    probeHistory
-	mu        sync.Mutex
-	stream    *callStream
+	transport    *http.Transport
+	tracker      *retry.ConnTracker
+	probes       probeHistory
+	probeTimeout time.Duration
+	mu           sync.Mutex
+	stream       *callStream
 }
 
 // NewPool returns a pool whose clients send the cluster secret; a nil tlsConfig means plain TCP.
 func NewPool(secret string, tlsConfig *tls.Config) *Pool {
-	return &Pool{secret: secret, tls: tlsConfig, dialTimeout: defaultDialTimeout, conns: make(map[string]*Conn)}
+	return &Pool{secret: secret, tls: tlsConfig, dialTimeout: defaultDialTimeout, probeTimeout: probeTimeout, conns: make(map[string]*Conn)}
 }
 
 // SetDialTimeout sets the timeout of dials and TLS handshakes; the default is 1 s. It must be
@@ -97,7 +100,7 @@
 	}
 	client := peerv1connect.NewPeerServiceClient(&http.Client{Transport: t}, scheme+address,
 		connect.WithInterceptors(secretInterceptor{p.secret}), connect.WithReadMaxBytes(MaxMessageBytes), connect.WithAcceptCompression("gzip", nil, nil))
-	return &Conn{PeerServiceClient: client, transport: t, tracker: tracker}
+	return &Conn{PeerServiceClient: client, transport: t, tracker: tracker, probeTimeout: p.probeTimeout}
 }
 
 // Close closes the streams of calls and all idle connections.
--- a/peer/peer_test.go
+++ b/peer/peer_test.go
@@ -20,6 +20,9 @@
 	// data any more; successTimeout is that of calls that are expected to succeed.
 	silentTimeout  = 300 * time.Millisecond
 	successTimeout = 30 * time.Second
+	// inFlightTime is the time within which data that has passed the relay is read. Data that is read after a call has
+	// begun shows that its connection is not silent.
+	inFlightTime = 200 * time.Millisecond
 )
 
 // echo answers Forward and Calls immediately and holds View until its context ends.
@@ -51,11 +54,21 @@
 	}
 	e := &echo{held: make(chan struct{}, 8)}
 	s := NewServer(NewHandler(testSecret, e, contain.Reporter{}))
+	s.ReadHeaderTimeout = successTimeout
 	go func() { _ = s.Serve(l) }()
 	t.Cleanup(func() { _ = s.Close() })
 	return e, relay.New(t, l.Addr().String())
 }
 
+// newPatientPool returns a pool that closes no connection because the machine is too busy to open it, or to answer a
+// probe, in time.
+func newPatientPool() *Pool {
+	p := NewPool(testSecret, nil)
+	p.SetDialTimeout(successTimeout)
+	p.probeTimeout = successTimeout
+	return p
+}
+
 func forward(t *testing.T, p *Pool, address string, timeout time.Duration) error {
 	ctx, cancel := context.WithTimeout(t.Context(), timeout)
 	defer cancel()
@@ -68,7 +81,7 @@
 // must end with the old one.
 func TestSilentConnectionIsReplaced(t *testing.T) {
 	e, r := serve(t)
-	p := NewPool(testSecret, nil)
+	p := newPatientPool()
 	defer p.Close()
 	if err := forward(t, p, r.Address(), successTimeout); err != nil {
 		t.Fatal(err)
@@ -80,6 +93,7 @@
 	}()
 	<-e.held
 	r.Silence()
+	time.Sleep(inFlightTime)
 	if err := forward(t, p, r.Address(), silentTimeout); err == nil {
 		t.Fatal("a call on a silent connection got a response")
 	}
@@ -127,7 +141,7 @@
 // to be answered on the same connection.
 func TestQuietConnectionStaysOpen(t *testing.T) {
 	_, r := serve(t)
-	p := NewPool(testSecret, nil)
+	p := newPatientPool()
 	defer p.Close()
 	for range 3 {
 		if err := forward(t, p, r.Address(), successTimeout); err != nil {
@@ -184,7 +198,7 @@
 // that still delivers data to other calls.
 func TestSlowCallLeavesLiveConnectionAlone(t *testing.T) {
 	e, r := serve(t)
-	p := NewPool(testSecret, nil)
+	p := newPatientPool()
 	defer p.Close()
 	c, began := p.Get(r.Address()), time.Now()
 	ctx, cancel := context.WithCancel(t.Context())
