daemon: tests send calls again that are refused for want of a leader

TestRevisionReachesEveryProcess and TestDrainCutsNothing failed in their set-up, and TestKilledEntriesTellNoLies in its waits, with 'this entry last heard of a leader 3.5s ago'. An entry that has heard of no leader for 3 s refuses every call without proposing anything, and the caller sends it again; the client's three attempts end within a second. The tests took one such refusal for a failure. They now repeat a change, under the same operation identity, and a wait, while the refusal's reason is NO_LEADER. All other errors fail as before, and every change must be applied and every answer be right.

Why the processes heard of no leader for 3.5 s is not traced.

--- a/daemon/cell_test.go
+++ b/daemon/cell_test.go
@@ -12,9 +12,11 @@
 	"testing"
 	"time"
 
+	"connectrpc.com/connect"
 	apiv1 "github.com/bulrushwinch/bulrushwinch/api/bulrushwinch/v1"
 	"github.com/bulrushwinch/bulrushwinch/client"
 	"github.com/bulrushwinch/bulrushwinch/config"
+	"github.com/pkg/errors"
 	"github.com/rs/zerolog"
 )
 
@@ -175,7 +177,11 @@
 	}
 	for i, change := range list {
 		change.OperationId = fmt.Sprint("set-up-", i)
-		if resp, err := op.Change(c.t.Context(), change); err != nil || !resp.GetApplied() {
+		resp, err := op.Change(c.t.Context(), change)
+		for ; hasNoLeader(err); resp, err = op.Change(c.t.Context(), change) {
+			time.Sleep(testPause)
+		}
+		if err != nil || !resp.GetApplied() {
 			c.t.Fatalf("%v: %v %v", change, resp, err)
 		}
 	}
@@ -195,10 +201,31 @@
 		Repeatable: true, Tasks: []*apiv1.TaskSpec{{Payload: []byte(id), Resources: &apiv1.Resources{MilliCores: 100}}}}}
 }
 
+// hasNoLeader reports whether an entry refused a call because it had heard of no leader for a while, as on a busy machine
+// on which leaderships are lost. The call is then sent again.
+func hasNoLeader(err error) bool {
+	var refusal *connect.Error
+	if !errors.As(err, &refusal) {
+		return false
+	}
+	for _, d := range refusal.Details() {
+		if v, err := d.Value(); err == nil {
+			if o, ok := v.(*apiv1.Outcome); ok && o.GetReason() == apiv1.Reason_REASON_NO_LEADER {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // awaitAnswer waits until a job has ended and checks its answer.
 func (c *testCell) awaitAnswer(cl *client.Client, req *apiv1.SubmitRequest) {
 	for {
 		resp, err := cl.Wait(c.t.Context(), &apiv1.WaitRequest{Job: &apiv1.JobRef{RequestId: req.GetRequestId(), Queue: req.GetQueue()}, MaxWaitMs: 5000})
+		if hasNoLeader(err) {
+			time.Sleep(testPause)
+			continue
+		}
 		if err != nil {
 			c.t.Errorf("wait for %s: %v", req.GetRequestId(), err)
 			return
