--- a/placement/curve.go
+++ b/placement/curve.go
@@ -1,7 +1,6 @@
 package placement
 
 import (
-	"cmp"
 	"slices"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
@@ -85,9 +84,3 @@
 	}
 	return (c.runs*rest + tailRuns*ran) / (c.runs*above + tailRuns)
 }
-
-// quantile returns the ratio that a share of the runs does not exceed.
-func (c *curve) quantile(share float64) float64 {
-	i, _ := slices.BinarySearchFunc(c.points, 1-share, func(p curvePoint, above float64) int { return cmp.Compare(above, p.above) })
-	return c.points[min(i, len(c.points)-1)].at
-}
--- a/placement/runtimes_test.go
+++ b/placement/runtimes_test.go
@@ -1,9 +1,11 @@
 package placement
 
 import (
+	"cmp"
 	"fmt"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"time"
 
@@ -94,3 +96,9 @@
 		t.Errorf("a run that has taken far longer than all others takes %.2f more", got)
 	}
 }
+
+// quantile returns the ratio that a share of the runs does not exceed.
+func (c *curve) quantile(share float64) float64 {
+	i, _ := slices.BinarySearchFunc(c.points, 1-share, func(p curvePoint, above float64) int { return cmp.Compare(above, p.above) })
+	return c.points[min(i, len(c.points)-1)].at
+}
--- a/replica/node.go
+++ b/replica/node.go
@@ -267,14 +267,6 @@
 	n.owner.Tick()
 }
 
-// publishMembers makes the membership visible to other goroutines once it is committed.
-func (n *Node[R]) publishMembers() {
-	if n.raft.MembersCommitted() {
-		members := n.raft.Members()
-		n.publishedMembers.Store(&members)
-	}
-}
-
 func (n *Node[R]) stop() {
 	if n.space.short {
 		wal.WaitsForSpace.Add(-1)
@@ -495,12 +487,3 @@
 
 // Applied returns the index of the last applied entry.
 func (n *Node[R]) Applied() uint64 { return n.applied }
-
-// Members returns the newest membership that this replica knows to be committed, or nil before the first tick. It
-// is safe for concurrent use.
-func (n *Node[R]) Members() []raft.Member {
-	if m := n.publishedMembers.Load(); m != nil {
-		return *m
-	}
-	return nil
-}
