--- a/review/rig/many.go
+++ b/review/rig/many.go
@@ -16,10 +16,12 @@
 		workers = 2
 		jobs    = 70
 		tasks   = 50
-		workMS  = 2000
+		workMS  = 3000
+		// pace is the time between two jobs: fewer come in a second than at the site.
+		pace = time.Second / 15
 		// running is how many tasks run on one worker when the core is killed.
 		running = 650
-		down    = 3 * time.Second
+		down    = 3500 * time.Millisecond
 		// finish is finish_s of the site, and three seconds more.
 		finish = 17 * time.Second
 	)
@@ -54,7 +56,7 @@
 		return nil, err
 	}
 	for n := range workers {
-		if _, err := c.startWorker(n, seen, "-start-ms", "10", "-cpu", "64000", "-mem", "262144"); err != nil {
+		if _, err := c.startWorker(n, seen, "-start-ms", "20", "-cpu", "64000", "-mem", "262144"); err != nil {
 			return nil, err
 		}
 	}
@@ -62,16 +64,21 @@
 	spec := map[string]any{"taskSpec": fmt.Sprintf("work=%d", workMS), "jobSteps": []any{map[string]any{"count": tasks, "cpu": 25, "memMb": 16, "estimateMs": workMS}}}
 	id := func(i int) string { return fmt.Sprintf("5c0e7a21%08x", i) }
 	var all sync.WaitGroup
-	for i := range jobs {
-		all.Add(1)
-		go func() {
-			defer all.Done()
-			_ = c.submit(id(i), spec)
-		}()
-	}
+	all.Add(1)
+	go func() {
+		defer all.Done()
+		for i := range jobs {
+			time.Sleep(pace)
+			all.Add(1)
+			go func() {
+				defer all.Done()
+				_ = c.submit(id(i), spec)
+			}()
+		}
+	}()
 	select {
 	case <-ready:
-	case <-time.After(15 * time.Second):
+	case <-time.After(12 * time.Second):
 		return nil, fmt.Errorf("the tasks were not started fast enough")
 	}
 	if trouble {
