review: the driver without what only the dropped cases used

Cause: the flags and a function that no case uses any more were left over, and the script of case 12 still wrote its record to the folder that it had before.

Change: they are removed; the script writes to its own folder.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -4,4 +4,4 @@
 cd "$(dirname "$0")/../.." || exit 2
 export TROUBLE="${TROUBLE:-1}"
 [ -x target/review-3/rig ] && [ -x target/bulrushwinchd ] || { echo "build first" >&2; exit 2; }
-exec target/review-3/rig -case rename -record "review/13/record.txt"
+exec target/review-3/rig -case rename -record "review/12/record.txt"
--- a/review/rig/cell.go
+++ b/review/rig/cell.go
@@ -171,12 +171,6 @@
 	return nil
 }
 
-// kill ends a process without notice.
-func (p *process) kill() {
-	_ = p.cmd.Process.Kill()
-	<-p.done
-}
-
 // end ends all processes and removes the folder.
 func (c *cell) end() {
 	for _, p := range c.procs {
--- a/review/rig/worker.go
+++ b/review/rig/worker.go
@@ -18,6 +18,7 @@
 const (
 	beatEvery   = 1500 * time.Millisecond
 	stopTakes   = 40 * time.Millisecond
+	startupTime = 300 * time.Millisecond
 	fullPercent = 100
 	// endsAtOnce is how many ends one list holds.
 	endsAtOnce = 500
@@ -27,7 +28,7 @@
 type worker struct {
 	id, machine, address, zone, service, rack string
 	controls                                  []string
-	maxHold, maxWait, startup, startMS        int64
+	maxHold, maxWait, startMS                 int64
 	cpu, mem                                  int64
 
 	began time.Time
@@ -65,9 +66,7 @@
 	f.Int64Var(&w.maxHold, "max-hold", 6000, "")
 	f.Int64Var(&w.cpu, "cpu", 16000, "")
 	f.Int64Var(&w.mem, "mem", 32768, "")
-	f.Int64Var(&w.startup, "startup", 300, "")
 	f.Int64Var(&w.startMS, "start-ms", 0, "")
-	f.Int64Var(&w.born, "born", w.born, "")
 	controls := f.String("controls", "", "")
 	if err := f.Parse(args); err != nil {
 		return err
@@ -211,7 +210,7 @@
 	running := make([][]any, 0, len(w.running))
 	for task, r := range w.running {
 		percent := 0
-		if time.Since(r.started).Milliseconds() > w.startup {
+		if time.Since(r.started) > startupTime {
 			percent = fullPercent
 		}
 		if r.work > 0 {
