review: case 11 with room for slower machines

Cause: at 200 starts a second a worker would not have reached 650 running tasks of 3 s, and the script could not have run.

Change: 600 running tasks of 4 s, the core away for 4.3 s.

--- a/review/rig/many.go
+++ b/review/rig/many.go
@@ -16,12 +16,12 @@
 		workers = 2
 		jobs    = 70
 		tasks   = 50
-		workMS  = 3000
+		workMS  = 4000
 		// pace is the time between two jobs: fewer come in a second than at the site.
 		pace = time.Second / 15
 		// running is how many tasks run on one worker when the core is killed.
-		running = 650
-		down    = 3500 * time.Millisecond
+		running = 600
+		down    = 4300 * time.Millisecond
 		// finish is finish_s of the site, and three seconds more.
 		finish = 17 * time.Second
 	)
