dispatch: a call that is answered with no such job logs what is known of the identity

A GET leaves no line at the leader, a DELETE the name of a queue only.

Change: one line for each call that names no job, with the host, path, queue, team and version that it was decided on and where, in which state and for which team a job of the identity was accepted. The caller is not told.

--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -178,8 +178,11 @@
 func (e *Engine) cancel(c *pipelinev1.JobCall, a access, done replyFunc) {
 	cmd := &pipelinev1.Cancel{Job: a.id, Queue: a.queue.GetName(), KeySha256: c.GetKeySha256()}
 	e.change(&pipelinev1.Command{Command: &pipelinev1.Command_Cancel{Cancel: cmd}}, func(r *pipelinev1.Reply, err error) {
-		e.log.Info().Str("request", a.id).Str("queue", a.queue.GetName()).Str("verdict", r.GetVerdict().String()).Str("state", r.GetJobState()).
-			Err(err).Msg("job cancellation decided")
+		e.log.Info().Str("request", a.id).Str("queue", a.queue.GetName()).Str("host", c.GetHost()).Str("path", c.GetPath()).Str("verdict", r.GetVerdict().String()).
+			Str("state", r.GetJobState()).Err(err).Msg("job cancellation decided")
+		if r.GetVerdict() == pipelinev1.Verdict_VERDICT_NO_JOB {
+			e.logNoJob(c, a)
+		}
 		done(r, err)
 	})
 }
@@ -197,12 +200,27 @@
 		}
 		j := e.state.JobOf(a.queue, a.team, a.id)
 		if j == nil {
+			e.logNoJob(c, a)
 			return verdict(pipelinev1.Verdict_VERDICT_NO_JOB, "no such job")
 		}
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(e.shownState(j))}
 	})
 }
 
+// logNoJob logs what is known of the identity in a call that is answered with "no such job". The caller is not told: the
+// job may be another team's.
+func (e *Engine) logNoJob(c *pipelinev1.JobCall, a access) {
+	line := e.log.Info().Str("request", a.id).Str("verb", c.GetVerb().String()).Str("host", c.GetHost()).Str("path", c.GetPath()).
+		Str("queue", a.queue.GetName()).Str("team", a.team.GetName()).Uint64("config_version", e.state.Config().Version())
+	j := e.state.Job(a.id)
+	if line = line.Bool("known", j != nil); j != nil {
+		q := j.AcceptedQueue
+		line = line.Str("known_state", string(j.State)).Str("known_queue", j.Spec.GetQueue()).Str("known_host", q.GetHost()).
+			Str("known_prefix", q.GetPathPrefix()).Str("known_team", j.Team)
+	}
+	line.Msg("call names no job that it may access")
+}
+
 // countPending returns the number of a queue's jobs that have not ended and of which no run is known to have
 // started. Repeating jobs are not counted.
 func (e *Engine) countPending(queue string) int64 {
