--- /dev/null
+++ b/dispatch/renamed_test.go
@@ -0,0 +1,45 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+)
+
+// ask makes a call about a job of testQueue's path and returns the reply.
+func (h *harness) ask(verb pipelinev1.JobVerb, key, id string) *pipelinev1.Reply {
+	h.t.Helper()
+	return h.call(jobCall(verb, key, id))
+}
+
+// renameQueue gives the queue at testQueue's host and path another name.
+func renameQueue(cfg *pipelinev1.Config) { cfg.Queues[0].Name = "renamed" }
+
+// lasting is a job of one task that runs until it is cancelled.
+func lasting() *pipelinev1.JobSpec {
+	return &pipelinev1.JobSpec{Steps: []*pipelinev1.Step{{Count: 1, Lasting: true}}}
+}
+
+// A configuration that gives a queue another name leaves its jobs to be read and cancelled at their paths. They were
+// "no such job", and ran on.
+func TestJobsOfARenamedQueueAreKnownAndCancelled(t *testing.T) {
+	h := newHarness(t, "w1")
+	h.submitSpec(jobID(1), lasting())
+	h.submit(jobID(2), oneStep(1, 100))
+	h.run(2 * time.Second)
+	h.putConfig(renameQueue)
+	for id, want := range map[string]pipeline.JobState{jobID(1): pipeline.Running, jobID(2): pipeline.Completed} {
+		if r := h.ask(pipelinev1.JobVerb_JOB_VERB_GET, testKey, id); r.GetJobState() != string(want) {
+			t.Errorf("job %s: %v, want %s", id, r, want)
+		}
+	}
+	if r := h.ask(pipelinev1.JobVerb_JOB_VERB_CANCEL, testKey, jobID(1)); r.GetJobState() != string(pipeline.Cancelled) {
+		t.Errorf("cancellation: %v", r)
+	}
+	h.run(time.Second)
+	if n := len(h.upstreams["w1"].running); n > 0 {
+		t.Errorf("%d tasks of the cancelled job run on", n)
+	}
+}
--- a/pipeline/snapshot.go
+++ b/pipeline/snapshot.go
@@ -108,7 +108,12 @@
 	if problem := CheckSpec(r.GetSpec()); problem != "" {
 		return errors.New("pipeline: job record: " + problem)
 	}
-	j := newJob(r.GetSpec(), r.GetTeam(), r.GetTerms(), r.GetDigest(), r.GetSubmittedNs())
+	accepted := r.GetTerms()
+	if accepted == nil {
+		// An older version did not record the queue; it went by the name.
+		accepted = s.config.Queue(r.GetSpec().GetQueue())
+	}
+	j := newJob(r.GetSpec(), r.GetTeam(), accepted, r.GetDigest(), r.GetSubmittedNs())
 	j.State, j.EndedNS, j.Begun = JobState(r.GetState()), r.GetEndedNs(), r.GetBegun()
 	if len(r.GetOccurrences()) != len(j.Occurrences) {
 		return errors.New("pipeline: job record has a wrong number of occurrences")
