pipeline: a submission that is sent again after a rename is the same job

Callers saw: 409 for a job that was accepted, where its answer was lost and the queue got another name before the next attempt.

Cause: the same job meant the same name of the queue, and a digest in which the name is written.

Change: Apply compares the route of the accepting queue and the content without the name. The digest is still written for replicas of the release before.

Measured: TestResentSubmissionToARenamedQueueIsTheSameJob failed before with VERDICT_CONFLICT for the same job, and passes.

--- a/dispatch/renamed_test.go
+++ b/dispatch/renamed_test.go
@@ -43,3 +43,24 @@
 		t.Errorf("%d tasks of the cancelled job run on", n)
 	}
 }
+
+// A submission that is sent again after its queue was renamed is the same job, and one with other content is not. Both
+// were refused with a conflict.
+func TestResentSubmissionToARenamedQueueIsTheSameJob(t *testing.T) {
+	h := newHarness(t, "w1")
+	h.upstreams["w1"].runTime = time.Minute
+	h.submitSpec(jobID(1), lasting())
+	h.run(time.Second)
+	h.putConfig(renameQueue)
+	again, other := h.send(jobID(1), lasting()), h.send(jobID(1), &pipelinev1.JobSpec{Payload: "other", Steps: lasting().Steps})
+	h.run(time.Second)
+	if again.GetVerdict() != pipelinev1.Verdict_VERDICT_OK {
+		t.Errorf("the same job again: %v, %v", again.Reply, again.err)
+	}
+	if other.GetVerdict() != pipelinev1.Verdict_VERDICT_CONFLICT {
+		t.Errorf("another job: %v, %v", other.Reply, other.err)
+	}
+	if n := h.upstreams["w1"].starts; n != 1 {
+		t.Errorf("%d starts", n)
+	}
+}
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -90,8 +90,7 @@
 	})
 }
 
-// digestOf returns a hash of a job. It tells whether two submissions under one identity are the
-// same job.
+// digestOf returns a hash of a job for replicas of older versions; see pipeline.Job.Digest.
 func digestOf(spec *pipelinev1.JobSpec) []byte {
 	data, err := proto.MarshalOptions{Deterministic: true}.Marshal(spec)
 	if err != nil {
--- a/pipeline/job.go
+++ b/pipeline/job.go
@@ -30,8 +30,8 @@
 	Team string
 	// AcceptedQueue is the queue as it was when the job was accepted.
 	AcceptedQueue *pipelinev1.Queue
-	// Digest identifies the content of the submission, to tell a retry from another job with the
-	// same ID.
+	// Digest is the SHA-256 of the submission with the queue's name. Replicas of older versions tell a retry from
+	// another job by it; see sameContent.
 	Digest []byte
 	// State is the state as callers see it.
 	State JobState
--- a/pipeline/submit.go
+++ b/pipeline/submit.go
@@ -1,11 +1,11 @@
 package pipeline
 
 import (
-	"bytes"
 	"fmt"
 
 	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+	"google.golang.org/protobuf/proto"
 )
 
 // Limits of one job, far above the users' largest jobs (52 tasks, 5 steps), and of the number of
@@ -81,7 +81,7 @@
 		return refused
 	}
 	if known := s.jobs[spec.GetId()]; known != nil {
-		if !bytes.Equal(known.Digest, c.GetDigest()) || known.Spec.GetQueue() != spec.GetQueue() {
+		if known.Route() != RouteOf(q) || !known.sameContent(spec) {
 			return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_CONFLICT, Detail: "another job has this identity"}
 		}
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(known.State)}
@@ -101,6 +101,14 @@
 	return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(j.State)}
 }
 
+// sameContent reports whether a submission has the content of the job. The name of the queue is not part of it: it may
+// have changed since.
+func (j *Job) sameContent(spec *pipelinev1.JobSpec) bool {
+	again := proto.CloneOf(spec)
+	again.Queue = j.Spec.GetQueue()
+	return proto.Equal(again, j.Spec)
+}
+
 func (s *State) addJob(j *Job) {
 	s.jobs[j.Spec.GetId()] = j
 	s.addPending(j, 1)
