pipeline: commands carry the host and path of the call, not the queue's name only

Callers saw: 404 for a submission or a cancellation that is under way while a configuration renames its queue; the job of the cancellation runs on.

Cause: the leader resolved host and path to a name, and Apply looked for that name after the configuration.

Change: Submit and Cancel carry host and path. State.Access selects queue, team and identity by them, at the leader and again in Apply; dispatch's own copy of it is gone. Admission after a confirmation selects the queue anew. Entries without a path are resolved by their name as before. A submission whose path names no job any more is refused as invalid.

Looked at beside it: reads select anew after the confirmation already. A key that moves between proposal and Apply is read in Apply. Entries keep no configuration; followers answer no calls about jobs.

--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"strings"
 	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/control"
@@ -139,34 +138,17 @@
 	})
 }
 
-// access is what a call's host, path and key select.
-type access struct {
-	queue *pipelinev1.Queue
-	// team is nil for a call without a known key on an open queue.
-	team *pipelinev1.Team
-	// id is the part of the path after the queue's prefix: a job's identity, or empty for the queue itself.
-	id string
-}
-
 // authorize returns what a call may access by the active configuration, or the refusal of the call.
-func (e *Engine) authorize(c *pipelinev1.JobCall) (access, *pipelinev1.Reply) {
-	q := e.state.Config().Match(c.GetHost(), c.GetPath())
-	if q == nil {
-		return access{}, verdict(pipelinev1.Verdict_VERDICT_NO_QUEUE, "no queue has this host and path")
-	}
-	team := e.state.Config().TeamOfKey(c.GetKeySha256())
-	if team == nil && !q.GetOpen() {
-		return access{}, verdict(pipelinev1.Verdict_VERDICT_UNKNOWN_KEY, "the key is unknown")
-	}
-	return access{q, team, strings.TrimPrefix(c.GetPath(), q.GetPathPrefix())}, nil
+func (e *Engine) authorize(c *pipelinev1.JobCall) (pipeline.Access, *pipelinev1.Reply) {
+	return e.state.Access(c.GetHost(), c.GetPath(), c.GetKeySha256())
 }
 
 // handleAuthorized handles a call that the active configuration allows.
-func (e *Engine) handleAuthorized(ctx context.Context, c *pipelinev1.JobCall, a access, done replyFunc) {
+func (e *Engine) handleAuthorized(ctx context.Context, c *pipelinev1.JobCall, a pipeline.Access, done replyFunc) {
 	switch {
 	case c.GetVerb() == pipelinev1.JobVerb_JOB_VERB_SUBMIT:
-		e.submit(ctx, c, a.queue, a.id, done)
-	case c.GetVerb() == pipelinev1.JobVerb_JOB_VERB_CANCEL && jobIdentity.MatchString(a.id):
+		e.submit(ctx, c, a, done)
+	case c.GetVerb() == pipelinev1.JobVerb_JOB_VERB_CANCEL && jobIdentity.MatchString(a.ID):
 		e.cancel(c, a, done)
 	default:
 		e.readQueue(c, done)
@@ -175,10 +157,10 @@
 
 // cancel proposes to cancel a job. Whether there is such a job is decided when the command is applied: its
 // submission may have been proposed before and not be committed yet.
-func (e *Engine) cancel(c *pipelinev1.JobCall, a access, done replyFunc) {
-	cmd := &pipelinev1.Cancel{Job: a.id, Queue: a.queue.GetName(), KeySha256: c.GetKeySha256()}
+func (e *Engine) cancel(c *pipelinev1.JobCall, a pipeline.Access, done replyFunc) {
+	cmd := &pipelinev1.Cancel{Job: a.ID, Queue: a.Queue.GetName(), KeySha256: c.GetKeySha256(), Host: c.GetHost(), Path: c.GetPath()}
 	e.change(&pipelinev1.Command{Command: &pipelinev1.Command_Cancel{Cancel: cmd}}, func(r *pipelinev1.Reply, err error) {
-		e.log.Info().Str("request", a.id).Str("queue", a.queue.GetName()).Str("host", c.GetHost()).Str("path", c.GetPath()).Str("verdict", r.GetVerdict().String()).
+		e.log.Info().Str("request", a.ID).Str("queue", a.Queue.GetName()).Str("host", c.GetHost()).Str("path", c.GetPath()).Str("verdict", r.GetVerdict().String()).
 			Str("state", r.GetJobState()).Err(err).Msg("job cancellation decided")
 		if r.GetVerdict() == pipelinev1.Verdict_VERDICT_NO_JOB {
 			e.logNoJob(c, a)
@@ -195,10 +177,10 @@
 		if refusal != nil {
 			return refusal
 		}
-		if a.id == "" && c.GetVerb() == pipelinev1.JobVerb_JOB_VERB_GET {
-			return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, Pending: e.countPending(a.queue.GetName())}
+		if a.ID == "" && c.GetVerb() == pipelinev1.JobVerb_JOB_VERB_GET {
+			return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, Pending: e.countPending(a.Queue.GetName())}
 		}
-		j := e.state.JobOf(a.queue, a.team, a.id)
+		j := e.state.JobOf(a)
 		if j == nil {
 			e.logNoJob(c, a)
 			return verdict(pipelinev1.Verdict_VERDICT_NO_JOB, "no such job")
@@ -209,10 +191,10 @@
 
 // logNoJob logs what is known of the identity in a call that is answered with "no such job". The caller is not told: the
 // job may be another team's.
-func (e *Engine) logNoJob(c *pipelinev1.JobCall, a access) {
-	line := e.log.Info().Str("request", a.id).Str("verb", c.GetVerb().String()).Str("host", c.GetHost()).Str("path", c.GetPath()).
-		Str("queue", a.queue.GetName()).Str("team", a.team.GetName()).Uint64("config_version", e.state.Config().Version())
-	j := e.state.Job(a.id)
+func (e *Engine) logNoJob(c *pipelinev1.JobCall, a pipeline.Access) {
+	line := e.log.Info().Str("request", a.ID).Str("verb", c.GetVerb().String()).Str("host", c.GetHost()).Str("path", c.GetPath()).
+		Str("queue", a.Queue.GetName()).Str("team", a.Team.GetName()).Uint64("config_version", e.state.Config().Version())
+	j := e.state.Job(a.ID)
 	if line = line.Bool("known", j != nil); j != nil {
 		q := j.AcceptedQueue
 		line = line.Str("known_state", string(j.State)).Str("known_queue", j.Spec.GetQueue()).Str("known_host", q.GetHost()).
--- a/dispatch/renamed_test.go
+++ b/dispatch/renamed_test.go
@@ -64,3 +64,30 @@
 		t.Errorf("%d starts", n)
 	}
 }
+
+// configCall is an operator's call that changes the active configuration.
+func (h *harness) configCall(change func(*pipelinev1.Config)) *pipelinev1.Call {
+	cfg := testConfig()
+	cfg.Version = h.state.Config().GetVersion() + 1
+	change(cfg)
+	return &pipelinev1.Call{Call: &pipelinev1.Call_PutConfig{PutConfig: &pipelinev1.PutConfigCall{Config: cfg}}}
+}
+
+// A submission and a cancellation that are proposed before a rename and applied after it are carried out. They were
+// refused with "no such queue", though a queue is at their path all the while.
+func TestCallsInFlightDuringARename(t *testing.T) {
+	h := newHarness(t, "w1")
+	h.submitSpec(jobID(1), lasting())
+	h.run(time.Second)
+	h.holdCommits = true
+	h.start(h.configCall(renameQueue))
+	submitted := h.send(jobID(2), lasting())
+	cancelled := h.start(jobCall(pipelinev1.JobVerb_JOB_VERB_CANCEL, testKey, jobID(1)))
+	h.commit()
+	if submitted.GetVerdict() != pipelinev1.Verdict_VERDICT_OK || h.state.Job(jobID(2)) == nil {
+		t.Errorf("submission: %v, %v", submitted.Reply, submitted.err)
+	}
+	if cancelled.GetJobState() != string(pipeline.Cancelled) {
+		t.Errorf("cancellation: %v, %v", cancelled.Reply, cancelled.err)
+	}
+}
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -16,19 +16,19 @@
 var jobIdentity = regexp.MustCompile(`^[0-9a-f]{16}$`)
 
 // submit validates a job, decides whether it is admitted, and proposes it.
-func (e *Engine) submit(ctx context.Context, c *pipelinev1.JobCall, q *pipelinev1.Queue, id string, done replyFunc) {
+func (e *Engine) submit(ctx context.Context, c *pipelinev1.JobCall, a pipeline.Access, done replyFunc) {
 	spec := c.GetSpec()
-	if !jobIdentity.MatchString(id) {
+	if !jobIdentity.MatchString(a.ID) {
 		done(verdict(pipelinev1.Verdict_VERDICT_INVALID, "a job's identity is 16 hexadecimal digits"), nil)
 		return
 	}
 	if problem := pipeline.CheckSpec(spec); problem != "" {
-		e.log.Info().Str("request", id).Str("queue", q.GetName()).Str("why", problem).Msg("job refused")
+		e.log.Info().Str("request", a.ID).Str("queue", a.Queue.GetName()).Str("why", problem).Msg("job refused")
 		done(verdict(pipelinev1.Verdict_VERDICT_INVALID, problem), nil)
 		return
 	}
-	spec.Id, spec.Queue = id, q.GetName()
-	cmd := &pipelinev1.Submit{KeySha256: c.GetKeySha256(), Spec: spec, Digest: digestOf(spec)}
+	spec.Id, spec.Queue = a.ID, a.Queue.GetName()
+	cmd := &pipelinev1.Submit{KeySha256: c.GetKeySha256(), Spec: spec, Digest: digestOf(spec), Host: c.GetHost(), Path: c.GetPath()}
 	if e.admits(cmd) {
 		e.proposeSubmit(ctx, cmd, done)
 		return
@@ -55,7 +55,7 @@
 
 func (e *Engine) decideAdmission(cmd *pipelinev1.Submit) placement.Refusal {
 	config := e.state.Config()
-	return e.admission.Decide(config.TeamOfKey(cmd.GetKeySha256()), cmd.GetSpec(), config.Queue(cmd.GetSpec().GetQueue()), e.backlog, e.now())
+	return e.admission.Decide(config.TeamOfKey(cmd.GetKeySha256()), cmd.GetSpec(), config.Match(cmd.GetHost(), cmd.GetPath()), e.backlog, e.now())
 }
 
 // refuseJob returns the reply to a job that is not admitted.
@@ -84,7 +84,7 @@
 	submitted := e.submitting.begin(spec.GetId())
 	e.change(&pipelinev1.Command{Command: &pipelinev1.Command_Submit{Submit: cmd}}, func(r *pipelinev1.Reply, err error) {
 		submitted(err)
-		e.log.Info().Str("request", spec.GetId()).Str("queue", spec.GetQueue()).Str("verdict", r.GetVerdict().String()).Err(err).
+		e.log.Info().Str("request", spec.GetId()).Str("queue", spec.GetQueue()).Str("host", cmd.GetHost()).Str("path", cmd.GetPath()).Str("verdict", r.GetVerdict().String()).Err(err).
 			Uint64("config_version", e.state.Config().Version()).Msg("job submitted")
 		done(r, err)
 	})
--- /dev/null
+++ b/pipeline/access.go
@@ -0,0 +1,52 @@
+package pipeline
+
+import (
+	"strings"
+
+	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
+)
+
+// Access is what the host, path and key of a call select in the active configuration.
+type Access struct {
+	Queue *pipelinev1.Queue
+	// Team is nil for a call without a known key on an open queue.
+	Team *pipelinev1.Team
+	// ID is the part of the path after the queue's prefix: a job's identity, or empty for the queue itself.
+	ID string
+}
+
+// Access returns what a call selects, or the refusal of a call that the active configuration does not allow.
+func (s *State) Access(host, path string, keySHA256 []byte) (Access, *pipelinev1.Reply) {
+	q := s.config.Match(host, path)
+	if q == nil {
+		return Access{}, &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NO_QUEUE, Detail: "no queue has this host and path"}
+	}
+	team := s.config.TeamOfKey(keySHA256)
+	if team == nil && !q.GetOpen() {
+		return Access{}, &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_UNKNOWN_KEY, Detail: "the key is unknown"}
+	}
+	return Access{q, team, strings.TrimPrefix(path, q.GetPathPrefix())}, nil
+}
+
+// accessOf returns what a command selects when it is applied: the configuration may be another one than when the
+// leader proposed it. Entries of older versions have no path; they name the queue, and the path follows from it.
+func (s *State) accessOf(host, path, queue, job string, keySHA256 []byte) (Access, *pipelinev1.Reply) {
+	if path == "" {
+		q := s.config.Queue(queue)
+		if q == nil {
+			return Access{}, &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NO_QUEUE, Detail: "no queue has this name"}
+		}
+		host, path = q.GetHost(), q.GetPathPrefix()+job
+	}
+	return s.Access(host, path, keySHA256)
+}
+
+// JobOf returns the job that a call names, or nil if there is none that its sender may access. It is the job that was
+// accepted at the route, whatever the name of the queue there. Anyone may access the jobs of an open queue.
+func (s *State) JobOf(a Access) *Job {
+	j := s.jobs[a.ID]
+	if j == nil || j.Route() != RouteOf(a.Queue) || !a.Queue.GetOpen() && j.Team != a.Team.GetName() {
+		return nil
+	}
+	return j
+}
--- a/pipeline/state.go
+++ b/pipeline/state.go
@@ -204,16 +204,6 @@
 // Job returns the job with the given ID, or nil.
 func (s *State) Job(id string) *Job { return s.jobs[id] }
 
-// JobOf returns a job of a queue that a team may access, or nil. The queue is the one at the route where the job
-// was accepted, whatever its name. Anyone may access the jobs of an open queue; team may be nil there.
-func (s *State) JobOf(queue *pipelinev1.Queue, team *pipelinev1.Team, id string) *Job {
-	j := s.jobs[id]
-	if j == nil || j.Route() != RouteOf(queue) || !queue.GetOpen() && j.Team != team.GetName() {
-		return nil
-	}
-	return j
-}
-
 // Used returns the amount that the runs of a team reserve.
 func (s *State) Used(team string) Resources { return s.usedByTeam[team] }
 
--- a/pipeline/submit.go
+++ b/pipeline/submit.go
@@ -76,21 +76,24 @@
 // submit accepts a job. It is idempotent: submitting the same job again returns its current state.
 func (s *State) submit(c *pipelinev1.Submit) *pipelinev1.Reply {
 	spec := c.GetSpec()
-	q, team, refused := s.authorize(spec.GetQueue(), c.GetKeySha256())
+	a, refused := s.accessOf(c.GetHost(), c.GetPath(), spec.GetQueue(), spec.GetId(), c.GetKeySha256())
 	if refused != nil {
 		return refused
 	}
 	if known := s.jobs[spec.GetId()]; known != nil {
-		if known.Route() != RouteOf(q) || !known.sameContent(spec) {
+		if known.Route() != RouteOf(a.Queue) || !known.sameContent(spec) {
 			return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_CONFLICT, Detail: "another job has this identity"}
 		}
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(known.State)}
 	}
+	if a.ID != spec.GetId() {
+		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_INVALID, Detail: "another queue has this path now, where it names no job"}
+	}
 	if problem := CheckSpec(spec); problem != "" {
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_INVALID, Detail: problem}
 	}
-	j := newJob(spec, team.GetName(), q, c.GetDigest(), s.nowNS)
-	if s.tombstones.has(tombstoneOf(q, team, spec.GetId())) {
+	j := newJob(spec, a.Team.GetName(), a.Queue, c.GetDigest(), s.nowNS)
+	if s.tombstones.has(tombstoneOf(a.Queue, a.Team, spec.GetId())) {
 		s.addCancelled(j)
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(j.State)}
 	}
@@ -118,18 +121,22 @@
 // cancel ends a job that the caller may access. Its runs keep their resources until their ends are recorded.
 // If no job has the identity, its submission may still be on the way: a tombstone keeps it from running.
 func (s *State) cancel(c *pipelinev1.Cancel) *pipelinev1.Reply {
-	j := s.jobs[c.GetJob()]
-	if c.GetQueue() != "" {
-		q, team, refused := s.authorize(c.GetQueue(), c.GetKeySha256())
-		if refused != nil {
-			return refused
-		}
-		if j == nil {
-			s.tombstones.add(tombstoneOf(q, team, c.GetJob()), s.nowNS)
-			return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NO_JOB, Detail: "no such job; if its submission is still on the way, it will not run"}
-		}
-		j = s.JobOf(q, team, c.GetJob())
+	if c.GetQueue() == "" && c.GetPath() == "" {
+		return s.cancelJob(s.jobs[c.GetJob()])
+	}
+	a, refused := s.accessOf(c.GetHost(), c.GetPath(), c.GetQueue(), c.GetJob(), c.GetKeySha256())
+	if refused != nil {
+		return refused
 	}
+	if s.jobs[c.GetJob()] == nil {
+		s.tombstones.add(tombstoneOf(a.Queue, a.Team, c.GetJob()), s.nowNS)
+		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NO_JOB, Detail: "no such job; if its submission is still on the way, it will not run"}
+	}
+	return s.cancelJob(s.JobOf(a))
+}
+
+// cancelJob ends a job unless it has ended; nil is no job.
+func (s *State) cancelJob(j *Job) *pipelinev1.Reply {
 	if j == nil {
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NO_JOB, Detail: "no such job"}
 	}
@@ -138,17 +145,3 @@
 	}
 	return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(j.State)}
 }
-
-// authorize returns a queue and the team of the key, or the refusal of a call on the queue with that key. The
-// team is nil for a call without a known key on an open queue.
-func (s *State) authorize(queue string, keySHA256 []byte) (*pipelinev1.Queue, *pipelinev1.Team, *pipelinev1.Reply) {
-	q := s.config.Queue(queue)
-	if q == nil {
-		return nil, nil, &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NO_QUEUE}
-	}
-	team := s.config.TeamOfKey(keySHA256)
-	if team == nil && !q.GetOpen() {
-		return nil, nil, &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_UNKNOWN_KEY}
-	}
-	return q, team, nil
-}
