pipeline: tombstones are kept by host and path

Cause: a tombstone was identified by the name of the queue.

Change: it is identified by host, path and team.

--- a/dispatch/renamed_test.go
+++ b/dispatch/renamed_test.go
@@ -91,3 +91,17 @@
 		t.Errorf("cancellation: %v, %v", cancelled.Reply, cancelled.err)
 	}
 }
+
+// A job that was cancelled before its submission arrived does not run when its queue was renamed in between. It ran.
+func TestCancellationBeforeItsSubmissionOutlivesARename(t *testing.T) {
+	h := newHarness(t, "w1")
+	if r := h.ask(pipelinev1.JobVerb_JOB_VERB_CANCEL, testKey, jobID(1)); r.GetVerdict() != pipelinev1.Verdict_VERDICT_NO_JOB {
+		t.Fatalf("cancellation: %v", r)
+	}
+	h.putConfig(renameQueue)
+	h.submitSpec(jobID(1), lasting())
+	h.run(time.Second)
+	if h.jobState(jobID(1)) != pipeline.Cancelled || h.upstreams["w1"].starts > 0 {
+		t.Errorf("the job is %s, %d starts", h.jobState(jobID(1)), h.upstreams["w1"].starts)
+	}
+}
--- a/pipeline/access.go
+++ b/pipeline/access.go
@@ -8,7 +8,9 @@
 
 // Access is what the host, path and key of a call select in the active configuration.
 type Access struct {
-	Queue *pipelinev1.Queue
+	// Host and Path are those of the call.
+	Host, Path string
+	Queue      *pipelinev1.Queue
 	// Team is nil for a call without a known key on an open queue.
 	Team *pipelinev1.Team
 	// ID is the part of the path after the queue's prefix: a job's identity, or empty for the queue itself.
@@ -25,7 +27,7 @@
 	if team == nil && !q.GetOpen() {
 		return Access{}, &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_UNKNOWN_KEY, Detail: "the key is unknown"}
 	}
-	return Access{q, team, strings.TrimPrefix(path, q.GetPathPrefix())}, nil
+	return Access{Host: host, Path: path, Queue: q, Team: team, ID: strings.TrimPrefix(path, q.GetPathPrefix())}, nil
 }
 
 // accessOf returns what a command selects when it is applied: the configuration may be another one than when the
--- a/pipeline/cancel_test.go
+++ b/pipeline/cancel_test.go
@@ -124,7 +124,7 @@
 		h.cancel(fmt.Sprint(n))
 	}
 	h = h.restored()
-	if n := len(h.tombstones.createdNS); n != MaxTombstones || len(h.tombstones.order) != MaxTombstones {
+	if n := len(h.tombstones.cancellations); n != MaxTombstones || len(h.tombstones.order) != MaxTombstones {
 		t.Errorf("%d tombstones", n)
 	}
 	if r := h.submit("0", step(1, 1)); r.GetJobState() != string(Queued) {
@@ -134,3 +134,31 @@
 		t.Errorf("newest: %v", r)
 	}
 }
+
+// A cancellation that overtook its submission bars the job at its path when the queue has another name by then, also
+// over a snapshot of this release or of the one before. It did not, and the job ran.
+func TestTombstoneOutlivesARename(t *testing.T) {
+	for name, change := range map[string]func(*pipelinev1.TombstoneRecord){
+		"this release":       func(*pipelinev1.TombstoneRecord) {},
+		"the release before": func(r *pipelinev1.TombstoneRecord) { r.Host, r.Path = "", "" },
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.cancel("a")
+			restored := &harness{State: New(), t: t, now: h.now}
+			for _, r := range h.Records() {
+				if r.GetTombstone() != nil {
+					change(r.GetTombstone())
+				}
+				if err := restored.Restore(r); err != nil {
+					t.Fatal(err)
+				}
+			}
+			restored.reconfigure(renameQueue)
+			r := restored.submitAs(testKey, "a", &pipelinev1.JobSpec{Id: "a", Queue: "renamed", Steps: []*pipelinev1.Step{step(1, 1)}})
+			if r.GetJobState() != string(Cancelled) {
+				t.Errorf("submission: %v", r)
+			}
+		})
+	}
+}
--- a/pipeline/snapshot.go
+++ b/pipeline/snapshot.go
@@ -94,7 +94,7 @@
 	case *pipelinev1.Record_Wave:
 		s.restoreWave(r.Wave)
 	case *pipelinev1.Record_Tombstone:
-		s.tombstones.add(tombstone{r.Tombstone.GetQueue(), r.Tombstone.GetTeam(), r.Tombstone.GetJob()}, r.Tombstone.GetCreatedNs())
+		s.restoreTombstone(r.Tombstone)
 	case *pipelinev1.Record_Job:
 		return s.restoreJob(r.Job)
 	default:
--- a/pipeline/submit.go
+++ b/pipeline/submit.go
@@ -93,7 +93,7 @@
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_INVALID, Detail: problem}
 	}
 	j := newJob(spec, a.Team.GetName(), a.Queue, c.GetDigest(), s.nowNS)
-	if s.tombstones.has(tombstoneOf(a.Queue, a.Team, spec.GetId())) {
+	if s.tombstones.has(tombstoneOf(a)) {
 		s.addCancelled(j)
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(j.State)}
 	}
@@ -129,7 +129,7 @@
 		return refused
 	}
 	if s.jobs[c.GetJob()] == nil {
-		s.tombstones.add(tombstoneOf(a.Queue, a.Team, c.GetJob()), s.nowNS)
+		s.tombstones.add(tombstoneOf(a), cancellation{queue: a.Queue.GetName(), job: a.ID, createdNS: s.nowNS})
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NO_JOB, Detail: "no such job; if its submission is still on the way, it will not run"}
 	}
 	return s.cancelJob(s.JobOf(a))
--- a/pipeline/tombstone.go
+++ b/pipeline/tombstone.go
@@ -5,60 +5,71 @@
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
 
-// MaxTombstones is the maximum number of tombstones, about 150 bytes each. Beyond it the oldest are dropped.
+// MaxTombstones is the maximum number of tombstones, about 250 bytes each. Beyond it the oldest are dropped.
 const MaxTombstones = 10_000
 
-// tombstone identifies a job that was cancelled before its submission arrived. It keeps the submission from
-// running. Like ended jobs, tombstones are kept for Retention.
+// tombstone identifies a job that was cancelled before its submission arrived, by the host and path at which it was
+// cancelled. It keeps the submission from running. Like ended jobs, tombstones are kept for Retention.
 type tombstone struct {
-	queue, team, job string
+	host, path string
+	// team is empty on an open queue, whose jobs anyone may cancel.
+	team string
 }
 
-// tombstoneOf returns the tombstone of a job that a team names on a queue. An open queue's jobs may be cancelled by
-// anyone, so that the team does not count there.
-func tombstoneOf(queue *pipelinev1.Queue, team *pipelinev1.Team, job string) tombstone {
-	t := tombstone{queue: queue.GetName(), job: job}
-	if !queue.GetOpen() {
-		t.team = team.GetName()
+// tombstoneOf returns the tombstone of the job that a call names.
+func tombstoneOf(a Access) tombstone {
+	t := tombstone{host: a.Host, path: a.Path}
+	if !a.Queue.GetOpen() {
+		t.team = a.Team.GetName()
 	}
 	return t
 }
 
-// tombstones are all tombstones and the leader times at which they were created.
+// cancellation is what is kept of a cancellation with a tombstone.
+type cancellation struct {
+	// queue is the name of the queue then, by which older versions identify the tombstone. job is the job's identity.
+	queue, job string
+	// createdNS is the leader time in Unix nanoseconds.
+	createdNS int64
+}
+
+// tombstones are all tombstones.
 type tombstones struct {
-	createdNS map[tombstone]int64
+	cancellations map[tombstone]cancellation
 	// order holds the tombstones, oldest first.
 	order []tombstone
 }
 
-func newTombstones() tombstones { return tombstones{createdNS: make(map[tombstone]int64)} }
+func newTombstones() tombstones {
+	return tombstones{cancellations: make(map[tombstone]cancellation)}
+}
 
 // add records a tombstone, unless there is one already.
-func (t *tombstones) add(key tombstone, nowNS int64) {
-	if _, known := t.createdNS[key]; known {
+func (t *tombstones) add(key tombstone, c cancellation) {
+	if t.has(key) {
 		return
 	}
 	for len(t.order) >= MaxTombstones {
 		t.dropOldest()
 	}
-	t.createdNS[key] = nowNS
+	t.cancellations[key] = c
 	t.order = append(t.order, key)
 }
 
 func (t *tombstones) dropOldest() {
-	delete(t.createdNS, t.order[0])
+	delete(t.cancellations, t.order[0])
 	t.order = t.order[1:]
 }
 
 // has reports whether a job was cancelled before its submission.
 func (t *tombstones) has(key tombstone) bool {
-	_, known := t.createdNS[key]
+	_, known := t.cancellations[key]
 	return known
 }
 
 // sweep drops the tombstones that were created at least Retention ago.
 func (t *tombstones) sweep(nowNS int64) {
-	for len(t.order) > 0 && nowNS-t.createdNS[t.order[0]] >= int64(Retention) {
+	for len(t.order) > 0 && nowNS-t.cancellations[t.order[0]].createdNS >= int64(Retention) {
 		t.dropOldest()
 	}
 }
@@ -66,12 +77,27 @@
 // records encodes the tombstones as snapshot records, oldest first.
 func (t *tombstones) records() (out []*pipelinev1.Record) {
 	for _, key := range t.order {
+		c := t.cancellations[key]
 		out = append(out, &pipelinev1.Record{Record: &pipelinev1.Record_Tombstone{Tombstone: &pipelinev1.TombstoneRecord{
-			Queue: key.queue, Team: key.team, Job: key.job, CreatedNs: t.createdNS[key]}}})
+			Queue: c.queue, Team: key.team, Job: c.job, CreatedNs: c.createdNS, Host: key.host, Path: key.path}}})
 	}
 	return out
 }
 
+// restoreTombstone adds a tombstone of a snapshot. Records of older versions name the queue and have no path; without
+// that queue nothing tells to which path the cancellation was sent, and no submission could be matched with it.
+func (s *State) restoreTombstone(r *pipelinev1.TombstoneRecord) {
+	host, path := r.GetHost(), r.GetPath()
+	if path == "" {
+		q := s.config.Queue(r.GetQueue())
+		if q == nil {
+			return
+		}
+		host, path = q.GetHost(), q.GetPathPrefix()+r.GetJob()
+	}
+	s.tombstones.add(tombstone{host, path, r.GetTeam()}, cancellation{r.GetQueue(), r.GetJob(), r.GetCreatedNs()})
+}
+
 // addCancelled accepts a job that was cancelled before its submission arrived, as one that has ended.
 func (s *State) addCancelled(j *Job) {
 	s.addJob(j)
