pipeline: the settings of a job are those of the queue at its route

Callers saw: after names of queues changed places, tasks of running jobs were placed on the service of another queue (ROUTE), with its priority and attempts; after a rename, new settings did not reach the jobs of the queue.

Cause: JobQueue looked for the name under which the job was accepted.

Change: JobQueue returns the active configuration's queue at the job's route, else the settings at acceptance.

A queue at a route that another one had belongs to that route. Two queues at one route are refused, as before.

--- a/pipeline/config.go
+++ b/pipeline/config.go
@@ -9,12 +9,13 @@
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
 
-// Config is the active configuration with lookup indexes. Match, Queue, Team, TeamOfKey and
+// Config is the active configuration with lookup indexes. Match, Queue, QueueAt, Team, TeamOfKey and
 // Version accept a nil receiver, which stands for no configuration; the methods of the embedded message
 // don't.
 type Config struct {
 	*pipelinev1.Config
 	queues   map[string]*pipelinev1.Queue
+	byRoute  map[Route]*pipelinev1.Queue
 	byHost   map[string][]*pipelinev1.Queue
 	services map[string]*pipelinev1.Service
 	teams    map[string]*pipelinev1.Team
@@ -39,10 +40,9 @@
 // checkQueues requires unique names, unique pairs of host and path prefix, known services and
 // positive timeouts.
 func checkQueues(queues []*pipelinev1.Queue, services map[string]bool) string {
-	type route struct{ host, prefix string }
-	routes, names := make(map[route]bool), make(map[string]bool)
+	routes, names := make(map[Route]bool), make(map[string]bool)
 	for _, q := range queues {
-		r := route{q.GetHost(), q.GetPathPrefix()}
+		r := RouteOf(q)
 		switch {
 		case q.GetName() == "" || names[q.GetName()]:
 			return fmt.Sprintf("queue %q has no name or is named twice", q.GetName())
@@ -83,11 +83,11 @@
 
 // newConfig builds the indexes of a valid configuration.
 func newConfig(c *pipelinev1.Config) *Config {
-	out := &Config{Config: c, queues: make(map[string]*pipelinev1.Queue), byHost: make(map[string][]*pipelinev1.Queue),
+	out := &Config{Config: c, queues: make(map[string]*pipelinev1.Queue), byRoute: make(map[Route]*pipelinev1.Queue), byHost: make(map[string][]*pipelinev1.Queue),
 		services: make(map[string]*pipelinev1.Service), teams: make(map[string]*pipelinev1.Team),
 		byKey: make(map[[sha256.Size]byte]*pipelinev1.Team)}
 	for _, q := range c.GetQueues() {
-		out.queues[q.GetName()] = q
+		out.queues[q.GetName()], out.byRoute[RouteOf(q)] = q, q
 		out.byHost[q.GetHost()] = append(out.byHost[q.GetHost()], q)
 	}
 	for _, s := range c.GetServices() {
@@ -125,6 +125,14 @@
 	return c.queues[name]
 }
 
+// QueueAt returns the queue at the given route, or nil.
+func (c *Config) QueueAt(r Route) *pipelinev1.Queue {
+	if c == nil {
+		return nil
+	}
+	return c.byRoute[r]
+}
+
 // Team returns the team with the given name, or nil.
 func (c *Config) Team(name string) *pipelinev1.Team {
 	if c == nil {
@@ -155,6 +163,9 @@
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, Detail: detail}
 	}
 	s.config = newConfig(c)
+	for _, j := range s.jobs {
+		s.bindQueue(j)
+	}
 	s.observer.ConfigChanged()
 	return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK}
 }
--- a/pipeline/route.go
+++ b/pipeline/route.go
@@ -12,3 +12,14 @@
 
 // Route returns the route of the queue that accepted the job.
 func (j *Job) Route() Route { return RouteOf(j.AcceptedQueue) }
+
+// JobQueue returns the settings of a job's queue: those of the active configuration's queue at the route where the job
+// was accepted, or if there is none, those at the time when the job was accepted.
+func (s *State) JobQueue(j *Job) *pipelinev1.Queue { return j.queue }
+
+// bindQueue looks up the queue of a job in the active configuration.
+func (s *State) bindQueue(j *Job) {
+	if j.queue = s.config.QueueAt(j.Route()); j.queue == nil {
+		j.queue = j.AcceptedQueue
+	}
+}
--- a/pipeline/route_test.go
+++ b/pipeline/route_test.go
@@ -66,3 +66,58 @@
 		t.Errorf("got %v, %d jobs", r, len(h.Jobs()))
 	}
 }
+
+// The settings of a job are those of the queue at its route in the active configuration, whatever its name, and those at
+// acceptance while no queue is there. They were those of whichever queue had the name.
+func TestSettingsFollowTheRoute(t *testing.T) {
+	moved := func(c *pipelinev1.Config, name, service string) {
+		renameQueue(c)
+		c.Queues[0].Service, c.Queues[0].MaxAttempts = service, 7
+		c.Queues = append(c.Queues, &pipelinev1.Queue{Name: name, Host: "h", PathPrefix: "/elsewhere/", Service: "other", MaxAttempts: 9, TimeoutMs: 1000})
+	}
+	gone := func(c *pipelinev1.Config) { c.Queues = c.Queues[1:] }
+	for name, c := range map[string]struct {
+		change   func(*pipelinev1.Config)
+		service  string
+		attempts int32
+	}{
+		"renamed, with new settings":                {func(c *pipelinev1.Config) { moved(c, "new", "print") }, "print", 7},
+		"renamed, and another queue takes its name": {func(c *pipelinev1.Config) { moved(c, testQueue, "print") }, "print", 7},
+		"renamed, with another service":             {func(c *pipelinev1.Config) { moved(c, "new", "other") }, "other", 7},
+		"gone":                                      {gone, "print", 2},
+		"gone, and another queue takes its name": {func(c *pipelinev1.Config) {
+			gone(c)
+			c.Queues[0].Name, c.Queues[0].Service = testQueue, "other"
+		}, "print", 2},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t)
+			h.submit("a", step(1, 1))
+			h.reconfigure(c.change)
+			for _, h := range []*harness{h, h.restored()} {
+				if q := h.JobQueue(h.Job("a")); q.GetService() != c.service || q.GetMaxAttempts() != c.attempts {
+					t.Errorf("service %s, %d attempts", q.GetService(), q.GetMaxAttempts())
+				}
+			}
+		})
+	}
+}
+
+// A queue that is away for one configuration and comes back under another name is the same one.
+func TestQueueComesBackUnderAnotherName(t *testing.T) {
+	h := newHarness(t)
+	h.submit("a", step(1, 1))
+	h.reconfigure(func(c *pipelinev1.Config) { c.Queues = c.Queues[1:] })
+	if _, refused := h.Access("h", "/labels/a", hashOf(testKey)); refused.GetVerdict() != pipelinev1.Verdict_VERDICT_NO_QUEUE {
+		t.Errorf("while it is away: %v", refused)
+	}
+	h = h.restored()
+	h.reconfigure(func(c *pipelinev1.Config) {
+		renameQueue(c)
+		c.Queues[0].MaxAttempts = 8
+	})
+	a, refused := h.Access("h", "/labels/a", hashOf(testKey))
+	if refused != nil || h.JobOf(a) == nil || h.JobQueue(h.Job("a")).GetMaxAttempts() != 8 {
+		t.Errorf("after its return: %v, job %v", refused, h.JobOf(a))
+	}
+}
--- a/pipeline/snapshot.go
+++ b/pipeline/snapshot.go
@@ -114,6 +114,7 @@
 		accepted = s.config.Queue(r.GetSpec().GetQueue())
 	}
 	j := newJob(r.GetSpec(), r.GetTeam(), accepted, r.GetDigest(), r.GetSubmittedNs())
+	s.bindQueue(j)
 	j.State, j.EndedNS, j.Begun = JobState(r.GetState()), r.GetEndedNs(), r.GetBegun()
 	if len(r.GetOccurrences()) != len(j.Occurrences) {
 		return errors.New("pipeline: job record has a wrong number of occurrences")
--- a/pipeline/state.go
+++ b/pipeline/state.go
@@ -235,15 +235,6 @@
 	return o.Steps[k.Step]
 }
 
-// JobQueue returns the settings of a job's queue: those of the active configuration, or if the queue
-// was removed, those at the time when the job was accepted.
-func (s *State) JobQueue(j *Job) *pipelinev1.Queue {
-	if q := s.config.Queue(j.Spec.GetQueue()); q != nil {
-		return q
-	}
-	return j.AcceptedQueue
-}
-
 // nopObserver ignores all changes.
 type nopObserver struct{}
 
