pipeline, dispatch: pending jobs are counted at the route that accepted them

Cause: jobs were counted by the name of their queue at acceptance.

Change: the count in the replicated state, and the leader's of jobs that were placed and have not started, are by route.

Measured: TestPendingJobsAreCountedAtTheirPath failed before (0 in place of 2 at the path, 2 at the other queue), and passes.

--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -178,7 +178,7 @@
 			return refusal
 		}
 		if a.ID == "" && c.GetVerb() == pipelinev1.JobVerb_JOB_VERB_GET {
-			return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, Pending: e.countPending(a.Queue.GetName())}
+			return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, Pending: e.countPending(pipeline.RouteOf(a.Queue))}
 		}
 		j := e.state.JobOf(a)
 		if j == nil {
@@ -203,12 +203,12 @@
 	line.Msg("call names no job that it may access")
 }
 
-// countPending returns the number of a queue's jobs that have not ended and of which no run is known to have
-// started. Repeating jobs are not counted.
-func (e *Engine) countPending(queue string) int64 {
-	n := e.state.Pending(queue)
+// countPending returns the number of jobs that were accepted at a route, have not ended and of which no run is known to
+// have started. Repeating jobs are not counted.
+func (e *Engine) countPending(r pipeline.Route) int64 {
+	n := e.state.Pending(r)
 	for j, unstarted := range e.unstarted {
-		if unstarted && j.Spec.GetQueue() == queue && j.Spec.GetRepeatCount() == 0 {
+		if unstarted && j.Route() == r && j.Spec.GetRepeatCount() == 0 {
 			n++
 		}
 	}
--- a/dispatch/renamed_test.go
+++ b/dispatch/renamed_test.go
@@ -105,3 +105,31 @@
 		t.Errorf("the job is %s, %d starts", h.jobState(jobID(1)), h.upstreams["w1"].starts)
 	}
 }
+
+// The count of pending jobs is that of the queue at the path, whatever its name: jobs that are queued, and jobs that were
+// placed and have not started. After a rename it was 0, and a queue that took the old name counted them.
+func TestPendingJobsAreCountedAtTheirPath(t *testing.T) {
+	h := newHarness(t, "w1")
+	h.upstreams["w1"].token = 1 << 60 // Refuses each start.
+	h.submit(jobID(1), oneStep(1, 1000))
+	h.run(time.Second)
+	h.holdCommits = true
+	h.submitQueued(jobID(2))
+	h.putConfig(func(cfg *pipelinev1.Config) {
+		renameQueue(cfg)
+		cfg.Queues = append(cfg.Queues, &pipelinev1.Queue{Name: testQueue, Host: "h", PathPrefix: "/elsewhere/", Service: "print", TimeoutMs: 1000})
+	})
+	if n := h.pending(); n != 2 {
+		t.Errorf("%d jobs are pending at their path, want 2", n)
+	}
+	elsewhere := jobCall(pipelinev1.JobVerb_JOB_VERB_GET, testKey, "")
+	elsewhere.GetJob().Path = "/elsewhere/"
+	if r := h.call(elsewhere); r.GetVerdict() != pipelinev1.Verdict_VERDICT_OK || r.GetPending() != 0 {
+		t.Errorf("another queue has taken the name: %v", r)
+	}
+}
+
+// submitQueued commits a submission and nothing that follows it.
+func (h *harness) submitQueued(id string) {
+	h.state.Apply(h.wall(), &pipelinev1.Command{Command: &pipelinev1.Command_Submit{Submit: h.submitCommand(id)}})
+}
--- a/pipeline/cancel_test.go
+++ b/pipeline/cancel_test.go
@@ -84,8 +84,8 @@
 					t.Errorf("submission: %v", r)
 				}
 			}
-			if got := h.place(run("a", 0, 0, 1, "w1")); len(got.Refused) != 1 || h.Pending(testQueue) != 0 {
-				t.Errorf("placed %v, %d pending", got.Accepted, h.Pending(testQueue))
+			if got := h.place(run("a", 0, 0, 1, "w1")); len(got.Refused) != 1 || h.Pending(testRoute) != 0 {
+				t.Errorf("placed %v, %d pending", got.Accepted, h.Pending(testRoute))
 			}
 			h.now += int64(Retention)
 			h.sweep()
--- a/pipeline/jobs_test.go
+++ b/pipeline/jobs_test.go
@@ -213,8 +213,8 @@
 			t.Errorf("record %d: %v, then %v", i, first[i], second[i])
 		}
 	}
-	if restored.Pending(testQueue) != h.Pending(testQueue) || restored.Used(testTeam) != h.Used(testTeam) {
-		t.Errorf("pending %d and %d, used %v and %v", restored.Pending(testQueue), h.Pending(testQueue), restored.Used(testTeam), h.Used(testTeam))
+	if restored.Pending(testRoute) != h.Pending(testRoute) || restored.Used(testTeam) != h.Used(testTeam) {
+		t.Errorf("pending %d and %d, used %v and %v", restored.Pending(testRoute), h.Pending(testRoute), restored.Used(testTeam), h.Used(testTeam))
 	}
 }
 
--- a/pipeline/state.go
+++ b/pipeline/state.go
@@ -27,8 +27,8 @@
 	usedByTeam map[string]Resources
 	// runsByTeam holds the runs of each team that may exist at an upstream.
 	runsByTeam map[string]map[*Run]bool
-	// pendingByQueue counts the jobs of each queue in state Queued, without repeating jobs.
-	pendingByQueue map[string]int64
+	// pendingByRoute counts the jobs in state Queued that were accepted at each route, without repeating jobs.
+	pendingByRoute map[Route]int64
 	waves          map[int64]*Wave
 	// endedJobs are the ended jobs in the order in which they ended, for Sweep.
 	endedJobs []*Job
@@ -85,7 +85,7 @@
 	s.jobs = make(map[string]*Job)
 	s.usedByTeam = make(map[string]Resources)
 	s.runsByTeam = make(map[string]map[*Run]bool)
-	s.pendingByQueue = make(map[string]int64)
+	s.pendingByRoute = make(map[Route]int64)
 	s.waves = make(map[int64]*Wave)
 }
 
@@ -182,7 +182,7 @@
 // addPending adjusts the count of a queue's pending jobs. Repeating jobs are not counted.
 func (s *State) addPending(j *Job, by int64) {
 	if j.Spec.GetRepeatCount() == 0 {
-		s.pendingByQueue[j.Spec.GetQueue()] += by
+		s.pendingByRoute[j.Route()] += by
 	}
 }
 
@@ -210,8 +210,8 @@
 // RunsOf returns the runs of a team that may exist at an upstream. The caller must not change the map.
 func (s *State) RunsOf(team string) map[*Run]bool { return s.runsByTeam[team] }
 
-// Pending returns the number of a queue's jobs in state Queued. Repeating jobs are not counted.
-func (s *State) Pending(queue string) int64 { return s.pendingByQueue[queue] }
+// Pending returns the number of jobs in state Queued that were accepted at a route. Repeating jobs are not counted.
+func (s *State) Pending(r Route) int64 { return s.pendingByRoute[r] }
 
 // Task returns the task with the given key, or nil.
 func (s *State) Task(k TaskKey) *Task {
