pipeline: a job is known at its host and path, whichever queue covers them

Callers saw: after a queue with a longer prefix is put in front of running jobs, or taken away from in front of a shorter one, GET and DELETE of the jobs are answered 410 and they run on; a resend is refused as malformed.

Cause: the identity was what is left of the path behind the selected prefix, and the job had to be one of the selected queue.

Change: Access looks for the job that was accepted at the host and path; JobOf compares the whole address. Settings stay those of the accepting queue.

Looked at beside it: the count of pending jobs stays with the accepting queue, which is asked at its own prefix. Without any queue at the path the answer is 404, as PROTOCOL.md has it; the job runs on with the settings at acceptance.

Measured: all six calls of TestJobIsKnownAtItsPathWhicheverQueueCoversIt failed before, and pass.

--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -140,7 +140,11 @@
 
 // authorize returns what a call may access by the active configuration, or the refusal of the call.
 func (e *Engine) authorize(c *pipelinev1.JobCall) (pipeline.Access, *pipelinev1.Reply) {
-	return e.state.Access(c.GetHost(), c.GetPath(), c.GetKeySha256())
+	a, refusal := e.state.Access(c.GetHost(), c.GetPath(), c.GetKeySha256())
+	if refusal == nil && c.GetVerb() == pipelinev1.JobVerb_JOB_VERB_SUBMIT && !jobIdentity.MatchString(a.ID) {
+		refusal = verdict(pipelinev1.Verdict_VERDICT_INVALID, "a job's identity is 16 hexadecimal digits")
+	}
+	return a, refusal
 }
 
 // handleAuthorized handles a call that the active configuration allows.
--- a/dispatch/renamed_test.go
+++ b/dispatch/renamed_test.go
@@ -133,3 +133,52 @@
 func (h *harness) submitQueued(id string) {
 	h.state.Apply(h.wall(), &pipelinev1.Command{Command: &pipelinev1.Command_Submit{Submit: h.submitCommand(id)}})
 }
+
+// longerPrefix puts a queue with a longer prefix in front of testQueue, which covers the paths of the jobs in these tests.
+func longerPrefix(open bool) func(*pipelinev1.Config) {
+	return func(cfg *pipelinev1.Config) {
+		cfg.Queues = append(cfg.Queues, &pipelinev1.Queue{Name: "longer", Host: "h", PathPrefix: "/labels/0", Service: "print", MaxAttempts: 9, TimeoutMs: 1000, Open: open})
+	}
+}
+
+// A job is read, sent again and cancelled at the path where it was submitted, whichever queue covers the path: one with a
+// longer prefix may be put in front of its own, or be taken away. It was "no such job", or no valid identity.
+func TestJobIsKnownAtItsPathWhicheverQueueCoversIt(t *testing.T) {
+	for name, c := range map[string]struct {
+		before, after func(*pipelinev1.Config)
+		path          string
+	}{
+		"put in front": {func(*pipelinev1.Config) {}, longerPrefix(false), "/labels/" + jobID(1)},
+		"taken away":   {longerPrefix(false), func(*pipelinev1.Config) {}, "/labels/0" + jobID(1)},
+	} {
+		t.Run(name, func(t *testing.T) {
+			h := newHarness(t, "w1")
+			h.upstreams["w1"].runTime = time.Minute
+			h.putConfig(c.before)
+			call := func(verb pipelinev1.JobVerb) *pipelinev1.Reply {
+				k := jobCall(verb, testKey, "")
+				if k.GetJob().Path = c.path; verb == pipelinev1.JobVerb_JOB_VERB_SUBMIT {
+					k.GetJob().Spec = lasting()
+				}
+				return h.call(k)
+			}
+			if r := call(pipelinev1.JobVerb_JOB_VERB_SUBMIT); r.GetVerdict() != pipelinev1.Verdict_VERDICT_OK {
+				t.Fatalf("submission: %v", r)
+			}
+			h.run(time.Second)
+			h.putConfig(c.after)
+			attempts := h.state.JobQueue(h.state.Job(jobID(1))).GetMaxAttempts()
+			for _, verb := range []pipelinev1.JobVerb{pipelinev1.JobVerb_JOB_VERB_GET, pipelinev1.JobVerb_JOB_VERB_SUBMIT} {
+				if r := call(verb); r.GetJobState() != string(pipeline.Running) {
+					t.Errorf("%v: %v", verb, r)
+				}
+			}
+			if want := h.state.Job(jobID(1)).AcceptedQueue.GetMaxAttempts(); attempts != want {
+				t.Errorf("its settings are those of the other queue: %d attempts, want %d", attempts, want)
+			}
+			if r := call(pipelinev1.JobVerb_JOB_VERB_CANCEL); r.GetJobState() != string(pipeline.Cancelled) {
+				t.Errorf("cancellation: %v", r)
+			}
+		})
+	}
+}
--- a/dispatch/submit.go
+++ b/dispatch/submit.go
@@ -12,16 +12,12 @@
 	"google.golang.org/protobuf/proto"
 )
 
-// jobIdentity matches a valid job identity.
+// jobIdentity matches a valid job identity, of pipeline.IdentityLength digits.
 var jobIdentity = regexp.MustCompile(`^[0-9a-f]{16}$`)
 
 // submit validates a job, decides whether it is admitted, and proposes it.
 func (e *Engine) submit(ctx context.Context, c *pipelinev1.JobCall, a pipeline.Access, done replyFunc) {
 	spec := c.GetSpec()
-	if !jobIdentity.MatchString(a.ID) {
-		done(verdict(pipelinev1.Verdict_VERDICT_INVALID, "a job's identity is 16 hexadecimal digits"), nil)
-		return
-	}
 	if problem := pipeline.CheckSpec(spec); problem != "" {
 		e.log.Info().Str("request", a.ID).Str("queue", a.Queue.GetName()).Str("why", problem).Msg("job refused")
 		done(verdict(pipelinev1.Verdict_VERDICT_INVALID, problem), nil)
--- a/pipeline/access.go
+++ b/pipeline/access.go
@@ -13,7 +13,8 @@
 	Queue      *pipelinev1.Queue
 	// Team is nil for a call without a known key on an open queue.
 	Team *pipelinev1.Team
-	// ID is the part of the path after the queue's prefix: a job's identity, or empty for the queue itself.
+	// ID is the identity of the job that was accepted at the host and path. If there is none, it is the part of the path
+	// after the queue's prefix: the identity of a job that is not known, or empty for the queue itself.
 	ID string
 }
 
@@ -27,7 +28,11 @@
 	if team == nil && !q.GetOpen() {
 		return Access{}, &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_UNKNOWN_KEY, Detail: "the key is unknown"}
 	}
-	return Access{Host: host, Path: path, Queue: q, Team: team, ID: strings.TrimPrefix(path, q.GetPathPrefix())}, nil
+	a := Access{Host: host, Path: path, Queue: q, Team: team, ID: strings.TrimPrefix(path, q.GetPathPrefix())}
+	if j := s.jobAt(host, path, a.ID); j != nil {
+		a.ID = j.Spec.GetId()
+	}
+	return a, nil
 }
 
 // accessOf returns what a command selects when it is applied: the configuration may be another one than when the
@@ -43,11 +48,32 @@
 	return s.Access(host, path, keySHA256)
 }
 
+// jobAt returns the job that was accepted at a host and path, or nil. rest is the part of the path after the prefix of the
+// queue that is selected now. It is not the job's identity where a longer prefix was put in front of the queue that accepted
+// the job, or was taken away.
+func (s *State) jobAt(host, path, rest string) *Job {
+	if j := s.jobs[rest]; j.isAt(host, path) {
+		return j
+	}
+	if at := len(path) - IdentityLength; at > 0 {
+		if j := s.jobs[path[at:]]; j.isAt(host, path) {
+			return j
+		}
+	}
+	return nil
+}
+
+// isAt reports whether the job was accepted at a host and path; a nil job was not.
+func (j *Job) isAt(host, path string) bool {
+	return j != nil && host+path == string(j.Route())+j.Spec.GetId()
+}
+
 // JobOf returns the job that a call names, or nil if there is none that its sender may access. It is the job that was
-// accepted at the route, whatever the name of the queue there. Anyone may access the jobs of an open queue.
+// accepted at the host and path, whichever queue is there now. Its sender may access it with a key of the job's team.
+// Anyone may access the jobs at an open queue.
 func (s *State) JobOf(a Access) *Job {
 	j := s.jobs[a.ID]
-	if j == nil || j.Route() != RouteOf(a.Queue) || !a.Queue.GetOpen() && j.Team != a.Team.GetName() {
+	if !j.isAt(a.Host, a.Path) || !a.Queue.GetOpen() && j.Team != a.Team.GetName() {
 		return nil
 	}
 	return j
--- a/pipeline/submit.go
+++ b/pipeline/submit.go
@@ -19,6 +19,9 @@
 	MaxOccurrences = 10_000
 	// MaxPayload is the maximum size of a payload in bytes.
 	MaxPayload = 64 << 10
+	// IdentityLength is the number of hexadecimal digits of a job's identity, at the end of the path at which it is
+	// submitted.
+	IdentityLength = 16
 	// MaxLiveJobs is the maximum number of jobs that have not ended. A job takes about 6 KB of a
 	// replica's 280 MB; users have about 200 at once.
 	MaxLiveJobs = 10_000
@@ -80,8 +83,8 @@
 	if refused != nil {
 		return refused
 	}
-	if known := s.jobs[spec.GetId()]; known != nil {
-		if known.Route() != RouteOf(a.Queue) || !known.sameContent(spec) {
+	if known := s.jobs[a.ID]; known != nil {
+		if !known.isAt(a.Host, a.Path) || !known.sameContent(spec) {
 			return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_CONFLICT, Detail: "another job has this identity"}
 		}
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(known.State)}
@@ -128,7 +131,7 @@
 	if refused != nil {
 		return refused
 	}
-	if s.jobs[c.GetJob()] == nil {
+	if s.jobs[a.ID] == nil {
 		s.tombstones.add(tombstoneOf(a), cancellation{queue: a.Queue.GetName(), job: a.ID, createdNS: s.nowNS})
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NO_JOB, Detail: "no such job; if its submission is still on the way, it will not run"}
 	}
