pipeline: whoever may call a queue may access its jobs without a team

Cause: on such a queue a job is compared with the key's team, and one without a team equals none. Tombstones were looked up by the terms at the submission.

Change: a job without a team is accessible to whoever may call its queue; a tombstone from an open queue bars any submission at its path.

Measured: TestJobWithoutAKeyIsKnownWhenItsQueueAsksForOne failed before with NO_JOB and a running job, and passes.

--- a/dispatch/renamed_test.go
+++ b/dispatch/renamed_test.go
@@ -182,3 +182,26 @@
 		})
 	}
 }
+
+// A job that was submitted without a key belongs to no team: whoever may call its queue may read it, also when the queue
+// asks for a key by then. Cancellations before their submissions bar it in the same way. Both were lost with the change.
+func TestJobWithoutAKeyIsKnownWhenItsQueueAsksForOne(t *testing.T) {
+	h := newHarness(t, "w1")
+	open := func(cfg *pipelinev1.Config) { cfg.Queues[0].Open = true }
+	h.putConfig(open)
+	submit := jobCall(pipelinev1.JobVerb_JOB_VERB_SUBMIT, "no key", jobID(1))
+	submit.GetJob().Spec = lasting()
+	h.call(submit)
+	h.ask(pipelinev1.JobVerb_JOB_VERB_CANCEL, "no key", jobID(2))
+	h.putConfig(func(*pipelinev1.Config) {})
+	if r := h.ask(pipelinev1.JobVerb_JOB_VERB_GET, testKey, jobID(1)); r.GetVerdict() != pipelinev1.Verdict_VERDICT_OK {
+		t.Errorf("read with a key: %v", r)
+	}
+	if r := h.ask(pipelinev1.JobVerb_JOB_VERB_GET, "no key", jobID(1)); r.GetVerdict() != pipelinev1.Verdict_VERDICT_UNKNOWN_KEY {
+		t.Errorf("read without a key: %v", r)
+	}
+	h.submitSpec(jobID(2), lasting())
+	if s := h.jobState(jobID(2)); s != pipeline.Cancelled {
+		t.Errorf("the job that was cancelled before its submission is %s", s)
+	}
+}
--- a/pipeline/access.go
+++ b/pipeline/access.go
@@ -70,10 +70,10 @@
 
 // JobOf returns the job that a call names, or nil if there is none that its sender may access. It is the job that was
 // accepted at the host and path, whichever queue is there now. Its sender may access it with a key of the job's team.
-// Anyone may access the jobs at an open queue.
+// Anyone may access the jobs at an open queue, and those that were submitted without a key.
 func (s *State) JobOf(a Access) *Job {
 	j := s.jobs[a.ID]
-	if !j.isAt(a.Host, a.Path) || !a.Queue.GetOpen() && j.Team != a.Team.GetName() {
+	if !j.isAt(a.Host, a.Path) || !a.Queue.GetOpen() && j.Team != "" && j.Team != a.Team.GetName() {
 		return nil
 	}
 	return j
--- a/pipeline/submit.go
+++ b/pipeline/submit.go
@@ -96,7 +96,7 @@
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_INVALID, Detail: problem}
 	}
 	j := newJob(spec, a.Team.GetName(), a.Queue, c.GetDigest(), s.nowNS)
-	if s.tombstones.has(tombstoneOf(a)) {
+	if s.tombstones.bars(a) {
 		s.addCancelled(j)
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(j.State)}
 	}
--- a/pipeline/tombstone.go
+++ b/pipeline/tombstone.go
@@ -12,7 +12,7 @@
 // cancelled. It keeps the submission from running. Like ended jobs, tombstones are kept for Retention.
 type tombstone struct {
 	host, path string
-	// team is empty on an open queue, whose jobs anyone may cancel.
+	// team is whose submission is barred. It is empty if the queue was open, where anyone may cancel any job.
 	team string
 }
 
@@ -61,7 +61,11 @@
 	t.order = t.order[1:]
 }
 
-// has reports whether a job was cancelled before its submission.
+// bars reports whether the job of a submission was cancelled before, on an open queue or with a key of the same team.
+func (t *tombstones) bars(a Access) bool {
+	return t.has(tombstone{a.Host, a.Path, ""}) || t.has(tombstone{a.Host, a.Path, a.Team.GetName()})
+}
+
 func (t *tombstones) has(key tombstone) bool {
 	_, known := t.cancellations[key]
 	return known
