pipeline: the key that submitted a job may access it, whichever team holds it

Cause: of a submission only the team's name was kept.

A call may access a job with a key of its team or with that key. Limits and shares stay with the team that submitted it. Tombstones are kept by address, as several owners may leave one there.

Looked at beside it: a withdrawn key is still refused with 401; another key of the team that got the key sees nothing; a submission in flight belongs to the team that holds the key when it is applied. A resent submission was not compared by team before and is not now.

--- a/pipeline/access.go
+++ b/pipeline/access.go
@@ -8,8 +8,9 @@
 
 // Access is what the host, path and key of a call select in the active configuration.
 type Access struct {
-	// Host and Path are those of the call.
+	// Host and Path are those of the call, KeySHA256 is the SHA-256 of its key.
 	Host, Path string
+	KeySHA256  []byte
 	Queue      *pipelinev1.Queue
 	// Team is nil for a call without a known key on an open queue.
 	Team *pipelinev1.Team
@@ -28,7 +29,7 @@
 	if team == nil && !q.GetOpen() {
 		return Access{}, &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_UNKNOWN_KEY, Detail: "the key is unknown"}
 	}
-	a := Access{Host: host, Path: path, Queue: q, Team: team, ID: strings.TrimPrefix(path, q.GetPathPrefix())}
+	a := Access{Host: host, Path: path, KeySHA256: keySHA256, Queue: q, Team: team, ID: strings.TrimPrefix(path, q.GetPathPrefix())}
 	if j := s.jobAt(host, path, a.ID); j != nil {
 		a.ID = j.Spec.GetId()
 	}
@@ -69,11 +70,11 @@
 }
 
 // JobOf returns the job that a call names, or nil if there is none that its sender may access. It is the job that was
-// accepted at the host and path, whichever queue is there now. Its sender may access it with a key of the job's team.
-// Anyone may access the jobs at an open queue, and those that were submitted without a key.
+// accepted at the host and path, whichever queue is there now. Anyone may access the jobs at an open queue; for others
+// see owner.admits.
 func (s *State) JobOf(a Access) *Job {
 	j := s.jobs[a.ID]
-	if !j.isAt(a.Host, a.Path) || !a.Queue.GetOpen() && j.Team != "" && j.Team != a.Team.GetName() {
+	if !j.isAt(a.Host, a.Path) || !a.Queue.GetOpen() && !j.owner().admits(a) {
 		return nil
 	}
 	return j
--- a/pipeline/cancel_test.go
+++ b/pipeline/cancel_test.go
@@ -124,7 +124,7 @@
 		h.cancel(fmt.Sprint(n))
 	}
 	h = h.restored()
-	if n := len(h.tombstones.cancellations); n != MaxTombstones || len(h.tombstones.order) != MaxTombstones {
+	if n := len(h.tombstones.byAddress); n != MaxTombstones || len(h.tombstones.order) != MaxTombstones {
 		t.Errorf("%d tombstones", n)
 	}
 	if r := h.submit("0", step(1, 1)); r.GetJobState() != string(Queued) {
@@ -162,3 +162,25 @@
 		})
 	}
 }
+
+// Several teams may cancel at one path before a submission arrives there. Each tombstone is kept and dropped by itself, also
+// over a snapshot.
+func TestTombstonesOfSeveralTeamsAtOnePath(t *testing.T) {
+	h := newHarness(t)
+	h.reconfigure(func(c *pipelinev1.Config) {
+		c.Teams = append(c.Teams, &pipelinev1.Team{Name: "other", KeySha256: [][]byte{hashOf("other")}, Weight: 1})
+	})
+	h.cancel("a")
+	h.now += int64(Retention) / 2
+	h.apply(&pipelinev1.Command{Command: &pipelinev1.Command_Cancel{Cancel: &pipelinev1.Cancel{Job: "a", Queue: testQueue, KeySha256: hashOf("other")}}})
+	h = h.restored()
+	h.now += int64(Retention) / 2
+	h.sweep()
+	spec := &pipelinev1.JobSpec{Id: "a", Queue: testQueue, Steps: []*pipelinev1.Step{step(1, 1)}}
+	if n := len(h.tombstones.order); n != 1 {
+		t.Fatalf("%d tombstones are left, want the younger one", n)
+	}
+	if r := h.submitAs("other", "a", spec); r.GetJobState() != string(Cancelled) {
+		t.Errorf("submission of the team that cancelled later: %v", r)
+	}
+}
--- a/pipeline/draft.go
+++ b/pipeline/draft.go
@@ -15,5 +15,5 @@
 	if problem := CheckSpec(spec); problem != "" {
 		return nil, &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_INVALID, Detail: problem}
 	}
-	return newJob(spec, team, q, nil, nowNS), nil
+	return newJob(spec, owner{team: team}, q, nil, nowNS), nil
 }
--- a/pipeline/job.go
+++ b/pipeline/job.go
@@ -28,6 +28,9 @@
 	Spec *pipelinev1.JobSpec
 	// Team is the name of the submitting team; empty for a call without a known key on an open queue.
 	Team string
+	// KeySHA256 is the SHA-256 of the key that it was submitted with. It is empty for a call without a key, and where an
+	// older version has not recorded it.
+	KeySHA256 []byte
 	// AcceptedQueue is the queue as it was when the job was accepted.
 	AcceptedQueue *pipelinev1.Queue
 	// route is that of AcceptedQueue, queue what State.JobQueue returns.
@@ -205,9 +208,12 @@
 
 const nsPerMs = 1_000_000
 
+// owner returns whose the job is.
+func (j *Job) owner() owner { return owner{j.Team, j.KeySHA256} }
+
 // newJob builds the occurrences, steps and tasks of an accepted job.
-func newJob(spec *pipelinev1.JobSpec, team string, queue *pipelinev1.Queue, digest []byte, nowNS int64) *Job {
-	j := &Job{Spec: spec, Team: team, AcceptedQueue: queue, route: RouteOf(queue), queue: queue, Digest: digest, State: Queued, SubmittedNS: nowNS}
+func newJob(spec *pipelinev1.JobSpec, by owner, queue *pipelinev1.Queue, digest []byte, nowNS int64) *Job {
+	j := &Job{Spec: spec, Team: by.team, KeySHA256: by.keySHA256, AcceptedQueue: queue, route: RouteOf(queue), queue: queue, Digest: digest, State: Queued, SubmittedNS: nowNS}
 	count := max(1, spec.GetRepeatCount())
 	for k := range count {
 		o := &Occurrence{Job: j, Index: k, undone: len(spec.GetSteps())}
--- a/pipeline/snapshot.go
+++ b/pipeline/snapshot.go
@@ -45,7 +45,7 @@
 // encodeJob encodes a job with its progress and live runs.
 func encodeJob(j *Job) *pipelinev1.JobRecord {
 	out := &pipelinev1.JobRecord{Spec: j.Spec, Team: j.Team, Digest: j.Digest, State: string(j.State), SubmittedNs: j.SubmittedNS,
-		EndedNs: j.EndedNS, Begun: j.Begun, Terms: j.AcceptedQueue}
+		EndedNs: j.EndedNS, Begun: j.Begun, Terms: j.AcceptedQueue, KeySha256: j.KeySHA256}
 	for _, o := range j.Occurrences {
 		oc := &pipelinev1.OccurrenceRecord{}
 		for _, st := range o.Steps {
@@ -113,7 +113,7 @@
 		// An older version did not record the queue; it went by the name.
 		accepted = s.config.Queue(r.GetSpec().GetQueue())
 	}
-	j := newJob(r.GetSpec(), r.GetTeam(), accepted, r.GetDigest(), r.GetSubmittedNs())
+	j := newJob(r.GetSpec(), owner{r.GetTeam(), r.GetKeySha256()}, accepted, r.GetDigest(), r.GetSubmittedNs())
 	s.bindQueue(j)
 	j.State, j.EndedNS, j.Begun = JobState(r.GetState()), r.GetEndedNs(), r.GetBegun()
 	if len(r.GetOccurrences()) != len(j.Occurrences) {
--- a/pipeline/submit.go
+++ b/pipeline/submit.go
@@ -95,7 +95,7 @@
 	if problem := CheckSpec(spec); problem != "" {
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_INVALID, Detail: problem}
 	}
-	j := newJob(spec, a.Team.GetName(), a.Queue, c.GetDigest(), s.nowNS)
+	j := newJob(spec, ownerOf(a), a.Queue, c.GetDigest(), s.nowNS)
 	if s.tombstones.bars(a) {
 		s.addCancelled(j)
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(j.State)}
@@ -132,7 +132,7 @@
 		return refused
 	}
 	if s.jobs[a.ID] == nil {
-		s.tombstones.add(tombstoneOf(a), cancellation{queue: a.Queue.GetName(), job: a.ID, createdNS: s.nowNS})
+		s.tombstones.add(address{a.Host, a.Path}, cancellationBy(a, s.nowNS))
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NO_JOB, Detail: "no such job; if its submission is still on the way, it will not run"}
 	}
 	return s.cancelJob(s.JobOf(a))
--- a/pipeline/tombstone.go
+++ b/pipeline/tombstone.go
@@ -1,89 +1,93 @@
 package pipeline
 
 import (
+	"bytes"
+	"slices"
+
 	"github.com/bulrushwinch/bulrushwinch/lifecycle"
 	pipelinev1 "github.com/bulrushwinch/bulrushwinch/pipeline/v1"
 )
 
-// MaxTombstones is the maximum number of tombstones, about 250 bytes each. Beyond it the oldest are dropped.
+// MaxTombstones is the maximum number of tombstones, about 300 bytes each. Beyond it the oldest are dropped.
 const MaxTombstones = 10_000
 
-// tombstone identifies a job that was cancelled before its submission arrived, by the host and path at which it was
-// cancelled. It keeps the submission from running. Like ended jobs, tombstones are kept for Retention.
-type tombstone struct {
-	host, path string
-	// team is whose submission is barred. It is empty if the queue was open, where anyone may cancel any job.
-	team string
-}
-
-// tombstoneOf returns the tombstone of the job that a call names.
-func tombstoneOf(a Access) tombstone {
-	t := tombstone{host: a.Host, path: a.Path}
-	if !a.Queue.GetOpen() {
-		t.team = a.Team.GetName()
-	}
-	return t
-}
+// address is where a job was cancelled before its submission arrived. The tombstone that is kept there keeps the
+// submission from running. Like ended jobs, tombstones are kept for Retention.
+type address struct{ host, path string }
 
-// cancellation is what is kept of a cancellation with a tombstone.
+// cancellation is a tombstone.
 type cancellation struct {
+	// by is whose submission is barred. It has no team if the queue was open, where anyone may cancel any job.
+	by owner
 	// queue is the name of the queue then, by which older versions identify the tombstone. job is the job's identity.
 	queue, job string
 	// createdNS is the leader time in Unix nanoseconds.
 	createdNS int64
 }
 
+// cancellationBy returns the tombstone that a call leaves.
+func cancellationBy(a Access, nowNS int64) cancellation {
+	c := cancellation{queue: a.Queue.GetName(), job: a.ID, createdNS: nowNS}
+	if !a.Queue.GetOpen() {
+		c.by = ownerOf(a)
+	}
+	return c
+}
+
 // tombstones are all tombstones.
 type tombstones struct {
-	cancellations map[tombstone]cancellation
-	// order holds the tombstones, oldest first.
-	order []tombstone
+	// byAddress holds the tombstones at each address, oldest first.
+	byAddress map[address][]cancellation
+	// order holds the address of each tombstone, oldest first.
+	order []address
 }
 
 func newTombstones() tombstones {
-	return tombstones{cancellations: make(map[tombstone]cancellation)}
+	return tombstones{byAddress: make(map[address][]cancellation)}
 }
 
-// add records a tombstone, unless there is one already.
-func (t *tombstones) add(key tombstone, c cancellation) {
-	if t.has(key) {
-		return
+// add records a tombstone, unless its owner has left one there already.
+func (t *tombstones) add(at address, c cancellation) {
+	for _, known := range t.byAddress[at] {
+		if known.by.team == c.by.team && bytes.Equal(known.by.keySHA256, c.by.keySHA256) {
+			return
+		}
 	}
 	for len(t.order) >= MaxTombstones {
 		t.dropOldest()
 	}
-	t.cancellations[key] = c
-	t.order = append(t.order, key)
+	t.byAddress[at] = append(t.byAddress[at], c)
+	t.order = append(t.order, at)
 }
 
 func (t *tombstones) dropOldest() {
-	delete(t.cancellations, t.order[0])
+	at := t.order[0]
 	t.order = t.order[1:]
+	if t.byAddress[at] = t.byAddress[at][1:]; len(t.byAddress[at]) == 0 {
+		delete(t.byAddress, at)
+	}
 }
 
-// bars reports whether the job of a submission was cancelled before, on an open queue or with a key of the same team.
+// bars reports whether the job of a submission was cancelled before.
 func (t *tombstones) bars(a Access) bool {
-	return t.has(tombstone{a.Host, a.Path, ""}) || t.has(tombstone{a.Host, a.Path, a.Team.GetName()})
-}
-
-func (t *tombstones) has(key tombstone) bool {
-	_, known := t.cancellations[key]
-	return known
+	return slices.ContainsFunc(t.byAddress[address{a.Host, a.Path}], func(c cancellation) bool { return c.by.admits(a) })
 }
 
 // sweep drops the tombstones that were created at least Retention ago.
 func (t *tombstones) sweep(nowNS int64) {
-	for len(t.order) > 0 && nowNS-t.cancellations[t.order[0]].createdNS >= int64(Retention) {
+	for len(t.order) > 0 && nowNS-t.byAddress[t.order[0]][0].createdNS >= int64(Retention) {
 		t.dropOldest()
 	}
 }
 
 // records encodes the tombstones as snapshot records, oldest first.
 func (t *tombstones) records() (out []*pipelinev1.Record) {
-	for _, key := range t.order {
-		c := t.cancellations[key]
+	next := make(map[address]int)
+	for _, at := range t.order {
+		c := t.byAddress[at][next[at]]
+		next[at]++
 		out = append(out, &pipelinev1.Record{Record: &pipelinev1.Record_Tombstone{Tombstone: &pipelinev1.TombstoneRecord{
-			Queue: c.queue, Team: key.team, Job: c.job, CreatedNs: c.createdNS, Host: key.host, Path: key.path}}})
+			Queue: c.queue, Team: c.by.team, Job: c.job, CreatedNs: c.createdNS, Host: at.host, Path: at.path, KeySha256: c.by.keySHA256}}})
 	}
 	return out
 }
@@ -91,15 +95,15 @@
 // restoreTombstone adds a tombstone of a snapshot. Records of older versions name the queue and have no path; without
 // that queue nothing tells to which path the cancellation was sent, and no submission could be matched with it.
 func (s *State) restoreTombstone(r *pipelinev1.TombstoneRecord) {
-	host, path := r.GetHost(), r.GetPath()
-	if path == "" {
+	at := address{r.GetHost(), r.GetPath()}
+	if at.path == "" {
 		q := s.config.Queue(r.GetQueue())
 		if q == nil {
 			return
 		}
-		host, path = q.GetHost(), q.GetPathPrefix()+r.GetJob()
+		at = address{q.GetHost(), q.GetPathPrefix() + r.GetJob()}
 	}
-	s.tombstones.add(tombstone{host, path, r.GetTeam()}, cancellation{r.GetQueue(), r.GetJob(), r.GetCreatedNs()})
+	s.tombstones.add(at, cancellation{owner{r.GetTeam(), r.GetKeySha256()}, r.GetQueue(), r.GetJob(), r.GetCreatedNs()})
 }
 
 // addCancelled accepts a job that was cancelled before its submission arrived, as one that has ended.
