pipeline: entries of the release before keep their meaning

Change: entries without a path are decided by the names of queues, as when they were written. Configurations that this release proposes are marked (stable_identities); jobs are bound by name until the first one, which also gives the tombstones of older entries their paths. Calls and commands of this release go by address at once.

--- a/dispatch/calls.go
+++ b/dispatch/calls.go
@@ -93,6 +93,9 @@
 
 func (e *Engine) putConfig(c *pipelinev1.Config, done replyFunc) {
 	version := c.GetVersion()
+	if c != nil {
+		c.StableIdentities = true
+	}
 	e.change(&pipelinev1.Command{Command: &pipelinev1.Command_PutConfig{PutConfig: c}}, func(r *pipelinev1.Reply, err error) {
 		e.log.Info().Uint64("version", version).Str("verdict", r.GetVerdict().String()).Str("detail", r.GetDetail()).Err(err).
 			Uint64("in_force", e.state.Config().Version()).Msg("configuration submitted")
--- a/pipeline/access.go
+++ b/pipeline/access.go
@@ -14,6 +14,8 @@
 	Queue      *pipelinev1.Queue
 	// Team is nil for a call without a known key on an open queue.
 	Team *pipelinev1.Team
+	// byName is set for an entry of an older version; see accessByName.
+	byName bool
 	// ID is the identity of the job that was accepted at the host and path. If there is none, it is the part of the path
 	// after the queue's prefix: the identity of a job that is not known, or empty for the queue itself.
 	ID string
@@ -36,19 +38,6 @@
 	return a, nil
 }
 
-// accessOf returns what a command selects when it is applied: the configuration may be another one than when the
-// leader proposed it. Entries of older versions have no path; they name the queue, and the path follows from it.
-func (s *State) accessOf(host, path, queue, job string, keySHA256 []byte) (Access, *pipelinev1.Reply) {
-	if path == "" {
-		q := s.config.Queue(queue)
-		if q == nil {
-			return Access{}, &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NO_QUEUE, Detail: "no queue has this name"}
-		}
-		host, path = q.GetHost(), q.GetPathPrefix()+job
-	}
-	return s.Access(host, path, keySHA256)
-}
-
 // jobAt returns the job that was accepted at a host and path, or nil. rest is the part of the path after the prefix of the
 // queue that is selected now. It is not the job's identity where a longer prefix was put in front of the queue that accepted
 // the job, or was taken away.
@@ -74,7 +63,11 @@
 // see owner.admits.
 func (s *State) JobOf(a Access) *Job {
 	j := s.jobs[a.ID]
-	if !j.isAt(a.Host, a.Path) || !a.Queue.GetOpen() && !j.owner().admits(a) {
+	at := j.isAt(a.Host, a.Path)
+	if a.byName {
+		at = j != nil && j.Spec.GetQueue() == a.Queue.GetName()
+	}
+	if !at || !a.Queue.GetOpen() && !j.owner().admits(a) {
 		return nil
 	}
 	return j
--- a/pipeline/config.go
+++ b/pipeline/config.go
@@ -162,6 +162,9 @@
 		}
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, Detail: detail}
 	}
+	if c.GetStableIdentities() {
+		s.tombstones.resolveNames(s.config)
+	}
 	s.config = newConfig(c)
 	for _, j := range s.jobs {
 		s.bindQueue(j)
@@ -170,6 +173,9 @@
 	return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK}
 }
 
+// stableIdentities reports whether queues are identified by their routes.
+func (c *Config) stableIdentities() bool { return c != nil && c.GetStableIdentities() }
+
 // Version returns the version of the configuration, or zero if there is none.
 func (c *Config) Version() uint64 {
 	if c == nil {
--- a/pipeline/route.go
+++ b/pipeline/route.go
@@ -25,6 +25,10 @@
 
 // bindQueue looks up the queue of a job in the active configuration.
 func (s *State) bindQueue(j *Job) {
+	if !s.config.stableIdentities() {
+		j.queue = s.queueByName(j)
+		return
+	}
 	if j.queue = s.config.QueueAt(j.Route()); j.queue == nil {
 		j.queue = j.AcceptedQueue
 	}
--- a/pipeline/snapshot.go
+++ b/pipeline/snapshot.go
@@ -94,7 +94,7 @@
 	case *pipelinev1.Record_Wave:
 		s.restoreWave(r.Wave)
 	case *pipelinev1.Record_Tombstone:
-		s.restoreTombstone(r.Tombstone)
+		s.tombstones.restore(r.Tombstone)
 	case *pipelinev1.Record_Job:
 		return s.restoreJob(r.Job)
 	default:
--- a/pipeline/submit.go
+++ b/pipeline/submit.go
@@ -79,12 +79,15 @@
 // submit accepts a job. It is idempotent: submitting the same job again returns its current state.
 func (s *State) submit(c *pipelinev1.Submit) *pipelinev1.Reply {
 	spec := c.GetSpec()
-	a, refused := s.accessOf(c.GetHost(), c.GetPath(), spec.GetQueue(), spec.GetId(), c.GetKeySha256())
+	a, refused := s.Access(c.GetHost(), c.GetPath(), c.GetKeySha256())
+	if c.GetPath() == "" {
+		a, refused = s.accessByName(spec.GetQueue(), spec.GetId(), c.GetKeySha256())
+	}
 	if refused != nil {
 		return refused
 	}
 	if known := s.jobs[a.ID]; known != nil {
-		if !known.isAt(a.Host, a.Path) || !known.sameContent(spec) {
+		if !a.byName && !known.isAt(a.Host, a.Path) || !known.sameContent(spec) {
 			return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_CONFLICT, Detail: "another job has this identity"}
 		}
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, JobState: string(known.State)}
@@ -127,12 +130,15 @@
 	if c.GetQueue() == "" && c.GetPath() == "" {
 		return s.cancelJob(s.jobs[c.GetJob()])
 	}
-	a, refused := s.accessOf(c.GetHost(), c.GetPath(), c.GetQueue(), c.GetJob(), c.GetKeySha256())
+	a, refused := s.Access(c.GetHost(), c.GetPath(), c.GetKeySha256())
+	if c.GetPath() == "" {
+		a, refused = s.accessByName(c.GetQueue(), c.GetJob(), c.GetKeySha256())
+	}
 	if refused != nil {
 		return refused
 	}
 	if s.jobs[a.ID] == nil {
-		s.tombstones.add(address{a.Host, a.Path}, cancellationBy(a, s.nowNS))
+		s.tombstones.add(addressOf(a), cancellationBy(a, s.nowNS))
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NO_JOB, Detail: "no such job; if its submission is still on the way, it will not run"}
 	}
 	return s.cancelJob(s.JobOf(a))
--- a/pipeline/tombstone.go
+++ b/pipeline/tombstone.go
@@ -13,7 +13,20 @@
 
 // address is where a job was cancelled before its submission arrived. The tombstone that is kept there keeps the
 // submission from running. Like ended jobs, tombstones are kept for Retention.
-type address struct{ host, path string }
+type address struct {
+	// path is the job's identity if queue is set.
+	host, path string
+	// queue is the name of the queue for a tombstone of an older version, until resolveNames.
+	queue string
+}
+
+// addressOf returns the address of a call.
+func addressOf(a Access) address {
+	if a.byName {
+		return address{path: a.ID, queue: a.Queue.GetName()}
+	}
+	return address{host: a.Host, path: a.Path}
+}
 
 // cancellation is a tombstone.
 type cancellation struct {
@@ -70,7 +83,9 @@
 
 // bars reports whether the job of a submission was cancelled before.
 func (t *tombstones) bars(a Access) bool {
-	return slices.ContainsFunc(t.byAddress[address{a.Host, a.Path}], func(c cancellation) bool { return c.by.admits(a) })
+	barred := func(c cancellation) bool { return c.by.admits(a) }
+	return slices.ContainsFunc(t.byAddress[addressOf(a)], barred) ||
+		slices.ContainsFunc(t.byAddress[address{path: a.ID, queue: a.Queue.GetName()}], barred)
 }
 
 // sweep drops the tombstones that were created at least Retention ago.
@@ -86,24 +101,22 @@
 	for _, at := range t.order {
 		c := t.byAddress[at][next[at]]
 		next[at]++
-		out = append(out, &pipelinev1.Record{Record: &pipelinev1.Record_Tombstone{Tombstone: &pipelinev1.TombstoneRecord{
-			Queue: c.queue, Team: c.by.team, Job: c.job, CreatedNs: c.createdNS, Host: at.host, Path: at.path, KeySha256: c.by.keySHA256}}})
+		r := &pipelinev1.TombstoneRecord{Queue: c.queue, Team: c.by.team, Job: c.job, CreatedNs: c.createdNS, KeySha256: c.by.keySHA256}
+		if at.queue == "" {
+			r.Host, r.Path = at.host, at.path
+		}
+		out = append(out, &pipelinev1.Record{Record: &pipelinev1.Record_Tombstone{Tombstone: r}})
 	}
 	return out
 }
 
-// restoreTombstone adds a tombstone of a snapshot. Records of older versions name the queue and have no path; without
-// that queue nothing tells to which path the cancellation was sent, and no submission could be matched with it.
-func (s *State) restoreTombstone(r *pipelinev1.TombstoneRecord) {
-	at := address{r.GetHost(), r.GetPath()}
+// restore adds a tombstone of a snapshot.
+func (t *tombstones) restore(r *pipelinev1.TombstoneRecord) {
+	at := address{host: r.GetHost(), path: r.GetPath()}
 	if at.path == "" {
-		q := s.config.Queue(r.GetQueue())
-		if q == nil {
-			return
-		}
-		at = address{q.GetHost(), q.GetPathPrefix() + r.GetJob()}
+		at = address{path: r.GetJob(), queue: r.GetQueue()}
 	}
-	s.tombstones.add(at, cancellation{owner{r.GetTeam(), r.GetKeySha256()}, r.GetQueue(), r.GetJob(), r.GetCreatedNs()})
+	t.add(at, cancellation{owner{r.GetTeam(), r.GetKeySha256()}, r.GetQueue(), r.GetJob(), r.GetCreatedNs()})
 }
 
 // addCancelled accepts a job that was cancelled before its submission arrived, as one that has ended.
