pipeline, dispatch: jobs go with their team when it gets another name

Callers saw: after their team was renamed, 410 for their jobs, which run on (LOST, UNASKED); the team may use its limit once more (QUOTA), and the places of its jobs are given back under the old name.

Cause: jobs, uses and places were kept by the team's name, which no call carries; a caller is identified by its key.

Change: when a configuration of this release is applied, a job stays with its team if that keeps its name and one of its keys; otherwise it goes to the team that holds the key which submitted it, or another key of the old team. What its runs reserve, its place and its tombstone go with it.

Looked at beside it: exchanged names, a dissolved or split team, keys exchanged all at once, a team that is away for one version. A submission in flight is of the team that has its key when it is applied. A team's recent use and rate of jobs (4 and 5 s) begin anew under the new name. A team that is gone has no limit, as before.

--- a/dispatch/moved_key_test.go
+++ b/dispatch/moved_key_test.go
@@ -50,3 +50,25 @@
 		t.Errorf("cancellation: %v", r)
 	}
 }
+
+// A renamed team reads and cancels its jobs, and the places that they hold among all jobs are given up when they end. Its
+// jobs were "no such job", and the places of the old name were never given up.
+func TestRenamedTeamKeepsItsJobsAndPlaces(t *testing.T) {
+	h := newHarness(t, "w1")
+	h.upstreams["w1"].runTime = time.Minute
+	h.submitSpec(jobID(1), lasting())
+	h.submitSpec(jobID(2), lasting())
+	h.run(time.Second)
+	h.putConfig(func(cfg *pipelinev1.Config) { cfg.Teams[0].Name = "renamed" })
+	if r := h.ask(pipelinev1.JobVerb_JOB_VERB_CANCEL, testKey, jobID(1)); r.GetJobState() != string(pipeline.Cancelled) {
+		t.Errorf("cancellation: %v", r)
+	}
+	if r := h.ask(pipelinev1.JobVerb_JOB_VERB_GET, testKey, jobID(2)); r.GetJobState() != string(pipeline.Running) {
+		t.Errorf("read: %v", r)
+	}
+	for team, want := range map[string]int{"montevideo": 0, "renamed": 1} {
+		if n := h.engine.admission.Places(team); n != want {
+			t.Errorf("team %s holds %d places, want %d", team, n, want)
+		}
+	}
+}
--- a/dispatch/observer.go
+++ b/dispatch/observer.go
@@ -54,6 +54,13 @@
 	(*Engine)(o).addJob(j)
 }
 
+// JobGiven implements pipeline.Observer.
+func (o *observer) JobGiven(j *pipeline.Job, from string) {
+	if !j.Ended() {
+		o.admission.JobGiven(from, j.Team)
+	}
+}
+
 // JobEnded implements pipeline.Observer.
 func (o *observer) JobEnded(j *pipeline.Job) {
 	e := (*Engine)(o)
--- a/pipeline/config.go
+++ b/pipeline/config.go
@@ -162,18 +162,20 @@
 		}
 		return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK, Detail: detail}
 	}
-	if c.GetStableIdentities() {
-		s.tombstones.resolveNames(s.config)
-	}
+	before := s.config
 	s.config = newConfig(c)
 	for _, j := range s.jobs {
 		s.bindQueue(j)
 	}
+	if c.GetStableIdentities() {
+		s.tombstones.resolveNames(before)
+		s.reassign(newSuccession(before, s.config))
+	}
 	s.observer.ConfigChanged()
 	return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK}
 }
 
-// stableIdentities reports whether queues are identified by their routes.
+// stableIdentities reports whether queues are identified by their routes, and teams by their keys.
 func (c *Config) stableIdentities() bool { return c != nil && c.GetStableIdentities() }
 
 // Version returns the version of the configuration, or zero if there is none.
--- a/pipeline/job.go
+++ b/pipeline/job.go
@@ -26,7 +26,8 @@
 type Job struct {
 	// Spec is the job as it was submitted, with its ID and queue.
 	Spec *pipelinev1.JobSpec
-	// Team is the name of the submitting team; empty for a call without a known key on an open queue.
+	// Team is the name of the team that the job belongs to, which submitted it under this name or another one; empty for a
+	// call without a known key on an open queue.
 	Team string
 	// KeySHA256 is the SHA-256 of the key that it was submitted with. It is empty for a call without a key, and where an
 	// older version has not recorded it.
--- a/pipeline/place.go
+++ b/pipeline/place.go
@@ -218,12 +218,7 @@
 func (s *State) reserve(r *Run) {
 	r.Upstream.Used = r.Upstream.Used.Plus(r.Task.Step.Need)
 	r.Upstream.Runs[r.Key()] = r
-	team := r.Task.Step.Job().Team
-	s.usedByTeam[team] = s.usedByTeam[team].Plus(r.Task.Step.Need)
-	if s.runsByTeam[team] == nil {
-		s.runsByTeam[team] = make(map[*Run]bool)
-	}
-	s.runsByTeam[team][r] = true
+	s.addUse(r, 1)
 	r.Task.Live = append(r.Task.Live, r)
 }
 
@@ -231,9 +226,7 @@
 func (s *State) release(r *Run) {
 	r.Upstream.Used = r.Upstream.Used.Minus(r.Task.Step.Need)
 	delete(r.Upstream.Runs, r.Key())
-	team := r.Task.Step.Job().Team
-	s.usedByTeam[team] = s.usedByTeam[team].Minus(r.Task.Step.Need)
-	delete(s.runsByTeam[team], r)
+	s.addUse(r, -1)
 	r.Task.Live = without(r.Task.Live, r)
 }
 
--- a/pipeline/state.go
+++ b/pipeline/state.go
@@ -49,6 +49,8 @@
 	UpstreamGone(u *Upstream)
 	// JobAdded reports that a job was accepted.
 	JobAdded(j *Job)
+	// JobGiven reports that a job, which may have ended, belongs to another team than before.
+	JobGiven(j *Job, from string)
 	// JobEnded reports that a job completed, failed or was cancelled.
 	JobEnded(j *Job)
 	// StepDone reports that all tasks of a step are done.
@@ -243,6 +245,7 @@
 func (nopObserver) UpstreamChanged(*Upstream)         {}
 func (nopObserver) UpstreamGone(*Upstream)            {}
 func (nopObserver) JobAdded(*Job)                     {}
+func (nopObserver) JobGiven(*Job, string)             {}
 func (nopObserver) JobEnded(*Job)                     {}
 func (nopObserver) StepDone(*Step)                    {}
 func (nopObserver) RunPlaced(*Run)                    {}
--- a/placement/admit.go
+++ b/placement/admit.go
@@ -90,6 +90,20 @@
 	a.team(team).live++
 }
 
+// JobGiven records that a job that holds a place belongs to another team than before.
+func (a *Admission) JobGiven(from, to string) {
+	a.team(from).live--
+	a.team(to).live++
+}
+
+// Places returns the number of places that the jobs of a team hold.
+func (a *Admission) Places(team string) int {
+	if h := a.teams[team]; h != nil {
+		return h.live
+	}
+	return 0
+}
+
 // JobEnded records that a job of a team gives up its place.
 func (a *Admission) JobEnded(team string, now time.Duration) {
 	a.cell.end(now)
--- a/placement/replay_observer_test.go
+++ b/placement/replay_observer_test.go
@@ -57,6 +57,9 @@
 	}
 }
 
+// JobGiven implements pipeline.Observer.
+func (r *replay) JobGiven(*pipeline.Job, string) {}
+
 // JobEnded implements pipeline.Observer: the job earns by the time that it took.
 func (r *replay) JobEnded(j *pipeline.Job) {
 	for _, st := range j.Occurrences[0].Steps {
