placement: completed and admitted work is measured by queue

Callers saw: for seconds after a service gets another name, jobs are refused as too late under load, on half of the real throughput.

Cause: both were measured by service and priority, so that they began at zero.

Change: Flow measures them by queue; a summary adds them up by the service and priority that each queue has then. A queue that gets another priority takes its rates along as well.

Looked at beside it: runs at upstreams of a renamed service go on, and nothing is placed there until they report the new name (TestRunsOutliveARenamedService passed before). The bound on upstreams of a service that a wave may cordon is by the name that they report. Capacity is that of upstreams, by the same name.

--- a/dispatch/renamed_test.go
+++ b/dispatch/renamed_test.go
@@ -205,3 +205,30 @@
 		t.Errorf("the job that was cancelled before its submission is %s", s)
 	}
 }
+
+// Runs on the upstreams of a renamed service go on while the upstreams still report the old name and once they report the
+// new one. Until then, nothing is placed on them for a queue that sends to the new name.
+func TestRunsOutliveARenamedService(t *testing.T) {
+	h := newHarness(t, "w1")
+	f := h.upstreams["w1"]
+	f.runTime = 4 * time.Second
+	h.submit(jobID(1), oneStep(1, 4000))
+	h.run(time.Second)
+	h.putConfig(func(cfg *pipelinev1.Config) { cfg.Services[0].Name, cfg.Queues[0].Service = "press", "press" })
+	h.submit(jobID(2), oneStep(1, 4000))
+	h.run(time.Second)
+	if n := f.starts; n != 1 {
+		t.Errorf("%d starts before the upstream reports the new name", n)
+	}
+	f.service = "press"
+	h.sendHeartbeat("w1")
+	h.run(8 * time.Second)
+	for _, id := range []string{jobID(1), jobID(2)} {
+		if s := h.jobState(id); s != pipeline.Completed {
+			t.Errorf("job %s is %s", id, s)
+		}
+	}
+	if n := f.starts; n != 2 {
+		t.Errorf("%d starts of two tasks", n)
+	}
+}
--- a/dispatch/upstream_test.go
+++ b/dispatch/upstream_test.go
@@ -34,6 +34,8 @@
 	extraPerIndex time.Duration
 	draining      bool
 	rack, vm      string
+	// service is the name of the upstream's service; empty means "print".
+	service string
 	// address is where the upstream listens; empty means at its identity.
 	address string
 	// addRows, if set, changes the answers to status requests.
@@ -77,7 +79,7 @@
 
 // describe returns the description of the upstream that its heartbeats contain.
 func (f *fakeUpstream) describe(id string) *pipelinev1.Upstream {
-	return &pipelinev1.Upstream{Id: id, Born: f.born, Service: "print", Address: cmp.Or(f.address, id), FailureDomain: "prado", Rack: f.rack, Vm: f.vm,
+	return &pipelinev1.Upstream{Id: id, Born: f.born, Service: cmp.Or(f.service, "print"), Address: cmp.Or(f.address, id), FailureDomain: "prado", Rack: f.rack, Vm: f.vm,
 		Capacity: &pipelinev1.Resources{MilliCores: 4000, MemoryMib: 1000}, Draining: f.draining}
 }
 
--- a/placement/backlog.go
+++ b/placement/backlog.go
@@ -27,17 +27,18 @@
 // Flow measures the work that is completed and admitted, in core-milliseconds a second. Work is counted by its
 // expected run time, as in a Backlog, so that errors of estimates cancel out.
 type Flow struct {
-	began     time.Duration
-	completed map[string]*decaying
-	admitted  map[classKey]*decaying
-	// chains are the mean lengths of the longest chains of admitted jobs in nanoseconds, by queue.
-	chains map[pipeline.Route]*average
+	began  time.Duration
+	queues map[pipeline.Route]*queueFlow
 }
 
-// classKey is the work of a service and a priority.
-type classKey struct {
-	service  string
-	priority int32
+// queueFlow is the part of a queue. Its service and priority are read from the active configuration when a Backlog is
+// summarized, as they may have changed since.
+type queueFlow struct {
+	// settings are those that were seen last, for a queue that is not in the active configuration.
+	settings            *pipelinev1.Queue
+	completed, admitted decaying
+	// chain is the mean length of the longest chain of an admitted job in nanoseconds.
+	chain average
 }
 
 // decaying is a sum whose parts decay with flowWindow.
@@ -49,15 +50,24 @@
 func (d *decaying) add(x float64, now time.Duration) { d.sum, d.at = d.now(now)+x, now }
 
 func (d *decaying) now(now time.Duration) float64 {
-	if d == nil {
-		return 0
-	}
 	return d.sum * math.Exp(-(now-d.at).Seconds()/flowWindow.Seconds())
 }
 
 // NewFlow returns a Flow that is measured from now on.
 func NewFlow(now time.Duration) *Flow {
-	return &Flow{began: now, completed: make(map[string]*decaying), admitted: make(map[classKey]*decaying), chains: make(map[pipeline.Route]*average)}
+	return &Flow{began: now, queues: make(map[pipeline.Route]*queueFlow)}
+}
+
+// queue returns the part of a queue with some settings.
+func (f *Flow) queue(settings *pipelinev1.Queue) *queueFlow {
+	r := pipeline.RouteOf(settings)
+	q := f.queues[r]
+	if q == nil {
+		q = &queueFlow{}
+		f.queues[r] = q
+	}
+	q.settings = settings
+	return q
 }
 
 // RunDone counts a run that completed.
@@ -65,12 +75,7 @@
 	if r.Task.Step.Spec.GetLasting() {
 		return
 	}
-	d := f.completed[q.GetService()]
-	if d == nil {
-		d = &decaying{}
-		f.completed[q.GetService()] = d
-	}
-	d.add(workOf(r.Task.Step.Need.MilliCores, 1, l.Expected(r.Task.Step)), now)
+	f.queue(q).completed.add(workOf(r.Task.Step.Need.MilliCores, 1, l.Expected(r.Task.Step)), now)
 }
 
 // Admitted counts a job that was admitted.
@@ -79,19 +84,9 @@
 		return
 	}
 	work, chain := ownWork(spec, q, l)
-	key := classKey{q.GetService(), q.GetPriority()}
-	d := f.admitted[key]
-	if d == nil {
-		d = &decaying{}
-		f.admitted[key] = d
-	}
-	d.add(work, now)
-	mean := f.chains[pipeline.RouteOf(q)]
-	if mean == nil {
-		mean = &average{}
-		f.chains[pipeline.RouteOf(q)] = mean
-	}
-	mean.add(float64(chain), learnRate)
+	into := f.queue(q)
+	into.admitted.add(work, now)
+	into.chain.add(float64(chain), learnRate)
 }
 
 // rate returns a decaying sum a second.
@@ -171,11 +166,8 @@
 			b.addOccurrence(r, st)
 		}
 	}
-	for key, d := range f.admitted {
-		b.service(key.service).class(key.priority).admitted = f.rate(d, c.Now)
-	}
-	for name, s := range b.services {
-		s.rate = f.rate(f.completed[name], c.Now)
+	b.addFlow(c)
+	for _, s := range b.services {
 		for priority, class := range s.classes {
 			class.overShare = s.teamsOverShare(r, priority)
 		}
@@ -183,6 +175,19 @@
 	return b
 }
 
+// addFlow adds the rates of each queue to its service.
+func (b *Backlog) addFlow(c *Cell) {
+	for r, f := range b.flow.queues {
+		q := c.State.Config().QueueAt(r)
+		if q == nil {
+			q = f.settings
+		}
+		s := b.service(q.GetService())
+		s.rate += b.flow.rate(&f.completed, c.Now)
+		s.class(q.GetPriority()).admitted += b.flow.rate(&f.admitted, c.Now)
+	}
+}
+
 // addOccurrence adds what is left of the occurrence of a step, if its result can still be of use.
 func (b *Backlog) addOccurrence(r *round, st *pipeline.Step) {
 	q := r.State.JobQueue(st.Job())
--- a/placement/forecast.go
+++ b/placement/forecast.go
@@ -28,8 +28,8 @@
 	f := forecast{}
 	f.work, f.chain = ownWork(spec, q, b.learner)
 	// A single estimate may be a tenth of the truth; a job that looks short is taken for an average one.
-	if mean := b.flow.chains[pipeline.RouteOf(q)]; mean != nil {
-		f.chain = max(f.chain, time.Duration(mean.value))
+	if known := b.flow.queues[pipeline.RouteOf(q)]; known != nil {
+		f.chain = max(f.chain, time.Duration(known.chain.value))
 	}
 	f.objective = time.Duration(q.GetStretch()*float64(f.chain)) + time.Duration(q.GetTargetLatencyMs())*time.Millisecond
 	if s := b.services[q.GetService()]; s != nil && s.capacity > 0 {
