state, control: requests on an open queue are known whatever team it has

Callers saw (upstreams that poll): after an open queue was given to another team, or made to ask for a key, a request sent again runs a second time; reads and cancellations of it say that it is not known; one that was cancelled before it arrived runs.

Cause: the identity of a request is its team and ID, and without a key the team was the one that the queue has now.

Change: the state remembers the teams that an open queue had. RequestAt looks a request up under the team of the call, then under those, if it was made at the queue. Submissions, cancellations, reads and waits use it.

Looked at beside it: keys are never granted twice, so none moves; a team with unfinished tasks and a queue with unfinished jobs can't be deleted; jobs are found by number and by team and ID after their queue is gone; limits and counts are by team, which has one name for good; explain goes by the same lookup; learned sizes are by team and class.

--- a/control/callers.go
+++ b/control/callers.go
@@ -40,7 +40,7 @@
 
 // cancel proposes to cancel jobs.
 func (c *Controller) cancel(k call, req *apiv1.CancelRequest) {
-	c.propose(&peerv1.Command{Command: &peerv1.Command_Cancel{Cancel: &peerv1.Cancel{KeySha256: k.key, Request: req}}},
+	c.propose(&peerv1.Command{Command: &peerv1.Command_Cancel{Cancel: &peerv1.Cancel{KeySha256: k.key, Request: req, StableIdentities: true}}},
 		func(r state.Result, err error) { k.finish(r.Cancel, err) })
 }
 
@@ -63,7 +63,7 @@
 		// would claim that it did not.
 		return nil, refusalError{&apiv1.Outcome{Kind: apiv1.OutcomeKind_OUTCOME_KIND_UNDETERMINED, Reason: refusal.Reason, Detail: refusal.Detail}}
 	}
-	known := c.state.Request(state.RequestKey{Team: team, ID: ref.GetRequestId()})
+	known := c.state.RequestAt(ref.GetQueue(), team, ref.GetRequestId())
 	switch {
 	case known == nil:
 		return nil, notFound("request %q is not known or no longer remembered", ref.GetRequestId())
@@ -82,8 +82,7 @@
 	if k := c.state.KeyByHash(key); k != nil && k.Role == apiv1.KeyRole_KEY_ROLE_CALLER && k.Team == j.Team {
 		return true
 	}
-	team, refusal := c.state.Authorize(key, j.Queue)
-	return refusal == nil && team == j.Team
+	return c.state.MayAccess(key, j)
 }
 
 // withJob calls f with the job once the leadership is confirmed, so that f reads current state.
--- a/control/operators.go
+++ b/control/operators.go
@@ -65,7 +65,7 @@
 
 // proposeChange proposes a change; the state decides whether it is accepted.
 func (c *Controller) proposeChange(k call, req *apiv1.ChangeRequest) {
-	c.propose(&peerv1.Command{Command: &peerv1.Command_Change{Change: &peerv1.Change{KeySha256: k.key, Request: req, SeenRevision: k.seenRevision}}},
+	c.propose(&peerv1.Command{Command: &peerv1.Command_Change{Change: &peerv1.Change{KeySha256: k.key, Request: req, SeenRevision: k.seenRevision, StableIdentities: true}}},
 		func(r state.Result, err error) { k.finish(r.Change, err) })
 }
 
--- a/state/cancel.go
+++ b/state/cancel.go
@@ -22,34 +22,39 @@
 	for _, id := range ids {
 		o := refusal
 		if o == nil {
-			o = s.cancelRequest(RequestKey{team, id})
+			o = s.cancelRequest(c, team, id)
 		}
 		response.Results = append(response.Results, &apiv1.CancelResult{RequestId: id, Outcome: o})
 	}
 	return response
 }
 
-// unendedRequests returns the request IDs of a team's jobs in a queue that have not ended, in
+// unendedRequests returns the request IDs of the jobs in a queue that have not ended and that a team may access there, in
 // order of job ID.
 func (s *State) unendedRequests(team, queue string) []string {
 	var ids []string
 	for _, id := range sortedKeys(s.unendedByQueue[queue]) {
-		if j := s.unendedByQueue[queue][id]; j.Team == team {
+		if j := s.unendedByQueue[queue][id]; s.mayAccess(queue, team, j) {
 			ids = append(ids, j.RequestID)
 		}
 	}
 	return ids
 }
 
-// cancelRequest cancels one request. An unknown request is recorded as cancelled, so that it
+// cancelRequest cancels one request for a team. An unknown request is recorded as cancelled, so that it
 // does not run if its submission arrives late.
-func (s *State) cancelRequest(key RequestKey) *apiv1.Outcome {
+func (s *State) cancelRequest(c *peerv1.Cancel, team, id string) *apiv1.Outcome {
+	key, queue := RequestKey{team, id}, c.GetRequest().GetQueue()
 	if !ValidName(key.ID) {
 		return notRun(apiv1.Reason_REASON_BAD_REQUEST, "request_id must have 1 to %d printable characters", maxNameBytes)
 	}
-	known := s.Request(key)
+	known := s.RequestAt(queue, team, id)
 	if known == nil {
-		if !s.recordRefusal(&Request{Key: key, Refusal: cancelled("cancelled before it arrived")}) {
+		unknown := &Request{Key: key, Refusal: cancelled("cancelled before it arrived")}
+		if c.GetStableIdentities() {
+			unknown.Queue = queue
+		}
+		if !s.recordRefusal(unknown) {
 			return undetermined(apiv1.Reason_REASON_OVERLOADED, "request %q is not known; cancel it again, since it may still arrive", key.ID)
 		}
 		return undetermined(apiv1.Reason_REASON_NOT_FOUND,
--- a/state/capture.go
+++ b/state/capture.go
@@ -102,6 +102,10 @@
 	for _, name := range sortedKeys(s.queues) {
 		list = append(list, &peerv1.StateRecord{Record: &peerv1.StateRecord_Queue{Queue: s.queues[name]}})
 	}
+	for _, name := range sortedKeys(s.formerOwners) {
+		list = append(list, &peerv1.StateRecord{Record: &peerv1.StateRecord_FormerOwners{FormerOwners: &peerv1.StateFormerOwners{
+			Queue: name, Teams: slices.Clone(s.formerOwners[name])}}})
+	}
 	for _, name := range sortedKeys(s.domains) {
 		list = append(list, &peerv1.StateRecord{Record: &peerv1.StateRecord_FailureDomain{FailureDomain: s.domains[name].Proto()}})
 	}
--- a/state/change.go
+++ b/state/change.go
@@ -1,6 +1,7 @@
 package state
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"time"
 
@@ -32,7 +33,12 @@
 		return &apiv1.ChangeResponse{Revision: s.revision, Outcome: undetermined(apiv1.Reason_REASON_REVISION_CONFLICT,
 			"operation %q made another change while this one was on its way; this send was not decided on", s.lastOperation)}
 	}
+	name := cmp.Or(req.GetPutQueue().GetName(), req.GetDeleteQueue())
+	before := s.queues[name]
 	response := s.decideChange(req)
+	if c.GetStableIdentities() {
+		s.rememberOwner(before, s.queues[name])
+	}
 	s.addOperation(&Operation{ID: req.GetOperationId(), Digest: digest, Response: response, DecidedNS: s.nowNS})
 	return response
 }
--- a/state/harness_test.go
+++ b/state/harness_test.go
@@ -57,7 +57,7 @@
 		h.ops++
 		req.OperationId = fmt.Sprintf("op-%d", h.ops)
 	}
-	return h.apply(&peerv1.Command{Command: &peerv1.Command_Change{Change: &peerv1.Change{KeySha256: keyHash("operator"), Request: req}}}).Change
+	return h.apply(&peerv1.Command{Command: &peerv1.Command_Change{Change: &peerv1.Change{KeySha256: keyHash("operator"), Request: req, StableIdentities: true}}}).Change
 }
 
 func (h *harness) mustChange(req *apiv1.ChangeRequest) {
--- a/state/snapshot.go
+++ b/state/snapshot.go
@@ -66,7 +66,7 @@
 }
 
 func encodeRequest(r *Request) *peerv1.StateRequest {
-	return &peerv1.StateRequest{Team: r.Key.Team, RequestId: r.Key.ID, Digest: []byte(r.Digest), Refusal: r.Refusal, DecidedNs: r.DecidedNS}
+	return &peerv1.StateRequest{Team: r.Key.Team, RequestId: r.Key.ID, Digest: []byte(r.Digest), Refusal: r.Refusal, DecidedNs: r.DecidedNS, Queue: r.Queue}
 }
 
 func encodeJob(j *Job) *peerv1.StateJob {
@@ -147,7 +147,9 @@
 		return s.restoreJob(r.Job)
 	case *peerv1.StateRecord_Request:
 		q := r.Request
-		s.addRefused(&Request{Key: RequestKey{q.Team, q.RequestId}, Digest: string(q.Digest), Refusal: q.Refusal, DecidedNS: q.DecidedNs})
+		s.addRefused(&Request{Key: RequestKey{q.Team, q.RequestId}, Digest: string(q.Digest), Refusal: q.Refusal, DecidedNS: q.DecidedNs, Queue: q.Queue})
+	case *peerv1.StateRecord_FormerOwners:
+		s.formerOwners[r.FormerOwners.Queue] = r.FormerOwners.Teams
 	case *peerv1.StateRecord_Operation:
 		o := r.Operation
 		s.addOperation(&Operation{ID: o.OperationId, Digest: string(o.Digest), Response: o.Response, DecidedNS: o.DecidedNs})
--- a/state/state.go
+++ b/state/state.go
@@ -40,7 +40,9 @@
 	// unendedByQueue holds the jobs that have not ended, by queue name.
 	unendedByQueue map[string]map[JobID]*Job
 	identities     map[RequestKey]identity
-	operations     map[string]*Operation
+	// formerOwners holds the teams that an open queue counted its work for before, by queue, oldest first.
+	formerOwners map[string][]string
+	operations   map[string]*Operation
 
 	// endedJobs, requestOrder and operationOrder are in order of decision, so that the Sweep
 	// command finds the oldest first. requestOrder holds the requests that created no job.
@@ -127,6 +129,7 @@
 	s.jobs = jobTable{}
 	s.unendedByQueue = make(map[string]map[JobID]*Job)
 	s.identities = make(map[RequestKey]identity)
+	s.formerOwners = make(map[string][]string)
 	s.operations = make(map[string]*Operation)
 	s.endedJobs, s.requestOrder, s.operationOrder, s.replicaChanges = nil, nil, nil, nil
 	s.capture, s.stored = nil, 0
--- a/state/submit.go
+++ b/state/submit.go
@@ -17,7 +17,7 @@
 		return &apiv1.SubmitResponse{Outcome: s.unauthorizedOutcome(c, refusal)}
 	}
 	key := RequestKey{team, req.GetRequestId()}
-	if known := s.Request(key); known != nil {
+	if known := s.RequestAt(req.GetQueue(), team, key.ID); known != nil {
 		return s.resentSubmitResponse(known, string(c.Digest))
 	}
 	if !ValidName(key.ID) {
--- a/state/types.go
+++ b/state/types.go
@@ -221,6 +221,8 @@
 	Digest string
 	// Refusal is the outcome of a request that created no job; nil otherwise.
 	Refusal *apiv1.Outcome
+	// Queue is the queue of a request that was cancelled before it was submitted; empty where an older version recorded it.
+	Queue string
 	// DecidedNS is the leader time of the decision, in Unix nanoseconds.
 	DecidedNS int64
 }
