dispatch: log lines and where name queues as they are now, and tell what was renamed

Cause: job ended and where named the queue at acceptance, which a configuration may have renamed or given to another queue, and no line told of the change; from a request's id the log led to a name that is not in force.

Change: both give the present name and the route where the job was accepted; where says if no queue is there.

Looked at beside it: explain is of upstreams that poll, whose names don't change; trace finds all lines of an identity.

--- a/cmd/bulrushwinch/where.go
+++ b/cmd/bulrushwinch/where.go
@@ -178,6 +178,9 @@
 		return nil
 	}
 	s.printf("%s: queue %s of priority %d, service %s, configuration %d\n", cmp.Or(w.State, "accepted"), w.Queue, w.Priority, w.Service, w.ConfigVersion)
+	if w.Route != "" {
+		s.printf("accepted at %s%s\n", w.Route, goneText(w.QueueGone))
+	}
 	s.printf("team %s uses %s of %s\n", orDash(w.Team), needsText(w.TeamUse), limitText(w.TeamLimit))
 	if len(w.Now) == 0 {
 		s.printf("no task of a step that is ready waits\n")
@@ -194,6 +197,14 @@
 	return nil
 }
 
+// goneText says what the settings of a job are that has lost its queue.
+func goneText(gone bool) string {
+	if gone {
+		return ", where no queue is now: name, service and priority are those at acceptance"
+	}
+	return ""
+}
+
 func (s *session) printWhereStep(when string, w dispatch.WhereStep) {
 	if w.DueMS > 0 {
 		s.printf("step %d of occurrence %d is due in %v\n", w.Step, w.Occurrence, milliseconds(w.DueMS))
--- a/cmd/bulrushwinch/where_test.go
+++ b/cmd/bulrushwinch/where_test.go
@@ -22,7 +22,7 @@
 				Asks:      []dispatch.WhereUpstream{{ID: "printer-2", Slowness: 1.3}}, Waiting: 1, Why: "waiting for the answer to a permit question", Overloaded: true}},
 			Next: []dispatch.WhereStep{{Stops: []dispatch.WhereStop{{Request: "5c0e7a21d94b36f8", Task: 4, Upstream: "printer-2"}}, Reserved: 2}}},
 	}
-	known := &dispatch.Where{Queue: "labels", Confirmed: true, Admitted: true, State: "running", Service: "print"}
+	known := &dispatch.Where{Queue: "labels", Confirmed: true, Admitted: true, State: "running", Service: "print", Route: "nony24.example/lohu930/", QueueGone: true}
 	follower := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
 		http.Error(w, "not the leader", http.StatusMisdirectedRequest)
 	}))
--- a/dispatch/engine.go
+++ b/dispatch/engine.go
@@ -71,6 +71,8 @@
 	// unstarted tells of each job that is running in the replicated state whether none of its runs is known to
 	// have started.
 	unstarted map[*pipeline.Job]bool
+	// given counts the jobs that the configuration which is being applied gives to other teams.
+	given map[teamChange]int
 	// checkpoints holds the checkpoints that upstreams reported and that no committed end
 	// contains yet.
 	checkpoints map[*pipeline.Task]string
@@ -110,6 +112,7 @@
 	e.admission, e.submitting, e.registering = placement.NewAdmission(pipeline.MaxLiveJobs), make(inFlight), make(inFlight)
 	e.flow, e.backlog, e.nextBacklog = placement.NewFlow(e.now()), nil, 0
 	e.unstarted = make(map[*pipeline.Job]bool)
+	e.given = make(map[teamChange]int)
 	e.checkpoints = make(map[*pipeline.Task]string)
 	e.tickets = make(map[pipeline.RunKey]string)
 	e.roundTrip = roundTrip{}
--- a/dispatch/observer.go
+++ b/dispatch/observer.go
@@ -12,10 +12,9 @@
 type observer Engine
 
 // ConfigChanged implements pipeline.Observer.
-func (o *observer) ConfigChanged() {
+func (o *observer) ConfigChanged(before *pipeline.Config) {
 	o.dirty = true
-	o.log.Info().Uint64("version", o.state.Config().GetVersion()).Int("queues", len(o.state.Config().GetQueues())).
-		Msg("configuration in force")
+	(*Engine)(o).logConfig(before)
 }
 
 // DomainChanged implements pipeline.Observer.
@@ -56,6 +55,7 @@
 
 // JobGiven implements pipeline.Observer.
 func (o *observer) JobGiven(j *pipeline.Job, from string) {
+	o.given[teamChange{from, j.Team}]++
 	if !j.Ended() {
 		o.admission.JobGiven(from, j.Team)
 	}
@@ -76,7 +76,7 @@
 	if j.State == pipeline.Failed {
 		e.logFailure(j)
 	}
-	e.log.Info().Str("request", j.Spec.GetId()).Str("queue", j.Spec.GetQueue()).Str("state", string(j.State)).
+	e.log.Info().Str("request", j.Spec.GetId()).Str("queue", e.state.JobQueue(j).GetName()).Str("route", string(j.Route())).Str("state", string(j.State)).
 		Int64("after_ms", (j.EndedNS-j.SubmittedNS)/int64(time.Millisecond)).Msg("job ended")
 }
 
--- a/dispatch/where_answer.go
+++ b/dispatch/where_answer.go
@@ -24,8 +24,11 @@
 	Reason       string `json:"reason,omitempty"`
 	RetryAfterMS int64  `json:"retry_after_ms,omitempty"`
 
-	// State is the state of a known job.
+	// State is the state of a known job, and Route the host and path prefix where it was accepted. Queue is the name that the
+	// queue there has now. If QueueGone is set there is none; Queue, Service and Priority are then those at acceptance.
 	State     string     `json:"state,omitempty"`
+	Route     string     `json:"route,omitempty"`
+	QueueGone bool       `json:"queue_gone,omitempty"`
 	Service   string     `json:"service,omitempty"`
 	Priority  int32      `json:"priority"`
 	TeamUse   WhereNeeds `json:"team_use"`
@@ -107,8 +110,8 @@
 // describe adds the figures of a job's queue and team.
 func (w *Where) describe(e *Engine, j *pipeline.Job) {
 	q := e.state.JobQueue(j)
-	if w.Queue, w.Team = j.Spec.GetQueue(), j.Team; j.Spec.GetId() != whereJob {
-		w.State = string(e.shownState(j))
+	if w.Queue, w.Team = q.GetName(), j.Team; j.Spec.GetId() != whereJob {
+		w.State, w.Route, w.QueueGone = string(e.shownState(j)), string(j.Route()), e.state.Config().QueueAt(j.Route()) == nil
 	}
 	w.Service, w.Priority = q.GetService(), q.GetPriority()
 	w.TeamUse = WhereNeeds(e.state.Used(j.Team))
--- a/pipeline/config.go
+++ b/pipeline/config.go
@@ -171,7 +171,7 @@
 		s.tombstones.resolveNames(before)
 		s.reassign(newSuccession(before, s.config))
 	}
-	s.observer.ConfigChanged()
+	s.observer.ConfigChanged(before)
 	return &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_OK}
 }
 
--- a/pipeline/state.go
+++ b/pipeline/state.go
@@ -39,8 +39,9 @@
 // Observer receives synchronous callbacks while an entry is applied. Changes of waves and deletions by
 // Sweep are not reported.
 type Observer interface {
-	// ConfigChanged reports that a new configuration is active.
-	ConfigChanged()
+	// ConfigChanged reports that a new configuration is active, after the jobs that it gives to other teams. The one before
+	// is nil if there was none.
+	ConfigChanged(before *Config)
 	// DomainChanged reports that a failure domain was taken out of service or put back.
 	DomainChanged(name string, out bool)
 	// UpstreamChanged reports a new upstream, a new incarnation or a changed description.
@@ -240,7 +241,7 @@
 // nopObserver ignores all changes.
 type nopObserver struct{}
 
-func (nopObserver) ConfigChanged()                    {}
+func (nopObserver) ConfigChanged(*Config)             {}
 func (nopObserver) DomainChanged(string, bool)        {}
 func (nopObserver) UpstreamChanged(*Upstream)         {}
 func (nopObserver) UpstreamGone(*Upstream)            {}
--- a/placement/replay_observer_test.go
+++ b/placement/replay_observer_test.go
@@ -80,7 +80,7 @@
 }
 
 // The other methods of pipeline.Observer.
-func (r *replay) ConfigChanged()                     {}
+func (r *replay) ConfigChanged(*pipeline.Config)     {}
 func (r *replay) DomainChanged(string, bool)         {}
 func (r *replay) UpstreamChanged(*pipeline.Upstream) {}
 func (r *replay) UpstreamGone(*pipeline.Upstream)    {}
