--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -145,16 +145,24 @@
 func (s *session) resolveUnanswered(reply StatusReply) {
 	listed := reply.listed()
 	var ends []*pipelinev1.End
+	unresolved := 0
 	for _, key := range s.runKeys() {
 		r := s.u.Runs[key]
 		_, answered := s.answeredAt[key]
 		if s.sent[key] && listed[key] {
 			unansweredCarriedOut.Add(1)
 		}
-		if answered || listed[key] || s.startQueued(key) || len(reply.Ended) >= maxEndsListed {
-			continue
+		switch {
+		case answered || listed[key] || s.startQueued(key):
+		case len(reply.Ended) >= maxEndsListed:
+			unresolved++
+		default:
+			ends = append(ends, &pipelinev1.End{Run: r.Proto(), Kind: pipelinev1.EndKind_END_KIND_NEVER_STARTED})
 		}
-		ends = append(ends, &pipelinev1.End{Run: r.Proto(), Kind: pipelinev1.EndKind_END_KIND_NEVER_STARTED})
+	}
+	if unresolved > 0 {
+		s.logger(zerolog.WarnLevel).Int("ends", len(reply.Ended)).Int("runs", unresolved).
+			Msg("upstream lists only a part of its ends; whether it has started some runs is not known yet")
 	}
 	s.proposeEnds(ends)
 	clear(s.sent)
