dispatch: placed runs behind a truncated list of ends are resolved by the rest of it

Cause: runs that a new leader finds placed and that are not in an upstream's list were never started, unless the list has 500 ends and may be cut off. They were passed over then, and nothing came back to them.

Change: they are kept as unresolved until an answer under the same token lists less than 500 ends; those that none has listed are placed again.

Looked at beside it: a start without an answer while 500 ends are listed goes the same way. An answer to an earlier request has a lower token and resolves nothing.

--- a/dispatch/reconcile.go
+++ b/dispatch/reconcile.go
@@ -141,11 +141,12 @@
 	return out
 }
 
-// resolveUnanswered ends the runs of unanswered starts that the upstream does not list.
+// resolveUnanswered ends the runs of unanswered starts that the upstream does not list. Where it lists only a part of its
+// ends, those that are not in it are unresolved until the rest is listed.
 func (s *session) resolveUnanswered(reply StatusReply) {
 	listed := reply.listed()
 	var ends []*pipelinev1.End
-	unresolved := 0
+	clear(s.unresolved)
 	for _, key := range s.runKeys() {
 		r := s.u.Runs[key]
 		_, answered := s.answeredAt[key]
@@ -155,15 +156,38 @@
 		switch {
 		case answered || listed[key] || s.startQueued(key):
 		case len(reply.Ended) >= maxEndsListed:
-			unresolved++
+			s.unresolved[key] = true
 		default:
 			ends = append(ends, &pipelinev1.End{Run: r.Proto(), Kind: pipelinev1.EndKind_END_KIND_NEVER_STARTED})
 		}
 	}
-	if unresolved > 0 {
-		s.logger(zerolog.WarnLevel).Int("ends", len(reply.Ended)).Int("runs", unresolved).
+	if len(s.unresolved) > 0 {
+		s.logger(zerolog.WarnLevel).Int("ends", len(reply.Ended)).Int("runs", len(s.unresolved)).
 			Msg("upstream lists only a part of its ends; whether it has started some runs is not known yet")
 	}
 	s.proposeEnds(ends)
 	clear(s.sent)
 }
+
+// resolveRest removes the unresolved runs that the answer to a status request with the token of reconcile lists. Once it lists
+// all ends that are left, the others were never started, and no older order can start them any more.
+func (s *session) resolveRest(reply StatusReply) {
+	if len(s.unresolved) == 0 {
+		return
+	}
+	for key := range reply.listed() {
+		delete(s.unresolved, key)
+	}
+	if len(reply.Ended) >= maxEndsListed {
+		return
+	}
+	var ends []*pipelinev1.End
+	for key := range s.unresolved {
+		if r := s.u.Runs[key]; r != nil {
+			ends = append(ends, &pipelinev1.End{Run: r.Proto(), Kind: pipelinev1.EndKind_END_KIND_NEVER_STARTED})
+		}
+	}
+	s.logger(zerolog.InfoLevel).Int("never_started", len(ends)).Msg("upstream has listed the rest of its ends")
+	clear(s.unresolved)
+	s.proposeEnds(ends)
+}
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -65,6 +65,9 @@
 	// sent holds runs whose start order was sent and is not answered; startsSince is when the first of them was.
 	sent        map[pipeline.RunKey]bool
 	startsSince time.Duration
+	// unresolved holds placed runs of which it is not known whether the upstream has started them, as it lists only a part
+	// of its ends.
+	unresolved map[pipeline.RunKey]bool
 	// stopping holds runs whose stop is queued, sent or answered.
 	stopping map[pipeline.RunKey]bool
 	// idleSince holds, for runs that use no CPU, when that was first reported.
@@ -135,7 +138,7 @@
 // answered.
 func (e *Engine) openSession(u *pipeline.Upstream) *session {
 	s := &session{e: e, u: u, phase: lifecycle.SessionOpening, hash: hashOf(u.GetId()), epoch: e.epochs[u.GetId()], ackedEnds: u.LastEnd, endsProposed: u.LastEnd, lastHeartbeat: e.now(), lastSequence: u.Sequence,
-		answeredAt: make(map[pipeline.RunKey]time.Duration), adopted: make(map[pipeline.RunKey]bool), sent: make(map[pipeline.RunKey]bool), stopping: make(map[pipeline.RunKey]bool),
+		answeredAt: make(map[pipeline.RunKey]time.Duration), adopted: make(map[pipeline.RunKey]bool), sent: make(map[pipeline.RunKey]bool), stopping: make(map[pipeline.RunKey]bool), unresolved: make(map[pipeline.RunKey]bool),
 		idleSince: make(map[pipeline.RunKey]time.Duration), workingAt: make(map[pipeline.RunKey]time.Duration)}
 	e.sessions[u.GetId()] = s
 	s.view = &placement.Upstream{Upstream: u, Stopping: s.stopping, Answered: s.answeredAt}
@@ -238,6 +241,7 @@
 	delete(s.workingAt, key)
 	delete(s.adopted, key)
 	delete(s.sent, key)
+	delete(s.unresolved, key)
 	delete(s.stopping, key)
 	delete(s.idleSince, key)
 	s.orders = slices.DeleteFunc(s.orders, func(o order) bool { return o.key == key })
--- a/dispatch/upstream_test.go
+++ b/dispatch/upstream_test.go
@@ -38,6 +38,8 @@
 	service string
 	// address is where the upstream listens; empty means at its identity.
 	address string
+	// maxEnds bounds the ends in an answer; zero means no bound.
+	maxEnds int
 	// addRows, if set, changes the answers to status requests.
 	addRows func(*StatusReply)
 	// longestQueue is the largest number of orders that were queued when a stop came.
@@ -285,7 +287,7 @@
 		reply.Running = append(reply.Running, RunningTask{Run: key, Percent: f.percent(key)})
 	}
 	f.ended = slices.DeleteFunc(f.ended, func(e EndedTask) bool { return e.Number <= r.LastEnd })
-	reply.Ended = slices.Clone(f.ended)
+	reply.Ended = slices.Clone(f.ended[:min(len(f.ended), cmp.Or(f.maxEnds, len(f.ended)))])
 	if f.addRows != nil {
 		f.addRows(&reply)
 	}
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -46,6 +46,9 @@
 			s.ackedEnds = max(s.ackedEnds, req.LastEnd)
 			known := s.endsProposed
 			s.reconcileRuns(reply, now, at)
+			if req.Token == s.token() {
+				s.resolveRest(reply)
+			}
 			// What is listed although it was acknowledged has the upstream answer at once, each time.
 			onlyKnown := len(reply.Ended) > 0 && s.endsProposed == known
 			if onlyKnown || !s.mayCompleteStep() {
@@ -97,5 +100,5 @@
 
 // mayHaveRuns reports whether the upstream may have a run.
 func (s *session) mayHaveRuns() bool {
-	return len(s.answeredAt) > 0 || len(s.sent) > 0
+	return len(s.answeredAt) > 0 || len(s.sent) > 0 || len(s.unresolved) > 0
 }
