dispatch: ends that an upstream still lists are acknowledged again

Callers saw: where a leader had committed 500 ends of an upstream and was lost before it acknowledged them, jobs whose tasks were done behind them stay running for good (LOST).

Cause: a new leader takes the highest committed end for acknowledged. It acknowledges nothing until it sees a new end, and a list of 500 known ones shows none.

Change: an end that the known incarnation lists is not acknowledged; the next request acknowledges up to the highest committed end.

--- a/dispatch/long_list_test.go
+++ b/dispatch/long_list_test.go
@@ -44,3 +44,23 @@
 		}
 	}
 }
+
+// A leader acknowledges the ends that an older one committed and did not acknowledge. It took them for acknowledged: an
+// upstream that lists maxEndsListed of them lists no other, so that what was done behind them was never known.
+func TestCommittedEndsAreAcknowledged(t *testing.T) {
+	for _, committed := range []int{maxEndsListed - 1, maxEndsListed, maxEndsListed + 1} {
+		h := newHarness(t, "w1")
+		h.lostLeader(2*maxEndsListed, 2*maxEndsListed)
+		ends := &pipelinev1.Ends{}
+		for _, e := range h.upstreams["w1"].ended[:committed] {
+			ends.Ends = append(ends.Ends, &pipelinev1.End{Run: h.state.Upstreams()["w1"].Runs[e.Run].Proto(), Kind: e.Kind, Listed: e.Number})
+		}
+		h.state.Apply(h.wall(), &pipelinev1.Command{Command: &pipelinev1.Command_Ends{Ends: ends}})
+		h.newLeader()
+		h.run(20 * time.Second)
+		h.check()
+		if s, f := h.jobState(jobID(1)), h.upstreams["w1"]; s != pipeline.Completed || f.starts > 0 || len(f.ended) > 0 {
+			t.Errorf("%d ends were committed: the job is %s, %d tasks were started again, %d ends are not acknowledged", committed, s, f.starts, len(f.ended))
+		}
+	}
+}
--- a/dispatch/status.go
+++ b/dispatch/status.go
@@ -68,6 +68,7 @@
 		}
 	}
 	s.stopUnknown(unknown...)
+	s.acknowledgeAgain(reply)
 	ends, ended := s.newEnds(reply)
 	if len(reply.Ended) < maxEndsListed {
 		ends = append(ends, s.missingRuns(running, ended, began)...)
@@ -104,6 +105,17 @@
 	return nil
 }
 
+// acknowledgeAgain has ends acknowledged that this incarnation lists although they count as acknowledged: an older leader may
+// have committed them, and been lost before it acknowledged them.
+func (s *session) acknowledgeAgain(reply StatusReply) {
+	if reply.Born != s.u.GetBorn() {
+		return
+	}
+	for _, x := range reply.Ended {
+		s.ackedEnds = min(s.ackedEnds, x.Number-1)
+	}
+}
+
 // newEnds converts the listed ends that were not proposed yet. It also returns the set of all
 // runs that are listed as ended.
 func (s *session) newEnds(reply StatusReply) (ends []*pipelinev1.End, ended map[pipeline.RunKey]bool) {
