pipeline: hosts are compared without case

Cause: the HTTP server gives hosts in small letters, and Match compared letter by letter.

Change: hosts are compared in small letters where queues are selected, routes and addresses are told apart, and two queues at one place are refused. Configurations of the release before keep the check that accepted them.

A prefix with a percent sign or a doubled slash is suspected, and was left.

--- a/pipeline/access.go
+++ b/pipeline/access.go
@@ -8,7 +8,7 @@
 
 // Access is what the host, path and key of a call select in the active configuration.
 type Access struct {
-	// Host and Path are those of the call, KeySHA256 is the SHA-256 of its key.
+	// Host and Path are those of the call, the host in small letters; KeySHA256 is the SHA-256 of its key.
 	Host, Path string
 	KeySHA256  []byte
 	Queue      *pipelinev1.Queue
@@ -23,6 +23,7 @@
 
 // Access returns what a call selects, or the refusal of a call that the active configuration does not allow.
 func (s *State) Access(host, path string, keySHA256 []byte) (Access, *pipelinev1.Reply) {
+	host = hostOf(host)
 	q := s.config.Match(host, path)
 	if q == nil {
 		return Access{}, &pipelinev1.Reply{Verdict: pipelinev1.Verdict_VERDICT_NO_QUEUE, Detail: "no queue has this host and path"}
--- a/pipeline/config.go
+++ b/pipeline/config.go
@@ -31,7 +31,12 @@
 		}
 		services[s.GetName()] = true
 	}
-	if problem := checkQueues(c.GetQueues(), services); problem != "" {
+	routeOf := RouteOf
+	if !c.GetStableIdentities() {
+		// Older versions compared hosts letter by letter; what they accepted stays valid.
+		routeOf = func(q *pipelinev1.Queue) Route { return Route(q.GetHost() + q.GetPathPrefix()) }
+	}
+	if problem := checkQueues(c.GetQueues(), services, routeOf); problem != "" {
 		return problem
 	}
 	return checkTeams(c.GetTeams())
@@ -39,10 +44,10 @@
 
 // checkQueues requires unique names, unique pairs of host and path prefix, known services and
 // positive timeouts.
-func checkQueues(queues []*pipelinev1.Queue, services map[string]bool) string {
+func checkQueues(queues []*pipelinev1.Queue, services map[string]bool, routeOf func(*pipelinev1.Queue) Route) string {
 	routes, names := make(map[Route]bool), make(map[string]bool)
 	for _, q := range queues {
-		r := RouteOf(q)
+		r := routeOf(q)
 		switch {
 		case q.GetName() == "" || names[q.GetName()]:
 			return fmt.Sprintf("queue %q has no name or is named twice", q.GetName())
@@ -88,7 +93,8 @@
 		byKey: make(map[[sha256.Size]byte]*pipelinev1.Team)}
 	for _, q := range c.GetQueues() {
 		out.queues[q.GetName()], out.byRoute[RouteOf(q)] = q, q
-		out.byHost[q.GetHost()] = append(out.byHost[q.GetHost()], q)
+		host := hostOf(q.GetHost())
+		out.byHost[host] = append(out.byHost[host], q)
 	}
 	for _, s := range c.GetServices() {
 		out.services[s.GetName()] = s
@@ -109,7 +115,7 @@
 		return nil
 	}
 	var best *pipelinev1.Queue
-	for _, q := range c.byHost[host] {
+	for _, q := range c.byHost[hostOf(host)] {
 		if strings.HasPrefix(path, q.GetPathPrefix()) && (best == nil || len(q.GetPathPrefix()) > len(best.GetPathPrefix())) {
 			best = q
 		}
--- a/pipeline/older.go
+++ b/pipeline/older.go
@@ -46,7 +46,7 @@
 			if q == nil {
 				continue
 			}
-			x.Host, x.Path = q.GetHost(), q.GetPathPrefix()+x.GetJob()
+			x.Host, x.Path = hostOf(q.GetHost()), q.GetPathPrefix()+x.GetJob()
 		}
 		t.restore(x)
 	}
--- a/pipeline/route_test.go
+++ b/pipeline/route_test.go
@@ -106,3 +106,31 @@
 		t.Errorf("after its return: %v, job %v", refused, h.JobOf(a))
 	}
 }
+
+// The letters of a host mean the same in either case, in a configuration and in a call. A route with a capital letter was
+// never found.
+func TestHostsAreComparedWithoutCase(t *testing.T) {
+	h := newHarness(t)
+	h.submit("a", step(1, 1))
+	capital := func(c *pipelinev1.Config) { c.Queues[0].Host = "H" }
+	h.reconfigure(capital)
+	for _, host := range []string{"h", "H"} {
+		a, refused := h.Access(host, "/labels/a", hashOf(testKey))
+		if refused != nil || h.JobOf(a) == nil {
+			t.Errorf("host %s: %v, job %v", host, refused, h.JobOf(a))
+		}
+	}
+	if got := h.Pending(testRoute); got != 1 {
+		t.Errorf("%d jobs are pending", got)
+	}
+	c := h.config(9)
+	capital(c)
+	c.Queues[1].Host, c.Queues[1].PathPrefix = "h", c.Queues[0].PathPrefix
+	if got := h.put(c); got.GetVerdict() != pipelinev1.Verdict_VERDICT_INVALID {
+		t.Errorf("two queues whose hosts differ in case only: %v", got)
+	}
+	c.StableIdentities = false
+	if got := h.put(c); got.GetVerdict() != pipelinev1.Verdict_VERDICT_OK {
+		t.Errorf("an entry of the release before: %v", got)
+	}
+}
