pipeline: entries of the release before are decided by its own terms for keys

Cause: found when the change was read again. Entries without a path took the new terms for jobs and tombstones without a key.

Change: for such entries a job is its team's, or anyone's while its queue is open, and a tombstone bars the submissions that it barred.

Measured: TestEntriesOfTheReleaseBeforeOnAClosedQueue failed before in both checks, and passes.

--- a/pipeline/access.go
+++ b/pipeline/access.go
@@ -64,11 +64,10 @@
 // see owner.admits.
 func (s *State) JobOf(a Access) *Job {
 	j := s.jobs[a.ID]
-	at := j.isAt(a.Host, a.Path)
-	if a.byName {
-		at = j != nil && j.Spec.GetQueue() == a.Queue.GetName()
-	}
-	if !at || !a.Queue.GetOpen() && !j.owner().admits(a) {
+	switch {
+	case a.byName:
+		return a.jobByName(j)
+	case !j.isAt(a.Host, a.Path) || !a.Queue.GetOpen() && !j.owner().admits(a):
 		return nil
 	}
 	return j
--- a/pipeline/older.go
+++ b/pipeline/older.go
@@ -23,6 +23,23 @@
 	return Access{Queue: q, Team: team, ID: job, byName: true}, nil
 }
 
+// jobByName returns a job if an entry of an older version may access it, or nil.
+func (a Access) jobByName(j *Job) *Job {
+	if j == nil || j.Spec.GetQueue() != a.Queue.GetName() || !a.Queue.GetOpen() && j.Team != a.Team.GetName() {
+		return nil
+	}
+	return j
+}
+
+// barsByName reports whether the submission of an older version's entry was cancelled before, by one of such entries.
+func (t *tombstones) barsByName(a Access) bool {
+	team := a.Team.GetName()
+	if a.Queue.GetOpen() {
+		team = ""
+	}
+	return slices.ContainsFunc(t.byAddress[addressOf(a)], func(c cancellation) bool { return c.by.team == team })
+}
+
 // queueByName returns the settings of a job while the active configuration is of an older version.
 func (s *State) queueByName(j *Job) *pipelinev1.Queue {
 	if q := s.config.Queue(j.Spec.GetQueue()); q != nil {
--- a/pipeline/older_test.go
+++ b/pipeline/older_test.go
@@ -52,6 +52,26 @@
 	}
 }
 
+// The same where a queue asks for keys that did not before: to the release before, a job without a key was nobody's then, and a
+// cancellation without one barred nothing.
+func TestEntriesOfTheReleaseBeforeOnAClosedQueue(t *testing.T) {
+	h := newHarness(t)
+	open := h.olderConfig(2, testQueue)
+	open.GetPutConfig().Queues[0].Open = true
+	h.apply(open)
+	keyless := olderSubmit(testQueue, "a")
+	keyless.GetSubmit().KeySha256 = nil
+	h.apply(keyless)
+	h.apply(olderCancel(testQueue, "b"))
+	h.apply(h.olderConfig(3, testQueue))
+	if r := h.apply(olderCancel(testQueue, "a")).Reply; r.GetVerdict() != pipelinev1.Verdict_VERDICT_NO_JOB || h.Job("a").Ended() {
+		t.Errorf("cancellation of a job without a key: %v", r)
+	}
+	if r := h.apply(olderSubmit(testQueue, "b")).Reply; r.GetJobState() != string(Queued) {
+		t.Errorf("submission after a cancellation on the open queue: %v", r)
+	}
+}
+
 // releaseBefore is a log that the release before (d2d13c4) applied, with the snapshot that it would have written after each
 // entry: random configurations that rename and move queues and teams, submissions, cancellations, placements and ends.
 // Each entry is its time, as the number of a Wave, the Command, the number of records and the records; -1 ends a log.
--- a/pipeline/tombstone.go
+++ b/pipeline/tombstone.go
@@ -83,6 +83,9 @@
 
 // bars reports whether the job of a submission was cancelled before.
 func (t *tombstones) bars(a Access) bool {
+	if a.byName {
+		return t.barsByName(a)
+	}
 	barred := func(c cancellation) bool { return c.by.admits(a) }
 	return slices.ContainsFunc(t.byAddress[addressOf(a)], barred) ||
 		slices.ContainsFunc(t.byAddress[address{path: a.ID, queue: a.Queue.GetName()}], barred)
