--- a/placement/wait.go
+++ b/placement/wait.go
@@ -1,6 +1,11 @@
 package placement
 
-import "time"
+import (
+	"slices"
+	"time"
+
+	"github.com/bulrushwinch/bulrushwinch/pipeline"
+)
 
 const (
 	// reportAfter is how long a step waits before the reason is reported; reportEvery is the time
@@ -21,6 +26,7 @@
 	WaitCaller    WaitReason = "waiting for a process that can put a permit question"
 	WaitHold      WaitReason = "too much of the service is reserved to hold the upstreams of the gang"
 	WaitCapacity  WaitReason = "no upstream that may run the step has capacity"
+	WaitApart     WaitReason = "only upstreams from which tasks that fill, or those that serve under a target, are kept away have capacity"
 	WaitGang      WaitReason = "the upstreams lack capacity for all members of the gang at once"
 )
 
@@ -116,6 +122,18 @@
 		return WaitHold
 	case d.work.Step.Spec.GetGang():
 		return WaitGang
+	case r.onlyApart(d):
+		return WaitApart
 	}
 	return WaitCapacity
 }
+
+// onlyApart reports whether nothing but the tasks there keeps a task of the demand off some usable upstream.
+func (r *round) onlyApart(d demand) bool {
+	if !d.work.Step.Spec.GetFills() && d.work.Step.Spec.GetTargetMs() == 0 {
+		return false
+	}
+	return slices.ContainsFunc(r.usableFor(d), func(u *Upstream) bool {
+		return d.work.Step.Need.Fits(u.free) && r.State.CheckUpstream(d.work.Step, u.Upstream) == pipeline.PlaceInterference
+	})
+}
