placement, dispatch: tasks that fill share an upstream where there is no other place

Cause: Apply kept the two kinds apart without exception.

Change: they are kept apart while there is another place, and for a second after the step is ready. Then they share; an upstream with both is asked each 0.4 s, and the filling tasks are stopped when one beside them comes within a tenth of its target, for ten seconds there. One that maintenance may not end at any time never shares. Place says that it allows sharing, so that entries of the release before keep their meaning.

Looked at beside it: a serving task that finds filling ones everywhere waited in the same way. Preemption and copies go by the same check.

--- a/dispatch/decide.go
+++ b/dispatch/decide.go
@@ -98,7 +98,7 @@
 	}
 	e.placing = true
 	e.places++
-	e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_Place{Place: &pipelinev1.Place{Runs: d.Runs}}},
+	e.host.Propose(&pipelinev1.Command{Command: &pipelinev1.Command_Place{Place: &pipelinev1.Place{Runs: d.Runs, Shares: true}}},
 		func(result *pipeline.Result, err error) {
 			e.placing, e.dirty = false, true
 			if err != nil {
--- a/dispatch/metrics.go
+++ b/dispatch/metrics.go
@@ -34,6 +34,7 @@
 	copiesRefused         = expvar.NewInt("pipeline_copies_refused_by_budget")
 	gangsReserved         = expvar.NewInt("pipeline_gangs_reserved")
 	runsStalled           = expvar.NewInt("pipeline_runs_stalled")
+	fillersStopped        = expvar.NewInt("pipeline_fillers_stopped_for_targets")
 	leasesExpired         = expvar.NewInt("pipeline_upstreams_lapsed")
 	claimsRefuted         = expvar.NewInt("pipeline_claims_refuted")
 	questionsAsked        = expvar.NewInt("pipeline_permit_questions")
--- a/dispatch/status.go
+++ b/dispatch/status.go
@@ -62,6 +62,7 @@
 			s.e.checkpoints[run.Task] = r.Checkpoint
 		}
 		s.recordWorking(run, r, now)
+		s.checkTarget(run, r, now)
 		s.checkProgress(run, r, now)
 		if run.Task.Step.Job().Ended() {
 			s.enqueueStop(run, "the job has ended")
--- a/dispatch/watch.go
+++ b/dispatch/watch.go
@@ -76,6 +76,9 @@
 // an unresponsive upstream may be detected later.
 func (s *session) watchWaitTime() time.Duration {
 	wait := nonUrgentWait
+	if len(s.fillersBesideTargets()) > 0 {
+		return startupWait
+	}
 	for key, r := range s.u.Runs {
 		switch _, working := s.workingAt[key]; {
 		case s.e.maintenance.waveOpen && isProtected(r) && !working:
--- a/pipeline/place.go
+++ b/pipeline/place.go
@@ -38,7 +38,7 @@
 	// PlaceIncompleteGang means that the command does not place each member of the gang exactly once.
 	PlaceIncompleteGang PlaceReason = "the gang is not placed as a whole"
 	// PlaceInterference means that a filler task would share an upstream with a task that has a latency
-	// target.
+	// target. Place may allow it; see Step.MayShare.
 	PlaceInterference PlaceReason = "a task that fills would run beside one that serves under a target"
 	// PlaceExhausted means that the task has used up its attempts.
 	PlaceExhausted PlaceReason = "the task has failed as often as it may"
@@ -63,7 +63,7 @@
 	out := &Result{}
 	for i := 0; i < len(c.GetRuns()); {
 		n := s.gangLength(c.GetRuns()[i:])
-		s.placeGroup(c.GetRuns()[i:i+n], out)
+		s.placeGroup(c.GetRuns()[i:i+n], c.GetShares(), out)
 		i += n
 	}
 	return out
@@ -84,7 +84,7 @@
 }
 
 // placeGroup places all runs of a group or none.
-func (s *State) placeGroup(group []*pipelinev1.Run, out *Result) {
+func (s *State) placeGroup(group []*pipelinev1.Run, shares bool, out *Result) {
 	reason := s.checkGang(group)
 	var accepted []*Run
 	for _, p := range group {
@@ -92,7 +92,7 @@
 			break
 		}
 		var r *Run
-		if r, reason = s.reserveRun(p); reason == "" {
+		if r, reason = s.reserveRun(p, shares); reason == "" {
 			accepted = append(accepted, r)
 		}
 	}
@@ -132,7 +132,7 @@
 }
 
 // reserveRun checks a run and reserves its resources; nothing else is changed.
-func (s *State) reserveRun(p *pipelinev1.Run) (*Run, PlaceReason) {
+func (s *State) reserveRun(p *pipelinev1.Run, shares bool) (*Run, PlaceReason) {
 	t := s.Task(TaskKeyOf(p.GetTask()))
 	if t == nil || t.Done || t.Step.Job().Ended() {
 		return nil, PlaceNoTask
@@ -144,7 +144,7 @@
 	if u == nil || u.GetBorn() != p.GetBorn() || u.GetDraining() {
 		return nil, PlaceNoUpstream
 	}
-	if reason := s.CheckUpstream(t.Step, u); reason != "" {
+	if reason := s.CheckUpstream(t.Step, u); reason != "" && !(reason == PlaceInterference && shares && t.Step.MayShare(u)) {
 		return nil, reason
 	}
 	if team := s.config.Team(t.Step.Job().Team); team != nil {
@@ -198,16 +198,28 @@
 	return ""
 }
 
-// interferesWith reports whether a task of the step must not share the upstream with one that runs
-// there: a filler task and one with a latency target are kept apart, because how much the filler
+// interferesWith reports whether a task of the step may disturb one that runs on the upstream, or be disturbed: a filler
+// task and one with a latency target are kept apart while there is another place, because how much the filler
 // slows the other differs by image and changes within seconds.
 func (s *Step) interferesWith(u *Upstream) bool {
+	return s.interferes(u, func(*pipelinev1.Step) bool { return true })
+}
+
+// MayShare reports whether a task of the step may run on an upstream beside tasks that it interferes with: the filler
+// task of each such pair may be stopped, whatever maintenance may end.
+func (s *Step) MayShare(u *Upstream) bool {
+	return !s.interferes(u, func(filler *pipelinev1.Step) bool { return filler.GetLasting() && filler.GetMissAllowed() > 0 })
+}
+
+// interferes reports whether the step and one of the upstream's runs are a filler task that meets a condition and one with
+// a latency target.
+func (s *Step) interferes(u *Upstream, condition func(filler *pipelinev1.Step) bool) bool {
 	if !s.Spec.GetFills() && s.Spec.GetTargetMs() == 0 {
 		return false
 	}
 	for _, r := range u.Runs {
 		other := r.Task.Step.Spec
-		if s.Spec.GetFills() && other.GetTargetMs() > 0 || s.Spec.GetTargetMs() > 0 && other.GetFills() {
+		if s.Spec.GetFills() && other.GetTargetMs() > 0 && condition(s.Spec) || s.Spec.GetTargetMs() > 0 && other.GetFills() && condition(other) {
 			return true
 		}
 	}
--- a/pipeline/place_test.go
+++ b/pipeline/place_test.go
@@ -99,3 +99,31 @@
 	h.end(run("a", 0, 0, 1, "w1"), pipelinev1.EndKind_END_KIND_STOPPED, 1)
 	h.mustPlace(run("b", 0, 0, 1, "w1"))
 }
+
+// A filling task and one with a latency target share an upstream only where the command allows it, as entries of the release
+// before do not, and never where maintenance may not end the filling one.
+func TestInterferenceIsAllowedByTheCommand(t *testing.T) {
+	for name, c := range map[string]struct {
+		shares, protected bool
+		want              PlaceReason
+	}{"release before": {false, false, PlaceInterference}, "allowed": {true, false, ""}, "protected": {true, true, PlaceInterference}} {
+		h := newHarness(t)
+		serving, filling := step(1, 1), step(1, 1)
+		serving.TargetMs, filling.Fills, filling.Lasting = 100, true, c.protected
+		if c.protected {
+			filling.MissAllowed = 1
+		}
+		h.submit("a", serving)
+		h.submit("b", filling)
+		h.mustPlace(run("a", 0, 0, 1, "w1"))
+		got := h.apply(&pipelinev1.Command{Command: &pipelinev1.Command_Place{Place: &pipelinev1.Place{
+			Runs: []*pipelinev1.Run{run("b", 0, 0, 1, "w1")}, Shares: c.shares}}})
+		reason := PlaceReason("")
+		if len(got.Refused) > 0 {
+			reason = got.Refused[0].Reason
+		}
+		if reason != c.want {
+			t.Errorf("%s: refused as %q, want %q", name, reason, c.want)
+		}
+	}
+}
--- a/placement/cell.go
+++ b/placement/cell.go
@@ -76,6 +76,8 @@
 	// Answered holds when the upstream confirmed that it has a run, or listed one whose start this leader has not
 	// seen.
 	Answered map[pipeline.RunKey]time.Duration
+	// NoFillersUntil is the time until which no filler task is placed beside tasks with a latency target there.
+	NoFillersUntil time.Duration
 	// Reserved keeps other steps off the upstream.
 	Reserved Reservation
 
--- a/placement/choose.go
+++ b/placement/choose.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"slices"
+	"time"
 
 	"github.com/bulrushwinch/bulrushwinch/pipeline"
 )
@@ -11,6 +12,10 @@
 // chosen.
 const slowPenalty = 0.5
 
+// shareAfter is the time for which a step that interferes with tasks on other upstreams looks for a place of its own. Users
+// expect work to start within three seconds where there is capacity.
+const shareAfter = time.Second
+
 // packedTasks is the number of tasks of a step that an upstream should have capacity for. More
 // capacity makes it no better: it would be taken from gangs and large tasks, which need it in one piece.
 const packedTasks = 4
@@ -45,7 +50,22 @@
 
 // fits reports whether one more task of the step may run on the upstream now.
 func (r *round) fits(w *Work, u *Upstream) bool {
-	return w.Step.Need.Fits(u.free) && r.eligible(w, u) && r.State.CheckUpstream(w.Step, u.Upstream) == ""
+	if !w.Step.Need.Fits(u.free) || !r.eligible(w, u) {
+		return false
+	}
+	reason := r.State.CheckUpstream(w.Step, u.Upstream)
+	return reason == "" || reason == pipeline.PlaceInterference && r.mayShare(w, u)
+}
+
+// mayShare reports whether a task of the step may run beside tasks that it interferes with. It looks for a place of its own
+// for shareAfter, and fills no upstream where such tasks were stopped lately.
+func (r *round) mayShare(w *Work, u *Upstream) bool {
+	return r.Now-w.ReadyAt >= shareAfter && !(w.Step.Spec.GetFills() && r.Now < u.NoFillersUntil) && w.Step.MayShare(u.Upstream)
+}
+
+// shares reports whether a task of the step would run beside tasks that it interferes with.
+func (r *round) shares(st *pipeline.Step, u *Upstream) bool {
+	return (st.Spec.GetFills() || st.Spec.GetTargetMs() > 0) && r.State.CheckUpstream(st, u.Upstream) == pipeline.PlaceInterference
 }
 
 // eligible reports whether an upstream may take tasks of the step, provided that it has the
@@ -64,6 +84,8 @@
 
 // choice is the rank of a candidate for one task.
 type choice struct {
+	// shares is set when the task would run beside tasks that it interferes with.
+	shares bool
 	// far is set when the task prefers another rack.
 	far bool
 	// exposed is set when upstreams crashed under the task and under one of another job on the upstream.
@@ -77,10 +99,12 @@
 	freeShare float64
 }
 
-// betterThan reports whether a ranks before b: by rack, then exposure to crashes, then speed, then the
+// betterThan reports whether a ranks before b: by interference, then rack, then exposure to crashes, then speed, then the
 // number of fitting tasks, then the smaller free share.
 func (a choice) betterThan(b choice) bool {
 	switch {
+	case a.shares != b.shares:
+		return b.shares
 	case a.far != b.far:
 		return b.far
 	case a.exposed != b.exposed:
@@ -110,7 +134,7 @@
 		if !st.Need.Fits(u.free) || t.RunsOn(u.Upstream) || st.Spec.GetMaxPerUpstream() > 0 && r.spreadRoom(st, u) <= 0 {
 			continue
 		}
-		c := choice{far: rack != "" && u.GetRack() != rack, exposed: t.Suspect() && r.hasOtherSuspect(st.Job(), u),
+		c := choice{shares: r.shares(st, u), far: rack != "" && u.GetRack() != rack, exposed: t.Suspect() && r.hasOtherSuspect(st.Job(), u),
 			slow: urgent && u.slowness > slowBound, fitting: r.capacity(st, u, min(waiting, most)),
 			freeShare: largestFreeShare(u.free.Minus(st.Need), u.Capacity) + slowPenalty*u.slowness}
 		if lasting {
--- a/placement/wait.go
+++ b/placement/wait.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"github.com/bulrushwinch/bulrushwinch/pipeline"
 )
 
 const (
@@ -134,6 +132,6 @@
 		return false
 	}
 	return slices.ContainsFunc(r.usableFor(d), func(u *Upstream) bool {
-		return d.work.Step.Need.Fits(u.free) && r.State.CheckUpstream(d.work.Step, u.Upstream) == pipeline.PlaceInterference
+		return d.work.Step.Need.Fits(u.free) && r.shares(d.work.Step, u)
 	})
 }
