dispatch: a false drain is refuted by the upstream's own heartbeats

Callers saw: work that only one upstream can run never starts, after a heartbeat of another writer with all fields said that it drains.

Cause: a drain ended with the incarnation only, so that a late heartbeat could not end it, and a false one was never compared with what followed.

Change: four heartbeats in a row with higher numbers, over four seconds and with none that drains between them, end it.

Looked at beside it: late heartbeats have lower numbers and change nothing; a true drain holds where false heartbeats come between the upstream's own; the number that brought the drain is in the log, so a new leader knows it.

Measured: TestFalseDrainIsRefuted failed before, and passes; dispatch passes.

--- a/dispatch/bogus_entries_test.go
+++ b/dispatch/bogus_entries_test.go
@@ -399,3 +399,45 @@
 		t.Errorf("%d upstreams", n)
 	}
 }
+
+// A heartbeat of another writer that says a sound upstream drains is refuted by the upstream's own, which go on; the upstream was
+// out of use for good. One that says a draining upstream is ready changes nothing, as the upstream's own come between.
+func TestFalseDrainIsRefuted(t *testing.T) {
+	h := newHarness(t, "w1")
+	sequence := int64(100)
+	beat := func(draining bool) {
+		sequence++
+		u := h.upstreams["w1"].describe("w1")
+		u.Draining = draining
+		h.call(&pipelinev1.Call{Call: &pipelinev1.Call_Heartbeat{Heartbeat: &pipelinev1.HeartbeatCall{Upstream: u, Sequence: sequence}}})
+	}
+	beats := func(draining bool, times int) {
+		for range times {
+			h.run(1500 * time.Millisecond)
+			beat(draining)
+		}
+	}
+	beat(true)
+	beats(false, 3)
+	if !h.state.Upstreams()["w1"].GetDraining() {
+		t.Error("the drain ended after three heartbeats")
+	}
+	h.newLeader()
+	beats(false, 4)
+	if h.state.Upstreams()["w1"].GetDraining() {
+		t.Error("the false drain holds")
+	}
+	h.submit(jobID(1), oneStep(1, 1000))
+	h.run(2 * time.Second)
+	if s := h.jobState(jobID(1)); s != pipeline.Completed {
+		t.Errorf("the job is %s", s)
+	}
+	beat(true)
+	for range 6 {
+		beats(false, 3)
+		beat(true)
+	}
+	if !h.state.Upstreams()["w1"].GetDraining() {
+		t.Error("false heartbeats between its own ended a true drain")
+	}
+}
--- a/dispatch/claim.go
+++ b/dispatch/claim.go
@@ -53,6 +53,24 @@
 	return false
 }
 
+// drains reports whether the upstream drains although a heartbeat of the known incarnation says that it doesn't. An upstream that
+// drains is never ready again: where it is, for a row of heartbeats with higher numbers than the one that said so, and none that
+// drains is between them, that one was false.
+func (s *session) drains(reported *pipelinev1.Upstream, sequence int64, now time.Duration) bool {
+	if !s.u.GetDraining() || reported.GetDraining() {
+		s.ready = beatStreak{}
+		return false
+	}
+	if s.u.Sequence == 0 || sequence <= s.u.Sequence || !s.ready.add(sequence, now) {
+		return true
+	}
+	s.ready = beatStreak{}
+	s.logger(zerolog.WarnLevel).Int64("sequence", sequence).Int64("known_sequence", s.u.Sequence).
+		Msg("upstream is ready after a heartbeat that said it drains; that one was false")
+	claimsRefuted.Add(1)
+	return false
+}
+
 // incarnationClaimed takes note of a heartbeat of a newer incarnation. The known one is asked first if it has answered
 // lately. Further claims don't change whose turn it is. An older one than the last counts once that one was asked about in vain.
 func (s *session) incarnationClaimed(reported *pipelinev1.Upstream, now time.Duration) {
--- a/dispatch/heartbeat.go
+++ b/dispatch/heartbeat.go
@@ -33,7 +33,7 @@
 		return
 	}
 	s.lastHeartbeat = now
-	if reported.GetBorn() == s.u.GetBorn() && (s.sequenceStale(c.GetSequence(), now) || s.u.GetDraining() && !reported.GetDraining()) {
+	if reported.GetBorn() == s.u.GetBorn() && (s.sequenceStale(c.GetSequence(), now) || s.drains(reported, c.GetSequence(), now)) {
 		// A delayed heartbeat must not make a draining upstream available again.
 		e.log.Info().Str("upstream", reported.GetId()).Int64("sequence", c.GetSequence()).Int64("known_sequence", s.lastSequence).
 			Bool("draining", s.u.GetDraining()).Msg("stale heartbeat ignored")
--- a/dispatch/session.go
+++ b/dispatch/session.go
@@ -84,6 +84,8 @@
 	lastSequence int64
 	// stale are the heartbeats below lastSequence that came last.
 	stale beatStreak
+	// ready are the heartbeats of a draining upstream that say it is ready.
+	ready beatStreak
 	// heardSinceExpiry are the heartbeats of this incarnation since its lease expired.
 	heardSinceExpiry beatStreak
 	// unresponsiveSince is when the upstream became unresponsive or suspected.
