--- a/soak/wave_test.go
+++ b/soak/wave_test.go
@@ -138,7 +138,8 @@
 	defer s.mu.Unlock()
 	var out []map[string]any
 	for i, w := range s.upstreams {
-		entry := map[string]any{"machine": fmt.Sprintf("m-%d", i), "pool": "print", "state": "upkeep"}
+		entry := map[string]any{"machine": fmt.Sprintf("m-%d", i), "pool": "print", "state": "upkeep", "zone": "prado", "labels": []string{"a", "r1"},
+			"capacity": map[string]int{"cpu": 4000, "memMb": 4000, "gpus": 0}}
 		if w != nil {
 			entry["state"], entry["id"] = "up", w.id
 		}
