state: a request with a key is not taken for one that was made without

Cause: found when the change was read again. On a queue that was open and asks for keys now, a request whose ID was used without a key was refused as reused.

Change: a request under a former team of the queue counts only if its body is the same, or if it was cancelled before it arrived.

Measured: TestRequestWithAKeyIsNotTakenForOneWithout failed before, and passes.

--- a/state/former_owner_test.go
+++ b/state/former_owner_test.go
@@ -78,3 +78,16 @@
 		t.Errorf("remembered: %v", h.s.formerOwners)
 	}
 }
+
+// A key's request has an identity of its own: one that was made at the queue without a key, under the same ID and with another
+// body, does not stand in its way.
+func TestRequestWithAKeyIsNotTakenForOneWithout(t *testing.T) {
+	h := newHarness(t)
+	first := h.openRequest("", "r")
+	h.mustChange(&apiv1.ChangeRequest{Change: &apiv1.ChangeRequest_PutQueue{PutQueue: &apiv1.Queue{Name: "open"}}})
+	other := request("r", apiv1.Policy_POLICY_BATCH, 2, true)
+	other.Queue = "open"
+	if r := h.submitAs("caller-a", other); r.GetJobId() == 0 || r.GetJobId() == first.GetJobId() {
+		t.Errorf("got %v, want a job of its own", r)
+	}
+}
--- a/state/submit.go
+++ b/state/submit.go
@@ -17,7 +17,7 @@
 		return &apiv1.SubmitResponse{Outcome: s.unauthorizedOutcome(c, refusal)}
 	}
 	key := RequestKey{team, req.GetRequestId()}
-	if known := s.RequestAt(req.GetQueue(), team, key.ID); known != nil {
+	if known := s.RequestAt(req.GetQueue(), team, key.ID); known != nil && (known.Key == key || known.sameBody(string(c.Digest))) {
 		return s.resentSubmitResponse(known, string(c.Digest))
 	}
 	if !ValidName(key.ID) {
@@ -67,11 +67,13 @@
 	s.requestOrder = append(s.requestOrder, r)
 }
 
-// resentSubmitResponse returns the response to a request whose identity is known. A request that was
-// cancelled before it was submitted has no digest and matches any body.
+// sameBody reports whether a request has a body with some digest. A request that was cancelled before it was submitted has no
+// digest and matches any body.
+func (r *Request) sameBody(digest string) bool { return r.Digest == digest || r.Digest == "" }
+
+// resentSubmitResponse returns the response to a request whose identity is known.
 func (s *State) resentSubmitResponse(known *Request, digest string) *apiv1.SubmitResponse {
-	cancelledBeforeSubmit := known.Digest == ""
-	if known.Digest != digest && !cancelledBeforeSubmit {
+	if !known.sameBody(digest) {
 		return &apiv1.SubmitResponse{Outcome: undetermined(apiv1.Reason_REASON_IDENTITY_REUSED,
 			"request %q was already used with another body; this body was not taken", known.Key.ID)}
 	}
